--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+# Delegates to the go command and to the scripts in _scripts.
+TOOLS := $(CURDIR)/.tools
+LINTER := $(TOOLS)/golangci-lint
+LINTER_VERSION := v2.15.0
+
+.PHONY: build test lint demo
+
+build:
+	go build -o bin/ ./cmd/...
+
+demo: build
+	_scripts/demo.sh
+
+$(LINTER):
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINTER_VERSION)
+
+lint: $(LINTER)
+	$(LINTER) run ./...
+
+test: lint
+	go vet ./...
+	go test -race ./...
--- /dev/null
+++ b/engine.go
@@ -0,0 +1,72 @@
+package bamboorail
+
+import "context"
+
+// Handle is the name under which an engine knows a loaded adapter version.
+// It contains the ownership term in which it was created, so that an order
+// or request of an earlier term never affects an adapter of a later one.
+type Handle string
+
+// LoadOrder tells an engine to load an adapter version under a handle.
+type LoadOrder struct {
+	Handle Handle
+	Model  ModelRef
+	// Source is the path of the weights in the weight store.
+	Source string
+	// Fencing is the ownership term of the sender.
+	Fencing uint64
+}
+
+// UnloadOrder tells an engine to drop a handle.
+type UnloadOrder struct {
+	Handle  Handle
+	Fencing uint64
+}
+
+// HandleState is the state of one handle in an engine's report.
+type HandleState struct {
+	Handle  Handle
+	Model   ModelRef
+	Running int
+}
+
+// EngineReport is the state that an engine reports of itself. It may lag
+// behind the engine.
+type EngineReport struct {
+	// Incarnation changes when the engine restarts.
+	Incarnation string
+	// BaseModel is the loaded base model, empty during a cold start.
+	BaseModel string
+	Slots     int
+	MaxBatch  int
+	Leaving   bool
+	// LastOrder is the most recent barrier that the reported state includes.
+	LastOrder string
+	Handles   []HandleState
+}
+
+// Run is a request bound to a handle of one engine.
+type Run struct {
+	Work   *Work
+	Handle Handle
+}
+
+// Engine is a client of one model engine. Errors carry a Failure; KindStaleHandle
+// and KindStaleFencing are refusals of the engine itself, so the request was not
+// run.
+type Engine interface {
+	// Report queries the state of the engine.
+	Report(ctx context.Context) (EngineReport, error)
+	// Barrier sends an order without effect. A report that contains id as
+	// LastOrder includes everything that the engine accepted before it.
+	Barrier(ctx context.Context, id string, fencing uint64) error
+	Load(ctx context.Context, o LoadOrder) error
+	Unload(ctx context.Context, o UnloadOrder) error
+	// Run executes a request and writes one completion chunk at a time.
+	Run(ctx context.Context, r Run, s Sink) error
+}
+
+// Application is a client of one plain service.
+type Application interface {
+	Call(ctx context.Context, w *Work, s Sink) error
+}
--- /dev/null
+++ b/internal/application/application.go
@@ -0,0 +1,139 @@
+// Package application is the client of plain services. It never sends a call
+// twice: every call uses a connection of its own, so that the transport has
+// no reused connection on which it could replay the call.
+package application
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+
+	"go.opentelemetry.io/otel/propagation"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/pkg/record"
+)
+
+const requestIDHeader = "Request-Id"
+
+// Error is the error type of the package.
+type Error struct{ bamboorail.Failure }
+
+const opCall = "call-application"
+
+func failed(kind bamboorail.Kind, outcome bamboorail.Outcome, err error) error {
+	return &Error{bamboorail.Failure{Op: opCall, Kind: kind, Outcome: outcome, Err: err}}
+}
+
+// Client calls one application target.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+var _ bamboorail.Application = (*Client)(nil)
+
+// Transport returns a copy of base that uses each connection once and does
+// not speak HTTP/2.
+func Transport(base *http.Transport) *http.Transport {
+	t := base.Clone()
+	t.DisableKeepAlives = true
+	t.ForceAttemptHTTP2 = false
+	return t
+}
+
+// New returns a client of a target. The transport must come from Transport.
+func New(t record.Target, transport *http.Transport) *Client {
+	return &Client{
+		base: strings.TrimSuffix(t.URL(), "/"),
+		http: &http.Client{
+			Transport:     transport,
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+const copyBufferBytes = 16 << 10
+
+// Call sends a call once and forwards the answer.
+func (c *Client) Call(ctx context.Context, w *bamboorail.Work, s bamboorail.Sink) error {
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := c.request(traced, w)
+	if err != nil {
+		return failed(bamboorail.KindBadRequest, bamboorail.OutcomeNotRun, err)
+	}
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
+	resp, err := c.http.Do(req)
+	if err != nil {
+		if !connected.Load() {
+			return failed(bamboorail.KindUnavailable, bamboorail.OutcomeNotRun, err)
+		}
+		return failed(interruptedKind(ctx), bamboorail.OutcomeMayHaveRun, err)
+	}
+	defer resp.Body.Close()
+	if got := resp.Header.Get(requestIDHeader); got != w.RequestID {
+		return failed(bamboorail.KindMismatch, bamboorail.OutcomeMayHaveRun,
+			fmt.Errorf("answer has request id %q, expected %q", got, w.RequestID))
+	}
+	if err := forward(resp, s); err != nil {
+		return failed(interruptedKind(ctx), bamboorail.OutcomeMayHaveRun, err)
+	}
+	return nil
+}
+
+func (c *Client) request(ctx context.Context, w *bamboorail.Work) (*http.Request, error) {
+	var body io.Reader
+	if len(w.Body) > 0 {
+		body = bytes.NewReader(w.Body)
+	}
+	req, err := http.NewRequestWithContext(ctx, w.Method, c.base+w.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil
+	for k, v := range w.Header {
+		req.Header[k] = v
+	}
+	req.Header.Set(requestIDHeader, w.RequestID)
+	return req, nil
+}
+
+func forward(resp *http.Response, s bamboorail.Sink) error {
+	if err := s.Begin(bamboorail.AnswerHead{Status: resp.StatusCode, Header: resp.Header}); err != nil {
+		return err
+	}
+	buffer := make([]byte, copyBufferBytes)
+	for {
+		n, err := resp.Body.Read(buffer)
+		if n > 0 {
+			if err := s.Write(buffer[:n]); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func interruptedKind(ctx context.Context) bamboorail.Kind {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return bamboorail.KindDeadlineExceeded
+	case ctx.Err() != nil:
+		return bamboorail.KindCancelled
+	}
+	return bamboorail.KindTruncated
+}
--- /dev/null
+++ b/internal/caller/decode.go
@@ -0,0 +1,265 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/requestid"
+	"bamboorail.example/bamboorail/pkg/record"
+)
+
+const (
+	// DeadlineHeader holds the time that the caller waits, as a duration.
+	DeadlineHeader = "Request-Deadline"
+
+	defaultDeadline = time.Minute
+	maxDeadline     = 10 * time.Minute
+	maxTokensLimit  = 1 << 15
+	// defaultTokens is the assumed cost of a request without max_tokens.
+	defaultTokens = 128
+	// bytesPerToken and prefillShare turn the length of a prompt into tokens
+	// of cost: a prompt token costs a fraction of a generated one.
+	bytesPerToken = 4
+	prefillShare  = 8
+)
+
+// identify returns the caller whose token the request carries.
+func (s *Server) identify(r *http.Request) (record.Caller, error) {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return record.Caller{}, rejected(bamboorail.KindUnauthenticated, errNoToken)
+	}
+	c, ok := s.config.View().CallerByToken(token)
+	if !ok {
+		return record.Caller{}, rejected(bamboorail.KindUnauthenticated, errNoToken)
+	}
+	return c, nil
+}
+
+// begin reads what all calls share and starts the work.
+func (s *Server) begin(ctx context.Context, r *http.Request) (*bamboorail.Work, *exchange, record.Caller, error) {
+	x := exchangeOf(ctx)
+	now := time.Now()
+	w := &bamboorail.Work{}
+	if err := s.setRequestID(r, w); err != nil {
+		return nil, x, record.Caller{}, err
+	}
+	x.requestID = w.RequestID
+	c, err := s.identify(r)
+	if err != nil {
+		return nil, x, c, err
+	}
+	d, err := deadline(r)
+	if err != nil {
+		return nil, x, c, err
+	}
+	w.Caller, w.Weight, w.Priority = c.Name(), c.Weight(), c.Priority()
+	w.Deadline = now.Add(d)
+	w.Body, err = s.readBody(r)
+	return w, x, c, err
+}
+
+// setRequestID takes over the caller's request id or makes one. Only an id of
+// the form zone.uuid makes a call idempotent; any other one traces it.
+func (s *Server) setRequestID(r *http.Request, w *bamboorail.Work) error {
+	given := r.Header.Get(requestid.Header)
+	if id, err := requestid.Parse(given); err == nil {
+		w.RequestID, w.IssuedAt, w.Zone = id.String(), id.Issued(), id.Zone()
+		return nil
+	}
+	if given != "" && !requestid.Opaque(given) {
+		return rejected(bamboorail.KindBadRequest, fmt.Errorf("header %s is not a valid id", requestid.Header))
+	}
+	if given != "" {
+		w.RequestID = given
+		return nil
+	}
+	id, err := requestid.New(s.config.Zone)
+	if err != nil {
+		return rejected(bamboorail.KindInternal, err)
+	}
+	w.RequestID = id.String()
+	return nil
+}
+
+func deadline(r *http.Request) (time.Duration, error) {
+	text := r.Header.Get(DeadlineHeader)
+	if text == "" {
+		return defaultDeadline, nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 || d > maxDeadline {
+		return 0, rejected(bamboorail.KindBadDeadline,
+			fmt.Errorf("header %s: %q is not a duration between 0 and %s, such as 1500ms", DeadlineHeader, text, maxDeadline))
+	}
+	return d, nil
+}
+
+func (s *Server) readBody(r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, s.config.MaxBody+1))
+	if err != nil {
+		return nil, rejected(bamboorail.KindBadRequest, fmt.Errorf("read body: %w", err))
+	}
+	if int64(len(body)) > s.config.MaxBody {
+		return nil, rejected(bamboorail.KindTooLarge, fmt.Errorf("body exceeds %d bytes", s.config.MaxBody))
+	}
+	return body, nil
+}
+
+// completionBody is the part of a completion request that routing needs.
+type completionBody struct {
+	Model     string          `json:"model"`
+	Prompt    *string         `json:"prompt"`
+	Messages  []messageBody   `json:"messages"`
+	MaxTokens *int            `json:"max_tokens"`
+	Stream    bool            `json:"stream"`
+	N         *int            `json:"n"`
+	Ignored   json.RawMessage `json:"-"`
+}
+
+type messageBody struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func (b completionBody) check(chat bool) error {
+	switch {
+	case b.N != nil && *b.N != 1:
+		return fmt.Errorf("field %q must be 1", "n")
+	case b.MaxTokens != nil && (*b.MaxTokens < 1 || *b.MaxTokens > maxTokensLimit):
+		return fmt.Errorf("field %q must be between 1 and %d", "max_tokens", maxTokensLimit)
+	case chat && len(b.Messages) == 0:
+		return fmt.Errorf("field %q must hold at least one message", "messages")
+	case !chat && b.Prompt == nil:
+		return fmt.Errorf("field %q must be a string", "prompt")
+	}
+	return nil
+}
+
+func (b completionBody) cost(bodyBytes int) int {
+	tokens := defaultTokens
+	if b.MaxTokens != nil {
+		tokens = *b.MaxTokens
+	}
+	return tokens + bodyBytes/(bytesPerToken*prefillShare)
+}
+
+// completionRequest is the decoded form of both completion calls.
+type completionRequest struct {
+	work *bamboorail.Work
+	sink finisher
+}
+
+func (s *Server) decodeCompletion(chat bool) func(context.Context, *http.Request) (any, error) {
+	return func(ctx context.Context, r *http.Request) (any, error) {
+		w, x, c, err := s.begin(ctx, r)
+		if err != nil {
+			return nil, err
+		}
+		var b completionBody
+		if err := json.Unmarshal(w.Body, &b); err != nil {
+			return nil, rejected(bamboorail.KindBadRequest, fmt.Errorf("body is not a JSON request: %w", err))
+		}
+		if err := b.check(chat); err != nil {
+			return nil, rejected(bamboorail.KindBadRequest, err)
+		}
+		if w.Model, err = s.model(b.Model, c); err != nil {
+			return nil, err
+		}
+		w.Chat, w.Tokens = chat, b.cost(len(w.Body))
+		// A generation may run again: it changes nothing but its answer. Its
+		// id therefore binds it to no zone.
+		w.Repeatable, w.Zone, w.IssuedAt = true, "", time.Time{}
+		if b.Stream {
+			return completionRequest{work: w, sink: newStreamSink(x, w.Deadline)}, nil
+		}
+		return completionRequest{work: w, sink: &wholeSink{x: x, model: w.Model.String(), chat: chat}}, nil
+	}
+}
+
+// model resolves a model name. A caller learns nothing about adapters that it
+// may not use.
+func (s *Server) model(name string, c record.Caller) (bamboorail.ModelRef, error) {
+	m, err := bamboorail.ParseModelRef(name)
+	if err != nil {
+		return m, rejected(bamboorail.KindBadRequest, err)
+	}
+	if !c.MayUseAdapter(m.Adapter()) {
+		return m, rejected(bamboorail.KindForbidden, fmt.Errorf("caller %q may not use adapter %q", c.Name(), m.Adapter()))
+	}
+	a, ok := s.config.View().Adapter(m.Adapter())
+	if !ok {
+		return m, rejected(bamboorail.KindUnknownAdapter, fmt.Errorf("adapter %q is not declared", m.Adapter()))
+	}
+	if _, ok := a.Version(m.Version()); !ok {
+		return m, rejected(bamboorail.KindUnknownVersion, fmt.Errorf("adapter %q has no active version %q", m.Adapter(), m.Version()))
+	}
+	return m, nil
+}
+
+// passedHeaders of a caller reach an application.
+var passedHeaders = []string{"Accept", "Accept-Language", "Content-Type", "Idempotency-Key", "User-Agent"}
+
+func (s *Server) decodeServiceCall(ctx context.Context, r *http.Request) (any, error) {
+	w, x, c, err := s.begin(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	name := r.PathValue("service")
+	if !c.MayUseService(name) {
+		return nil, rejected(bamboorail.KindForbidden, fmt.Errorf("caller %q may not use service %q", c.Name(), name))
+	}
+	targets := s.serviceTargets(name)
+	if len(targets) == 0 {
+		return nil, rejected(bamboorail.KindUnknownService, fmt.Errorf("service %q is not declared", name))
+	}
+	path := url.URL{Path: "/" + r.PathValue("path"), RawQuery: r.URL.RawQuery}
+	w.Service, w.Method, w.Path = name, r.Method, path.RequestURI()
+	w.Header = http.Header{}
+	for _, k := range passedHeaders {
+		if v := r.Header.Values(k); len(v) > 0 {
+			w.Header[k] = v
+		}
+	}
+	w.Tokens = 1
+	w.Repeatable = targets[0].RepeatableMethod(r.Method)
+	if w.Repeatable {
+		w.Zone, w.IssuedAt = "", time.Time{}
+	}
+	if err := s.checkHomeZone(w, targets); err != nil {
+		return nil, err
+	}
+	return completionRequest{work: w, sink: &rawSink{x: x, opaque: w.IssuedAt.IsZero() && !w.Repeatable}}, nil
+}
+
+func (s *Server) serviceTargets(service string) []record.Target {
+	var targets []record.Target
+	for _, t := range s.config.View().Targets() {
+		if t.Role() == record.RoleApplication && t.Service() == service {
+			targets = append(targets, t)
+		}
+	}
+	return targets
+}
+
+func (s *Server) checkHomeZone(w *bamboorail.Work, targets []record.Target) error {
+	if w.Zone == "" {
+		return nil
+	}
+	for _, t := range targets {
+		if t.Zone() == w.Zone {
+			return nil
+		}
+	}
+	return rejected(bamboorail.KindBadRequest, fmt.Errorf("service %q has no target in zone %q of the request id", w.Service, w.Zone))
+}
+
+var errNotReady = errors.New("the instance has no configuration yet")
--- /dev/null
+++ b/internal/engine/client.go
@@ -0,0 +1,106 @@
+// Package engine holds the clients of model engines, one for each dialect.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel/propagation"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/pkg/record"
+)
+
+const (
+	fencingHeader   = "Fencing-Number"
+	requestIDHeader = "X-Request-Id"
+
+	reportTimeout  = 2 * time.Second
+	orderTimeout   = 5 * time.Second
+	cancelTimeout  = 2 * time.Second
+	maxReportBytes = 1 << 20
+)
+
+// New returns a client for an engine in the dialect that its record names.
+func New(t record.Target, transport http.RoundTripper) bamboorail.Engine {
+	c := client{base: strings.TrimSuffix(t.URL(), "/"), http: &http.Client{Transport: transport}}
+	if t.Dialect() == record.DialectStatus {
+		return &statusEngine{client: c}
+	}
+	return &openAIEngine{client: c}
+}
+
+type client struct {
+	base string
+	http *http.Client
+}
+
+// send performs an HTTP exchange. Its error tells whether the request may
+// have left this process.
+func (c *client) send(ctx context.Context, op, method, path string, header http.Header, body []byte) (*http.Response, error) {
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(traced, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, notRun(op, bamboorail.KindInternal, err)
+	}
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	if len(body) > 0 {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
+	resp, err := c.http.Do(req)
+	switch {
+	case err == nil:
+		return resp, nil
+	case !connected.Load():
+		return nil, notRun(op, bamboorail.KindUnavailable, err)
+	}
+	return nil, interrupted(ctx, op, err)
+}
+
+// order sends a control message and requires status 200.
+func (c *client) order(ctx context.Context, op, method, path string, fencing uint64, message any) error {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return notRun(op, bamboorail.KindInternal, err)
+	}
+	header := http.Header{fencingHeader: {strconv.FormatUint(fencing, 10)}}
+	resp, err := c.send(ctx, op, method, path, header, body)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return refusal(op, resp)
+	}
+	return nil
+}
+
+// cancel stops a run whose reader is gone. The context of the run has ended,
+// so the call gets a short one of its own.
+func (c *client) cancel(ctx context.Context, path string) {
+	ctx, done := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	defer done()
+	resp, err := c.send(ctx, "cancel-run", http.MethodDelete, path, nil, nil)
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+}
+
+// mismatch reports an answer that belongs to another request or adapter.
+func mismatch(op, what, got, want string) error {
+	return mayHaveRun(op, bamboorail.KindMismatch, fmt.Errorf("answer has %s %q, expected %q", what, got, want))
+}
--- /dev/null
+++ b/internal/engine/openai.go
@@ -0,0 +1,289 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+	"github.com/tidwall/gjson"
+	"github.com/tidwall/sjson"
+
+	"bamboorail.example/bamboorail"
+)
+
+// openAIEngine speaks the OpenAI-compatible dialect: load and unload calls
+// with fencing numbers, state as Prometheus text, resumable streams.
+type openAIEngine struct{ client }
+
+var _ bamboorail.Engine = (*openAIEngine)(nil)
+
+// loraOrder is the body of load, unload and role calls.
+type loraOrder struct {
+	Name    string `json:"lora_name,omitempty"`
+	Path    string `json:"lora_path,omitempty"`
+	OrderID string `json:"order_id,omitempty"`
+}
+
+// Load sends a load order and waits until the adapter is ready.
+func (e *openAIEngine) Load(ctx context.Context, o bamboorail.LoadOrder) error {
+	return e.order(ctx, "load-adapter", http.MethodPost, "/v1/load_lora_adapter", o.Fencing,
+		loraOrder{Name: string(o.Handle), Path: o.Source})
+}
+
+// Unload sends an unload order.
+func (e *openAIEngine) Unload(ctx context.Context, o bamboorail.UnloadOrder) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return e.order(ctx, "unload-adapter", http.MethodPost, "/v1/unload_lora_adapter", o.Fencing, loraOrder{Name: string(o.Handle)})
+}
+
+// Barrier sends a role order that changes nothing.
+func (e *openAIEngine) Barrier(ctx context.Context, id string, fencing uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return e.order(ctx, "send-barrier", http.MethodPost, "/v1/role", fencing, loraOrder{OrderID: id})
+}
+
+// Report reads the metrics of the engine.
+func (e *openAIEngine) Report(ctx context.Context) (bamboorail.EngineReport, error) {
+	const op = "query-metrics"
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	resp, err := e.send(ctx, op, http.MethodGet, "/metrics", nil, nil)
+	if err != nil {
+		return bamboorail.EngineReport{}, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return bamboorail.EngineReport{}, refusal(op, resp)
+	}
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(io.LimitReader(resp.Body, maxReportBytes))
+	if err != nil {
+		return bamboorail.EngineReport{}, notRun(op, bamboorail.KindMismatch, err)
+	}
+	return reportOf(families), nil
+}
+
+func reportOf(families map[string]*dto.MetricFamily) bamboorail.EngineReport {
+	var r bamboorail.EngineReport
+	for _, m := range families["engine_info"].GetMetric() {
+		labels := labelsOf(m)
+		r.Incarnation, r.BaseModel, r.LastOrder = labels["incarnation"], labels["base_model"], labels["last_order"]
+	}
+	for _, m := range families["engine_adapter_slots"].GetMetric() {
+		r.Slots = int(m.GetGauge().GetValue())
+	}
+	for _, m := range families["engine_max_batch"].GetMetric() {
+		r.MaxBatch = int(m.GetGauge().GetValue())
+	}
+	for _, m := range families["engine_leaving"].GetMetric() {
+		r.Leaving = m.GetGauge().GetValue() > 0
+	}
+	for _, m := range families["engine_requests_running"].GetMetric() {
+		labels := labelsOf(m)
+		ref, err := bamboorail.ParseModelRef(labels["lora_source"])
+		if err != nil {
+			continue
+		}
+		r.Handles = append(r.Handles, bamboorail.HandleState{
+			Handle: bamboorail.Handle(labels["lora_name"]), Model: ref, Running: int(m.GetGauge().GetValue()),
+		})
+	}
+	return r
+}
+
+func labelsOf(m *dto.Metric) map[string]string {
+	labels := make(map[string]string, len(m.GetLabel()))
+	for _, l := range m.GetLabel() {
+		labels[l.GetName()] = l.GetValue()
+	}
+	return labels
+}
+
+// resumeAttempts is the number of times that a cut stream is taken up again
+// without progress in between.
+const resumeAttempts = 3
+
+// Run sends a completion request and forwards its chunks. A cut stream is
+// resumed behind the last chunk.
+func (e *openAIEngine) Run(ctx context.Context, r bamboorail.Run, s bamboorail.Sink) error {
+	const op = "run-completion"
+	body, err := engineBody(r)
+	if err != nil {
+		return notRun(op, bamboorail.KindBadRequest, err)
+	}
+	path := "/v1/completions"
+	if r.Work.Chat {
+		path = "/v1/chat/completions"
+	}
+	resp, err := e.send(ctx, op, http.MethodPost, path, e.header(r), body)
+	if err != nil {
+		return err
+	}
+	f := &follower{run: r, sink: s, last: -1, model: quoted(r.Work.Model.String())}
+	err = e.follow(ctx, op, resp, f)
+	for attempt := 0; errors.Is(err, errCut) && attempt < resumeAttempts && ctx.Err() == nil; attempt++ {
+		before := f.last
+		if resp, err = e.resume(ctx, r, f.last); err == nil {
+			err = e.follow(ctx, op, resp, f)
+		}
+		if f.last > before {
+			attempt = -1
+		}
+	}
+	if err == nil {
+		return nil
+	}
+	if ctx.Err() != nil || !errors.Is(err, errCut) {
+		e.cancel(ctx, "/v1/runs/"+r.Work.RequestID)
+	}
+	if errors.Is(err, errCut) {
+		return interrupted(ctx, op, err)
+	}
+	return err
+}
+
+func (e *openAIEngine) header(r bamboorail.Run) http.Header {
+	return http.Header{requestIDHeader: {r.Work.RequestID}}
+}
+
+func (e *openAIEngine) resume(ctx context.Context, r bamboorail.Run, last int) (*http.Response, error) {
+	header := e.header(r)
+	header.Set("Last-Event-Id", strconv.Itoa(last))
+	path := "/v1/runs/" + r.Work.RequestID + "?chat=" + strconv.FormatBool(r.Work.Chat)
+	resp, err := e.send(ctx, "resume-run", http.MethodGet, path, header, nil)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errCut, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer resp.Body.Close()
+		return nil, mayHaveRun("resume-run", bamboorail.KindTruncated, fmt.Errorf("status %s", resp.Status))
+	}
+	return resp, nil
+}
+
+// engineBody returns the caller's body with the handle in place of the model.
+func engineBody(r bamboorail.Run) ([]byte, error) {
+	body, err := sjson.SetBytes(r.Work.Body, "model", string(r.Handle))
+	if err != nil {
+		return nil, err
+	}
+	return sjson.SetBytes(body, "stream", true)
+}
+
+// errCut reports a stream that ended before its end mark.
+var errCut = errors.New("stream was cut")
+
+// follower forwards the chunks of one run, across resumptions.
+type follower struct {
+	run   bamboorail.Run
+	sink  bamboorail.Sink
+	begun bool
+	// last is the index of the last forwarded chunk, -1 at first.
+	last  int
+	model []byte
+	out   []byte
+}
+
+func (e *openAIEngine) follow(ctx context.Context, op string, resp *http.Response, f *follower) error {
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return refusal(op, resp)
+	}
+	if got := resp.Header.Get(requestIDHeader); got != f.run.Work.RequestID {
+		return mismatch(op, "request id", got, f.run.Work.RequestID)
+	}
+	if !f.begun {
+		if err := f.sink.Begin(bamboorail.AnswerHead{Status: http.StatusOK}); err != nil {
+			return interrupted(ctx, op, err)
+		}
+		f.begun = true
+	}
+	return f.read(ctx, op, resp.Body)
+}
+
+const (
+	streamBufferBytes = 8 << 10
+	maxLineBytes      = 1 << 20
+)
+
+// read forwards events until the end mark. It returns errCut if the stream
+// ends without one.
+func (f *follower) read(ctx context.Context, op string, body io.Reader) error {
+	lines := bufio.NewReaderSize(body, streamBufferBytes)
+	index := -1
+	for {
+		line, err := readLine(lines)
+		if err != nil {
+			return fmt.Errorf("%w after chunk %d: %w", errCut, f.last, err)
+		}
+		switch {
+		case bytes.HasPrefix(line, []byte("id: ")):
+			if index, err = strconv.Atoi(string(line[len("id: "):])); err != nil {
+				return fmt.Errorf("%w: event id: %w", errCut, err)
+			}
+		case bytes.Equal(line, []byte("data: [DONE]")):
+			return nil
+		case bytes.HasPrefix(line, []byte("data: ")):
+			if err := f.forward(ctx, op, index, line[len("data: "):]); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// readLine returns the next line without its end. The result is valid until
+// the next call.
+func readLine(r *bufio.Reader) ([]byte, error) {
+	line, err := r.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		long := append([]byte{}, line...)
+		for errors.Is(err, bufio.ErrBufferFull) && len(long) < maxLineBytes {
+			line, err = r.ReadSlice('\n')
+			long = append(long, line...)
+		}
+		line = long
+	}
+	if err != nil {
+		return nil, err
+	}
+	return bytes.TrimRight(line, "\r\n"), nil
+}
+
+// forward checks the identity of a chunk and writes it with the model that
+// the caller named. A chunk that was forwarded before is dropped.
+func (f *follower) forward(ctx context.Context, op string, index int, data []byte) error {
+	if index <= f.last {
+		return nil
+	}
+	if index > f.last+1 {
+		return fmt.Errorf("%w: chunk %d follows chunk %d", errCut, index, f.last)
+	}
+	id := gjson.GetBytes(data, "id")
+	if id.Str != f.run.Work.RequestID {
+		return mismatch(op, "request id", id.Str, f.run.Work.RequestID)
+	}
+	name := gjson.GetBytes(data, "model")
+	if name.Str != string(f.run.Handle) || name.Index == 0 {
+		return mismatch(op, "model", name.Str, string(f.run.Handle))
+	}
+	f.out = append(f.out[:0], data[:name.Index]...)
+	f.out = append(f.out, f.model...)
+	f.out = append(f.out, data[name.Index+len(name.Raw):]...)
+	if err := f.sink.Write(f.out); err != nil {
+		return interrupted(ctx, op, err)
+	}
+	f.last = index
+	return nil
+}
+
+func quoted(s string) []byte { return strconv.AppendQuote(nil, s) }
--- /dev/null
+++ b/internal/entry/router.go
@@ -0,0 +1,353 @@
+// Package entry routes the requests of callers to the owners of targets.
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/duty"
+	"bamboorail.example/bamboorail/internal/membership"
+	"bamboorail.example/bamboorail/internal/placement"
+	"bamboorail.example/bamboorail/internal/platform"
+	"bamboorail.example/bamboorail/internal/retry"
+	"bamboorail.example/bamboorail/pkg/record"
+)
+
+// KeeperShards is the number of keepers among which the request ids of a
+// service in a zone are spread.
+const KeeperShards = 4
+
+// KeeperTarget names a keeper shard of a service among the targets of a zone.
+func KeeperTarget(service string, n int) string {
+	return "service/" + service + "/" + strconv.Itoa(n)
+}
+
+const (
+	maxAttempts  = 6
+	firstBackoff = 50 * time.Millisecond
+	maxBackoff   = time.Second
+	// settleTime is the time for which a request waits for an owner to
+	// appear after the former one is gone.
+	settleTime      = 3 * time.Second
+	retryRatio      = 0.2
+	retryBurst      = 50
+	noTargetRetry   = 2 * time.Second
+	cutZoneRetry    = 5 * time.Second
+	defaultLoadTime = time.Second
+)
+
+// Error is the error type of the package.
+type Error struct{ bamboorail.Failure }
+
+func notRun(op string, kind bamboorail.Kind, after time.Duration, err error) error {
+	return &Error{bamboorail.Failure{Op: op, Kind: kind, Outcome: bamboorail.OutcomeNotRun, RetryAfter: after, Err: err}}
+}
+
+// Owners finds the owners that run in this process.
+type Owners interface {
+	Dispatcher(target string) (bamboorail.Dispatcher, bool)
+}
+
+// Peers passes requests on to other instances.
+type Peers interface {
+	Dispatch(ctx context.Context, address string, w *bamboorail.Work, s bamboorail.Sink) error
+}
+
+// Config describes a router.
+type Config struct {
+	Directory *membership.Directory
+	View      func() *platform.View
+	Owners    Owners
+	Peers     Peers
+	Tracer    trace.Tracer
+}
+
+// Router sends each request to the target where it should start first.
+type Router struct {
+	config Config
+	budget *retry.Budget
+
+	mu   sync.Mutex
+	sent map[string]sentSince
+}
+
+// sentSince counts the requests sent to a target since an announcement.
+type sentSince struct {
+	at    time.Time
+	count int
+}
+
+// NewRouter returns a router.
+func NewRouter(c Config) *Router {
+	return &Router{config: c, budget: retry.NewBudget(retryRatio, retryBurst), sent: map[string]sentSince{}}
+}
+
+var _ bamboorail.Dispatcher = (*Router)(nil)
+
+// Dispatch sends a request, and sends it again elsewhere as long as it
+// provably was not run, or may be repeated and has not begun to answer.
+func (r *Router) Dispatch(ctx context.Context, w *bamboorail.Work, s bamboorail.Sink) error {
+	sink := &onceSink{Sink: s}
+	started := time.Now()
+	failed := map[string]bool{}
+	for attempt := 0; ; attempt++ {
+		target, err := r.attempt(ctx, w, sink, failed)
+		if err == nil {
+			r.budget.Success()
+			return nil
+		}
+		if !r.mayRetry(ctx, w, sink, err, attempt, started) {
+			return finalError(err)
+		}
+		if target != "" {
+			failed[target] = true
+		}
+		if err := duty.Sleep(ctx, retry.Backoff(attempt, firstBackoff, maxBackoff)); err != nil {
+			return notRun("route", bamboorail.KindDeadlineExceeded, noTargetRetry, err)
+		}
+	}
+}
+
+// finalError makes sure that every refusal tells when to come back.
+func finalError(err error) error {
+	f := bamboorail.FailureOf(err)
+	switch f.Kind {
+	case bamboorail.KindOverloaded, bamboorail.KindUnavailable, bamboorail.KindNoTarget, bamboorail.KindNotOwner,
+		bamboorail.KindDeadlineExceeded, bamboorail.KindLoadFailed, bamboorail.KindStaleHandle:
+		if f.RetryAfter <= 0 {
+			f.RetryAfter = noTargetRetry
+		}
+	}
+	return err
+}
+
+// mayRetry reports whether a failed request should be sent again.
+func (r *Router) mayRetry(ctx context.Context, w *bamboorail.Work, s *onceSink, err error, attempt int, started time.Time) bool {
+	f := bamboorail.FailureOf(err)
+	safe := f.Outcome == bamboorail.OutcomeNotRun || (w.Repeatable && !s.begun)
+	if !safe || attempt >= maxAttempts || ctx.Err() != nil {
+		return false
+	}
+	switch f.Kind {
+	case bamboorail.KindNotOwner, bamboorail.KindNoTarget:
+		// The owner is changing: this costs no target anything.
+		return time.Since(started) < settleTime
+	case bamboorail.KindUnavailable, bamboorail.KindStaleHandle, bamboorail.KindTruncated, bamboorail.KindTargetFailed:
+		return r.budget.Take()
+	}
+	return false
+}
+
+// attempt makes one try and returns the target that it chose.
+func (r *Router) attempt(ctx context.Context, w *bamboorail.Work, s bamboorail.Sink, failed map[string]bool) (string, error) {
+	if w.Zone != "" && w.Zone != r.zone() {
+		return "", r.forward(ctx, w, s, w.Zone)
+	}
+	if w.Target != "" {
+		return w.Target, r.send(ctx, w, s, w.Target)
+	}
+	if w.Service != "" {
+		return r.attemptService(ctx, w, s)
+	}
+	return r.attemptEngine(ctx, w, s, failed)
+}
+
+func (r *Router) zone() string { return r.config.Directory.Self().Zone }
+
+func (r *Router) attemptEngine(ctx context.Context, w *bamboorail.Work, s bamboorail.Sink, failed map[string]bool) (string, error) {
+	options := r.options(w.Model, time.Now(), failed)
+	if len(options) == 0 {
+		return "", r.elsewhere(ctx, w, s, fmt.Errorf("no engine in zone %q serves model %s now", r.zone(), w.Model))
+	}
+	best := placement.Route(w.Model, options)[0]
+	r.countSent(best.Target)
+	return best.Target, r.send(ctx, w, s, best.Target)
+}
+
+func (r *Router) attemptService(ctx context.Context, w *bamboorail.Work, s bamboorail.Sink) (string, error) {
+	if !r.hasService(w.Service, r.zone()) {
+		return "", r.elsewhere(ctx, w, s, fmt.Errorf("no target of service %q in zone %q", w.Service, r.zone()))
+	}
+	shard := int(xxhash.Sum64String(w.RequestID) % KeeperShards)
+	target := KeeperTarget(w.Service, shard)
+	return target, r.send(ctx, w, s, target)
+}
+
+func (r *Router) hasService(service, zone string) bool {
+	for _, t := range r.config.View().Targets() {
+		if t.Role() == record.RoleApplication && t.Service() == service && t.Zone() == zone {
+			return true
+		}
+	}
+	return false
+}
+
+// options lists the engines of the own zone that may run a model and have a
+// known owner. Targets that already failed this request come only if there is
+// no other.
+func (r *Router) options(m bamboorail.ModelRef, now time.Time, failed map[string]bool) []placement.Option {
+	view := r.config.View()
+	adapter, ok := view.Adapter(m.Adapter())
+	if !ok {
+		return nil
+	}
+	announced := r.config.Directory.Targets(now)
+	var options []placement.Option
+	for _, t := range view.Targets() {
+		a, owned := announced[t.Name()]
+		if !owned || t.Zone() != r.zone() || !adapter.MayRunOn(t) || !r.takesWork(t) {
+			continue
+		}
+		o := r.option(m, a)
+		o.Avoid = o.Avoid || failed[t.Name()]
+		options = append(options, o)
+	}
+	return options
+}
+
+// takesWork reports whether a target may get new work: operators did not
+// drain it and the platform does not list its machine as leaving.
+func (r *Router) takesWork(t record.Target) bool {
+	return !t.Draining() && !r.config.Directory.MachineLeaving(t.Instance())
+}
+
+func (r *Router) option(m bamboorail.ModelRef, a membership.Target) placement.Option {
+	s := a.State
+	o := placement.Option{
+		Target: a.Name, MaxBatch: int(s.GetMaxBatch()), Load: int(s.GetRunning()+s.GetQueued()) + r.sentAfter(a),
+		Wait: time.Duration(s.GetWaitMicros()) * time.Microsecond, LoadTime: time.Duration(s.GetLoadMicros()) * time.Microsecond,
+		Avoid: s.GetCold() || s.GetUnreachable(),
+	}
+	if o.LoadTime <= 0 {
+		o.LoadTime = defaultLoadTime
+	}
+	for _, l := range s.GetLoaded() {
+		if !l.GetReady() {
+			o.Loads++
+		}
+		if l.GetModel() == m.String() {
+			o.Loaded = o.Loaded || l.GetReady()
+			o.Loading = o.Loading || !l.GetReady()
+		}
+	}
+	return o
+}
+
+func (r *Router) countSent(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.sent[target]
+	s.count++
+	r.sent[target] = s
+}
+
+// sentAfter returns how many requests were sent since an announcement.
+func (r *Router) sentAfter(a membership.Target) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.sent[a.Name]
+	if !s.at.Equal(a.At) {
+		s = sentSince{at: a.At}
+		r.sent[a.Name] = s
+	}
+	return s.count
+}
+
+// send passes a request to the owner of a target.
+func (r *Router) send(ctx context.Context, w *bamboorail.Work, s bamboorail.Sink, target string) error {
+	directed := *w
+	directed.Target = target
+	if d, ok := r.config.Owners.Dispatcher(target); ok {
+		return d.Dispatch(ctx, &directed, s)
+	}
+	a, ok := r.config.Directory.Targets(time.Now())[target]
+	if !ok || a.Session == r.config.Directory.Self().ID {
+		return notRun("find-owner", bamboorail.KindNotOwner, noTargetRetry, fmt.Errorf("target %q has no owner now", target))
+	}
+	directed.Term = a.Term
+	return r.toPeer(ctx, a.Peer, "owner", &directed, s)
+}
+
+func (r *Router) toPeer(ctx context.Context, address, role string, w *bamboorail.Work, s bamboorail.Sink) error {
+	ctx, span := r.config.Tracer.Start(ctx, "peer "+role, trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("peer", address), attribute.String("target", w.Target)))
+	defer span.End()
+	return r.config.Peers.Dispatch(ctx, address, w, s)
+}
+
+// elsewhere passes a request on to another zone, if it did not come from one.
+func (r *Router) elsewhere(ctx context.Context, w *bamboorail.Work, s bamboorail.Sink, cause error) error {
+	if w.Forwarded || w.Zone == r.zone() {
+		return notRun("route", bamboorail.KindNoTarget, noTargetRetry, cause)
+	}
+	for _, zone := range r.otherZones(w) {
+		err := r.forward(ctx, w, s, zone)
+		if err == nil || !bamboorail.NotRun(err) {
+			return err
+		}
+	}
+	return notRun("route", bamboorail.KindNoTarget, noTargetRetry, cause)
+}
+
+// otherZones lists the zones that declare a target for the request.
+func (r *Router) otherZones(w *bamboorail.Work) []string {
+	view := r.config.View()
+	adapter, _ := view.Adapter(w.Model.Adapter())
+	seen := map[string]bool{r.zone(): true}
+	var zones []string
+	for _, t := range view.Targets() {
+		fits := t.Role() == record.RoleApplication && t.Service() == w.Service
+		if w.Service == "" {
+			fits = adapter.MayRunOn(t)
+		}
+		if fits && !seen[t.Zone()] {
+			seen[t.Zone()] = true
+			zones = append(zones, t.Zone())
+		}
+	}
+	return zones
+}
+
+var errZoneCut = errors.New("no instance of the zone can be reached")
+
+// forward passes a request to an instance of another zone. It tries the next
+// instance only if the request provably did not run.
+func (r *Router) forward(ctx context.Context, w *bamboorail.Work, s bamboorail.Sink, zone string) error {
+	if w.Forwarded {
+		return notRun("forward", bamboorail.KindNoTarget, noTargetRetry, fmt.Errorf("zone %q is not this one", zone))
+	}
+	directed := *w
+	directed.Forwarded = true
+	last := notRun("forward", bamboorail.KindUnavailable, cutZoneRetry, fmt.Errorf("zone %q: %w", zone, errZoneCut))
+	for _, m := range r.config.Directory.Members(time.Now()) {
+		if m.Session.Zone != zone || m.State == membership.StateGone || m.State == membership.StateExpired {
+			continue
+		}
+		err := r.toPeer(ctx, m.Session.Peer, "zone", &directed, s)
+		if err == nil || !bamboorail.NotRun(err) || bamboorail.KindOf(err) != bamboorail.KindUnavailable {
+			return err
+		}
+		last = err
+	}
+	return last
+}
+
+// onceSink remembers whether the answer has begun.
+type onceSink struct {
+	bamboorail.Sink
+	begun bool
+}
+
+func (o *onceSink) Begin(h bamboorail.AnswerHead) error {
+	o.begun = true
+	return o.Sink.Begin(h)
+}
--- /dev/null
+++ b/internal/ownership/manager.go
@@ -0,0 +1,516 @@
+package ownership
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/duty"
+	"bamboorail.example/bamboorail/internal/membership"
+	"bamboorail.example/bamboorail/internal/peer/wire"
+	"bamboorail.example/bamboorail/internal/placement"
+	"bamboorail.example/bamboorail/internal/platform"
+)
+
+const (
+	planInterval = 500 * time.Millisecond
+	// ledgerPoll finds changes whose watch event was lost.
+	ledgerPoll = 5 * time.Second
+	// moveInterval bounds the moves for balance.
+	moveInterval = 10 * time.Second
+	// drainPoll is the time between two looks at what still runs.
+	drainPoll = 50 * time.Millisecond
+	// movedRetryAfter is suggested to callers that met a former owner.
+	movedRetryAfter = time.Second
+)
+
+// Owner serves one target for one term.
+type Owner interface {
+	bamboorail.Dispatcher
+	// Run carries out the duties of the owner until ctx ends.
+	Run(ctx context.Context) error
+	// Close refuses new and waiting requests; running ones go on.
+	Close(err error)
+	// Running returns the number of running requests.
+	Running() int
+	// EarlierIdle reports whether the target showed that nothing of earlier
+	// terms runs.
+	EarlierIdle() bool
+	// SetEvidence passes on what is known of earlier terms.
+	SetEvidence(e placement.Evidence)
+	// State describes the target to peers.
+	State() *wire.TargetState
+	// Preload asks for a model to be loaded.
+	Preload(m bamboorail.ModelRef) error
+}
+
+// Factory creates the owners of targets.
+type Factory interface {
+	// Targets returns the names to be owned in the zone of this instance.
+	Targets() []string
+	// New returns the owner of a target for a term.
+	New(target string, e placement.Evidence, began time.Time) (Owner, error)
+}
+
+// owned is an owner that runs.
+type owned struct {
+	owner    Owner
+	evidence placement.Evidence
+	cancel   context.CancelFunc
+	end      *duty.Duty
+}
+
+// Config describes a manager.
+type Config struct {
+	Store     bamboorail.ObjectStore
+	Directory *membership.Directory
+	Factory   Factory
+	Log       hclog.Logger
+}
+
+// Manager claims, runs and hands over the targets of one instance.
+type Manager struct {
+	config Config
+	kicks  chan struct{}
+
+	mu sync.Mutex
+	// current holds the owners of current terms by target, draining those
+	// of ended terms with running requests.
+	current  map[string]*owned
+	draining map[string][]*owned
+	ledger   platform.Ledger
+	version  uint64
+	// closed holds the own terms whose owners were closed, by target; such a
+	// term never runs again.
+	closed map[string]uint64
+	// dirty is set while ledger holds claims that the store has not seen.
+	dirty   bool
+	read    time.Time
+	moved   time.Time
+	leaving bool
+	// synced is set after the first ledger was read or taken from a peer.
+	synced bool
+}
+
+// NewManager returns a manager that owns nothing.
+func NewManager(c Config) *Manager {
+	return &Manager{
+		config:   c,
+		kicks:    make(chan struct{}, 1),
+		current:  map[string]*owned{},
+		draining: map[string][]*owned{},
+		closed:   map[string]uint64{},
+		ledger:   platform.NewLedger(),
+	}
+}
+
+// Kick asks for a plan at once.
+func (m *Manager) Kick() {
+	select {
+	case m.kicks <- struct{}{}:
+	default:
+	}
+}
+
+// Run plans and reconciles until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	t := time.NewTicker(planInterval)
+	defer t.Stop()
+	defer m.stopAll()
+	for {
+		m.step(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		case <-m.kicks:
+		}
+	}
+}
+
+func (m *Manager) stopAll() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, o := range m.current {
+		o.stop()
+	}
+	for _, list := range m.draining {
+		for _, o := range list {
+			o.stop()
+		}
+	}
+}
+
+func (o *owned) stop() {
+	o.cancel()
+	<-o.end.Done()
+}
+
+// step brings ledger and owners up to date once.
+func (m *Manager) step(ctx context.Context) {
+	now := time.Now()
+	if now.Sub(m.read) >= ledgerPoll || !m.Synced() {
+		m.refresh(ctx, now)
+	}
+	if !m.Synced() {
+		return
+	}
+	m.planOnce(ctx, now)
+	m.reconcile(ctx)
+}
+
+// ApplyEvent takes in a watched ledger object.
+func (m *Manager) ApplyEvent(o bamboorail.Object) {
+	if o.Key != platform.LedgerKey(m.zone()) || o.Deleted {
+		return
+	}
+	l, err := platform.ParseLedger(o.Value)
+	if err != nil {
+		m.config.Log.Error("ledger cannot be read", "error", err)
+		return
+	}
+	m.adopt(l, o.Version)
+	m.Kick()
+}
+
+func (m *Manager) zone() string { return m.config.Directory.Self().Zone }
+
+// refresh reads the ledger if it changed.
+func (m *Manager) refresh(ctx context.Context, now time.Time) {
+	m.mu.Lock()
+	version := m.version
+	m.mu.Unlock()
+	o, newer, err := m.config.Store.GetNewer(ctx, platform.LedgerKey(m.zone()), version)
+	switch {
+	case bamboorail.KindOf(err) == bamboorail.KindNotFound && err != nil:
+		m.adopt(platform.NewLedger(), 0)
+	case err != nil:
+		m.config.Log.Debug("ledger not read", "error", err)
+		return
+	case newer:
+		m.ApplyEvent(o)
+	}
+	m.read = now
+}
+
+// adopt replaces the ledger by the stored one, unless that is older. Claims
+// that the store has not seen stay if their terms are higher.
+func (m *Manager) adopt(stored platform.Ledger, version uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.synced && version < m.version {
+		return
+	}
+	if m.dirty {
+		stored, m.dirty = mergeClaims(stored, m.ledger, m.config.Directory.Self().ID)
+	}
+	m.ledger, m.version, m.synced = stored, version, true
+}
+
+// mergeClaims adds to the stored ledger the provisional claims of a session
+// whose terms are higher than the stored ones.
+func mergeClaims(stored, local platform.Ledger, session string) (platform.Ledger, bool) {
+	merged := stored.Clone()
+	added := false
+	for target, o := range local.Targets {
+		s := stored.Targets[target]
+		if o.Current.Session != session || o.Current.Term <= s.Current.Term {
+			continue
+		}
+		claim := o.Clone()
+		if s.Current.Session != "" && s.Current.Session != session && !holderListed(claim, s.Current) {
+			claim.Earlier = append(claim.Earlier, s.Current)
+		}
+		merged.Targets[target] = claim
+		added = true
+	}
+	return merged, added
+}
+
+func holderListed(o platform.Ownership, h platform.Holder) bool {
+	for _, e := range o.Earlier {
+		if e.Term == h.Term {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Manager) view(now time.Time) View {
+	d := m.config.Directory
+	return View{
+		Self: d.Self(), Targets: m.config.Factory.Targets(), Ledger: m.ledger, Candidates: d.Candidates(now),
+		StateOf: func(s string) membership.State { return d.StateOf(s, now) },
+		Leaving: m.leaving, Drained: m.drained, Idle: m.earlierIdle,
+		Closed: func(target string, term uint64) bool { return m.closed[target] == term }, Now: now,
+	}
+}
+
+func (m *Manager) drained(target string, term uint64) bool {
+	for _, o := range m.draining[target] {
+		if o.evidence.Term == term {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *Manager) earlierIdle(target string) bool {
+	o, ok := m.current[target]
+	return ok && o.owner.EarlierIdle()
+}
+
+// planOnce plans and writes the result. While the store is away, the claims
+// that need no store stay in memory.
+func (m *Manager) planOnce(ctx context.Context, now time.Time) {
+	m.mu.Lock()
+	v := m.view(now)
+	m.moveOne(v)
+	next, changed := Plan(v)
+	changed = changed || m.dirty
+	version := m.version
+	m.mu.Unlock()
+	if !changed {
+		return
+	}
+	written, err := platform.WriteLedger(ctx, m.config.Store, m.zone(), next, version)
+	switch {
+	case err == nil:
+		m.written(next, written)
+	case bamboorail.KindOf(err) == bamboorail.KindConflict:
+		m.refresh(ctx, now)
+	default:
+		m.config.Log.Debug("ledger not written", "error", err)
+		m.claimProvisionally(v)
+	}
+}
+
+func (m *Manager) written(l platform.Ledger, version uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if version >= m.version {
+		m.ledger, m.version, m.dirty = l, version, false
+	}
+}
+
+// moveOne closes one owner whose target should move for balance.
+func (m *Manager) moveOne(v View) {
+	if m.leaving || m.dirty || v.Now.Sub(m.moved) < moveInterval {
+		return
+	}
+	target, ok := Move(v)
+	if !ok {
+		return
+	}
+	if o, running := m.current[target]; running {
+		m.moved = v.Now
+		m.retire(target, o)
+	}
+}
+
+// claimProvisionally takes over, without the store, the targets whose owners
+// are proven to be gone.
+func (m *Manager) claimProvisionally(v View) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v.Provisional = true
+	if next, changed := Plan(v); changed {
+		m.ledger, m.dirty = next, true
+	}
+}
+
+// reconcile starts owners for claimed targets and ends those of lost ones.
+func (m *Manager) reconcile(ctx context.Context) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	self := m.config.Directory.Self().ID
+	for target, o := range m.current {
+		l := m.ledger.Targets[target].Current
+		if l.Session != self || l.Term != o.evidence.Term {
+			m.retire(target, o)
+		}
+	}
+	for _, target := range m.config.Factory.Targets() {
+		o, ok := m.ledger.Targets[target]
+		if ok && o.Current.Session == self && m.closed[target] != o.Current.Term {
+			m.ensure(ctx, target, o)
+		}
+	}
+	m.finishDrained()
+}
+
+var errMoved = errors.New("the target has another owner now")
+
+// retire closes an owner; it stays until its running requests have ended.
+func (m *Manager) retire(target string, o *owned) {
+	o.owner.Close(&Error{bamboorail.Failure{
+		Op: "dispatch", Kind: bamboorail.KindNotOwner, Outcome: bamboorail.OutcomeNotRun,
+		RetryAfter: movedRetryAfter, Err: errMoved,
+	}})
+	m.draining[target] = append(m.draining[target], o)
+	delete(m.current, target)
+	m.closed[target] = o.evidence.Term
+	m.config.Log.Info("target handed over", "target", target, "term", o.evidence.Term)
+}
+
+func (m *Manager) finishDrained() {
+	for target, list := range m.draining {
+		kept := list[:0]
+		for _, o := range list {
+			if o.owner.Running() > 0 {
+				kept = append(kept, o)
+				continue
+			}
+			o.stop()
+		}
+		if len(kept) == 0 {
+			delete(m.draining, target)
+			continue
+		}
+		m.draining[target] = kept
+	}
+}
+
+// ensure starts the owner of a claimed target or updates its evidence.
+func (m *Manager) ensure(ctx context.Context, target string, o platform.Ownership) {
+	e := placement.Evidence{Term: o.Current.Term, EndedThrough: o.EndedThrough(), DrainedThrough: o.DrainedThrough()}
+	if running, ok := m.current[target]; ok {
+		if running.evidence != e {
+			running.evidence = e
+			running.owner.SetEvidence(e)
+		}
+		return
+	}
+	owner, err := m.config.Factory.New(target, e, o.Began)
+	if err != nil {
+		m.config.Log.Error("target cannot be owned", "target", target, "error", err)
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	m.current[target] = &owned{owner: owner, evidence: e, cancel: cancel, end: duty.Start(ctx, target, owner.Run)}
+	m.config.Log.Info("target owned", "target", target, "term", e.Term)
+}
+
+// Owner returns the owner of a target, if this instance owns it.
+func (m *Manager) Owner(target string) (Owner, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, ok := m.current[target]
+	if !ok {
+		return nil, false
+	}
+	return o.owner, true
+}
+
+// Each calls f for every current owner.
+func (m *Manager) Each(f func(target string, o Owner)) {
+	m.mu.Lock()
+	owners := make(map[string]Owner, len(m.current))
+	for target, o := range m.current {
+		owners[target] = o.owner
+	}
+	m.mu.Unlock()
+	for target, o := range owners {
+		f(target, o)
+	}
+}
+
+// States describes the owned targets to peers.
+func (m *Manager) States() []*wire.TargetState {
+	m.mu.Lock()
+	terms := make(map[string]uint64, len(m.current))
+	for target, o := range m.current {
+		terms[target] = o.evidence.Term
+	}
+	m.mu.Unlock()
+	var states []*wire.TargetState
+	m.Each(func(target string, o Owner) {
+		s := o.State()
+		s.Target, s.Term = target, terms[target]
+		states = append(states, s)
+	})
+	return states
+}
+
+// Synced reports whether the ledger is known.
+func (m *Manager) Synced() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.synced
+}
+
+// releasePatience is the time for which a shutdown without running requests
+// waits for the store to record the release.
+const releasePatience = 2 * time.Second
+
+// Leave releases everything and waits until no request runs and the release
+// is recorded. Run must still be running. The end of ctx ends the wait.
+func (m *Manager) Leave(ctx context.Context) error {
+	m.mu.Lock()
+	m.leaving = true
+	m.mu.Unlock()
+	m.closeAll()
+	m.Kick()
+	if err := waitUntil(ctx, m.idle); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, releasePatience)
+	defer cancel()
+	if err := waitUntil(ctx, m.released); err != nil {
+		m.config.Log.Warn("release not recorded", "error", err)
+	}
+	return nil
+}
+
+func waitUntil(ctx context.Context, condition func() bool) error {
+	for !condition() {
+		if err := duty.Sleep(ctx, drainPoll); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// released reports whether the ledger names this session nowhere.
+func (m *Manager) released() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	self := m.config.Directory.Self().ID
+	for _, o := range m.ledger.Targets {
+		for _, h := range append(o.Clone().Earlier, o.Current) {
+			if h.Session == self {
+				return false
+			}
+		}
+	}
+	return !m.dirty
+}
+
+// closeAll refuses new work before the release is announced.
+func (m *Manager) closeAll() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for target, o := range m.current {
+		m.retire(target, o)
+	}
+}
+
+func (m *Manager) idle() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.current) > 0 {
+		return false
+	}
+	for _, list := range m.draining {
+		for _, o := range list {
+			if o.owner.Running() > 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/ownership/plan.go
@@ -0,0 +1,171 @@
+// Package ownership decides which instance owns which target of a zone and
+// records it in the zone's ledger.
+package ownership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bamboorail.example/bamboorail/internal/membership"
+	"bamboorail.example/bamboorail/internal/platform"
+)
+
+// View is the state on which a plan is made.
+type View struct {
+	Self platform.Session
+	// Targets are the names to be owned in the zone.
+	Targets []string
+	Ledger  platform.Ledger
+	// Candidates are the sessions that may own targets, with the own one.
+	Candidates []platform.Session
+	// StateOf returns what is known of a session.
+	StateOf func(session string) membership.State
+	// Leaving is set while this instance shuts down: it claims nothing.
+	Leaving bool
+	// Provisional is set while the store is away: only proof that an owner is
+	// gone then permits a claim, and nothing is rebalanced.
+	Provisional bool
+	// Drained reports whether no request of an own released term runs, Idle
+	// whether the engine showed that nothing of earlier terms runs.
+	Drained func(target string, term uint64) bool
+	Idle    func(target string) bool
+	// Closed reports whether the owner of an own term was closed for good.
+	Closed func(target string, term uint64) bool
+	Now    time.Time
+}
+
+// Plan returns the ledger as it should be, and whether it differs from the
+// one in the view. It is a pure function.
+func Plan(v View) (platform.Ledger, bool) {
+	next := v.Ledger.Clone()
+	changed := false
+	for _, target := range v.Targets {
+		o, ok := next.Targets[target]
+		updated, differs := v.plan(target, o, ok)
+		if differs {
+			next.Targets[target] = updated
+			changed = true
+		}
+	}
+	return next, changed
+}
+
+// plan returns the entry of one target as it should be.
+func (v View) plan(target string, o platform.Ownership, exists bool) (platform.Ownership, bool) {
+	o = o.Clone()
+	changed := false
+	if o.Current.Session == v.Self.ID && v.Closed(target, o.Current.Term) {
+		o = release(o)
+		changed = true
+	}
+	changed = v.updateEarlier(target, &o) || changed
+	if exists && v.holds(o.Current) {
+		return o, changed
+	}
+	if v.Leaving || !v.preferred(target) {
+		return o, changed
+	}
+	if exists && o.Current.Session != "" {
+		previous := o.Current
+		previous.Ended = v.StateOf(previous.Session) == membership.StateGone
+		o.Earlier = append(o.Earlier, previous)
+	}
+	o.Current = platform.Holder{
+		Term:    platform.NextTerm(o.Current.Term, v.Self.ID),
+		Session: v.Self.ID, Instance: v.Self.Instance, Peer: v.Self.Peer,
+	}
+	o.Began = v.Now
+	return o, true
+}
+
+// holds reports whether the holder keeps its ownership.
+func (v View) holds(h platform.Holder) bool {
+	if h.Session == "" {
+		return false
+	}
+	switch v.StateOf(h.Session) {
+	case membership.StateGone:
+		return false
+	case membership.StateExpired:
+		return v.Provisional
+	}
+	return true
+}
+
+// updateEarlier records what is known about earlier holders. Only their
+// current owner or they themselves do so, to keep writers apart.
+func (v View) updateEarlier(target string, o *platform.Ownership) bool {
+	changed := false
+	mine := o.Current.Session == v.Self.ID
+	kept := o.Earlier[:0]
+	for _, h := range o.Earlier {
+		own := h.Session == v.Self.ID
+		if !h.Ended && (own || (mine && v.StateOf(h.Session) == membership.StateGone)) {
+			h.Ended = true
+			changed = true
+		}
+		gone := mine && h.Ended && v.StateOf(h.Session) == membership.StateGone
+		if (own && v.Drained(target, h.Term)) || (gone && v.Idle(target)) {
+			changed = true
+			continue
+		}
+		kept = append(kept, h)
+	}
+	o.Earlier = kept
+	return changed
+}
+
+// preferred reports whether this instance has the highest rendezvous weight
+// for the target among the candidates.
+func (v View) preferred(target string) bool {
+	return v.winner(target).ID == v.Self.ID
+}
+
+func (v View) winner(target string) platform.Session {
+	return slices.MaxFunc(v.Candidates, func(a, b platform.Session) int {
+		wa, wb := weight(target, a.ID), weight(target, b.ID)
+		switch {
+		case wa < wb:
+			return -1
+		case wa > wb:
+			return 1
+		}
+		return 0
+	})
+}
+
+func weight(target, session string) uint64 {
+	return xxhash.Sum64String(target + "\x00" + session)
+}
+
+// Move returns an own target that should go to a candidate that owns at
+// least two targets fewer, for balance. Its owner must be closed first; the
+// candidate then claims it, because it prefers it.
+func Move(v View) (string, bool) {
+	owned := map[string]int{}
+	for _, target := range v.Targets {
+		owned[v.Ledger.Targets[target].Current.Session]++
+	}
+	for _, target := range v.Targets {
+		if v.Ledger.Targets[target].Current.Session != v.Self.ID {
+			continue
+		}
+		w := v.winner(target)
+		if w.ID != v.Self.ID && owned[v.Self.ID] >= owned[w.ID]+2 {
+			return target, true
+		}
+	}
+	return "", false
+}
+
+// release returns the entry after its owner stopped sending new work.
+func release(o platform.Ownership) platform.Ownership {
+	o = o.Clone()
+	h := o.Current
+	h.Ended = true
+	o.Earlier = append(o.Earlier, h)
+	o.Current = platform.Holder{Term: h.Term}
+	return o
+}
--- /dev/null
+++ b/internal/peer/message.go
@@ -0,0 +1,82 @@
+package peer
+
+import (
+	"net/http"
+	"time"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/peer/wire"
+)
+
+func headerFields(h http.Header) []*wire.HeaderField {
+	fields := make([]*wire.HeaderField, 0, len(h))
+	for k, v := range h {
+		fields = append(fields, &wire.HeaderField{Name: k, Values: v})
+	}
+	return fields
+}
+
+func headerOf(fields []*wire.HeaderField) http.Header {
+	h := make(http.Header, len(fields))
+	for _, f := range fields {
+		h[f.GetName()] = f.GetValues()
+	}
+	return h
+}
+
+// requestOf encodes a request. The deadline travels as the remaining time, so
+// that it does not depend on the clocks of two instances.
+func requestOf(w *bamboorail.Work, now time.Time) *wire.DispatchRequest {
+	r := &wire.DispatchRequest{
+		RequestId: w.RequestID, Target: w.Target, Term: w.Term, Caller: w.Caller,
+		Weight: int32(w.Weight), Priority: int32(w.Priority), TimeoutMicros: w.Deadline.Sub(now).Microseconds(),
+		Adapter: w.Model.Adapter(), Version: w.Model.Version(), Chat: w.Chat, Tokens: int32(w.Tokens),
+		Service: w.Service, Method: w.Method, Path: w.Path, Header: headerFields(w.Header),
+		Repeatable: w.Repeatable, Body: w.Body, Zone: w.Zone, Forwarded: w.Forwarded,
+	}
+	if !w.IssuedAt.IsZero() {
+		r.IssuedUnixMilli = w.IssuedAt.UnixMilli()
+	}
+	return r
+}
+
+func workOf(r *wire.DispatchRequest, now time.Time) *bamboorail.Work {
+	w := &bamboorail.Work{
+		RequestID: r.GetRequestId(), Target: r.GetTarget(), Term: r.GetTerm(), Caller: r.GetCaller(),
+		Weight: int(r.GetWeight()), Priority: priorityOf(r.GetPriority()),
+		Deadline: now.Add(time.Duration(r.GetTimeoutMicros()) * time.Microsecond),
+		Chat:     r.GetChat(), Tokens: int(r.GetTokens()),
+		Service: r.GetService(), Method: r.GetMethod(), Path: r.GetPath(), Header: headerOf(r.GetHeader()),
+		Repeatable: r.GetRepeatable(), Body: r.GetBody(), Zone: r.GetZone(), Forwarded: r.GetForwarded(),
+	}
+	if r.GetAdapter() != "" {
+		w.Model = bamboorail.NewModelRef(r.GetAdapter(), r.GetVersion())
+	}
+	if r.GetIssuedUnixMilli() != 0 {
+		w.IssuedAt = time.UnixMilli(r.GetIssuedUnixMilli())
+	}
+	return w
+}
+
+// priorityOf maps unknown classes of a newer peer to the lowest.
+func priorityOf(p int32) bamboorail.Priority {
+	if p == int32(bamboorail.PriorityInteractive) {
+		return bamboorail.PriorityInteractive
+	}
+	return bamboorail.PriorityBatch
+}
+
+func headMessage(h bamboorail.AnswerHead) *wire.Head {
+	return &wire.Head{
+		Status: int32(h.Status), Header: headerFields(h.Header), Target: h.Target,
+		WaitedMicros: h.Waited.Microseconds(), LoadWaitMicros: h.LoadWait.Microseconds(),
+	}
+}
+
+func answerHead(h *wire.Head) bamboorail.AnswerHead {
+	return bamboorail.AnswerHead{
+		Status: int(h.GetStatus()), Header: headerOf(h.GetHeader()), Target: h.GetTarget(),
+		Waited:   time.Duration(h.GetWaitedMicros()) * time.Microsecond,
+		LoadWait: time.Duration(h.GetLoadWaitMicros()) * time.Microsecond,
+	}
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,161 @@
+// Package peer is the protocol between instances: dispatch of requests to
+// the owner of a target, heartbeats, load permits and snapshots, over drpc.
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/propagation"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmetadata"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/peer/wire"
+)
+
+const (
+	// maxMessageBytes bounds a message from a peer.
+	maxMessageBytes = 5 << 20
+	// idleTimeout closes a connection on which nothing arrived.
+	idleTimeout       = 2 * time.Minute
+	snapshotPartBytes = 1 << 20
+)
+
+// Handler is what an instance does for its peers.
+type Handler interface {
+	// Serve runs a request that a peer passed on.
+	Serve(ctx context.Context, w *bamboorail.Work, s bamboorail.Sink) error
+	// Heartbeat takes in the state of a peer.
+	Heartbeat(state *wire.InstanceState) *wire.HeartbeatReply
+	// AcquirePermit waits for a load permit of this zone.
+	AcquirePermit(ctx context.Context, r bamboorail.PermitRequest) (bamboorail.Permit, error)
+	// Preload asks for a load on an owned target.
+	Preload(target string, m bamboorail.ModelRef) error
+	// Snapshot returns the configuration if it is newer than a revision.
+	Snapshot(newerThan uint64) ([]byte, error)
+	// ZoneState returns what is known of the own zone.
+	ZoneState() *wire.ZoneStateReply
+	// Spans returns recorded spans.
+	Spans(r *wire.SpansRequest) *wire.SpansReply
+}
+
+// Serve answers peers on the listener until ctx ends.
+func Serve(ctx context.Context, l net.Listener, h Handler, log hclog.Logger) error {
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterPeer(mux, &server{handler: h}); err != nil {
+		return fmt.Errorf("register peer service: %w", err)
+	}
+	s := drpcserver.NewWithOptions(mux, drpcserver.Options{
+		Manager: managerOptions(),
+		Log:     func(err error) { log.Debug("peer connection ended", "error", err) },
+	})
+	err := s.Serve(ctx, l)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return err
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader:            drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+		InactivityTimeout: idleTimeout,
+	}
+}
+
+// server adapts a Handler to the generated interface.
+type server struct {
+	wire.DRPCPeerUnimplementedServer
+	handler Handler
+}
+
+// traced returns the context with the trace that the peer passed on.
+func traced(ctx context.Context) context.Context {
+	pairs, ok := drpcmetadata.Get(ctx)
+	if !ok {
+		return ctx
+	}
+	return propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier(pairs))
+}
+
+// Dispatch runs a request and streams its answer.
+func (s *server) Dispatch(r *wire.DispatchRequest, stream wire.DRPCPeer_DispatchStream) error {
+	w := workOf(r, time.Now())
+	ctx, cancel := context.WithDeadline(traced(stream.Context()), w.Deadline)
+	defer cancel()
+	sink := &streamSink{id: w.RequestID, stream: stream}
+	err := s.handler.Serve(ctx, w, sink)
+	return stream.Send(&wire.DispatchEvent{RequestId: w.RequestID, End: endOf(err)})
+}
+
+// streamSink sends an answer to the peer.
+type streamSink struct {
+	id     string
+	stream wire.DRPCPeer_DispatchStream
+}
+
+func (s *streamSink) Begin(h bamboorail.AnswerHead) error {
+	return s.stream.Send(&wire.DispatchEvent{RequestId: s.id, Head: headMessage(h)})
+}
+
+func (s *streamSink) Write(chunk []byte) error {
+	return s.stream.Send(&wire.DispatchEvent{RequestId: s.id, Chunks: [][]byte{chunk}})
+}
+
+// Heartbeat passes the state of a peer on.
+func (s *server) Heartbeat(_ context.Context, state *wire.InstanceState) (*wire.HeartbeatReply, error) {
+	return s.handler.Heartbeat(state), nil
+}
+
+// AcquirePermit holds a permit until the peer closes the stream.
+func (s *server) AcquirePermit(r *wire.PermitRequest, stream wire.DRPCPeer_AcquirePermitStream) error {
+	permit, err := s.handler.AcquirePermit(stream.Context(), bamboorail.PermitRequest{Target: r.GetTarget(), Urgency: r.GetUrgency()})
+	if err != nil {
+		return err
+	}
+	defer permit.Release()
+	if err := stream.Send(&wire.PermitGranted{}); err != nil {
+		return err
+	}
+	<-stream.Context().Done()
+	return nil
+}
+
+// Preload passes a load request on.
+func (s *server) Preload(_ context.Context, r *wire.PreloadRequest) (*wire.PreloadReply, error) {
+	err := s.handler.Preload(r.GetTarget(), bamboorail.NewModelRef(r.GetAdapter(), r.GetVersion()))
+	return &wire.PreloadReply{End: endOf(err)}, nil
+}
+
+// Snapshot sends the configuration in parts.
+func (s *server) Snapshot(r *wire.SnapshotRequest, stream wire.DRPCPeer_SnapshotStream) error {
+	data, err := s.handler.Snapshot(r.GetNewerThan())
+	if err != nil {
+		return err
+	}
+	for len(data) > 0 {
+		n := min(len(data), snapshotPartBytes)
+		if err := stream.Send(&wire.SnapshotPart{Data: data[:n]}); err != nil {
+			return err
+		}
+		data = data[n:]
+	}
+	return nil
+}
+
+// Spans returns recorded spans.
+func (s *server) Spans(_ context.Context, r *wire.SpansRequest) (*wire.SpansReply, error) {
+	return s.handler.Spans(r), nil
+}
+
+// ZoneState returns what this instance knows of its zone.
+func (s *server) ZoneState(context.Context, *wire.ZoneStateRequest) (*wire.ZoneStateReply, error) {
+	return s.handler.ZoneState(), nil
+}
--- /dev/null
+++ b/internal/platform/configuration.go
@@ -0,0 +1,415 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/pkg/record"
+)
+
+const (
+	// HeadKey is the object whose conditional update commits a change.
+	HeadKey = "config/head"
+
+	shardPrefix = "config/shard/"
+	// configShards spreads 85,000 records so that a shard stays far below
+	// MaxValueBytes and a change moves tens of kilobytes.
+	configShards = 256
+	// rememberedChanges is the number of change ids kept in the head.
+	rememberedChanges = 128
+	commitAttempts    = 8
+)
+
+// Head names the revision in force and the object of every shard. It is the
+// only mutable object of the configuration.
+type Head struct {
+	Revision uint64 `json:"revision"`
+	// Shards maps a shard number to the name of its current object.
+	Shards map[int]string `json:"shards"`
+	// Changes lists recent change ids with their revisions, oldest first.
+	Changes []AppliedChange `json:"changes"`
+}
+
+// AppliedChange records that a change took effect.
+type AppliedChange struct {
+	ID       string `json:"id"`
+	Revision uint64 `json:"revision"`
+}
+
+// Change is one operator's change to the configuration.
+type Change struct {
+	// ID makes the change idempotent.
+	ID string `json:"id"`
+	// Base is the revision that the operator saw.
+	Base uint64 `json:"base-revision"`
+	// Apply are records to create or replace, Delete the keys to remove.
+	Apply  []json.RawMessage `json:"apply,omitempty"`
+	Delete []record.Key      `json:"delete,omitempty"`
+}
+
+type storedRecord struct {
+	Revision uint64          `json:"revision"`
+	Record   json.RawMessage `json:"record"`
+}
+
+// shard maps the text form of a record key to the stored record.
+type shard map[string]storedRecord
+
+func shardOf(k record.Key) int { return int(xxhash.Sum64String(k.String()) % configShards) }
+
+func shardKey(n int, name string) string {
+	return shardPrefix + strconv.Itoa(n) + "/" + name
+}
+
+// shardName returns a name that no other change uses, so that writers racing
+// for the same revision never replace each other's shards.
+func shardName(revision uint64, changeID string) string {
+	return strconv.FormatUint(revision, 10) + "-" + changeID
+}
+
+// shardRevision returns the revision for which a shard object was written.
+func shardRevision(key string) (uint64, bool) {
+	_, name, _ := strings.Cut(strings.TrimPrefix(key, shardPrefix), "/")
+	digits, _, _ := strings.Cut(name, "-")
+	revision, err := strconv.ParseUint(digits, 10, 64)
+	return revision, err == nil
+}
+
+// Writer commits changes of configuration.
+type Writer struct{ store bamboorail.ObjectStore }
+
+// NewWriter returns a writer to the store.
+func NewWriter(store bamboorail.ObjectStore) *Writer { return &Writer{store: store} }
+
+// Commit applies a change as a whole and returns the revision at which it is
+// in force. Committing the same change id again returns the same revision.
+// A record that changed after the base revision is a KindConflict that names
+// it. An error of kind unavailable leaves the result open: commit again.
+func (w *Writer) Commit(ctx context.Context, c Change) (uint64, error) {
+	const op = "commit-change"
+	if !bamboorail.ValidName(c.ID) {
+		return 0, fail(op, bamboorail.KindBadRequest, fmt.Errorf("change id %q is not a valid name", c.ID))
+	}
+	records, err := parseAll(c.Apply)
+	if err != nil {
+		return 0, err
+	}
+	for range commitAttempts {
+		revision, err := w.attempt(ctx, c, records)
+		if err == nil || bamboorail.KindOf(err) != bamboorail.KindConflict || errors.As(err, new(*recordConflict)) {
+			return revision, err
+		}
+	}
+	return 0, fail(op, bamboorail.KindConflict, fmt.Errorf("lost %d races for the head", commitAttempts))
+}
+
+func parseAll(raw []json.RawMessage) ([]record.Record, error) {
+	records := make([]record.Record, 0, len(raw))
+	for _, r := range raw {
+		rec, err := record.Parse(r)
+		if err != nil {
+			return nil, err
+		}
+		if err := rec.Check(); err != nil {
+			return nil, err
+		}
+		records = append(records, rec)
+	}
+	return records, nil
+}
+
+// recordConflict reports a record that changed after the base revision.
+type recordConflict struct {
+	key     record.Key
+	base    uint64
+	current uint64
+	raw     json.RawMessage
+}
+
+func (r *recordConflict) Error() string {
+	return fmt.Sprintf("record %s changed at revision %d, after revision %d; it is now %s", r.key, r.current, r.base, r.raw)
+}
+
+func (w *Writer) attempt(ctx context.Context, c Change, records []record.Record) (uint64, error) {
+	head, version, err := readHead(ctx, w.store)
+	if err != nil {
+		return 0, err
+	}
+	if i := slices.IndexFunc(head.Changes, func(a AppliedChange) bool { return a.ID == c.ID }); i >= 0 {
+		return head.Changes[i].Revision, nil
+	}
+	if c.Base > head.Revision {
+		return 0, fail("commit-change", bamboorail.KindBadRequest,
+			fmt.Errorf("base revision %d is newer than the current revision %d", c.Base, head.Revision))
+	}
+	next := head.Revision + 1
+	shards, err := w.editShards(ctx, head, c, records, next)
+	if err != nil {
+		return 0, err
+	}
+	if err := w.writeShards(ctx, &head, shards, shardName(next, c.ID)); err != nil {
+		return 0, err
+	}
+	head.Revision = next
+	head.Changes = append(head.Changes, AppliedChange{ID: c.ID, Revision: next})
+	head.Changes = head.Changes[max(0, len(head.Changes)-rememberedChanges):]
+	if err := w.putHead(ctx, head, version, c.ID); err != nil {
+		return 0, err
+	}
+	for n := range shards {
+		w.sweep(ctx, head, n)
+	}
+	return next, nil
+}
+
+// editShards returns the affected shards with the change made to them.
+func (w *Writer) editShards(ctx context.Context, head Head, c Change, records []record.Record, next uint64) (map[int]shard, error) {
+	shards := map[int]shard{}
+	load := func(k record.Key) (shard, error) {
+		n := shardOf(k)
+		if s, ok := shards[n]; ok {
+			return s, nil
+		}
+		s, err := readShard(ctx, w.store, n, head.Shards[n])
+		if err != nil {
+			return nil, err
+		}
+		shards[n] = s
+		return s, nil
+	}
+	for _, r := range records {
+		s, err := load(r.Key())
+		if err != nil {
+			return nil, err
+		}
+		if err := applyRecord(s, r, c.Base, next); err != nil {
+			return nil, err
+		}
+	}
+	for _, k := range c.Delete {
+		s, err := load(k)
+		if err != nil {
+			return nil, err
+		}
+		if err := checkBase(s, k, c.Base); err != nil {
+			return nil, err
+		}
+		if _, ok := s[k.String()]; !ok {
+			return nil, fail("commit-change", bamboorail.KindNotFound, fmt.Errorf("record %s does not exist", k))
+		}
+		delete(s, k.String())
+	}
+	return shards, nil
+}
+
+func checkBase(s shard, k record.Key, base uint64) error {
+	if old, ok := s[k.String()]; ok && old.Revision > base {
+		return fail("commit-change", bamboorail.KindConflict,
+			&recordConflict{key: k, base: base, current: old.Revision, raw: old.Record})
+	}
+	return nil
+}
+
+func applyRecord(s shard, r record.Record, base, next uint64) error {
+	if err := checkBase(s, r.Key(), base); err != nil {
+		return err
+	}
+	if old, ok := s[r.Key().String()]; ok {
+		prev, err := record.Restore(old.Record, old.Revision)
+		if err != nil {
+			return err
+		}
+		if r, err = record.Merge(prev, r); err != nil {
+			return err
+		}
+	}
+	s[r.Key().String()] = storedRecord{Revision: next, Record: r.Raw()}
+	return nil
+}
+
+// writeShards stores the edited shards under a name of this change.
+func (w *Writer) writeShards(ctx context.Context, head *Head, shards map[int]shard, name string) error {
+	for _, n := range slices.Sorted(maps.Keys(shards)) {
+		value, err := json.Marshal(shards[n])
+		if err != nil {
+			return fail("write-shard", bamboorail.KindInternal, err)
+		}
+		_, err = w.store.Put(ctx, shardKey(n, name), value, 0)
+		// A conflict means that an earlier attempt of this change wrote the
+		// same shard, made from the same revision.
+		if err != nil && bamboorail.KindOf(err) != bamboorail.KindConflict {
+			return err
+		}
+		head.Shards[n] = name
+	}
+	return nil
+}
+
+// putHead commits. After an unclear error it reads the head back, because the
+// write may have taken effect although its answer was lost.
+func (w *Writer) putHead(ctx context.Context, head Head, version uint64, id string) error {
+	value, err := json.Marshal(head)
+	if err != nil {
+		return fail("commit-change", bamboorail.KindInternal, err)
+	}
+	_, err = w.store.Put(ctx, HeadKey, value, version)
+	if err == nil {
+		return nil
+	}
+	current, _, readErr := readHead(ctx, w.store)
+	if readErr != nil {
+		return err
+	}
+	if slices.ContainsFunc(current.Changes, func(a AppliedChange) bool { return a.ID == id }) {
+		return nil
+	}
+	return err
+}
+
+// sweep removes objects of a shard that no head can name any more: those of a
+// committed revision that the head does not name. A failure leaves them to
+// the next change of the shard.
+func (w *Writer) sweep(ctx context.Context, head Head, n int) {
+	objects, _, err := w.store.List(ctx, shardKey(n, ""))
+	if err != nil {
+		return
+	}
+	for _, o := range objects {
+		revision, ok := shardRevision(o.Key)
+		if ok && revision <= head.Revision && o.Key != shardKey(n, head.Shards[n]) {
+			_ = w.store.Delete(ctx, o.Key, o.Version)
+		}
+	}
+}
+
+func readHead(ctx context.Context, store bamboorail.ObjectStore) (Head, uint64, error) {
+	o, err := store.Get(ctx, HeadKey)
+	if err != nil {
+		if bamboorail.KindOf(err) == bamboorail.KindNotFound {
+			return Head{Shards: map[int]string{}}, 0, nil
+		}
+		return Head{}, 0, err
+	}
+	head, err := parseHead(o.Value)
+	return head, o.Version, err
+}
+
+func parseHead(value []byte) (Head, error) {
+	head := Head{}
+	if err := json.Unmarshal(value, &head); err != nil {
+		return Head{}, fail("read-head", bamboorail.KindInvalidRecord, err)
+	}
+	if head.Shards == nil {
+		head.Shards = map[int]string{}
+	}
+	return head, nil
+}
+
+func readShard(ctx context.Context, store bamboorail.ObjectStore, n int, name string) (shard, error) {
+	if name == "" {
+		return shard{}, nil
+	}
+	o, err := store.Get(ctx, shardKey(n, name))
+	if err != nil {
+		return nil, err
+	}
+	s := shard{}
+	if err := json.Unmarshal(o.Value, &s); err != nil {
+		return nil, fail("read-shard", bamboorail.KindInvalidRecord, err)
+	}
+	return s, nil
+}
+
+// Reader keeps the newest configuration of one process.
+type Reader struct {
+	store   bamboorail.ObjectStore
+	current *View
+	notify  func(*View, []error)
+}
+
+// NewReader returns a reader that calls notify with every new view and with
+// the faults of records that it had to leave out.
+func NewReader(store bamboorail.ObjectStore, notify func(*View, []error)) *Reader {
+	return &Reader{store: store, current: emptyView(), notify: notify}
+}
+
+// Current returns the view in force.
+func (r *Reader) Current() *View { return r.current }
+
+// Refresh reads the head and applies it if it is newer.
+func (r *Reader) Refresh(ctx context.Context) error {
+	head, _, err := readHead(ctx, r.store)
+	if err != nil {
+		return err
+	}
+	return r.applyHead(ctx, head)
+}
+
+// ApplyEvent applies a watched head object if it is newer.
+func (r *Reader) ApplyEvent(ctx context.Context, o bamboorail.Object) error {
+	if o.Key != HeadKey || o.Deleted {
+		return nil
+	}
+	head, err := parseHead(o.Value)
+	if err != nil {
+		return err
+	}
+	return r.applyHead(ctx, head)
+}
+
+// applyHead reads the changed shards and switches to the new view as a whole.
+func (r *Reader) applyHead(ctx context.Context, head Head) error {
+	if head.Revision <= r.current.revision {
+		return nil
+	}
+	shards := maps.Clone(r.current.shards)
+	var faults []error
+	for n, name := range head.Shards {
+		if s, ok := shards[n]; ok && s.name == name {
+			continue
+		}
+		raw, err := readShard(ctx, r.store, n, name)
+		if err != nil {
+			return err
+		}
+		parsed, bad := parseShard(raw, name)
+		shards[n] = parsed
+		faults = append(faults, bad...)
+	}
+	r.install(newView(head.Revision, shards), faults)
+	return nil
+}
+
+// ApplySnapshot installs a snapshot taken from a peer if it is newer.
+func (r *Reader) ApplySnapshot(data []byte) error {
+	view, faults, err := decodeSnapshot(data)
+	if err != nil {
+		return err
+	}
+	if view.revision > r.current.revision {
+		r.install(view, faults)
+	}
+	return nil
+}
+
+func (r *Reader) install(v *View, faults []error) {
+	r.current = v
+	r.notify(v, faults)
+}
+
+// Poll intervals of the configuration: the watch brings changes at once, the
+// poll finds what a lost event hid.
+const (
+	WatchWait    = 30 * time.Second
+	PollInterval = 2 * time.Second
+)
--- /dev/null
+++ b/internal/service/members.go
@@ -0,0 +1,210 @@
+package service
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"bamboorail.example/bamboorail/internal/duty"
+	"bamboorail.example/bamboorail/internal/membership"
+	"bamboorail.example/bamboorail/internal/peer"
+	"bamboorail.example/bamboorail/internal/peer/wire"
+	"bamboorail.example/bamboorail/internal/platform"
+	"bamboorail.example/bamboorail/pkg/record"
+)
+
+const (
+	listInterval = 5 * time.Second
+	// listAllEvery is the number of listings of the own zone for one of all
+	// zones.
+	listAllEvery = 6
+	// minBeatInterval is the time between heartbeats in a small zone. In a
+	// large one it grows so that a node's traffic stays bounded.
+	minBeatInterval  = time.Second
+	beatSpacePerPeer = 75 * time.Millisecond
+	beatTick         = 100 * time.Millisecond
+)
+
+// keepSession renews the session of this process.
+func (i *Instance) keepSession(ctx context.Context) error {
+	return duty.Every(ctx, platform.RenewInterval, func(ctx context.Context) {
+		if i.leaving.Load() {
+			return
+		}
+		if err := i.sessions.Renew(ctx, false); err != nil {
+			i.log.Debug("session not renewed", "error", err)
+		}
+	})
+}
+
+// listSessions reads the sessions and the platform's list of instances.
+func (i *Instance) listSessions(ctx context.Context) error {
+	n := 0
+	return duty.Every(ctx, listInterval, func(ctx context.Context) {
+		zone := i.settings.Zone
+		if n%listAllEvery == 0 || i.missesZone() {
+			zone = ""
+		}
+		n++
+		objects, err := platform.ListSessions(ctx, i.store, zone)
+		if err != nil {
+			i.log.Debug("sessions not listed", "error", err)
+			return
+		}
+		i.directory.ApplySessions(zone, objects, time.Now())
+		if list, err := i.store.Instances(ctx); err == nil {
+			i.directory.ApplyInstances(list)
+		}
+	})
+}
+
+// missesZone reports whether a zone with targets has no known live instance.
+func (i *Instance) missesZone() bool {
+	reachable := map[string]bool{i.settings.Zone: true}
+	for _, m := range i.directory.Members(time.Now()) {
+		reachable[m.Session.Zone] = reachable[m.Session.Zone] || m.State == membership.StateLive
+	}
+	return slices.ContainsFunc(i.config.View().Targets(), func(t record.Target) bool { return !reachable[t.Zone()] })
+}
+
+// heartbeats sends the state of this instance to the peers of its zone.
+type heartbeats struct {
+	instance *Instance
+	kicks    chan struct{}
+	// sent holds, for each peer session, the targets as last sent to it.
+	sent map[string]map[string]*wire.TargetState
+	next map[string]time.Time
+}
+
+func newHeartbeats(i *Instance) *heartbeats {
+	return &heartbeats{
+		instance: i, kicks: make(chan struct{}, 1),
+		sent: map[string]map[string]*wire.TargetState{}, next: map[string]time.Time{},
+	}
+}
+
+// now asks for a heartbeat to every peer at once.
+func (b *heartbeats) now() {
+	select {
+	case b.kicks <- struct{}{}:
+	default:
+	}
+}
+
+func (b *heartbeats) run(ctx context.Context) error {
+	t := time.NewTicker(beatTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		case <-b.kicks:
+			clear(b.next)
+		}
+		b.beat(ctx, time.Now())
+	}
+}
+
+// beat sends the heartbeats that are due, each in a goroutine of its own, so
+// that a silent peer delays no other.
+func (b *heartbeats) beat(ctx context.Context, now time.Time) {
+	due := b.due(now)
+	if len(due) == 0 {
+		return
+	}
+	states := b.instance.manager.States()
+	b.instance.directory.SetOwn(states, now)
+	duties := make([]*duty.Duty, 0, len(due))
+	for _, s := range due {
+		message := b.message(s.ID, states)
+		duties = append(duties, duty.Start(ctx, "heartbeat", func(ctx context.Context) error {
+			return b.send(ctx, s, message)
+		}))
+	}
+	for n, d := range duties {
+		if err := <-d.Done(); err != nil {
+			delete(b.sent, due[n].ID)
+			continue
+		}
+		b.sent[due[n].ID] = byName(states)
+	}
+}
+
+func byName(states []*wire.TargetState) map[string]*wire.TargetState {
+	m := make(map[string]*wire.TargetState, len(states))
+	for _, s := range states {
+		m[s.GetTarget()] = s
+	}
+	return m
+}
+
+// due returns the peers of the zone whose heartbeat is due.
+func (b *heartbeats) due(now time.Time) []platform.Session {
+	var due []platform.Session
+	members := b.instance.directory.Members(now)
+	zone := slices.DeleteFunc(members, func(m membership.Member) bool {
+		return m.Session.Zone != b.instance.settings.Zone || m.State == membership.StateGone
+	})
+	interval := max(minBeatInterval, time.Duration(len(zone))*beatSpacePerPeer)
+	for _, m := range zone {
+		if now.Before(b.next[m.Session.ID]) {
+			continue
+		}
+		b.next[m.Session.ID] = now.Add(interval)
+		due = append(due, m.Session)
+	}
+	if len(zone) == 0 && !now.Before(b.next[""]) {
+		// Alone in the zone: the own states still need their round.
+		b.next[""] = now.Add(interval)
+		b.instance.directory.SetOwn(b.instance.manager.States(), now)
+	}
+	return due
+}
+
+// message returns the state for a peer: targets that changed since the last
+// heartbeat that it answered.
+func (b *heartbeats) message(session string, states []*wire.TargetState) *wire.InstanceState {
+	self := b.instance.directory.Self()
+	m := &wire.InstanceState{
+		Session: self.ID, Instance: self.Instance, Zone: self.Zone, Peer: self.Peer,
+		Revision: b.instance.config.View().Revision(), Leaving: b.instance.leaving.Load(),
+	}
+	before, known := b.sent[session]
+	m.Full = !known
+	for _, s := range states {
+		m.Owned = append(m.Owned, s.GetTarget())
+		if old, ok := before[s.GetTarget()]; !ok || !proto.Equal(old, s) {
+			m.Targets = append(m.Targets, s)
+		}
+	}
+	return m
+}
+
+// send sends one heartbeat and draws conclusions from its result.
+func (b *heartbeats) send(ctx context.Context, s platform.Session, m *wire.InstanceState) error {
+	reply, err := b.instance.peers.Heartbeat(ctx, s.Peer, m)
+	if err != nil {
+		if peer.Refused(err) {
+			b.instance.log.Warn("peer is gone", "instance", s.Instance, "session", s.ID)
+			b.instance.directory.MarkGone(s.ID)
+			b.instance.manager.Kick()
+		}
+		return err
+	}
+	if reply.GetSession() != s.ID {
+		b.instance.directory.MarkGone(s.ID)
+		b.instance.manager.Kick()
+		return nil
+	}
+	b.instance.directory.Answered(s, reply.GetRevision(), time.Now())
+	if reply.GetRevision() > b.instance.config.View().Revision() {
+		b.instance.config.kick()
+	}
+	if reply.GetWantFull() {
+		return errWantFull
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/service/peers.go
@@ -0,0 +1,207 @@
+package service
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/membership"
+	"bamboorail.example/bamboorail/internal/peer"
+	"bamboorail.example/bamboorail/internal/peer/wire"
+	"bamboorail.example/bamboorail/internal/platform"
+	"bamboorail.example/bamboorail/internal/telemetry"
+)
+
+var errWantFull = errors.New("the peer asks for the full state")
+
+// Error is the error type of the package.
+type Error struct{ bamboorail.Failure }
+
+func notOwner(target string) error {
+	return &Error{bamboorail.Failure{
+		Op: "find-owner", Kind: bamboorail.KindNotOwner, Outcome: bamboorail.OutcomeNotRun, RetryAfter: time.Second,
+		Err: fmt.Errorf("this instance does not own target %q", target),
+	}}
+}
+
+// owners finds the owners in this process and records their hop.
+type owners struct{ instance *Instance }
+
+// Dispatcher returns the owner of a target.
+func (o *owners) Dispatcher(target string) (bamboorail.Dispatcher, bool) {
+	d, ok := o.instance.manager.Owner(target)
+	if !ok {
+		return nil, false
+	}
+	return &tracedOwner{next: d, tracer: o.instance.tracer}, true
+}
+
+// tracedOwner records a span for the owner hop.
+type tracedOwner struct {
+	next   bamboorail.Dispatcher
+	tracer trace.Tracer
+}
+
+// Dispatch runs a request within a span.
+func (t *tracedOwner) Dispatch(ctx context.Context, w *bamboorail.Work, s bamboorail.Sink) error {
+	ctx, span := t.tracer.Start(ctx, "owner "+w.Target, trace.WithAttributes(telemetry.RequestIDKey.String(w.RequestID)))
+	defer span.End()
+	return t.next.Dispatch(ctx, w, &tracedSink{Sink: s, span: span})
+}
+
+// tracedSink adds what is known at the head of an answer to the span.
+type tracedSink struct {
+	bamboorail.Sink
+	span trace.Span
+}
+
+func (t *tracedSink) Begin(h bamboorail.AnswerHead) error {
+	t.span.SetAttributes(attribute.String("target", h.Target),
+		attribute.String("queue-wait", h.Waited.String()), attribute.String("load-wait", h.LoadWait.String()))
+	return t.Sink.Begin(h)
+}
+
+// peerHandler is what this instance does for its peers.
+type peerHandler struct{ instance *Instance }
+
+var _ peer.Handler = (*peerHandler)(nil)
+
+// Serve runs a request of a peer on an owned target, or routes one of another
+// zone.
+func (p *peerHandler) Serve(ctx context.Context, w *bamboorail.Work, s bamboorail.Sink) error {
+	if w.Target == "" {
+		return p.instance.router.Dispatch(ctx, w, s)
+	}
+	d, ok := (&owners{p.instance}).Dispatcher(w.Target)
+	if !ok {
+		return notOwner(w.Target)
+	}
+	return d.Dispatch(ctx, w, s)
+}
+
+// Heartbeat takes in the state of a peer.
+func (p *peerHandler) Heartbeat(state *wire.InstanceState) *wire.HeartbeatReply {
+	i := p.instance
+	full := i.directory.Heard(state, time.Now())
+	if state.GetRevision() > i.config.View().Revision() {
+		i.config.kick()
+	}
+	self := i.directory.Self()
+	return &wire.HeartbeatReply{Session: self.ID, Instance: self.Instance, Revision: i.config.View().Revision(), WantFull: full}
+}
+
+// AcquirePermit waits for a permit of the holder in this process.
+func (p *peerHandler) AcquirePermit(ctx context.Context, r bamboorail.PermitRequest) (bamboorail.Permit, error) {
+	return p.instance.holder.AcquirePermit(ctx, r)
+}
+
+// Preload asks an owned target to load a model.
+func (p *peerHandler) Preload(target string, m bamboorail.ModelRef) error {
+	o, ok := p.instance.manager.Owner(target)
+	if !ok {
+		return notOwner(target)
+	}
+	return o.Preload(m)
+}
+
+// Snapshot returns the configuration if it is newer.
+func (p *peerHandler) Snapshot(newerThan uint64) ([]byte, error) {
+	v := p.instance.config.View()
+	if v.Revision() <= newerThan {
+		return nil, nil
+	}
+	return v.Snapshot()
+}
+
+// ZoneState describes the instances of this zone with what they own.
+func (p *peerHandler) ZoneState() *wire.ZoneStateReply {
+	i := p.instance
+	now := time.Now()
+	self := i.directory.Self()
+	states := map[string]*wire.InstanceState{self.ID: {
+		Session: self.ID, Instance: self.Instance, Zone: self.Zone, Peer: self.Peer,
+		Revision: i.config.View().Revision(), Leaving: i.leaving.Load(),
+	}}
+	for _, m := range i.directory.Members(now) {
+		if m.Session.Zone == self.Zone && (m.State == membership.StateLive || m.State == membership.StateLeaving) {
+			states[m.Session.ID] = &wire.InstanceState{
+				Session: m.Session.ID, Instance: m.Session.Instance, Zone: m.Session.Zone, Peer: m.Session.Peer,
+				Revision: m.Revision, Leaving: m.State == membership.StateLeaving,
+			}
+		}
+	}
+	for _, t := range i.directory.Targets(now) {
+		if s, ok := states[t.Session]; ok {
+			s.Targets = append(s.Targets, t.State)
+		}
+	}
+	return &wire.ZoneStateReply{Instances: slices.Collect(maps.Values(states))}
+}
+
+// Spans returns recorded spans.
+func (p *peerHandler) Spans(r *wire.SpansRequest) *wire.SpansReply {
+	reply := &wire.SpansReply{}
+	for _, s := range p.instance.spans.Find(r.GetTraceId(), r.GetRequestId()) {
+		m := &wire.Span{
+			TraceId: s.TraceID, SpanId: s.SpanID, ParentId: s.ParentID, Name: s.Name, Instance: s.Instance,
+			StartUnixMicros: s.Start.UnixMicro(), DurationMicros: s.Duration.Microseconds(),
+		}
+		for k, v := range s.Fields {
+			m.Fields = append(m.Fields, &wire.SpanField{Key: k, Value: v})
+		}
+		reply.Spans = append(reply.Spans, m)
+	}
+	return reply
+}
+
+// permits asks the permit holder of the zone.
+type permits struct{ instance *Instance }
+
+// AcquirePermit waits for a permit. If the holder cannot be reached, the load
+// goes on with a permit of this process: that costs speed, not safety.
+func (p *permits) AcquirePermit(ctx context.Context, r bamboorail.PermitRequest) (bamboorail.Permit, error) {
+	i := p.instance
+	holder := holderOf(i.directory.Candidates(time.Now()), i.settings.Zone)
+	if holder.ID == i.directory.Self().ID {
+		return i.holder.AcquirePermit(ctx, r)
+	}
+	permit, err := i.peers.AcquirePermit(ctx, holder.Peer, r)
+	if err != nil && bamboorail.NotRun(err) {
+		return i.holder.AcquirePermit(ctx, r)
+	}
+	return permit, err
+}
+
+// holderOf returns the permit holder of a zone by rendezvous hashing.
+func holderOf(candidates []platform.Session, zone string) platform.Session {
+	weight := func(s platform.Session) uint64 { return xxhash.Sum64String("permits/" + zone + "\x00" + s.ID) }
+	return slices.MaxFunc(candidates, func(a, b platform.Session) int {
+		if weight(a) < weight(b) {
+			return -1
+		}
+		return 1
+	})
+}
+
+// snapshotSources lists the peers that may have a newer configuration: those
+// that announced one, and at a start the configured seeds.
+func (i *Instance) snapshotSources(revision uint64) []string {
+	var addresses []string
+	for _, m := range i.directory.Members(time.Now()) {
+		if m.Revision > revision && m.State != membership.StateGone {
+			addresses = append(addresses, m.Session.Peer)
+		}
+	}
+	if revision == 0 {
+		addresses = append(addresses, i.settings.Seeds...)
+	}
+	return addresses
+}
--- /dev/null
+++ b/internal/service/service.go
@@ -0,0 +1,198 @@
+// Package service assembles the parts of an instance and runs them.
+package service
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/trace"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/application"
+	"bamboorail.example/bamboorail/internal/duty"
+	"bamboorail.example/bamboorail/internal/entry"
+	"bamboorail.example/bamboorail/internal/logflags"
+	"bamboorail.example/bamboorail/internal/membership"
+	"bamboorail.example/bamboorail/internal/ownership"
+	"bamboorail.example/bamboorail/internal/peer"
+	"bamboorail.example/bamboorail/internal/platform"
+	"bamboorail.example/bamboorail/internal/settings"
+	"bamboorail.example/bamboorail/internal/telemetry"
+	"bamboorail.example/bamboorail/internal/tlsconf"
+	"bamboorail.example/bamboorail/internal/weightstore"
+)
+
+const (
+	targetDialTimeout  = 2 * time.Second
+	idlePerTarget      = 256
+	idleConnTimeout    = 90 * time.Second
+	platformIdleConns  = 16
+	headerReadTimeout  = 10 * time.Second
+	maxHeaderBytes     = 64 << 10
+	shutdownGraceExtra = 5 * time.Second
+)
+
+// Instance is one running railentry.
+type Instance struct {
+	settings settings.Entry
+	logs     *logflags.Logs
+	log      hclog.Logger
+
+	store     bamboorail.ObjectStore
+	directory *membership.Directory
+	manager   *ownership.Manager
+	router    *entry.Router
+	peers     *peer.Client
+	holder    *weightstore.Holder
+	writer    *platform.Writer
+	sessions  *platform.SessionKeeper
+	metrics   *telemetry.Metrics
+	spans     *telemetry.SpanStore
+	tracer    trace.Tracer
+
+	engineTransport      http.RoundTripper
+	applicationTransport *http.Transport
+
+	config  *configuration
+	leaving atomic.Bool
+	beats   *heartbeats
+}
+
+// New returns an instance that does not run yet.
+func New(s settings.Entry, logs *logflags.Logs) (*Instance, error) {
+	i := &Instance{settings: s, logs: logs, log: logs.Layer("service")}
+	self := platform.Session{
+		ID: uuid.NewString(), Instance: s.Instance, Zone: s.Zone, Peer: s.PeerAnnounce, Caller: s.CallerAddress,
+	}
+	if err := i.connect(self); err != nil {
+		return nil, err
+	}
+	i.directory = membership.NewDirectory(self)
+	i.holder = weightstore.NewHolder(s.LoadsAtOnce)
+	i.metrics = telemetry.NewMetrics()
+	i.spans = telemetry.NewSpanStore(s.Instance, s.TraceCapacity)
+	i.tracer = telemetry.NewTracer(i.spans)
+	i.config = newConfiguration(i)
+	i.beats = newHeartbeats(i)
+	i.manager = ownership.NewManager(ownership.Config{
+		Store: i.store, Directory: i.directory, Factory: &factory{i}, Log: logs.Layer("ownership"),
+	})
+	i.router = entry.NewRouter(entry.Config{
+		Directory: i.directory, View: i.config.View, Owners: &owners{i}, Peers: i.peers, Tracer: i.tracer,
+	})
+	return i, nil
+}
+
+// connect builds the clients of the platform, of peers and of targets.
+func (i *Instance) connect(self platform.Session) error {
+	platformTLS, err := tlsconf.Client(i.settings.PlatformTLS)
+	if err != nil {
+		return err
+	}
+	peerTLS, err := tlsconf.Client(i.settings.PeerTLS)
+	if err != nil {
+		return err
+	}
+	targetTLS, err := tlsconf.Client(i.settings.TargetTLS)
+	if err != nil {
+		return err
+	}
+	dialer := &net.Dialer{Timeout: targetDialTimeout}
+	i.store = platform.NewClient(i.settings.PlatformURL, &http.Transport{
+		DialContext: dialer.DialContext, TLSClientConfig: platformTLS, MaxIdleConnsPerHost: platformIdleConns, IdleConnTimeout: idleConnTimeout,
+	})
+	i.writer = platform.NewWriter(i.store)
+	i.sessions = platform.NewSessionKeeper(i.store, self)
+	i.peers = peer.NewClient(peerTLS)
+	engines := &http.Transport{
+		DialContext: dialer.DialContext, TLSClientConfig: targetTLS, MaxIdleConnsPerHost: idlePerTarget,
+		IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+	}
+	i.engineTransport = engines
+	i.applicationTransport = application.Transport(engines)
+	return nil
+}
+
+// Run serves until stop ends, then shuts down gracefully.
+func (i *Instance) Run(stop context.Context) error {
+	listeners, err := i.listen(stop)
+	if err != nil {
+		return err
+	}
+	// The duties outlive stop by the time that the shutdown takes.
+	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
+	defer cancel()
+	g := duty.NewGroup(ctx)
+	g.Start("peers", func(ctx context.Context) error {
+		return peer.Serve(ctx, listeners.peer, &peerHandler{i}, i.logs.Layer("peer"))
+	})
+	g.Start("callers", listeners.caller.serve)
+	g.Start("operators", listeners.operator.serve)
+	g.Start("metrics", listeners.metrics.serve)
+	g.Start("session", i.keepSession)
+	g.Start("listing", i.listSessions)
+	g.Start("watch", i.watch)
+	g.Start("poll", i.config.poll)
+	g.Start("heartbeats", i.beats.run)
+	g.Start("targets", i.refreshTargets)
+	g.Start("ownership", i.manager.Run)
+	g.Start("shutdown", func(ctx context.Context) error {
+		select {
+		case <-stop.Done():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		defer cancel()
+		return i.shutdown(ctx, listeners)
+	})
+	i.log.Info("instance runs", "instance", i.settings.Instance, "zone", i.settings.Zone, "session", i.directory.Self().ID)
+	err = g.Wait()
+	return errors.Join(err, i.peers.Close())
+}
+
+// shutdown tells the balancer first, hands over what is owned, and waits for
+// the requests in flight. The duties, peer listener included, end after it.
+func (i *Instance) shutdown(ctx context.Context, l *listeners) error {
+	i.log.Info("instance leaves")
+	i.leaving.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, i.settings.DrainTimeout)
+	defer cancel()
+	if err := i.sessions.Renew(ctx, true); err != nil {
+		i.log.Warn("session not marked as leaving", "error", err)
+	}
+	i.beats.now()
+	if err := duty.Sleep(ctx, i.settings.ReadinessDelay); err != nil {
+		return err
+	}
+	if err := i.manager.Leave(ctx); err != nil {
+		i.log.Error("requests still run at the drain timeout", "error", err)
+	}
+	l.caller.drain(ctx)
+	ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), shutdownGraceExtra)
+	defer cancel()
+	if err := i.sessions.Withdraw(ctx); err != nil {
+		i.log.Warn("session not withdrawn", "error", err)
+	}
+	i.log.Info("instance left")
+	return nil
+}
+
+var errLeaving = errors.New("the instance is shutting down")
+
+// Ready returns why the instance should get no new requests, or nil.
+func (i *Instance) Ready() error {
+	if i.leaving.Load() {
+		return errLeaving
+	}
+	if !i.config.known() {
+		return fmt.Errorf("no configuration: platform %s does not answer and no peer has one", i.settings.PlatformURL)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/service/targets.go
@@ -0,0 +1,172 @@
+package service
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/application"
+	"bamboorail.example/bamboorail/internal/duty"
+	"bamboorail.example/bamboorail/internal/engine"
+	"bamboorail.example/bamboorail/internal/entry"
+	"bamboorail.example/bamboorail/internal/owner"
+	"bamboorail.example/bamboorail/internal/ownership"
+	"bamboorail.example/bamboorail/internal/placement"
+	"bamboorail.example/bamboorail/pkg/record"
+)
+
+const (
+	targetInterval = 500 * time.Millisecond
+	// applicationLimit bounds the calls that one keeper has running at a
+	// target whose record gives no limit.
+	applicationLimit = 64
+)
+
+// factory creates the owners of the targets of this zone.
+type factory struct{ instance *Instance }
+
+var _ ownership.Factory = (*factory)(nil)
+
+// Targets lists the engines and the keeper shards of this zone.
+func (f *factory) Targets() []string {
+	var names []string
+	services := map[string]bool{}
+	for _, t := range f.instance.config.View().Targets() {
+		if t.Zone() != f.instance.settings.Zone {
+			continue
+		}
+		if t.Role() == record.RoleEngine {
+			names = append(names, t.Name())
+			continue
+		}
+		services[t.Service()] = true
+	}
+	for s := range services {
+		for n := range entry.KeeperShards {
+			names = append(names, entry.KeeperTarget(s, n))
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// New returns the owner of a target.
+func (f *factory) New(target string, e placement.Evidence, began time.Time) (ownership.Owner, error) {
+	if service, ok := keeperService(target); ok {
+		k := owner.NewKeeper(target, e, began, f.instance.logs.Layer("keeper"))
+		k.SetBackends(f.instance.backends(service))
+		return k, nil
+	}
+	t, ok := f.instance.config.View().Target(target)
+	if !ok {
+		return nil, fmt.Errorf("target %q is not declared", target)
+	}
+	return owner.NewEngine(f.instance.engineConfig(t, e)), nil
+}
+
+// keeperService returns the service of a keeper shard.
+func keeperService(target string) (string, bool) {
+	rest, ok := strings.CutPrefix(target, "service/")
+	if !ok {
+		return "", false
+	}
+	service, shard, _ := strings.Cut(rest, "/")
+	_, err := strconv.Atoi(shard)
+	return service, err == nil
+}
+
+func (i *Instance) engineConfig(t record.Target, e placement.Evidence) owner.EngineConfig {
+	s := placement.DefaultSettings()
+	s.Balance = i.settings.Balance
+	var policy placement.Policy = placement.Weighted{}
+	if i.settings.Policy == "naive" {
+		policy = placement.Naive{}
+	}
+	return owner.EngineConfig{
+		Target:   t.Name(),
+		Limits:   placement.Limits{Slots: t.Slots(), MaxBatch: t.MaxBatch(), ChecksFencing: t.ChecksFencing()},
+		Settings: s, Policy: policy, Evidence: e,
+		Client: &tracedEngine{Engine: engine.New(t, i.engineTransport), target: t.Name(), tracer: i.tracer}, Permits: &permits{i}, Catalog: &catalog{i},
+		Log: i.logs.Layer("owner"), Observer: i.metrics,
+	}
+}
+
+// catalog finds the weights of declared models.
+type catalog struct{ instance *Instance }
+
+// Source returns the path of the weights of a model.
+func (c *catalog) Source(m bamboorail.ModelRef) (string, bool) {
+	a, ok := c.instance.config.View().Adapter(m.Adapter())
+	if !ok {
+		return "", false
+	}
+	v, ok := a.Version(m.Version())
+	if !ok {
+		return "", false
+	}
+	if v.Source == "" {
+		return "weights/" + m.Adapter() + "/" + m.Version(), true
+	}
+	return v.Source, true
+}
+
+// backends lists the application targets of a service in this zone that take
+// new calls. The keepers of a service share the limit of each target.
+func (i *Instance) backends(service string) []owner.Backend {
+	var list []owner.Backend
+	for _, t := range i.config.View().Targets() {
+		if t.Role() != record.RoleApplication || t.Service() != service || t.Zone() != i.settings.Zone || i.refusal(t) != nil {
+			continue
+		}
+		limit := applicationLimit
+		if t.MaxBatch() > 0 {
+			limit = (t.MaxBatch() + entry.KeeperShards - 1) / entry.KeeperShards
+		}
+		list = append(list, owner.Backend{Name: t.Name(), Limit: limit, Call: &tracedApplication{
+			next: application.New(t, i.applicationTransport), target: t.Name(), tracer: i.tracer,
+		}})
+	}
+	return list
+}
+
+var (
+	errDraining = errors.New("operators drain the target")
+	errMachine  = errors.New("the platform lists the target's machine as leaving")
+)
+
+// refusal returns why a target gets no new work, or nil.
+func (i *Instance) refusal(t record.Target) error {
+	cause := errDraining
+	switch {
+	case t.Draining():
+	case i.directory.MachineLeaving(t.Instance()):
+		cause = errMachine
+	default:
+		return nil
+	}
+	return &Error{bamboorail.Failure{
+		Op: "admit", Kind: bamboorail.KindNoTarget, Outcome: bamboorail.OutcomeNotRun, RetryAfter: time.Second, Err: cause,
+	}}
+}
+
+// refreshTargets passes changes of targets on to their owners.
+func (i *Instance) refreshTargets(ctx context.Context) error {
+	return duty.Every(ctx, targetInterval, func(context.Context) {
+		view := i.config.View()
+		i.manager.Each(func(target string, o ownership.Owner) {
+			if k, ok := o.(*owner.Keeper); ok {
+				service, _ := keeperService(target)
+				k.SetBackends(i.backends(service))
+				return
+			}
+			if t, ok := view.Target(target); ok {
+				o.Close(i.refusal(t))
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/settings/entry.go
@@ -0,0 +1,131 @@
+package settings
+
+import (
+	"os"
+	"time"
+)
+
+// LogLevels are the accepted log levels.
+var LogLevels = []string{"trace", "debug", "info", "warn", "error", "off"}
+
+// TLS names the files of a TLS identity. All are empty without TLS.
+type TLS struct {
+	Certificate string
+	Key         string
+	// Authorities verifies the other side, if it is to be verified.
+	Authorities string
+}
+
+// Enabled reports whether TLS is configured.
+func (t TLS) Enabled() bool { return t.Certificate != "" || t.Authorities != "" }
+
+// Log configures the log of a program.
+type Log struct {
+	Level string
+	JSON  bool
+}
+
+// Entry is the configuration of railentry.
+type Entry struct {
+	Instance string
+	Zone     string
+
+	CallerAddress   string
+	OperatorAddress string
+	MetricsAddress  string
+	PeerAddress     string
+	// PeerAnnounce is the address under which peers reach this instance.
+	PeerAnnounce string
+	// Seeds are peers to ask for the configuration if the platform is away.
+	Seeds []string
+
+	PlatformURL         string
+	OperatorTokenSHA256 string
+
+	MaxBody      int64
+	DrainTimeout time.Duration
+	// ReadinessDelay is the time in which the balancer learns that this
+	// instance leaves, before it stops to accept requests.
+	ReadinessDelay time.Duration
+	Balance        float64
+	LoadsAtOnce    int
+	Policy         string
+	TraceCapacity  int
+
+	CallerTLS   TLS
+	OperatorTLS TLS
+	MetricsTLS  TLS
+	PeerTLS     TLS
+	PlatformTLS TLS
+	TargetTLS   TLS
+
+	Log Log
+}
+
+const (
+	defaultMaxBody        = 1 << 20
+	defaultDrainTimeout   = 10 * time.Minute
+	defaultBalance        = 0.3
+	defaultReadinessDelay = 5 * time.Second
+	defaultTraceCapacity  = 4096
+)
+
+// ReadEntry reads and checks the settings of railentry.
+func ReadEntry(path string) (Entry, error) {
+	f, err := Open(path)
+	if err != nil {
+		return Entry{}, err
+	}
+	e := Entry{
+		Instance:            f.Name("instance", "name"),
+		Zone:                f.Name("instance", "availability-zone"),
+		CallerAddress:       f.Address("callers", "address"),
+		MaxBody:             f.Size("callers", "max-body", defaultMaxBody),
+		OperatorAddress:     f.Address("operators", "address"),
+		OperatorTokenSHA256: f.Digest("operators", "token-sha256"),
+		MetricsAddress:      f.Address("metrics", "address"),
+		PeerAddress:         f.Address("peers", "address"),
+		Seeds:               f.Addresses("peers", "seeds"),
+		PlatformURL:         f.URL("platform", "url"),
+		DrainTimeout:        f.Duration("instance", "drain-timeout", defaultDrainTimeout),
+		ReadinessDelay:      f.Duration("instance", "readiness-delay", defaultReadinessDelay),
+		Policy:              f.OneOf("placement", "policy", "weighted", "weighted", "naive"),
+		Balance:             f.Float("placement", "balance", defaultBalance, 0, 1),
+		LoadsAtOnce:         f.Int("placement", "loads-at-once", 1, 1),
+		TraceCapacity:       f.Int("traces", "capacity", defaultTraceCapacity, 1),
+		CallerTLS:           f.tls("callers"),
+		OperatorTLS:         f.tls("operators"),
+		MetricsTLS:          f.tls("metrics"),
+		PeerTLS:             f.tls("peers"),
+		PlatformTLS:         f.tls("platform"),
+		TargetTLS:           f.tls("targets"),
+		Log:                 f.log(),
+	}
+	e.PeerAnnounce = f.String("peers", "announce", e.PeerAddress)
+	return e, f.Check()
+}
+
+func (f *File) log() Log {
+	return Log{Level: f.OneOf("log", "level", "info", LogLevels...), JSON: f.Bool("log", "json", false)}
+}
+
+// tls reads the TLS keys of a section. A certificate needs its key.
+func (f *File) tls(section string) TLS {
+	t := TLS{
+		Certificate: f.String(section, "tls-certificate", ""),
+		Key:         f.String(section, "tls-key", ""),
+		Authorities: f.String(section, "tls-authorities", ""),
+	}
+	if (t.Certificate == "") != (t.Key == "") {
+		f.Faultf(section, "tls-certificate", "tls-certificate and tls-key must be given together")
+	}
+	for key, path := range map[string]string{"tls-certificate": t.Certificate, "tls-key": t.Key, "tls-authorities": t.Authorities} {
+		if path == "" {
+			continue
+		}
+		if _, err := os.Stat(path); err != nil {
+			f.Faultf(section, key, "%v", err)
+		}
+	}
+	return t
+}
--- /dev/null
+++ b/internal/stand/engine/engine.go
@@ -0,0 +1,487 @@
+// Package engine is the stand-in for model engines: continuous batching, few
+// adapter slots, load times and failures, a prefix cache and resumable,
+// cancellable streams, behind two dialects.
+package engine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"bamboorail.example/bamboorail"
+)
+
+// Options configure an engine.
+type Options struct {
+	Name      string
+	BaseModel string
+	Slots     int
+	MaxBatch  int
+	// Step is the time of one step of the batch, which gives each running
+	// request one token.
+	Step time.Duration
+	// Prefill is the time before the first token of an uncached prompt.
+	Prefill time.Duration
+	// ColdStart is the time in which the base model loads after a start.
+	ColdStart time.Duration
+	// WeightStore is the base URL of the weight store.
+	WeightStore string
+	// ChecksFencing makes the engine refuse orders with an old number.
+	ChecksFencing bool
+	// StateLag delays the state that the status dialect reports.
+	StateLag time.Duration
+}
+
+// The refusals of an engine.
+var (
+	errUnknownHandle = errors.New("unknown handle")
+	errStaleFencing  = errors.New("stale fencing number")
+	errNoSlot        = errors.New("no free adapter slot")
+	errColdStart     = errors.New("base model is loading")
+	errUnknownRun    = errors.New("unknown run")
+)
+
+const (
+	// resumeWindow is the time for which a run waits for its reader to return.
+	resumeWindow   = 2 * time.Second
+	prefixBytes    = 64
+	prefixCacheMax = 256
+)
+
+// loaded is an adapter in a slot.
+type loaded struct {
+	weights string // what the weight store sent: adapter@version
+	ready   bool
+	running int
+}
+
+// run is one request that the engine executes.
+type run struct {
+	id       string
+	handle   string
+	weights  string
+	prompt   string
+	want     int
+	waits    time.Duration // until the first token
+	tokens   []string
+	changed  chan struct{}
+	readers  int
+	leftAt   time.Time
+	finished bool
+	err      error
+}
+
+// Evicted describes a handle that was unloaded while a request ran on it.
+type Evicted struct {
+	Handle  string `json:"handle"`
+	Running int    `json:"running"`
+}
+
+// Engine is the state behind both dialects.
+type Engine struct {
+	options Options
+	client  *http.Client
+
+	mu          sync.Mutex
+	incarnation string
+	coldUntil   time.Time
+	fencing     uint64
+	lastOrder   string
+	handles     map[string]*loaded
+	runs        map[string]*run
+	queue       []*run
+	batch       []*run
+	prefixes    map[string]struct{}
+	violations  []Evicted
+	history     []snapshot
+	steps       uint64
+	stepTokens  uint64
+}
+
+// New returns an engine that fetches weights through client.
+func New(o Options, client *http.Client) *Engine {
+	e := &Engine{options: o, client: client}
+	e.Restart()
+	return e
+}
+
+// Restart drops all state, as a crash and a new start do.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range e.runs {
+		r.fail(errors.New("engine restarted"))
+	}
+	e.incarnation = uuid.NewString()
+	e.coldUntil = time.Now().Add(e.options.ColdStart)
+	e.handles = map[string]*loaded{}
+	e.runs = map[string]*run{}
+	e.queue, e.batch = nil, nil
+	e.prefixes = map[string]struct{}{}
+	e.history = nil
+}
+
+// Run executes the steps of the batch until ctx ends.
+func (e *Engine) Run(ctx context.Context) error {
+	t := time.NewTicker(e.options.Step)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-t.C:
+			e.step(now)
+		}
+	}
+}
+
+// step admits queued requests and gives each running request one token.
+func (e *Engine) step(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.remember(now)
+	for len(e.queue) > 0 && len(e.batch) < e.options.MaxBatch {
+		e.batch = append(e.batch, e.queue[0])
+		e.queue = e.queue[1:]
+	}
+	if len(e.batch) > 0 {
+		e.steps++
+	}
+	kept := e.batch[:0]
+	for _, r := range e.batch {
+		e.advance(r, now)
+		if r.finished {
+			e.release(r)
+			continue
+		}
+		kept = append(kept, r)
+	}
+	clear(e.batch[len(kept):])
+	e.batch = kept
+}
+
+func (e *Engine) advance(r *run, now time.Time) {
+	if r.finished {
+		return
+	}
+	if r.readers == 0 && now.Sub(r.leftAt) > resumeWindow {
+		r.fail(errors.New("reader went away"))
+		return
+	}
+	if r.waits > 0 {
+		r.waits -= e.options.Step
+		return
+	}
+	r.tokens = append(r.tokens, token(r.weights, r.prompt, len(r.tokens)))
+	e.stepTokens++
+	r.finished = len(r.tokens) >= r.want
+	r.wake()
+}
+
+func (e *Engine) release(r *run) {
+	if h, ok := e.handles[r.handle]; ok {
+		h.running--
+	}
+}
+
+// token returns a token that depends on the weights that produced it, so that
+// a reader can tell an answer of other weights. The first token names them.
+func token(weights, prompt string, i int) string {
+	if i == 0 {
+		return "[" + weights + "]"
+	}
+	h := fnv.New32a()
+	_, _ = fmt.Fprintf(h, "%s/%s/%d", weights, prompt, i)
+	return fmt.Sprintf(" t%05x", h.Sum32()&0xfffff)
+}
+
+// Text returns the whole answer of an engine, for checks.
+func Text(model, prompt string, tokens int) string {
+	var b strings.Builder
+	for i := range tokens {
+		b.WriteString(token(model, prompt, i))
+	}
+	return b.String()
+}
+
+func (r *run) wake() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *run) fail(err error) {
+	r.err = err
+	r.finished = true
+	r.wake()
+}
+
+// order accepts the fencing number of an order. Call with the lock held.
+func (e *Engine) order(fencing uint64) error {
+	if e.options.ChecksFencing && fencing < e.fencing {
+		return errStaleFencing
+	}
+	e.fencing = max(e.fencing, fencing)
+	return nil
+}
+
+// Barrier records an order without effect.
+func (e *Engine) Barrier(id string, fencing uint64) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.order(fencing); err != nil {
+		return err
+	}
+	e.lastOrder = id
+	return nil
+}
+
+// Load fetches weights and makes them available under a handle.
+func (e *Engine) Load(ctx context.Context, handle, source string, fencing uint64) error {
+	l, err := e.reserve(handle, fencing)
+	if err != nil {
+		return err
+	}
+	weights, err := e.fetch(ctx, source)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.handles[handle] != l {
+		return errors.New("engine restarted or handle unloaded during the load")
+	}
+	if err != nil {
+		delete(e.handles, handle)
+		return err
+	}
+	l.weights = weights
+	l.ready = true
+	return nil
+}
+
+func (e *Engine) reserve(handle string, fencing uint64) (*loaded, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.order(fencing); err != nil {
+		return nil, err
+	}
+	if time.Now().Before(e.coldUntil) {
+		return nil, errColdStart
+	}
+	if _, ok := e.handles[handle]; !ok && len(e.handles) >= e.options.Slots {
+		return nil, errNoSlot
+	}
+	l := &loaded{}
+	e.handles[handle] = l
+	return l, nil
+}
+
+func (e *Engine) fetch(ctx context.Context, source string) (string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, e.options.WeightStore+"/"+source, nil)
+	if err != nil {
+		return "", err
+	}
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "", err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return "", fmt.Errorf("weight store: %s", resp.Status)
+	}
+	return string(data), nil
+}
+
+// Unload frees the slot of a handle. The engine does not protect a handle
+// that serves requests: their runs fail, and the violation is recorded.
+func (e *Engine) Unload(handle string, fencing uint64) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.order(fencing); err != nil {
+		return err
+	}
+	l, ok := e.handles[handle]
+	if !ok {
+		return errUnknownHandle
+	}
+	delete(e.handles, handle)
+	if l.running == 0 {
+		return nil
+	}
+	e.violations = append(e.violations, Evicted{Handle: handle, Running: l.running})
+	for _, r := range e.runs {
+		if r.handle == handle && !r.finished {
+			r.fail(errors.New("adapter was unloaded"))
+		}
+	}
+	return nil
+}
+
+// Violations returns the unloads that hit running requests.
+func (e *Engine) Violations() []Evicted {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Evicted{}, e.violations...)
+}
+
+// Start begins a run, or returns the run of the same id.
+func (e *Engine) Start(id, handle, prompt string, tokens int) (*run, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if time.Now().Before(e.coldUntil) {
+		return nil, errColdStart
+	}
+	l, ok := e.handles[handle]
+	if !ok || !l.ready {
+		return nil, errUnknownHandle
+	}
+	if r, ok := e.runs[id]; ok {
+		return r, nil
+	}
+	r := &run{
+		id: id, handle: handle, weights: l.weights, prompt: prompt, want: max(1, tokens),
+		waits: e.prefill(handle, prompt), changed: make(chan struct{}), leftAt: time.Now(),
+	}
+	l.running++
+	e.runs[id] = r
+	e.queue = append(e.queue, r)
+	return r, nil
+}
+
+// prefill returns the time before the first token and caches the prefix.
+func (e *Engine) prefill(handle, prompt string) time.Duration {
+	key := handle + "/" + prompt[:min(len(prompt), prefixBytes)]
+	if _, hit := e.prefixes[key]; hit {
+		return 0
+	}
+	if len(e.prefixes) >= prefixCacheMax {
+		clear(e.prefixes)
+	}
+	e.prefixes[key] = struct{}{}
+	return e.options.Prefill
+}
+
+// Cancel ends a run.
+func (e *Engine) Cancel(id string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r, ok := e.runs[id]
+	if !ok {
+		return errUnknownRun
+	}
+	if !r.finished {
+		r.fail(errors.New("canceled"))
+	}
+	return nil
+}
+
+// Follow calls emit with each token of a run from index from, until the end.
+func (e *Engine) Follow(ctx context.Context, id string, from int, emit func(i int, token string, last bool) error) error {
+	e.mu.Lock()
+	r, ok := e.runs[id]
+	if !ok {
+		e.mu.Unlock()
+		return errUnknownRun
+	}
+	r.readers++
+	e.mu.Unlock()
+	defer e.unfollow(r)
+	for i := from; ; {
+		e.mu.Lock()
+		tokens, finished, err, changed := r.tokens, r.finished, r.err, r.changed
+		e.mu.Unlock()
+		for ; i < len(tokens); i++ {
+			if err := emit(i, tokens[i], finished && err == nil && i == len(tokens)-1); err != nil {
+				return err
+			}
+		}
+		if finished {
+			return err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (e *Engine) unfollow(r *run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r.readers--
+	r.leftAt = time.Now()
+	if r.finished && r.readers == 0 {
+		delete(e.runs, r.id)
+	}
+}
+
+// snapshot is the state at one time, for the lagging report.
+type snapshot struct {
+	at    time.Time
+	state State
+}
+
+// State is what an engine reports of itself.
+type State struct {
+	Incarnation string
+	BaseModel   string
+	LastOrder   string
+	Queued      int
+	Running     int
+	Handles     []bamboorail.HandleState
+}
+
+// State returns the current state.
+func (e *Engine) State() State {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state(time.Now())
+}
+
+func (e *Engine) state(now time.Time) State {
+	s := State{Incarnation: e.incarnation, LastOrder: e.lastOrder, Queued: len(e.queue), Running: len(e.batch)}
+	if now.Before(e.coldUntil) {
+		return s
+	}
+	s.BaseModel = e.options.BaseModel
+	for name, l := range e.handles {
+		if !l.ready {
+			continue
+		}
+		h := bamboorail.HandleState{Handle: bamboorail.Handle(name), Running: l.running}
+		h.Model, _ = bamboorail.ParseModelRef(l.weights)
+		s.Handles = append(s.Handles, h)
+	}
+	return s
+}
+
+// remember keeps states for the lagging report.
+func (e *Engine) remember(now time.Time) {
+	if e.options.StateLag == 0 {
+		return
+	}
+	e.history = append(e.history, snapshot{at: now, state: e.state(now)})
+	for len(e.history) > 1 && now.Sub(e.history[1].at) >= e.options.StateLag {
+		e.history = e.history[1:]
+	}
+}
+
+// LaggingState returns the state of StateLag ago.
+func (e *Engine) LaggingState() State {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.history) == 0 {
+		return e.state(time.Now())
+	}
+	return e.history[0].state
+}
--- /dev/null
+++ b/internal/tlsconf/tlsconf.go
@@ -0,0 +1,120 @@
+// Package tlsconf builds TLS configurations whose certificates are read
+// again when their files change.
+package tlsconf
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/settings"
+)
+
+// Error is the error type of the package.
+type Error struct{ bamboorail.Failure }
+
+func fail(op string, err error) error {
+	return &Error{bamboorail.Failure{Op: op, Kind: bamboorail.KindBadRequest, Err: err}}
+}
+
+// checkInterval is the least time between two looks at the files.
+const checkInterval = time.Second
+
+// identity is a certificate that is read again when its file changes.
+type identity struct {
+	files settings.TLS
+
+	mu       sync.Mutex
+	current  *tls.Certificate
+	modified time.Time
+	checked  time.Time
+}
+
+// certificate returns the newest certificate that could be read.
+func (i *identity) certificate() (*tls.Certificate, error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now := time.Now()
+	if i.current != nil && now.Sub(i.checked) < checkInterval {
+		return i.current, nil
+	}
+	i.checked = now
+	info, err := os.Stat(i.files.Certificate)
+	if err == nil && i.current != nil && info.ModTime().Equal(i.modified) {
+		return i.current, nil
+	}
+	pair, loadErr := tls.LoadX509KeyPair(i.files.Certificate, i.files.Key)
+	if loadErr != nil || err != nil {
+		if i.current != nil {
+			return i.current, nil
+		}
+		return nil, errors.Join(err, loadErr)
+	}
+	i.current, i.modified = &pair, info.ModTime()
+	return i.current, nil
+}
+
+func authorities(path string) (*x509.CertPool, error) {
+	if path == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fail("read-authorities", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, fail("read-authorities", fmt.Errorf("file %q holds no certificate", path))
+	}
+	return pool, nil
+}
+
+// Server returns the configuration of a listener, or nil without TLS. With
+// authorities, clients must present a certificate that they signed.
+func Server(t settings.TLS) (*tls.Config, error) {
+	if t.Certificate == "" {
+		return nil, nil
+	}
+	id := &identity{files: t}
+	if _, err := id.certificate(); err != nil {
+		return nil, fail("read-certificate", err)
+	}
+	pool, err := authorities(t.Authorities)
+	if err != nil {
+		return nil, err
+	}
+	c := &tls.Config{
+		MinVersion:     tls.VersionTLS12,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return id.certificate() },
+	}
+	if pool != nil {
+		c.ClientCAs, c.ClientAuth = pool, tls.RequireAndVerifyClientCert
+	}
+	return c, nil
+}
+
+// Client returns the configuration of connections that this process opens, or
+// nil without TLS.
+func Client(t settings.TLS) (*tls.Config, error) {
+	if !t.Enabled() {
+		return nil, nil
+	}
+	pool, err := authorities(t.Authorities)
+	if err != nil {
+		return nil, err
+	}
+	c := &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}
+	if t.Certificate != "" {
+		id := &identity{files: t}
+		if _, err := id.certificate(); err != nil {
+			return nil, fail("read-certificate", err)
+		}
+		c.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return id.certificate() }
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/weightstore/permits.go
@@ -0,0 +1,137 @@
+// Package weightstore orders the loads that go through the rate-limited
+// weight store: one holder in each availability zone hands out permits, most
+// urgent first.
+package weightstore
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"bamboorail.example/bamboorail"
+)
+
+// Error is the error type of the package.
+type Error struct{ bamboorail.Failure }
+
+const (
+	// ageingPerSecond is the urgency that a waiting request gains, so that a
+	// steady stream of urgent loads cannot starve it.
+	ageingPerSecond = 0.5
+	// maxHold is the time after which a permit lapses. The store then serves
+	// two loads at once, which slows them down and breaks nothing.
+	maxHold    = 2 * time.Minute
+	maxWaiting = 4096
+)
+
+// Holder hands out a bounded number of permits at a time.
+type Holder struct {
+	mu      sync.Mutex
+	limit   int
+	active  map[*permit]time.Time
+	waiting []*waiter
+}
+
+type waiter struct {
+	request bamboorail.PermitRequest
+	since   time.Time
+	granted chan *permit
+}
+
+// permit is a granted permit; it implements bamboorail.Permit.
+type permit struct{ holder *Holder }
+
+// NewHolder returns a holder for limit loads at a time.
+func NewHolder(limit int) *Holder {
+	return &Holder{limit: limit, active: map[*permit]time.Time{}}
+}
+
+var _ bamboorail.PermitIssuer = (*Holder)(nil)
+
+// AcquirePermit waits for a permit until ctx ends.
+func (h *Holder) AcquirePermit(ctx context.Context, r bamboorail.PermitRequest) (bamboorail.Permit, error) {
+	w := &waiter{request: r, since: time.Now(), granted: make(chan *permit, 1)}
+	if err := h.push(w); err != nil {
+		return nil, err
+	}
+	select {
+	case p := <-w.granted:
+		return p, nil
+	case <-ctx.Done():
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.remove(w) {
+		return nil, &Error{bamboorail.Failure{Op: "acquire-permit", Kind: bamboorail.KindOverloaded, Err: ctx.Err()}}
+	}
+	return <-w.granted, nil
+}
+
+func (h *Holder) push(w *waiter) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.waiting) >= maxWaiting {
+		return &Error{bamboorail.Failure{
+			Op: "acquire-permit", Kind: bamboorail.KindOverloaded, Err: fmt.Errorf("%d requests wait", len(h.waiting)),
+		}}
+	}
+	h.waiting = append(h.waiting, w)
+	h.grant(time.Now())
+	return nil
+}
+
+func (h *Holder) remove(w *waiter) bool {
+	for i, o := range h.waiting {
+		if o == w {
+			h.waiting = append(h.waiting[:i], h.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Release gives the permit back. Further calls have no effect.
+func (p *permit) Release() {
+	p.holder.mu.Lock()
+	defer p.holder.mu.Unlock()
+	delete(p.holder.active, p)
+	p.holder.grant(time.Now())
+}
+
+// grant hands out free permits. Call with the lock held.
+func (h *Holder) grant(now time.Time) {
+	for p, since := range h.active {
+		if now.Sub(since) > maxHold {
+			delete(h.active, p)
+		}
+	}
+	for len(h.active) < h.limit && len(h.waiting) > 0 {
+		w := h.mostUrgent(now)
+		h.remove(w)
+		p := &permit{holder: h}
+		h.active[p] = now
+		w.granted <- p
+	}
+}
+
+func (h *Holder) mostUrgent(now time.Time) *waiter {
+	best := h.waiting[0]
+	for _, w := range h.waiting[1:] {
+		if w.urgency(now) > best.urgency(now) {
+			best = w
+		}
+	}
+	return best
+}
+
+func (w *waiter) urgency(now time.Time) float64 {
+	return w.request.Urgency + ageingPerSecond*now.Sub(w.since).Seconds()
+}
+
+// Waiting returns the number of waiting requests.
+func (h *Holder) Waiting() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.waiting)
+}
--- /dev/null
+++ b/pkg/record/record.go
@@ -0,0 +1,167 @@
+// Package record defines the records with which operators declare adapters,
+// targets and callers. A record is a JSON object that carries its schema
+// version and kind. Fields that this version does not know are kept.
+package record
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"bamboorail.example/bamboorail"
+)
+
+// The schema versions that this package reads.
+const (
+	MinSchema = 1
+	MaxSchema = 2
+)
+
+// Kind is the kind of a record.
+type Kind string
+
+// The kinds of records.
+const (
+	KindAdapter Kind = "adapter"
+	KindTarget  Kind = "target"
+	KindCaller  Kind = "caller"
+)
+
+// Kinds lists every kind in the order in which tables show them.
+func Kinds() []Kind { return []Kind{KindAdapter, KindTarget, KindCaller} }
+
+// Error reports a record that cannot be used.
+type Error struct{ bamboorail.Failure }
+
+func invalid(op, format string, a ...any) error {
+	return &Error{bamboorail.Failure{Op: op, Kind: bamboorail.KindInvalidRecord, Err: fmt.Errorf(format, a...)}}
+}
+
+// Header is the part that all records share.
+type Header struct {
+	Schema int    `json:"schema-version"`
+	Kind   Kind   `json:"kind"`
+	Name   string `json:"name"`
+	// Requires names features that a reader must know to act on the record.
+	Requires []string `json:"requires,omitempty"`
+}
+
+// Key identifies a record.
+type Key struct {
+	Kind Kind
+	Name string
+}
+
+// String returns the form kind/name.
+func (k Key) String() string { return string(k.Kind) + "/" + k.Name }
+
+// Record is one record as written, with the revision of its last change.
+type Record struct {
+	header   Header
+	revision uint64
+	raw      json.RawMessage
+}
+
+// Parse checks a record and returns it with revision 0.
+func Parse(raw []byte) (Record, error) {
+	return Restore(raw, 0)
+}
+
+// Restore returns a stored record with the revision of its last change.
+func Restore(raw []byte, revision uint64) (Record, error) {
+	var h Header
+	if err := json.Unmarshal(raw, &h); err != nil {
+		return Record{}, invalid("parse-record", "not a JSON object: %w", err)
+	}
+	if h.Schema < MinSchema {
+		return Record{}, invalid("parse-record", "field %q must be at least %d", "schema-version", MinSchema)
+	}
+	if !slices.Contains(Kinds(), h.Kind) {
+		return Record{}, invalid("parse-record", "kind %q is not one of %v", h.Kind, Kinds())
+	}
+	if !bamboorail.ValidName(h.Name) {
+		return Record{}, invalid("parse-record", "name %q is not valid", h.Name)
+	}
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, raw); err != nil {
+		return Record{}, invalid("parse-record", "not JSON: %w", err)
+	}
+	return Record{header: h, revision: revision, raw: compact.Bytes()}, nil
+}
+
+// Key returns the key of the record.
+func (r Record) Key() Key { return Key{Kind: r.header.Kind, Name: r.header.Name} }
+
+// Schema returns the schema version of the record.
+func (r Record) Schema() int { return r.header.Schema }
+
+// Revision returns the configuration revision of the last change.
+func (r Record) Revision() uint64 { return r.revision }
+
+// Raw returns the record as JSON.
+func (r Record) Raw() json.RawMessage { return r.raw }
+
+// Check decodes the record in full and reports the first fault.
+func (r Record) Check() error {
+	switch r.header.Kind {
+	case KindAdapter:
+		_, err := r.Adapter()
+		return err
+	case KindTarget:
+		_, err := r.Target()
+		return err
+	default:
+		_, err := r.Caller()
+		return err
+	}
+}
+
+// decode unmarshals the record after checking that it can be understood.
+func (r Record) decode(kind Kind, v any) error {
+	op := "read-" + string(kind)
+	if r.header.Kind != kind {
+		return invalid(op, "record %s is not of kind %q", r.Key(), kind)
+	}
+	if r.header.Schema > MaxSchema && len(r.header.Requires) == 0 {
+		return invalid(op, "schema version %d of %s is newer than %d", r.header.Schema, r.Key(), MaxSchema)
+	}
+	for _, f := range r.header.Requires {
+		if !slices.Contains(features, f) {
+			return invalid(op, "record %s requires the unknown feature %q", r.Key(), f)
+		}
+	}
+	if err := json.Unmarshal(r.raw, v); err != nil {
+		return invalid(op, "record %s: %w", r.Key(), err)
+	}
+	return nil
+}
+
+// features are the values of "requires" that this version supports.
+var features = []string{"pools"}
+
+// Merge returns next with the fields of prev that an older writer does not
+// know. A writer of an older schema cannot remove fields of a newer one.
+func Merge(prev, next Record) (Record, error) {
+	if next.header.Schema >= prev.header.Schema {
+		return next, nil
+	}
+	var old, changed map[string]json.RawMessage
+	if err := json.Unmarshal(prev.raw, &old); err != nil {
+		return Record{}, invalid("merge-record", "record %s: %w", prev.Key(), err)
+	}
+	if err := json.Unmarshal(next.raw, &changed); err != nil {
+		return Record{}, invalid("merge-record", "record %s: %w", next.Key(), err)
+	}
+	for k, v := range old {
+		if _, ok := changed[k]; !ok && !knownField(next.header.Kind, next.header.Schema, k) {
+			changed[k] = v
+		}
+	}
+	changed["schema-version"] = old["schema-version"]
+	merged, err := json.Marshal(changed)
+	if err != nil {
+		return Record{}, invalid("merge-record", "record %s: %w", next.Key(), err)
+	}
+	return Restore(merged, next.revision)
+}
