internal/service: integration tests with in-process stand-ins

Cause: the path had only the demo to check it. Writing the tests found: a session renewed by two goroutines (race detector), renewals that stopped while an instance drained, a withdrawn session that a late renewal could write again, and an instance started without the platform that never met its seeds.

Change: a bed of stand-ins on ephemeral ports; the session keeper is locked and final after Withdraw; seeds get heartbeats until members are known.

Conclusion: ports are opened in service.New, so tests need no fixed ports.

--- a/cmd/railentry/cmds/commands.go
+++ b/cmd/railentry/cmds/commands.go
@@ -58,13 +58,13 @@
 	if err != nil {
 		return err
 	}
-	i, err := service.New(s, logs)
+	i, err := service.New(ctx, s, logs)
 	if err != nil {
 		return err
 	}
 	signals, cancel := context.WithCancel(ctx)
 	toggled := duty.Start(signals, "log-level", func(ctx context.Context) error { return toggleDebug(ctx, logs, s.Log.Level) })
-	err = i.Run(ctx)
+	err = i.Run(context.WithoutCancel(ctx), ctx)
 	cancel()
 	<-toggled.Done()
 	if errors.Is(err, context.Canceled) {
--- a/internal/platform/configuration.go
+++ b/internal/platform/configuration.go
@@ -141,7 +141,7 @@
 }
 
 func (w *Writer) attempt(ctx context.Context, c Change, records []record.Record) (uint64, error) {
-	head, version, err := readHead(ctx, w.store)
+	head, version, err := ReadHead(ctx, w.store)
 	if err != nil {
 		return 0, err
 	}
@@ -266,7 +266,7 @@
 	if err == nil {
 		return nil
 	}
-	current, _, readErr := readHead(ctx, w.store)
+	current, _, readErr := ReadHead(ctx, w.store)
 	if readErr != nil {
 		return err
 	}
@@ -292,7 +292,8 @@
 	}
 }
 
-func readHead(ctx context.Context, store bamboorail.ObjectStore) (Head, uint64, error) {
+// ReadHead returns the head of the configuration and its object version.
+func ReadHead(ctx context.Context, store bamboorail.ObjectStore) (Head, uint64, error) {
 	o, err := store.Get(ctx, HeadKey)
 	if err != nil {
 		if bamboorail.KindOf(err) == bamboorail.KindNotFound {
@@ -348,7 +349,7 @@
 
 // Refresh reads the head and applies it if it is newer.
 func (r *Reader) Refresh(ctx context.Context) error {
-	head, _, err := readHead(ctx, r.store)
+	head, _, err := ReadHead(ctx, r.store)
 	if err != nil {
 		return err
 	}
--- a/internal/platform/sessions.go
+++ b/internal/platform/sessions.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"sync"
 	"time"
 
 	"bamboorail.example/bamboorail"
@@ -37,9 +38,12 @@
 
 // SessionKeeper announces and renews the session of this process.
 type SessionKeeper struct {
-	store   bamboorail.ObjectStore
-	session Session
-	version uint64
+	store bamboorail.ObjectStore
+
+	mu        sync.Mutex
+	session   Session
+	version   uint64
+	withdrawn bool
 }
 
 // NewSessionKeeper returns a keeper that has not yet announced s.
@@ -48,8 +52,13 @@
 }
 
 // Renew writes the session. The first call replaces what an earlier run of
-// the instance left.
+// the instance left. After Withdraw it does nothing.
 func (k *SessionKeeper) Renew(ctx context.Context, leaving bool) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.withdrawn {
+		return nil
+	}
 	k.session.Renewal++
 	k.session.Leaving = leaving
 	value, err := json.Marshal(k.session)
@@ -75,6 +84,9 @@
 
 // Withdraw removes the session at the end of a graceful shutdown.
 func (k *SessionKeeper) Withdraw(ctx context.Context) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.withdrawn = true
 	return k.store.Delete(ctx, sessionKey(k.session.Zone, k.session.Instance), k.version)
 }
 
--- a/internal/service/listeners.go
+++ b/internal/service/listeners.go
@@ -28,29 +28,34 @@
 	server   *http.Server
 }
 
-// listen opens every port before the instance announces itself.
-func (i *Instance) listen(ctx context.Context) (*listeners, error) {
-	callers := caller.NewServer(caller.Config{
-		Zone: i.settings.Zone, View: i.config.View, Dispatcher: i.router, Ready: i.Ready, MaxBody: i.settings.MaxBody,
-		Metrics: i.metrics, Tracer: i.tracer, Log: i.logs.Layer("caller"),
-	})
-	operators := operator.NewServer(operator.Config{
-		TokenSHA256: i.settings.OperatorTokenSHA256, Source: &operatorSource{i}, Writer: i.writer, Log: i.logs.Layer("operator"),
-	})
-	metrics := http.NewServeMux()
-	metrics.Handle("GET /metrics", promhttp.HandlerFor(i.metrics.Registry(), promhttp.HandlerOpts{}))
+// openPorts opens every port before the instance announces itself.
+func openPorts(ctx context.Context, s settings.Entry) (*listeners, error) {
 	l := &listeners{}
 	var err, failure error
-	l.peer, err = openPort(ctx, i.settings.PeerAddress, i.settings.PeerTLS)
+	l.peer, err = openPort(ctx, s.PeerAddress, s.PeerTLS)
 	failure = errors.Join(failure, err)
-	l.caller, err = openHTTP(ctx, i.settings.CallerAddress, i.settings.CallerTLS, callers.Handler())
+	l.caller, err = openHTTP(ctx, s.CallerAddress, s.CallerTLS)
 	failure = errors.Join(failure, err)
-	l.operator, err = openHTTP(ctx, i.settings.OperatorAddress, i.settings.OperatorTLS, operators.Handler())
+	l.operator, err = openHTTP(ctx, s.OperatorAddress, s.OperatorTLS)
 	failure = errors.Join(failure, err)
-	l.metrics, err = openHTTP(ctx, i.settings.MetricsAddress, i.settings.MetricsTLS, metrics)
+	l.metrics, err = openHTTP(ctx, s.MetricsAddress, s.MetricsTLS)
 	return l, errors.Join(failure, err)
 }
 
+// handle connects the HTTP ports to their handlers.
+func (i *Instance) handle() {
+	i.ports.caller.server.Handler = caller.NewServer(caller.Config{
+		Zone: i.settings.Zone, View: i.config.View, Dispatcher: i.router, Ready: i.Ready, MaxBody: i.settings.MaxBody,
+		Metrics: i.metrics, Tracer: i.tracer, Log: i.logs.Layer("caller"),
+	}).Handler()
+	i.ports.operator.server.Handler = operator.NewServer(operator.Config{
+		TokenSHA256: i.settings.OperatorTokenSHA256, Source: &operatorSource{i}, Writer: i.writer, Log: i.logs.Layer("operator"),
+	}).Handler()
+	metrics := http.NewServeMux()
+	metrics.Handle("GET /metrics", promhttp.HandlerFor(i.metrics.Registry(), promhttp.HandlerOpts{}))
+	i.ports.metrics.server.Handler = metrics
+}
+
 func openPort(ctx context.Context, address string, t settings.TLS) (net.Listener, error) {
 	config, err := tlsconf.Server(t)
 	if err != nil {
@@ -66,12 +71,12 @@
 	return l, nil
 }
 
-func openHTTP(ctx context.Context, address string, t settings.TLS, h http.Handler) (*httpListener, error) {
+func openHTTP(ctx context.Context, address string, t settings.TLS) (*httpListener, error) {
 	l, err := openPort(ctx, address, t)
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerReadTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := &http.Server{ReadHeaderTimeout: headerReadTimeout, MaxHeaderBytes: maxHeaderBytes}
 	return &httpListener{listener: l, server: server}, nil
 }
 
--- a/internal/service/members.go
+++ b/internal/service/members.go
@@ -30,10 +30,7 @@
 // keepSession renews the session of this process.
 func (i *Instance) keepSession(ctx context.Context) error {
 	return duty.Every(ctx, platform.RenewInterval, func(ctx context.Context) {
-		if i.leaving.Load() {
-			return
-		}
-		if err := i.sessions.Renew(ctx, false); err != nil {
+		if err := i.sessions.Renew(ctx, i.leaving.Load()); err != nil {
 			i.log.Debug("session not renewed", "error", err)
 		}
 	})
@@ -157,9 +154,13 @@
 		due = append(due, m.Session)
 	}
 	if len(zone) == 0 && !now.Before(b.next[""]) {
-		// Alone in the zone: the own states still need their round.
+		// Alone in the zone: the own states still need their round, and the
+		// seeds may know others.
 		b.next[""] = now.Add(interval)
 		b.instance.directory.SetOwn(b.instance.manager.States(), now)
+		for _, address := range b.instance.settings.Seeds {
+			due = append(due, platform.Session{Peer: address})
+		}
 	}
 	return due
 }
@@ -187,13 +188,17 @@
 func (b *heartbeats) send(ctx context.Context, s platform.Session, m *wire.InstanceState) error {
 	reply, err := b.instance.peers.Heartbeat(ctx, s.Peer, m)
 	if err != nil {
-		if peer.Refused(err) {
+		if peer.Refused(err) && s.ID != "" {
 			b.instance.log.Warn("peer is gone", "instance", s.Instance, "session", s.ID)
 			b.instance.directory.MarkGone(s.ID)
 			b.instance.manager.Kick()
 		}
 		return err
 	}
+	if s.ID == "" {
+		// A seed: from now on it is a known member.
+		s = platform.Session{ID: reply.GetSession(), Instance: reply.GetInstance(), Zone: reply.GetZone(), Peer: s.Peer}
+	}
 	if reply.GetSession() != s.ID {
 		b.instance.directory.MarkGone(s.ID)
 		b.instance.manager.Kick()
--- a/internal/service/peers.go
+++ b/internal/service/peers.go
@@ -95,7 +95,10 @@
 		i.config.kick()
 	}
 	self := i.directory.Self()
-	return &wire.HeartbeatReply{Session: self.ID, Instance: self.Instance, Revision: i.config.View().Revision(), WantFull: full}
+	return &wire.HeartbeatReply{
+		Session: self.ID, Instance: self.Instance, Zone: self.Zone,
+		Revision: i.config.View().Revision(), WantFull: full,
+	}
 }
 
 // AcquirePermit waits for a permit of the holder in this process.
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -60,14 +60,22 @@
 	engineTransport      http.RoundTripper
 	applicationTransport *http.Transport
 
+	ports   *listeners
 	config  *configuration
 	leaving atomic.Bool
 	beats   *heartbeats
 }
 
-// New returns an instance that does not run yet.
-func New(s settings.Entry, logs *logflags.Logs) (*Instance, error) {
+// New returns an instance whose ports are open, but that does not run yet.
+func New(ctx context.Context, s settings.Entry, logs *logflags.Logs) (*Instance, error) {
 	i := &Instance{settings: s, logs: logs, log: logs.Layer("service")}
+	var err error
+	if i.ports, err = openPorts(ctx, s); err != nil {
+		return nil, err
+	}
+	if s.PeerAnnounce == "" {
+		s.PeerAnnounce = i.ports.peer.Addr().String()
+	}
 	self := platform.Session{
 		ID: uuid.NewString(), Instance: s.Instance, Zone: s.Zone, Peer: s.PeerAnnounce, Caller: s.CallerAddress,
 	}
@@ -87,6 +95,7 @@
 	i.router = entry.NewRouter(entry.Config{
 		Directory: i.directory, View: i.config.View, Owners: &owners{i}, Peers: i.peers, Tracer: i.tracer,
 	})
+	i.handle()
 	return i, nil
 }
 
@@ -120,22 +129,27 @@
 	return nil
 }
 
-// Run serves until stop ends, then shuts down gracefully.
-func (i *Instance) Run(stop context.Context) error {
-	listeners, err := i.listen(stop)
-	if err != nil {
-		return err
-	}
-	// The duties outlive stop by the time that the shutdown takes.
-	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
+// CallerAddress returns the address on which callers are served.
+func (i *Instance) CallerAddress() string { return i.ports.caller.listener.Addr().String() }
+
+// OperatorAddress returns the address on which operators are served.
+func (i *Instance) OperatorAddress() string { return i.ports.operator.listener.Addr().String() }
+
+// PeerAddress returns the address on which peers are served.
+func (i *Instance) PeerAddress() string { return i.ports.peer.Addr().String() }
+
+// Run serves until stop ends, then shuts down gracefully. The end of ctx ends
+// all work at once.
+func (i *Instance) Run(ctx, stop context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	g := duty.NewGroup(ctx)
 	g.Start("peers", func(ctx context.Context) error {
-		return peer.Serve(ctx, listeners.peer, &peerHandler{i}, i.logs.Layer("peer"))
+		return peer.Serve(ctx, i.ports.peer, &peerHandler{i}, i.logs.Layer("peer"))
 	})
-	g.Start("callers", listeners.caller.serve)
-	g.Start("operators", listeners.operator.serve)
-	g.Start("metrics", listeners.metrics.serve)
+	g.Start("callers", i.ports.caller.serve)
+	g.Start("operators", i.ports.operator.serve)
+	g.Start("metrics", i.ports.metrics.serve)
 	g.Start("session", i.keepSession)
 	g.Start("listing", i.listSessions)
 	g.Start("watch", i.watch)
@@ -150,16 +164,16 @@
 			return ctx.Err()
 		}
 		defer cancel()
-		return i.shutdown(ctx, listeners)
+		return i.shutdown(ctx)
 	})
 	i.log.Info("instance runs", "instance", i.settings.Instance, "zone", i.settings.Zone, "session", i.directory.Self().ID)
-	err = g.Wait()
+	err := g.Wait()
 	return errors.Join(err, i.peers.Close())
 }
 
 // shutdown tells the balancer first, hands over what is owned, and waits for
 // the requests in flight. The duties, peer listener included, end after it.
-func (i *Instance) shutdown(ctx context.Context, l *listeners) error {
+func (i *Instance) shutdown(ctx context.Context) error {
 	i.log.Info("instance leaves")
 	i.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, i.settings.DrainTimeout)
@@ -174,7 +188,7 @@
 	if err := i.manager.Leave(ctx); err != nil {
 		i.log.Error("requests still run at the drain timeout", "error", err)
 	}
-	l.caller.drain(ctx)
+	i.ports.caller.drain(ctx)
 	ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), shutdownGraceExtra)
 	defer cancel()
 	if err := i.sessions.Withdraw(ctx); err != nil {
--- /dev/null
+++ b/internal/service/service_test.go
@@ -0,0 +1,366 @@
+package service_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bamboorail.example/bamboorail/internal/entry"
+	"bamboorail.example/bamboorail/internal/requestid"
+	"bamboorail.example/bamboorail/internal/settings"
+	"bamboorail.example/bamboorail/internal/stand/engine"
+	"bamboorail.example/bamboorail/internal/stand/fault"
+	"bamboorail.example/bamboorail/pkg/record"
+)
+
+func TestServesBothDialects(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	b.adapter("suhrn")
+	b.engine("stroj-1", "sala-a", record.DialectOpenAI, 2)
+	b.engine("stroj-2", "sala-b", record.DialectStatus, 2)
+	b.commit("first")
+	a, c := b.entry("a1", "sala-a"), b.entry("b1", "sala-b")
+	b.awaitOwned("sala-a", "stroj-1")
+	b.awaitOwned("sala-b", "stroj-2")
+	for name, n := range map[string]*node{"openai": a, "status": c} {
+		t.Run(name, func(t *testing.T) {
+			b.mustComplete(n, "suhrn@v1", "whole", 6)
+			text, done, resp := b.stream(n, "suhrn@v2", "stream", 6)
+			if want := engine.Text("suhrn@v2", "stream", 6); text != want || !done {
+				t.Errorf("stream %q, done %t, expected %q: %s", text, done, want, resp.body)
+			}
+			if !strings.Contains(resp.body, `"model":"suhrn@v2"`) {
+				t.Errorf("stream does not name the model as the caller did: %s", resp.body)
+			}
+		})
+	}
+}
+
+func TestErrorsAreClearAndNotRun(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	b.adapter("suhrn")
+	b.record(`{"schema-version":1,"kind":"caller","name":"host","token-sha256":%q,"adapters":["stitky"]}`, record.HashToken("guest"))
+	b.application("citaren-1", "sala-a", "citaren", 0)
+	b.commit("first")
+	n := b.entry("a1", "sala-a")
+	guest := map[string]string{"Authorization": "Bearer guest"}
+	for name, c := range map[string]struct {
+		path, body string
+		header     map[string]string
+		status     int
+		kind       string
+	}{
+		"unknown caller":      {"/v1/completions", `{}`, map[string]string{"Authorization": "Bearer nobody"}, 401, "unauthenticated"},
+		"no right to adapter": {"/v1/completions", `{"model":"suhrn@v1","prompt":"x"}`, guest, 403, "forbidden"},
+		"no right to service": {"/v1/services/citaren/x", ``, guest, 403, "forbidden"},
+		"unknown adapter":     {"/v1/completions", `{"model":"nic@v1","prompt":"x"}`, nil, 404, "unknown-adapter"},
+		"unknown version":     {"/v1/completions", `{"model":"suhrn@v9","prompt":"x"}`, nil, 404, "unknown-version"},
+		"unknown service":     {"/v1/services/nic/x", ``, nil, 404, "unknown-service"},
+		"model without at":    {"/v1/completions", `{"model":"suhrn","prompt":"x"}`, nil, 400, "bad-request"},
+		"malformed body":      {"/v1/completions", `{"model":`, nil, 400, "bad-request"},
+		"body is a list":      {"/v1/completions", `[1]`, nil, 400, "bad-request"},
+		"no prompt":           {"/v1/completions", `{"model":"suhrn@v1"}`, nil, 400, "bad-request"},
+		"no messages":         {"/v1/chat/completions", `{"model":"suhrn@v1","messages":[]}`, nil, 400, "bad-request"},
+		"negative max_tokens": {"/v1/completions", `{"model":"suhrn@v1","prompt":"x","max_tokens":-1}`, nil, 400, "bad-request"},
+		"oversized body":      {"/v1/completions", strings.Repeat("x", 1<<20+1), nil, 413, "too-large"},
+		"deadline no unit":    {"/v1/completions", `{"model":"suhrn@v1","prompt":"x"}`, map[string]string{"Request-Deadline": "5"}, 400, "bad-deadline"},
+		"deadline negative":   {"/v1/completions", `{"model":"suhrn@v1","prompt":"x"}`, map[string]string{"Request-Deadline": "-5s"}, 400, "bad-deadline"},
+		"id with space":       {"/v1/completions", `{"model":"suhrn@v1","prompt":"x"}`, map[string]string{"Request-Id": "a b"}, 400, "bad-request"},
+		"no engine":           {"/v1/completions", `{"model":"suhrn@v1","prompt":"x"}`, map[string]string{"Request-Deadline": "200ms"}, 503, "no-target"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := b.call(n, http.MethodPost, c.path, c.body, c.header)
+			if a.status != c.status && !(c.kind == "no-target" && a.status == http.StatusGatewayTimeout) {
+				t.Errorf("status %d, expected %d: %s", a.status, c.status, a.body)
+			}
+			if a.kind() != c.kind && c.kind != "no-target" {
+				t.Errorf("kind %q, expected %q", a.kind(), c.kind)
+			}
+			if a.header.Get("Run-Outcome") != "not-run" {
+				t.Errorf("outcome %q", a.header.Get("Run-Outcome"))
+			}
+			if a.status == http.StatusServiceUnavailable && a.header.Get("Retry-After") == "" {
+				t.Error("no Retry-After")
+			}
+			if strings.Contains(a.body, callerToken) {
+				t.Error("the answer shows the token")
+			}
+		})
+	}
+}
+
+// idInUse returns an id that keepers accept: it was issued after they began.
+func (b *bed) idInUse(n *node, zone string) string {
+	b.t.Helper()
+	for {
+		id, err := requestid.New(zone)
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		a := b.call(n, http.MethodPost, "/v1/services/citaren/probe", "", map[string]string{requestid.Header: id.String()})
+		if a.status == http.StatusOK {
+			fresh, err := requestid.New(zone)
+			if err != nil {
+				b.t.Fatal(err)
+			}
+			return fresh.String()
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func keeperTargets(service string) []string {
+	var names []string
+	for n := range entry.KeeperShards {
+		names = append(names, entry.KeeperTarget(service, n))
+	}
+	return names
+}
+
+func TestRunsAtMostOnceAcrossZonesAndKeepers(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	app := b.application("citaren-1", "sala-a", "citaren", 10*time.Millisecond)
+	b.commit("first")
+	a1, a2, b1 := b.entry("a1", "sala-a"), b.entry("a2", "sala-a"), b.entry("b1", "sala-b")
+	b.awaitOwned("sala-a", keeperTargets("citaren")...)
+	b.await("the other zone is known", func() bool {
+		id, _ := requestid.New("sala-a")
+		a := b.call(b1, http.MethodPost, "/v1/services/citaren/x", "", map[string]string{requestid.Header: id.String()})
+		return a.kind() != "unavailable"
+	})
+	var group sync.WaitGroup
+	for range 20 {
+		id := b.idInUse(a1, "sala-a")
+		for _, n := range []*node{a1, a2, b1, a1, b1} {
+			group.Go(func() {
+				b.call(n, http.MethodPost, "/v1/services/citaren/zalozky", `{"dielo":1}`, map[string]string{requestid.Header: id, "Idempotency-Key": id})
+			})
+		}
+	}
+	group.Wait()
+	// The keepers change: what the killed one saw must not run again.
+	id := b.idInUse(a1, "sala-a")
+	b.call(a2, http.MethodPost, "/v1/services/citaren/zalozky", `{}`, map[string]string{requestid.Header: id})
+	a1.killed()
+	b.await("new keepers", func() bool {
+		for _, k := range keeperTargets("citaren") {
+			if b.owners("sala-a")[k].Current.Instance != "a2" {
+				return false
+			}
+		}
+		return true
+	})
+	for range 4 {
+		b.call(a2, http.MethodPost, "/v1/services/citaren/zalozky", `{}`, map[string]string{requestid.Header: id})
+		b.call(b1, http.MethodPost, "/v1/services/citaren/zalozky", `{}`, map[string]string{requestid.Header: id})
+	}
+	for id, n := range app.Runs() {
+		if n != 1 {
+			t.Errorf("request %s ran %d times", id, n)
+		}
+	}
+}
+
+func TestKilledOwnerIsReplaced(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	b.adapter("suhrn")
+	b.engine("stroj-1", "sala-a", record.DialectOpenAI, 2)
+	b.engine("stroj-2", "sala-a", record.DialectStatus, 2)
+	b.commit("first")
+	b.entry("a1", "sala-a")
+	b.entry("a2", "sala-a")
+	b.awaitOwned("sala-a", "stroj-1", "stroj-2")
+	b.mustComplete(b.entries["a1"], "suhrn@v1", "before", 4)
+	victim := b.ownerOf("sala-a", "stroj-1")
+	rest := b.entries["a1"]
+	if rest == victim {
+		rest = b.entries["a2"]
+	}
+	victim.killed()
+	b.mustComplete(rest, "suhrn@v1", "after", 4)
+	b.mustComplete(rest, "suhrn@v2", "after", 4)
+	if v := b.violations(); len(v) > 0 {
+		t.Errorf("evicted while serving: %v", v)
+	}
+}
+
+func TestPlatformAwayServesOnAndReplacesOwners(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	b.adapter("suhrn")
+	b.engine("stroj-1", "sala-a", record.DialectOpenAI, 2)
+	b.commit("first")
+	b.entry("a1", "sala-a")
+	b.entry("a2", "sala-a")
+	b.awaitOwned("sala-a", "stroj-1")
+	b.mustComplete(b.entries["a1"], "suhrn@v1", "before", 4)
+	b.await("heartbeats in both directions", func() bool {
+		return strings.Count(b.operator(b.entries["a1"], "/v1/instances"), `"live"`) == 2 &&
+			strings.Count(b.operator(b.entries["a2"], "/v1/instances"), `"live"`) == 2
+	})
+	if err := b.platform.faults.Add(fault.Rule{Path: "/v1", Cut: true}); err != nil {
+		t.Fatal(err)
+	}
+	b.mustComplete(b.entries["a1"], "suhrn@v2", "a load without the platform", 4)
+	victim := b.ownerOfAway("stroj-1")
+	rest := b.entries["a1"]
+	if rest == victim {
+		rest = b.entries["a2"]
+	}
+	victim.killed()
+	b.await("a provisional owner serves", func() bool {
+		text, _ := b.complete(rest, "suhrn@v1", "after", 4)
+		return text == engine.Text("suhrn@v1", "after", 4)
+	})
+	b.platform.faults.Clear()
+	b.await("the provisional term is recorded", func() bool {
+		return b.ownerOf("sala-a", "stroj-1") == rest
+	})
+	b.mustComplete(rest, "suhrn@v2", "platform back", 4)
+	if v := b.violations(); len(v) > 0 {
+		t.Errorf("evicted while serving: %v", v)
+	}
+}
+
+// ownerOfAway returns the owner of a target without the platform.
+func (b *bed) ownerOfAway(target string) *node {
+	b.t.Helper()
+	var found *node
+	b.await("an owner is announced", func() bool {
+		for name, n := range b.entries {
+			list := b.operator(n, "/v1/targets")
+			if strings.Contains(list, fmt.Sprintf(`"name":%q`, target)) && strings.Contains(list, fmt.Sprintf(`"owner":%q`, name)) {
+				found = n
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// operator queries the operators' interface.
+func (b *bed) operator(n *node, path string) string {
+	req, err := http.NewRequest(http.MethodGet, "http://"+n.instance.OperatorAddress()+path, nil)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+operatorToken)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return ""
+	}
+	return string(body)
+}
+
+// balancer picks a ready instance, as the platform's balancer does.
+type balancer struct {
+	bed   *bed
+	mu    sync.Mutex
+	nodes []*node
+	next  int
+}
+
+func (l *balancer) add(n *node) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.nodes = append(l.nodes, n)
+}
+
+func (l *balancer) pick() *node {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for {
+		l.next++
+		n := l.nodes[l.next%len(l.nodes)]
+		if l.bed.status(n, "/readyz") == http.StatusOK {
+			return n
+		}
+	}
+}
+
+func TestGracefulShutdownCutsNothingOff(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	b.adapter("suhrn")
+	b.engine("stroj-1", "sala-a", record.DialectOpenAI, 4)
+	b.engine("stroj-2", "sala-a", record.DialectStatus, 4)
+	b.commit("first")
+	delayed := func(s *settings.Entry) { s.ReadinessDelay = 300 * time.Millisecond }
+	l := &balancer{bed: b}
+	l.add(b.entry("a1", "sala-a", delayed))
+	l.add(b.entry("a2", "sala-a", delayed))
+	b.awaitOwned("sala-a", "stroj-1", "stroj-2")
+	failures := make(chan string, 1000)
+	var group sync.WaitGroup
+	stop := make(chan struct{})
+	for k := range 6 {
+		group.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				prompt := fmt.Sprintf("%d-%d", k, n)
+				text, done, a := b.stream(l.pick(), "suhrn@v1", prompt, 100)
+				if text != engine.Text("suhrn@v1", prompt, 100) || !done {
+					failures <- fmt.Sprintf("%s: status %d, error %v, %d bytes: %s", prompt, a.status, a.err, len(text), a.body[max(0, len(a.body)-300):])
+				}
+			}
+		})
+	}
+	// Replace every instance while the streams run.
+	for _, old := range []string{"a1", "a2"} {
+		l.add(b.entry(old+"-new", "sala-a", delayed))
+		b.entries[old].stop()
+		if err := <-b.entries[old].end.Done(); err != nil {
+			t.Errorf("shutdown of %s: %v", old, err)
+		}
+	}
+	b.mustComplete(b.entries["a1-new"], "suhrn@v2", "after", 3)
+	close(stop)
+	group.Wait()
+	close(failures)
+	for f := range failures {
+		t.Error(f)
+	}
+	if v := b.violations(); len(v) > 0 {
+		t.Errorf("evicted while serving: %v", v)
+	}
+}
+
+func TestNewInstanceTakesConfigurationFromPeers(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	b.adapter("suhrn")
+	b.engine("stroj-1", "sala-a", record.DialectOpenAI, 2)
+	b.commit("first")
+	a1 := b.entry("a1", "sala-a")
+	b.awaitOwned("sala-a", "stroj-1")
+	if err := b.platform.faults.Add(fault.Rule{Path: "/v1", Cut: true}); err != nil {
+		t.Fatal(err)
+	}
+	lonely := b.tryEntry("a2", "sala-a")
+	if got := b.status(lonely, "/readyz"); got != http.StatusServiceUnavailable {
+		t.Errorf("an instance without platform and peers has status %d", got)
+	}
+	seeded := b.entry("a3", "sala-a", func(s *settings.Entry) { s.Seeds = []string{a1.instance.PeerAddress()} })
+	b.await("the seeded instance serves", func() bool {
+		text, _ := b.complete(seeded, "suhrn@v1", "x", 3)
+		return text == engine.Text("suhrn@v1", "x", 3)
+	})
+}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -34,7 +34,8 @@
 	OperatorAddress string
 	MetricsAddress  string
 	PeerAddress     string
-	// PeerAnnounce is the address under which peers reach this instance.
+	// PeerAnnounce is the address under which peers reach this instance, if
+	// it is not PeerAddress.
 	PeerAnnounce string
 	// Seeds are peers to ask for the configuration if the platform is away.
 	Seeds []string
@@ -101,7 +102,9 @@
 		TargetTLS:           f.tls("targets"),
 		Log:                 f.log(),
 	}
-	e.PeerAnnounce = f.String("peers", "announce", e.PeerAddress)
+	if e.PeerAnnounce = f.String("peers", "announce", ""); e.PeerAnnounce != "" {
+		f.checkAddress("peers", "announce", e.PeerAnnounce)
+	}
 	return e, f.Check()
 }
 
