--- /dev/null
+++ b/internal/stand/memory/store.go
@@ -0,0 +1,207 @@
+// Package memory is an object store in memory. It backs the stand-in of the
+// platform, and stands in for its client in tests, where it can fail.
+package memory
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"bamboorail.example/bamboorail"
+)
+
+const historyLength = 4096
+
+// Error is the error type of the package.
+type Error struct{ bamboorail.Failure }
+
+func fail(op string, kind bamboorail.Kind, format string, a ...any) error {
+	return &Error{bamboorail.Failure{Op: op, Kind: kind, Err: fmt.Errorf(format, a...)}}
+}
+
+// Hook is called before each operation with its name and key. An error from
+// it is returned in place of a result: before the operation takes effect, or,
+// if it is ErrLostAnswer, after.
+type Hook func(op, key string) error
+
+// ErrLostAnswer makes a write take effect and fail.
+var ErrLostAnswer = errors.New("the answer was lost")
+
+// Store is an object store in memory.
+type Store struct {
+	mu        sync.Mutex
+	revision  uint64
+	objects   map[string]bamboorail.Object
+	history   []bamboorail.Object
+	changed   chan struct{}
+	instances []bamboorail.Instance
+	hook      Hook
+}
+
+var _ bamboorail.ObjectStore = (*Store)(nil)
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{objects: map[string]bamboorail.Object{}, changed: make(chan struct{})}
+}
+
+// SetHook installs a hook, or removes it if it is nil.
+func (s *Store) SetHook(h Hook) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hook = h
+}
+
+// SetInstances replaces the list of instances.
+func (s *Store) SetInstances(list []bamboorail.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances = list
+}
+
+// check runs the hook. lost is set if the operation must take effect and then
+// fail.
+func (s *Store) check(op, key string) (lost bool, err error) {
+	s.mu.Lock()
+	h := s.hook
+	s.mu.Unlock()
+	if h == nil {
+		return false, nil
+	}
+	err = h(op, key)
+	if errors.Is(err, ErrLostAnswer) {
+		return true, nil
+	}
+	if err != nil {
+		return false, fail(op, bamboorail.KindUnavailable, "%w", err)
+	}
+	return false, nil
+}
+
+// Get returns the object under key.
+func (s *Store) Get(ctx context.Context, key string) (bamboorail.Object, error) {
+	o, _, err := s.GetNewer(ctx, key, 0)
+	return o, err
+}
+
+// GetNewer returns the object under key unless its version is the given one.
+func (s *Store) GetNewer(_ context.Context, key string, version uint64) (bamboorail.Object, bool, error) {
+	if _, err := s.check("get-object", key); err != nil {
+		return bamboorail.Object{}, false, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[key]
+	if !ok {
+		return o, false, fail("get-object", bamboorail.KindNotFound, "key %q does not exist", key)
+	}
+	return o, o.Version != version, nil
+}
+
+// List returns the objects under prefix in the order of their keys.
+func (s *Store) List(_ context.Context, prefix string) ([]bamboorail.Object, uint64, error) {
+	if _, err := s.check("list-objects", prefix); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []bamboorail.Object
+	for k, o := range s.objects {
+		if strings.HasPrefix(k, prefix) {
+			list = append(list, o)
+		}
+	}
+	slices.SortFunc(list, func(a, b bamboorail.Object) int { return strings.Compare(a.Key, b.Key) })
+	return list, s.revision, nil
+}
+
+// Put writes a value if the current version is expect.
+func (s *Store) Put(_ context.Context, key string, value []byte, expect uint64) (uint64, error) {
+	return s.write("put-object", bamboorail.Object{Key: key, Value: slices.Clone(value)}, expect)
+}
+
+// Delete removes a key if its current version is expect.
+func (s *Store) Delete(_ context.Context, key string, expect uint64) error {
+	_, err := s.write("delete-object", bamboorail.Object{Key: key, Deleted: true}, expect)
+	return err
+}
+
+func (s *Store) write(op string, o bamboorail.Object, expect uint64) (uint64, error) {
+	lost, err := s.check(op, o.Key)
+	if err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if current := s.objects[o.Key].Version; current != expect {
+		return 0, fail(op, bamboorail.KindConflict, "version of %q is %d, not %d", o.Key, current, expect)
+	}
+	s.revision++
+	o.Version = s.revision
+	if o.Deleted {
+		delete(s.objects, o.Key)
+	} else {
+		s.objects[o.Key] = o
+	}
+	s.history = append(s.history, o)
+	s.history = s.history[max(0, len(s.history)-historyLength):]
+	close(s.changed)
+	s.changed = make(chan struct{})
+	if lost {
+		return 0, fail(op, bamboorail.KindUnavailable, "%w", ErrLostAnswer)
+	}
+	return o.Version, nil
+}
+
+// Watch waits up to wait for changes after revision under the prefixes.
+func (s *Store) Watch(ctx context.Context, prefixes []string, revision uint64, wait time.Duration) (bamboorail.Events, error) {
+	if _, err := s.check("watch-objects", strings.Join(prefixes, ",")); err != nil {
+		return bamboorail.Events{}, err
+	}
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		events, changed := s.eventsAfter(revision, prefixes)
+		if len(events.Objects) > 0 || events.Reset {
+			return events, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return events, nil
+		case <-ctx.Done():
+			return events, nil
+		}
+	}
+}
+
+func (s *Store) eventsAfter(after uint64, prefixes []string) (bamboorail.Events, chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	events := bamboorail.Events{Revision: s.revision}
+	if after > s.revision || (len(s.history) > 0 && s.history[0].Version > after+1) {
+		events.Reset = true
+		return events, s.changed
+	}
+	for _, o := range s.history {
+		matches := slices.ContainsFunc(prefixes, func(p string) bool { return strings.HasPrefix(o.Key, p) })
+		if o.Version > after && matches {
+			events.Objects = append(events.Objects, o)
+		}
+	}
+	return events, s.changed
+}
+
+// Instances returns the list of instances.
+func (s *Store) Instances(context.Context) ([]bamboorail.Instance, error) {
+	if _, err := s.check("list-instances", ""); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.instances), nil
+}
--- a/internal/stand/platform/platform.go
+++ b/internal/stand/platform/platform.go
@@ -6,20 +6,18 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/stand/memory"
 )
 
 const (
 	maxValueBytes  = 1 << 20
-	historyLength  = 4096
 	maxWatchWait   = time.Minute
 	versionHeader  = "Object-Version"
 	readsPerSecond = 2000
@@ -35,19 +33,15 @@
 	Instances []bamboorail.Instance
 }
 
-// Server is the stand-in. Its state survives neither a restart nor a crash
-// of the process, but does survive the restart of its fault API.
+// Server is the stand-in. Its state ends with its process.
 type Server struct {
-	mu        sync.Mutex
-	revision  uint64
-	objects   map[string]bamboorail.Object
-	history   []bamboorail.Object
-	changed   chan struct{}
-	instances []bamboorail.Instance
-	lag       time.Duration
-	writes    window
-	reads     window
-	calls     *prometheus.CounterVec
+	store *memory.Store
+	lag   time.Duration
+	calls *prometheus.CounterVec
+
+	mu     sync.Mutex
+	writes window
+	reads  window
 }
 
 // window counts calls of the current second.
@@ -68,16 +62,15 @@
 // New returns a stand-in that registers its call counts with reg.
 func New(o Options, reg prometheus.Registerer) *Server {
 	s := &Server{
-		objects:   map[string]bamboorail.Object{},
-		changed:   make(chan struct{}),
-		instances: o.Instances,
-		lag:       o.InstanceLag,
-		writes:    window{limit: o.WritesPerSecond},
-		reads:     window{limit: readsPerSecond},
+		store:  memory.NewStore(),
+		lag:    o.InstanceLag,
+		writes: window{limit: o.WritesPerSecond},
+		reads:  window{limit: readsPerSecond},
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "platform_calls_total", Help: "Calls of the object API by kind and status.",
 		}, []string{"call", "status"}),
 	}
+	s.store.SetInstances(o.Instances)
 	reg.MustRegister(s.calls)
 	return s
 }
@@ -103,6 +96,27 @@
 
 func failed(status int, message string) reply { return reply{status: status, body: []byte(message)} }
 
+func refused(err error) reply {
+	statuses := map[bamboorail.Kind]int{
+		bamboorail.KindNotFound: http.StatusNotFound, bamboorail.KindConflict: http.StatusConflict,
+	}
+	if status, ok := statuses[bamboorail.KindOf(err)]; ok {
+		return failed(status, err.Error())
+	}
+	return failed(http.StatusServiceUnavailable, err.Error())
+}
+
+func encode(v any, err error) reply {
+	if err != nil {
+		return refused(err)
+	}
+	body, err := json.Marshal(v)
+	if err != nil {
+		return failed(http.StatusInternalServerError, err.Error())
+	}
+	return reply{status: http.StatusOK, body: body}
+}
+
 func (s *Server) counted(call string, w *window, f func(*http.Request) reply) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
@@ -122,11 +136,9 @@
 }
 
 func (s *Server) get(r *http.Request) reply {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	o, ok := s.objects[r.PathValue("key")]
-	if !ok {
-		return failed(http.StatusNotFound, "no such object")
+	o, err := s.store.Get(r.Context(), r.PathValue("key"))
+	if err != nil {
+		return refused(err)
 	}
 	if r.Header.Get("If-None-Match") == strconv.FormatUint(o.Version, 10) {
 		return reply{status: http.StatusNotModified, version: o.Version}
@@ -142,57 +154,35 @@
 	if len(value) > maxValueBytes {
 		return failed(http.StatusRequestEntityTooLarge, "value over 1 MiB")
 	}
-	return s.write(r, bamboorail.Object{Key: r.PathValue("key"), Value: value})
+	expect, err := expected(r)
+	if err != nil {
+		return failed(http.StatusBadRequest, err.Error())
+	}
+	version, err := s.store.Put(r.Context(), r.PathValue("key"), value, expect)
+	if err != nil {
+		return refused(err)
+	}
+	return reply{status: http.StatusOK, version: version}
 }
 
 func (s *Server) remove(r *http.Request) reply {
-	return s.write(r, bamboorail.Object{Key: r.PathValue("key"), Deleted: true})
-}
-
-func (s *Server) write(r *http.Request, o bamboorail.Object) reply {
-	expect, err := strconv.ParseUint(r.Header.Get("If-Match"), 10, 64)
+	expect, err := expected(r)
 	if err != nil {
-		return failed(http.StatusBadRequest, "If-Match must be a version")
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if current := s.objects[o.Key].Version; current != expect {
-		return failed(http.StatusConflict, "current version is "+strconv.FormatUint(current, 10))
+		return failed(http.StatusBadRequest, err.Error())
 	}
-	s.revision++
-	o.Version = s.revision
-	if o.Deleted {
-		delete(s.objects, o.Key)
-	} else {
-		s.objects[o.Key] = o
+	if err := s.store.Delete(r.Context(), r.PathValue("key"), expect); err != nil {
+		return refused(err)
 	}
-	s.history = append(s.history, o)
-	s.history = s.history[max(0, len(s.history)-historyLength):]
-	close(s.changed)
-	s.changed = make(chan struct{})
-	return reply{status: http.StatusOK, version: o.Version}
+	return reply{status: http.StatusOK}
 }
 
-func (s *Server) list(r *http.Request) reply {
-	prefix := r.URL.Query().Get("prefix")
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	events := bamboorail.Events{Revision: s.revision}
-	for k, o := range s.objects {
-		if strings.HasPrefix(k, prefix) {
-			events.Objects = append(events.Objects, o)
-		}
-	}
-	slices.SortFunc(events.Objects, func(a, b bamboorail.Object) int { return strings.Compare(a.Key, b.Key) })
-	return encode(events)
+func expected(r *http.Request) (uint64, error) {
+	return strconv.ParseUint(r.Header.Get("If-Match"), 10, 64)
 }
 
-func encode(v any) reply {
-	body, err := json.Marshal(v)
-	if err != nil {
-		return failed(http.StatusInternalServerError, err.Error())
-	}
-	return reply{status: http.StatusOK, body: body}
+func (s *Server) list(r *http.Request) reply {
+	objects, revision, err := s.store.List(r.Context(), r.URL.Query().Get("prefix"))
+	return encode(bamboorail.Events{Revision: revision, Objects: objects}, err)
 }
 
 func (s *Server) watch(r *http.Request) reply {
@@ -205,45 +195,10 @@
 	if err != nil || wait > maxWatchWait {
 		return failed(http.StatusBadRequest, "wait must be a duration of at most "+maxWatchWait.String())
 	}
-	timeout := time.NewTimer(wait)
-	defer timeout.Stop()
-	for {
-		events, changed := s.eventsAfter(after, q["prefix"])
-		if len(events.Objects) > 0 || events.Reset {
-			return encode(events)
-		}
-		select {
-		case <-changed:
-		case <-timeout.C:
-			return encode(events)
-		case <-r.Context().Done():
-			return encode(events)
-		}
-	}
-}
-
-func (s *Server) eventsAfter(after uint64, prefixes []string) (bamboorail.Events, chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	events := bamboorail.Events{Revision: s.revision}
-	if after > s.revision || (len(s.history) > 0 && s.history[0].Version > after+1) {
-		events.Reset = true
-		return events, s.changed
-	}
-	for _, o := range s.history {
-		matches := slices.ContainsFunc(prefixes, func(p string) bool { return strings.HasPrefix(o.Key, p) })
-		if o.Version > after && matches {
-			events.Objects = append(events.Objects, o)
-		}
-	}
-	return events, s.changed
+	return encode(s.store.Watch(r.Context(), q["prefix"], after, wait))
 }
 
-func (s *Server) listInstances(*http.Request) reply {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return encode(s.instances)
-}
+func (s *Server) listInstances(r *http.Request) reply { return encode(s.store.Instances(r.Context())) }
 
 // setInstances replaces the list after the configured lag.
 func (s *Server) setInstances(w http.ResponseWriter, r *http.Request) {
@@ -252,9 +207,5 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	time.AfterFunc(s.lag, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.instances = list
-	})
+	time.AfterFunc(s.lag, func() { s.store.SetInstances(list) })
 }
--- /dev/null
+++ b/pkg/record/record_test.go
@@ -0,0 +1,93 @@
+package record_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"bamboorail.example/bamboorail/pkg/record"
+)
+
+func ExampleParse() {
+	r, err := record.Parse([]byte(`{"schema-version": 1, "kind": "adapter", "name": "suhrn",
+		"base-model": "zaklad", "versions": [{"name": "v1"}, {"name": "v0", "state": "retired"}]}`))
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	a, err := r.Adapter()
+	_, active := a.Version("v0")
+	fmt.Println(r.Key(), a.BaseModel(), active, err)
+	// Output: adapter/suhrn zaklad false <nil>
+}
+
+func TestInvalidRecordsHaveClearErrors(t *testing.T) {
+	for name, c := range map[string]struct{ raw, want string }{
+		"not JSON":         {`{`, "not a JSON object"},
+		"no schema":        {`{"kind":"adapter","name":"a"}`, "schema-version"},
+		"unknown kind":     {`{"schema-version":1,"kind":"x","name":"a"}`, `kind "x"`},
+		"bad name":         {`{"schema-version":1,"kind":"adapter","name":"a b"}`, `name "a b"`},
+		"no base model":    {`{"schema-version":1,"kind":"adapter","name":"a"}`, `"base-model"`},
+		"repeated version": {`{"schema-version":1,"kind":"adapter","name":"a","base-model":"z","versions":[{"name":"v"},{"name":"v"}]}`, `version "v"`},
+		"no url":           {`{"schema-version":1,"kind":"target","name":"t","role":"engine","zone":"z"}`, "url"},
+		"unknown dialect":  {`{"schema-version":1,"kind":"target","name":"t","role":"engine","zone":"z","url":"http://x","dialect":"y"}`, `dialect "y"`},
+		"no slots":         {`{"schema-version":1,"kind":"target","name":"t","role":"engine","zone":"z","url":"http://x","dialect":"openai"}`, "slots"},
+		"unknown role":     {`{"schema-version":1,"kind":"target","name":"t","role":"y","zone":"z","url":"http://x"}`, `role "y"`},
+		"no digest":        {`{"schema-version":1,"kind":"caller","name":"c"}`, "token-sha256"},
+		"unknown feature":  {`{"schema-version":1,"kind":"adapter","name":"a","base-model":"z","requires":["mixing"]}`, `"mixing"`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, err := record.Parse([]byte(c.raw))
+			if err == nil {
+				err = r.Check()
+			}
+			if err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("error %v does not contain %q", err, c.want)
+			}
+		})
+	}
+}
+
+// TestOldWritersKeepNewerFields lets a writer of schema 1 replace a record of
+// schema 2: what schema 1 does not know must survive, what it knows and left
+// out must go.
+func TestOldWritersKeepNewerFields(t *testing.T) {
+	parse := func(raw string) record.Record {
+		r, err := record.Parse([]byte(raw))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	prev := parse(`{"schema-version":2,"kind":"adapter","name":"a","base-model":"z","pools":["p"],"future":{"x":1},"targets":["t"]}`)
+	next := parse(`{"schema-version":1,"kind":"adapter","name":"a","base-model":"y"}`)
+	merged, err := record.Merge(prev, next)
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw := string(merged.Raw())
+	for _, part := range []string{`"pools":["p"]`, `"future":{"x":1}`, `"schema-version":2`, `"base-model":"y"`} {
+		if !strings.Contains(raw, part) {
+			t.Errorf("%s lacks %s", raw, part)
+		}
+	}
+	if strings.Contains(raw, "targets") {
+		t.Errorf("%s keeps a field that schema 1 knows and the writer removed", raw)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"schema-version":1,"kind":"adapter","name":"a","base-model":"z","versions":[{"name":"v1"}]}`))
+	f.Add([]byte(`{"schema-version":2,"kind":"target","name":"t","role":"engine","zone":"z","url":"http://x","dialect":"openai","slots":1,"max-batch":1}`))
+	f.Add([]byte(`[]`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		r, err := record.Parse(raw)
+		if err != nil {
+			return
+		}
+		again, err := record.Parse(r.Raw())
+		if err != nil || again.Key() != r.Key() || (again.Check() == nil) != (r.Check() == nil) {
+			t.Errorf("%q reads differently after writing: %v", raw, err)
+		}
+	})
+}
