--- a/internal/owner/engine.go
+++ b/internal/owner/engine.go
@@ -158,7 +158,7 @@
 	select {
 	case e.orders <- order{handle: h}:
 	default:
-		e.table.Unloaded(h, errors.New("order ring is full"))
+		e.table.Unloaded(h, notRun("unload-adapter", bamboorail.KindOverloaded, 0, errors.New("order ring is full")))
 	}
 }
 
@@ -373,10 +373,7 @@
 
 // SetEvidence passes on what was learnt about earlier terms.
 func (e *Engine) SetEvidence(ev placement.Evidence) {
-	e.post(func(time.Time) {
-		ev.FencingAccepted = e.table.Evidence().FencingAccepted
-		e.table.SetEvidence(ev)
-	})
+	e.post(func(time.Time) { e.table.SetEvidence(ev) })
 }
 
 // Close refuses new and waiting requests with err; running ones go on.
--- a/internal/owner/keeper.go
+++ b/internal/owner/keeper.go
@@ -183,7 +183,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.evidence.EndedThrough+1 < k.evidence.Term {
+	if !k.evidence.AllEnded() {
 		return notRun(op, bamboorail.KindUnavailable, evidenceRetryAfter,
 			errors.New("an earlier keeper of these ids may still run"))
 	}
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -15,11 +15,22 @@
 	return n
 }
 
-// EarlierIdle reports whether the engine showed that nothing of earlier terms
-// runs on it.
-func (e *Engine) EarlierIdle() bool {
-	idle, _ := ask(e, func(time.Time) bool { return e.table.EarlierIdle() })
-	return idle
+// Settled reports whether no unload order is under way.
+func (e *Engine) Settled() bool {
+	settled, ok := ask(e, func(time.Time) bool { return e.table.Settled() })
+	return ok && settled
+}
+
+// Drained reports whether no request runs, or may run, that this owner sent.
+func (e *Engine) Drained() bool {
+	drained, ok := ask(e, func(time.Time) bool { return e.table.Drained() })
+	return ok && drained
+}
+
+// EarlierCleared reports whether nothing of an owner that is gone is left.
+func (e *Engine) EarlierCleared() bool {
+	cleared, _ := ask(e, func(time.Time) bool { return e.table.EarlierCleared() })
+	return cleared
 }
 
 // State describes the engine to peers.
@@ -47,8 +58,15 @@
 	return ctx.Err()
 }
 
-// EarlierIdle reports true: a keeper relies only on the end of earlier terms.
-func (k *Keeper) EarlierIdle() bool { return true }
+// Settled reports true: a keeper sends no orders.
+func (k *Keeper) Settled() bool { return true }
+
+// Drained reports whether no call runs.
+func (k *Keeper) Drained() bool { return k.Running() == 0 }
+
+// EarlierCleared reports true: a keeper relies only on the end of earlier
+// terms.
+func (k *Keeper) EarlierCleared() bool { return true }
 
 // State describes the keeper to peers.
 func (k *Keeper) State() *wire.TargetState {
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,9 +38,13 @@
 	Close(err error)
 	// Running returns the number of running requests.
 	Running() int
-	// EarlierIdle reports whether the target showed that nothing of earlier
-	// terms runs.
-	EarlierIdle() bool
+	// Settled reports whether no unload order is under way, Drained whether
+	// no request runs or may run that the owner sent.
+	Settled() bool
+	Drained() bool
+	// EarlierCleared reports whether nothing is left at the target of owners
+	// that are gone.
+	EarlierCleared() bool
 	// SetEvidence passes on what is known of earlier terms.
 	SetEvidence(e placement.Evidence)
 	// State describes the target to peers.
@@ -245,23 +250,34 @@
 	return View{
 		Self: d.Self(), Targets: m.config.Factory.Targets(), Ledger: m.ledger, Candidates: d.Candidates(now),
 		StateOf: func(s string) membership.State { return d.StateOf(s, now) },
-		Leaving: m.leaving, Drained: m.drained, Idle: m.earlierIdle,
+		Leaving: m.leaving, Settled: m.settled, Drained: m.drained, Cleared: m.earlierCleared,
 		Closed: func(target string, term uint64) bool { return m.closed[target] == term }, Now: now,
 	}
 }
 
-func (m *Manager) drained(target string, term uint64) bool {
+// closedOwner returns the owner of a closed term while it drains.
+func (m *Manager) closedOwner(target string, term uint64) (Owner, bool) {
 	for _, o := range m.draining[target] {
 		if o.evidence.Term == term {
-			return false
+			return o.owner, true
 		}
 	}
-	return true
+	return nil, false
+}
+
+func (m *Manager) settled(target string, term uint64) bool {
+	o, ok := m.closedOwner(target, term)
+	return ok && o.Settled()
 }
 
-func (m *Manager) earlierIdle(target string) bool {
+func (m *Manager) drained(target string, term uint64) bool {
+	o, ok := m.closedOwner(target, term)
+	return ok && o.Drained()
+}
+
+func (m *Manager) earlierCleared(target string) bool {
 	o, ok := m.current[target]
-	return ok && o.owner.EarlierIdle()
+	return ok && o.owner.EarlierCleared()
 }
 
 // planOnce plans and writes the result. While the store is away, the claims
@@ -361,7 +377,7 @@
 	for target, list := range m.draining {
 		kept := list[:0]
 		for _, o := range list {
-			if o.owner.Running() > 0 {
+			if !o.owner.Drained() || m.listed(target, o.evidence.Term) {
 				kept = append(kept, o)
 				continue
 			}
@@ -375,11 +391,35 @@
 	}
 }
 
+// listed reports whether the ledger still lists an own term.
+func (m *Manager) listed(target string, term uint64) bool {
+	o := m.ledger.Targets[target]
+	if o.Current.Term == term && o.Current.Session != "" {
+		return true
+	}
+	return slices.ContainsFunc(o.Earlier, func(h platform.Holder) bool { return h.Term == term })
+}
+
+// evidenceOf returns what a ledger entry says about the terms of a target.
+func evidenceOf(o platform.Ownership) placement.Evidence {
+	e := placement.Evidence{Term: o.Current.Term}
+	states := map[platform.HolderState]placement.TermState{
+		"":                          placement.TermOpen,
+		platform.HolderReleased:     placement.TermReleased,
+		platform.HolderGone:         placement.TermGone,
+		platform.HolderReleasedGone: placement.TermReleasedGone,
+	}
+	for _, h := range o.Earlier {
+		e.Earlier = append(e.Earlier, placement.Earlier{Term: h.Term, State: states[h.State]})
+	}
+	return e
+}
+
 // ensure starts the owner of a claimed target or updates its evidence.
 func (m *Manager) ensure(ctx context.Context, target string, o platform.Ownership) {
-	e := placement.Evidence{Term: o.Current.Term, EndedThrough: o.EndedThrough(), DrainedThrough: o.DrainedThrough()}
+	e := evidenceOf(o)
 	if running, ok := m.current[target]; ok {
-		if running.evidence != e {
+		if !running.evidence.Equal(e) {
 			running.evidence = e
 			running.owner.SetEvidence(e)
 		}
--- a/internal/ownership/plan.go
+++ b/internal/ownership/plan.go
@@ -27,10 +27,12 @@
 	// Provisional is set while the store is away: only proof that an owner is
 	// gone then permits a claim, and nothing is rebalanced.
 	Provisional bool
-	// Drained reports whether no request of an own released term runs, Idle
-	// whether the engine showed that nothing of earlier terms runs.
+	// Settled reports whether an own closed term has no order under way,
+	// Drained whether none of its requests runs, and Cleared whether nothing
+	// is left at the target of holders that are gone.
+	Settled func(target string, term uint64) bool
 	Drained func(target string, term uint64) bool
-	Idle    func(target string) bool
+	Cleared func(target string) bool
 	// Closed reports whether the owner of an own term was closed for good.
 	Closed func(target string, term uint64) bool
 	Now    time.Time
@@ -69,7 +71,9 @@
 	}
 	if exists && o.Current.Session != "" {
 		previous := o.Current
-		previous.Ended = v.StateOf(previous.Session) == membership.StateGone
+		if v.StateOf(previous.Session) == membership.StateGone {
+			previous.State = platform.HolderGone
+		}
 		o.Earlier = append(o.Earlier, previous)
 	}
 	o.Current = platform.Holder{
@@ -98,25 +102,40 @@
 // current owner or they themselves do so, to keep writers apart.
 func (v View) updateEarlier(target string, o *platform.Ownership) bool {
 	changed := false
-	mine := o.Current.Session == v.Self.ID
 	kept := o.Earlier[:0]
 	for _, h := range o.Earlier {
-		own := h.Session == v.Self.ID
-		if !h.Ended && (own || (mine && v.StateOf(h.Session) == membership.StateGone)) {
-			h.Ended = true
-			changed = true
-		}
-		gone := mine && h.Ended && v.StateOf(h.Session) == membership.StateGone
-		if (own && v.Drained(target, h.Term)) || (gone && v.Idle(target)) {
-			changed = true
-			continue
+		next, left := v.updateHolder(target, h, o.Current.Session == v.Self.ID)
+		changed = changed || next != h || !left
+		if left {
+			kept = append(kept, next)
 		}
-		kept = append(kept, h)
 	}
 	o.Earlier = kept
 	return changed
 }
 
+// updateHolder returns an earlier holder as it should be recorded, and false
+// if nothing is left of its term.
+func (v View) updateHolder(target string, h platform.Holder, current bool) (platform.Holder, bool) {
+	own := h.Session == v.Self.ID
+	gone := current && !own && v.StateOf(h.Session) == membership.StateGone
+	switch {
+	case own && h.State == "" && v.Settled(target, h.Term):
+		h.State = platform.HolderReleased
+	case gone && h.State == "":
+		h.State = platform.HolderGone
+	case gone && h.State == platform.HolderReleased:
+		h.State = platform.HolderReleasedGone
+	}
+	switch {
+	case own && h.State == platform.HolderReleased && v.Drained(target, h.Term):
+		return h, false
+	case gone && v.Cleared(target):
+		return h, false
+	}
+	return h, true
+}
+
 // preferred reports whether this instance has the highest rendezvous weight
 // for the target among the candidates.
 func (v View) preferred(target string) bool {
@@ -160,11 +179,10 @@
 	return "", false
 }
 
-// release returns the entry after its owner stopped sending new work.
+// release returns the entry after its owner was closed.
 func release(o platform.Ownership) platform.Ownership {
 	o = o.Clone()
 	h := o.Current
-	h.Ended = true
 	o.Earlier = append(o.Earlier, h)
 	o.Current = platform.Holder{Term: h.Term}
 	return o
--- a/internal/placement/handle.go
+++ b/internal/placement/handle.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -28,44 +29,95 @@
 	return term, err == nil
 }
 
-// Evidence is what an owner knows about the terms before its own.
+// TermState is what an owner knows about a term of its target.
+type TermState int
+
+// The states of a term.
+const (
+	// TermOwn is the owner's own term.
+	TermOwn TermState = iota
+	// TermOpen is an earlier term whose owner may still send anything.
+	TermOpen
+	// TermReleased is an earlier term whose owner confirmed that it sends
+	// nothing new and that none of its unload orders is under way. Its
+	// requests may still run.
+	TermReleased
+	// TermGone is an earlier term whose owner's process is gone. What it sent
+	// last may still arrive.
+	TermGone
+	// TermReleasedGone is a released term whose owner's process is gone since.
+	TermReleasedGone
+	// TermDrained is an earlier term of which nothing is left.
+	TermDrained
+	// TermForeign is a later term, or none of this system's.
+	TermForeign
+)
+
+// Earlier is an earlier term of which something may be left.
+type Earlier struct {
+	Term  uint64
+	State TermState
+}
+
+// Evidence is what an owner knows about the terms of its target.
 type Evidence struct {
 	// Term is the owner's own term.
 	Term uint64
-	// EndedThrough is the highest term whose owner is known to send nothing
-	// any more: it released the target, or its process is gone.
-	EndedThrough uint64
-	// DrainedThrough is the highest term without a running request.
-	DrainedThrough uint64
-	// FencingAccepted is set once an engine that checks fencing numbers has
-	// accepted the number of the own term.
-	FencingAccepted bool
+	// Earlier lists the earlier terms that are not drained.
+	Earlier []Earlier
+}
+
+// Equal reports whether two pieces of evidence say the same.
+func (e Evidence) Equal(o Evidence) bool {
+	return e.Term == o.Term && slices.Equal(e.Earlier, o.Earlier)
+}
+
+// AllEnded reports whether no earlier owner may start anything new.
+func (e Evidence) AllEnded() bool {
+	return !slices.ContainsFunc(e.Earlier, func(t Earlier) bool { return t.State == TermOpen })
 }
 
-// MayDispatch reports whether requests may be sent to a handle. A fenced
-// engine refuses the unload orders of an earlier owner, so its handles stay.
-func (e Evidence) MayDispatch(h bamboorail.Handle) bool {
+// StateOf returns what is known about the term of a handle.
+func (e Evidence) StateOf(h bamboorail.Handle) TermState {
 	term, ours := TermOf(h)
 	switch {
 	case !ours || term > e.Term:
-		return false
+		return TermForeign
 	case term == e.Term:
+		return TermOwn
+	}
+	for _, t := range e.Earlier {
+		if t.Term == term {
+			return t.State
+		}
+	}
+	return TermDrained
+}
+
+// MayDispatch reports whether requests may be sent to a handle. An engine that
+// accepted a fencing number of this term refuses unload orders of earlier
+// ones, so its handles stay. Any other engine could still get such an order
+// from an owner that did not confirm its release.
+func (e Evidence) MayDispatch(h bamboorail.Handle, fenced bool) bool {
+	switch e.StateOf(h) {
+	case TermOwn, TermReleased, TermReleasedGone, TermDrained:
 		return true
+	case TermOpen, TermGone:
+		return fenced
 	}
-	return term <= e.EndedThrough || e.FencingAccepted
+	return false
 }
 
 // MayUnload reports whether an idle handle may be unloaded. Requests are not
-// fenced: an earlier owner that still runs could send one at any time, so a
-// handle of its term needs evidence that the term ended, and that nothing
-// runs: verifiedIdle is set by a report made after that evidence.
+// fenced: an earlier owner that still runs could send one at any time, or wait
+// for one. verifiedIdle is set by a report that shows nothing running and was
+// made after the owner was known to be gone.
 func (e Evidence) MayUnload(h bamboorail.Handle, verifiedIdle bool) bool {
-	term, ours := TermOf(h)
-	switch {
-	case !ours || term > e.Term:
-		return false
-	case term == e.Term, term <= e.DrainedThrough:
+	switch e.StateOf(h) {
+	case TermOwn, TermDrained:
 		return true
+	case TermGone, TermReleasedGone:
+		return verifiedIdle
 	}
-	return term <= e.EndedThrough && verifiedIdle
+	return false
 }
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -113,6 +113,9 @@
 	var best bamboorail.Handle
 	var least float64
 	for _, h := range t.Victims() {
+		if !t.usable(t.slots[h]) {
+			return h, 0, true
+		}
 		value := t.Demand(now, t.slots[h].model) * t.loadTime.seconds / t.settings.DemandHalfLife.Seconds()
 		if best == "" || value < least {
 			best, least = h, value
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -66,9 +66,12 @@
 	// doubtful is set when a request on the handle ended without proof that
 	// the engine stopped running it; it holds the barrier that must pass.
 	doubtful uint64
-	// reportedIdle is set by a report after the needed barrier without a
-	// running request; own dispatches clear it.
-	reportedIdle bool
+	// verifiedIdle is set by a report without a running request that was made
+	// after the newest evidence about earlier terms.
+	verifiedIdle bool
+	// unloadFailed is set when an unload order ended without a clear answer.
+	// The order may still take effect, so the handle is only unloaded again.
+	unloadFailed bool
 	lastUse      time.Time
 	// began is the start of the load, readyAt its end; both are zero for a
 	// handle that an earlier term loaded.
@@ -92,10 +95,15 @@
 	// barrier is the number of the newest barrier that must be sent, passed
 	// the newest one that a report included.
 	barrier, passed uint64
-	failed          map[bamboorail.ModelRef]backoff
+	// evidenceBarrier is the barrier sent after the newest evidence,
+	// strayBarrier the one sent after the last unload.
+	evidenceBarrier, strayBarrier uint64
+	failed                        map[bamboorail.ModelRef]backoff
 	// preload holds the models that operators asked for, by time.
 	preload       map[bamboorail.ModelRef]time.Time
 	checksFencing bool
+	// fenced is set once the engine accepted a fencing number of this term.
+	fenced bool
 	// unreachable counts missing reports since the last one.
 	unreachable int
 	loadTime    average
@@ -142,6 +150,8 @@
 		tokenTime: average{seconds: s.TokenTime.Seconds()},
 		barrier:   1,
 
+		evidenceBarrier: 1,
+
 		checksFencing: l.ChecksFencing,
 	}
 }
@@ -158,13 +168,15 @@
 // SetEvidence replaces what is known about earlier terms. New evidence about
 // a term needs a new barrier before its handles can be verified as idle.
 func (t *Table) SetEvidence(e Evidence) {
-	if e.EndedThrough != t.evidence.EndedThrough {
-		t.barrier++
-		for _, s := range t.slots {
-			s.reportedIdle = false
-		}
+	if e.Equal(t.evidence) {
+		return
 	}
 	t.evidence = e
+	t.barrier++
+	t.evidenceBarrier = t.barrier
+	for _, s := range t.slots {
+		s.verifiedIdle = false
+	}
 }
 
 // Evidence returns what is known about earlier terms.
@@ -274,7 +286,7 @@
 func (t *Table) serving(m bamboorail.ModelRef) *slot {
 	var best *slot
 	for _, s := range t.slots {
-		if s.model != m || s.state != slotReady || !t.evidence.MayDispatch(s.handle) {
+		if s.model != m || !t.usable(s) {
 			continue
 		}
 		if best == nil || s.handle < best.handle {
@@ -314,7 +326,6 @@
 	}
 	s := t.serving(i.Work().Model)
 	s.running++
-	s.reportedIdle = false
 	s.lastUse = now
 	t.running++
 	return Dispatch{Item: i, Handle: s.handle, LoadWait: max(0, s.readyAt.Sub(i.Enqueued()))}, true
@@ -334,7 +345,6 @@
 	if !certain {
 		t.barrier++
 		s.doubtful = t.barrier
-		s.reportedIdle = false
 	}
 }
 
@@ -368,21 +378,52 @@
 	p := LoadPlan{Model: c.Model, Handle: NewHandle(c.Model, t.evidence.Term, t.loads), Victim: c.Victim}
 	if p.Victim != "" {
 		t.slots[p.Victim].state = slotUnloading
+		t.slots[p.Victim].unloadFailed = false
 	}
 	t.slots[p.Handle] = &slot{handle: p.Handle, model: p.Model, state: slotLoading, began: now}
 	return p, true
 }
 
-// Unloaded records the end of an unload order. After a failure the handle is
-// usable again only if the engine still reports it.
+// Unloaded records the end of an unload order. An order that was refused or
+// never left leaves the handle usable; one without a clear answer does not.
 func (t *Table) Unloaded(h bamboorail.Handle, err error) {
 	s, ok := t.slots[h]
 	if !ok || s.state != slotUnloading {
 		return
 	}
-	if err == nil || bamboorail.KindOf(err) == bamboorail.KindStaleHandle {
+	switch {
+	case err == nil || bamboorail.KindOf(err) == bamboorail.KindStaleHandle:
 		delete(t.slots, h)
+		t.barrier++
+		t.strayBarrier = t.barrier
+	case bamboorail.NotRun(err) && !s.unloadFailed:
+		s.state = slotReady
+	default:
+		s.unloadFailed = true
+	}
+}
+
+// Settled reports whether no unload order is under way.
+func (t *Table) Settled() bool {
+	for _, s := range t.slots {
+		if s.state == slotUnloading {
+			return false
+		}
+	}
+	return true
+}
+
+// Drained reports whether no request runs, or may run, that the owner sent.
+func (t *Table) Drained() bool {
+	if t.running > 0 {
+		return false
 	}
+	for _, s := range t.slots {
+		if s.doubtful > 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // Loaded records the end of a load. It returns the requests to refuse after
@@ -401,8 +442,13 @@
 		delete(t.preload, s.model)
 		return nil
 	}
-	delete(t.slots, h)
 	delete(t.preload, s.model)
+	if bamboorail.NotRun(err) || bamboorail.KindOf(err) == bamboorail.KindTargetFailed || errors.Is(err, errAborted) {
+		delete(t.slots, h)
+	} else {
+		// The engine may hold the adapter all the same.
+		s.state, s.unloadFailed = slotUnloading, true
+	}
 	return t.loadFailed(now, s.model, err)
 }
 
@@ -440,7 +486,7 @@
 }
 
 // BarrierAccepted records that the engine accepted an order of this term.
-func (t *Table) BarrierAccepted() { t.evidence.FencingAccepted = t.checksFencing }
+func (t *Table) BarrierAccepted() { t.fenced = t.checksFencing }
 
 // Unreachable records that the engine gave no report. Nothing follows from
 // it: the engine may still run what it was sent.
@@ -499,7 +545,7 @@
 			delete(t.slots, h)
 		}
 	}
-	t.evidence.FencingAccepted = false
+	t.fenced = false
 	t.barrier++
 }
 
@@ -514,20 +560,25 @@
 func (t *Table) observeHandle(now time.Time, h bamboorail.HandleState) {
 	s, ok := t.slots[h.Handle]
 	if !ok {
-		if term, ours := TermOf(h.Handle); ours && term == t.evidence.Term {
-			return // unloaded since the reported state
-		}
 		s = &slot{handle: h.Handle, model: h.Model, state: slotReady, lastUse: now}
+		if t.evidence.StateOf(h.Handle) == TermOwn {
+			if t.passed < t.strayBarrier {
+				return // possibly unloaded since the reported state
+			}
+			// A load whose result was lost: it can only be unloaded.
+			s.state, s.unloadFailed = slotUnloading, true
+		}
 		t.slots[h.Handle] = s
 	}
 	if h.Running > 0 {
-		s.reportedIdle = false
 		return
 	}
-	if s.running == 0 && t.passed >= max(s.doubtful, t.barrier) {
-		s.reportedIdle = true
+	if t.passed >= s.doubtful {
 		s.doubtful = 0
 	}
+	if t.passed >= t.evidenceBarrier {
+		s.verifiedIdle = true
+	}
 }
 
 // dropMissing forgets handles of earlier terms that the engine no longer has.
@@ -542,21 +593,24 @@
 
 // unloadable reports whether an order to unload the slot is safe.
 func (t *Table) unloadable(s *slot) bool {
-	if s.state != slotReady || s.running > 0 {
+	ready := s.state == slotReady || (s.state == slotUnloading && s.unloadFailed)
+	if !ready || s.running > 0 || s.doubtful > 0 {
 		return false
 	}
-	if s.doubtful > 0 && !s.reportedIdle {
-		return false
-	}
-	return t.evidence.MayUnload(s.handle, s.reportedIdle)
+	return t.evidence.MayUnload(s.handle, s.verifiedIdle)
+}
+
+// usable reports whether requests may be sent to the slot's handle.
+func (t *Table) usable(s *slot) bool {
+	return s.state == slotReady && t.evidence.MayDispatch(s.handle, t.fenced)
 }
 
-// Victims returns the handles that may be unloaded and whose model nobody
-// waits for, ordered by handle.
+// Victims returns the handles that may be unloaded and that no waiting
+// request can use, ordered by handle.
 func (t *Table) Victims() []bamboorail.Handle {
 	var victims []bamboorail.Handle
 	for _, s := range t.slots {
-		if t.unloadable(s) && t.queue.Models()[s.model] == nil {
+		if t.unloadable(s) && (t.queue.Models()[s.model] == nil || !t.usable(s)) {
 			victims = append(victims, s.handle)
 		}
 	}
@@ -564,12 +618,14 @@
 	return victims
 }
 
-// Retire returns the handles of a model that may be unloaded now because the
-// model is no longer declared, and marks them as unloading.
+// Retire returns the handles that may be unloaded now because their model is
+// no longer declared or because they are of no use, and marks them as
+// unloading.
 func (t *Table) Retire(declared func(bamboorail.ModelRef) bool) []bamboorail.Handle {
 	var retired []bamboorail.Handle
 	for _, h := range t.Victims() {
-		if s := t.slots[h]; !declared(s.model) {
+		if s := t.slots[h]; !declared(s.model) || !t.usable(s) {
+			s.unloadFailed = false
 			s.state = slotUnloading
 			retired = append(retired, h)
 		}
@@ -616,21 +672,22 @@
 	for _, sl := range t.slots {
 		s.Slots = append(s.Slots, SlotView{
 			Handle: sl.handle, Model: sl.model, Running: sl.running,
-			Ready: sl.state == slotReady && t.evidence.MayDispatch(sl.handle),
+			Ready: t.usable(sl),
 		})
 	}
 	slices.SortFunc(s.Slots, func(a, b SlotView) int { return cmp.Compare(a.Handle, b.Handle) })
 	return s
 }
 
-// EarlierIdle reports whether every handle of an earlier term was shown to be
-// idle by a report made after the evidence that its term ended.
-func (t *Table) EarlierIdle() bool {
-	if t.passed < t.barrier || t.incarnation == "" {
+// EarlierCleared reports whether the engine, asked after the newest evidence,
+// holds no handle of an owner that is gone.
+func (t *Table) EarlierCleared() bool {
+	if t.passed < t.evidenceBarrier || t.incarnation == "" {
 		return false
 	}
 	for _, s := range t.slots {
-		if term, ours := TermOf(s.handle); ours && term != t.evidence.Term && !s.reportedIdle {
+		state := t.evidence.StateOf(s.handle)
+		if state == TermGone || (state == TermReleasedGone && !s.verifiedIdle) {
 			return false
 		}
 	}
--- a/internal/platform/ledger.go
+++ b/internal/platform/ledger.go
@@ -20,10 +20,24 @@
 	Session  string `json:"session"`
 	Instance string `json:"instance"`
 	Peer     string `json:"peer"`
-	// Ended is set for an earlier holder that sends nothing new any more.
-	Ended bool `json:"ended,omitempty"`
+	// State is empty for a holder that may still send anything.
+	State HolderState `json:"state,omitempty"`
 }
 
+// HolderState is what is known about an earlier holder.
+type HolderState string
+
+// The states of earlier holders that send nothing new.
+const (
+	// HolderReleased confirmed that it sends nothing new and that none of its
+	// orders is under way.
+	HolderReleased HolderState = "released"
+	// HolderGone is a holder whose process is gone.
+	HolderGone HolderState = "gone"
+	// HolderReleasedGone is a released holder whose process is gone since.
+	HolderReleasedGone HolderState = "released-gone"
+)
+
 // Ownership is the entry of a target in a ledger.
 type Ownership struct {
 	// Current is the owner; its session is empty after a release.
@@ -40,27 +54,6 @@
 	return o
 }
 
-// EndedThrough returns the highest term before which no holder sends
-// anything new.
-func (o Ownership) EndedThrough() uint64 {
-	through := o.Current.Term - 1
-	for _, h := range o.Earlier {
-		if !h.Ended {
-			through = min(through, h.Term-1)
-		}
-	}
-	return through
-}
-
-// DrainedThrough returns the highest term without a running request.
-func (o Ownership) DrainedThrough() uint64 {
-	through := o.Current.Term - 1
-	for _, h := range o.Earlier {
-		through = min(through, h.Term-1)
-	}
-	return through
-}
-
 // tagBits is the part of a term number that tells sessions apart which claim
 // the same generation, as they may while the store is away.
 const tagBits = 32
--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -12,11 +12,10 @@
 	"bamboorail.example/bamboorail"
 )
 
-// The schema versions that this package reads.
-const (
-	MinSchema = 1
-	MaxSchema = 2
-)
+// MinSchema is the lowest accepted schema version. Records of newer schemas
+// than this package knows are read as long as they require no feature that it
+// lacks.
+const MinSchema = 1
 
 // Kind is the kind of a record.
 type Kind string
@@ -123,9 +122,6 @@
 	if r.header.Kind != kind {
 		return invalid(op, "record %s is not of kind %q", r.Key(), kind)
 	}
-	if r.header.Schema > MaxSchema && len(r.header.Requires) == 0 {
-		return invalid(op, "schema version %d of %s is newer than %d", r.header.Schema, r.Key(), MaxSchema)
-	}
 	for _, f := range r.header.Requires {
 		if !slices.Contains(features, f) {
 			return invalid(op, "record %s requires the unknown feature %q", r.Key(), f)
