--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -204,7 +204,7 @@
 	var options []placement.Option
 	for _, t := range view.Targets() {
 		a, owned := announced[t.Name()]
-		if !owned || t.Zone() != r.zone() || !adapter.MayRunOn(t) || !r.takesWork(t) {
+		if !owned || a.State.GetLeaving() || t.Zone() != r.zone() || !adapter.MayRunOn(t) || !r.takesWork(t) {
 			continue
 		}
 		o := r.option(m, a)
--- a/internal/owner/engine.go
+++ b/internal/owner/engine.go
@@ -141,6 +141,9 @@
 		i.Decide(admission.Grant{Err: notRun("wait", bamboorail.KindDeadlineExceeded,
 			e.table.ExpectedWait(now, i.Work().Model), errors.New("deadline passed in the queue"))})
 	}
+	for _, i := range e.table.TakeLeaving() {
+		i.Decide(admission.Grant{Err: e.table.LeavingRefusal()})
+	}
 	e.table.Compact(now)
 	e.config.Observer.Batch(e.config.Target, e.table.Running(), e.table.Summary().Limits.MaxBatch)
 	for _, h := range e.table.Retire(e.declared) {
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -43,6 +43,7 @@
 	t := &wire.TargetState{
 		Slots: int32(s.Limits.Slots), MaxBatch: int32(s.Limits.MaxBatch), Running: int32(s.Running), Queued: int32(s.Queued),
 		WaitMicros: s.Wait.Microseconds(), LoadMicros: s.LoadTime.Microseconds(), Cold: s.Cold, Unreachable: s.Unreachable,
+		Leaving: s.Leaving,
 	}
 	for _, l := range s.Slots {
 		t.Loaded = append(t.Loaded, &wire.SlotState{
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -89,6 +89,7 @@
 	demand      map[bamboorail.ModelRef]*demand
 	incarnation string
 	cold        bool
+	leaving     bool
 	closed      error
 	running     int
 	loads       uint64
@@ -199,6 +200,9 @@
 	if t.closed != nil {
 		return t.closed
 	}
+	if t.leaving {
+		return t.LeavingRefusal()
+	}
 	if t.queue.Len() >= t.settings.MaxQueue {
 		return refuse(bamboorail.KindOverloaded, t.drainTime(), fmt.Errorf("%d requests wait", t.queue.Len()))
 	}
@@ -211,6 +215,22 @@
 	return nil
 }
 
+// errLeaving is the reason of a target that reports that it leaves.
+var errLeaving = errors.New("the target reports that it leaves")
+
+// LeavingRefusal returns the refusal of a target that reports that it leaves.
+func (t *Table) LeavingRefusal() error {
+	return refuse(bamboorail.KindNoTarget, time.Second, errLeaving)
+}
+
+// TakeLeaving takes all requests out of the queue if the target leaves.
+func (t *Table) TakeLeaving() []*admission.Item {
+	if !t.leaving {
+		return nil
+	}
+	return t.queue.TakeIf(func(*admission.Item) bool { return true })
+}
+
 // Remove takes a waiting request out of the queue.
 func (t *Table) Remove(i *admission.Item) bool { return t.queue.Remove(i) }
 
@@ -317,7 +337,7 @@
 
 // NextDispatch returns the next request to run, if the batch has room.
 func (t *Table) NextDispatch(now time.Time) (Dispatch, bool) {
-	if t.running >= t.limits.MaxBatch || t.cold {
+	if t.running >= t.limits.MaxBatch || t.cold || t.leaving {
 		return Dispatch{}, false
 	}
 	i := t.policy.Next(t)
@@ -520,6 +540,7 @@
 	t.incarnation = r.Incarnation
 	t.unreachable = 0
 	t.cold = r.BaseModel == ""
+	t.leaving = r.Leaving
 	if r.Slots > 0 {
 		t.limits.Slots = r.Slots
 	}
@@ -653,6 +674,8 @@
 	Wait     time.Duration
 	LoadTime time.Duration
 	Cold     bool
+	// Leaving is set for a target that reports that it leaves.
+	Leaving bool
 	// Unreachable is set after several missing reports.
 	Unreachable bool
 }
@@ -663,7 +686,7 @@
 
 // Summary returns the state of the table.
 func (t *Table) Summary() Summary {
-	s := Summary{Limits: t.limits, Running: t.running, Queued: t.queue.Len(), Cold: t.cold}
+	s := Summary{Limits: t.limits, Running: t.running, Queued: t.queue.Len(), Cold: t.cold, Leaving: t.leaving}
 	s.Unreachable = t.unreachable >= unreachableReports
 	s.LoadTime = time.Duration(t.loadTime.seconds * float64(time.Second))
 	if t.running+t.queue.Len() >= t.limits.MaxBatch {
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -101,6 +101,8 @@
 	batch       []*run
 	prefixes    map[string]struct{}
 	violations  []Evicted
+	leaving     bool
+	started     int
 	history     []snapshot
 	steps       uint64
 	stepTokens  uint64
@@ -352,6 +354,7 @@
 		waits: e.prefill(handle, prompt), changed: make(chan struct{}), leftAt: time.Now(),
 	}
 	l.running++
+	e.started++
 	e.runs[id] = r
 	e.queue = append(e.queue, r)
 	return r, nil
@@ -370,6 +373,20 @@
 	return e.options.Prefill
 }
 
+// Leave makes the engine report that it leaves.
+func (e *Engine) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
+// Started returns the number of runs that began.
+func (e *Engine) Started() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.started
+}
+
 // Cancel ends a run.
 func (e *Engine) Cancel(id string) error {
 	e.mu.Lock()
@@ -436,6 +453,7 @@
 	Incarnation string
 	BaseModel   string
 	LastOrder   string
+	Leaving     bool
 	Queued      int
 	Running     int
 	Handles     []bamboorail.HandleState
@@ -449,7 +467,7 @@
 }
 
 func (e *Engine) state(now time.Time) State {
-	s := State{Incarnation: e.incarnation, LastOrder: e.lastOrder, Queued: len(e.queue), Running: len(e.batch)}
+	s := State{Incarnation: e.incarnation, LastOrder: e.lastOrder, Leaving: e.leaving, Queued: len(e.queue), Running: len(e.batch)}
 	if now.Before(e.coldUntil) {
 		return s
 	}
--- a/internal/stand/engine/openai.go
+++ b/internal/stand/engine/openai.go
@@ -231,6 +231,7 @@
 var (
 	slotsDesc   = prometheus.NewDesc("engine_adapter_slots", "Adapter slots.", nil, nil)
 	batchDesc   = prometheus.NewDesc("engine_max_batch", "Largest batch.", nil, nil)
+	leavingDesc = prometheus.NewDesc("engine_leaving", "Set while the engine leaves.", nil, nil)
 	infoDesc    = prometheus.NewDesc("engine_info", "Incarnation, base model and last order.", []string{"incarnation", "base_model", "last_order"}, nil)
 	runningDesc = prometheus.NewDesc("engine_requests_running", "Running requests by handle.", []string{"lora_name", "lora_source"}, nil)
 	stepsDesc   = prometheus.NewDesc("engine_steps_total", "Steps with a non-empty batch.", nil, nil)
@@ -238,7 +239,7 @@
 )
 
 func (c *collector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{slotsDesc, batchDesc, infoDesc, runningDesc, stepsDesc, tokensDesc} {
+	for _, d := range []*prometheus.Desc{slotsDesc, batchDesc, leavingDesc, infoDesc, runningDesc, stepsDesc, tokensDesc} {
 		ch <- d
 	}
 }
@@ -253,6 +254,9 @@
 	}
 	gauge(slotsDesc, float64(c.engine.options.Slots))
 	gauge(batchDesc, float64(c.engine.options.MaxBatch))
+	if s.Leaving {
+		gauge(leavingDesc, 1)
+	}
 	gauge(infoDesc, 1, s.Incarnation, s.BaseModel, s.LastOrder)
 	for _, h := range s.Handles {
 		gauge(runningDesc, float64(h.Running), string(h.Handle), h.Model.String())
--- a/internal/stand/engine/status.go
+++ b/internal/stand/engine/status.go
@@ -30,6 +30,7 @@
 	Capacity int          `json:"capacity"`
 	Batch    int          `json:"batch"`
 	Order    string       `json:"order"`
+	Leaving  bool         `json:"leaving"`
 	Waiting  int          `json:"waiting"`
 	Adapters []aliasState `json:"adapters"`
 }
@@ -44,7 +45,7 @@
 	s := e.LaggingState()
 	doc := stateDocument{
 		Boot: s.Incarnation, Base: s.BaseModel, Capacity: e.options.Slots, Batch: e.options.MaxBatch,
-		Order: s.LastOrder, Waiting: s.Queued,
+		Order: s.LastOrder, Leaving: s.Leaving, Waiting: s.Queued,
 	}
 	for _, h := range s.Handles {
 		doc.Adapters = append(doc.Adapters, aliasState{Alias: string(h.Handle), Weights: h.Model.String(), Active: h.Running})
