internal/service: failure tests of streams, leaving targets, zones, configuration

The tests found that a whole answer of which nothing had been sent was not run again after a cut, because its sink had begun; sinks that hold an answer back can now be reset. Conclusion: streams end with an error event, whole answers run again.

--- a/dispatch.go
+++ b/dispatch.go
@@ -77,6 +77,12 @@
 	Write(chunk []byte) error
 }
 
+// Resetter is implemented by sinks that hold an answer back until it is
+// whole. Reset forgets what was written, so that the request can run again.
+type Resetter interface {
+	Reset()
+}
+
 // Dispatcher runs a request on its target and writes the answer to s. It
 // returns nil only after the whole answer was written. Its errors carry a
 // Failure with the outcome.
--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -132,6 +132,12 @@
 	return nil
 }
 
+// Reset forgets a partial answer.
+func (s *wholeSink) Reset() {
+	s.text.Reset()
+	s.reason, s.usage, s.tokens = "", nil, 0
+}
+
 func (s *wholeSink) Write(chunk []byte) error {
 	path := "choices.0.text"
 	if s.chat {
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -108,6 +108,7 @@
 		if !r.mayRetry(ctx, w, sink, err, attempt, started) {
 			return finalError(err)
 		}
+		sink.reset()
 		if target != "" {
 			failed[target] = true
 		}
@@ -133,7 +134,7 @@
 // mayRetry reports whether a failed request should be sent again.
 func (r *Router) mayRetry(ctx context.Context, w *bamboorail.Work, s *onceSink, err error, attempt int, started time.Time) bool {
 	f := bamboorail.FailureOf(err)
-	safe := f.Outcome == bamboorail.OutcomeNotRun || (w.Repeatable && !s.begun)
+	safe := f.Outcome == bamboorail.OutcomeNotRun || (w.Repeatable && !s.delivered())
 	if !safe || attempt >= maxAttempts || ctx.Err() != nil {
 		return false
 	}
@@ -347,6 +348,19 @@
 	begun bool
 }
 
+// delivered reports whether a part of the answer may have left the sink.
+func (o *onceSink) delivered() bool {
+	_, held := o.Sink.(bamboorail.Resetter)
+	return o.begun && !held
+}
+
+func (o *onceSink) reset() {
+	o.begun = false
+	if r, ok := o.Sink.(bamboorail.Resetter); ok {
+		r.Reset()
+	}
+}
+
 func (o *onceSink) Begin(h bamboorail.AnswerHead) error {
 	o.begun = true
 	return o.Sink.Begin(h)
--- /dev/null
+++ b/internal/service/failure_test.go
@@ -0,0 +1,456 @@
+package service_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/platform"
+	"bamboorail.example/bamboorail/internal/requestid"
+	"bamboorail.example/bamboorail/internal/settings"
+	"bamboorail.example/bamboorail/internal/stand/engine"
+	"bamboorail.example/bamboorail/internal/stand/fault"
+	"bamboorail.example/bamboorail/pkg/operatorapi"
+	"bamboorail.example/bamboorail/pkg/record"
+)
+
+func (b *bed) fault(s *standIn, r fault.Rule) {
+	b.t.Helper()
+	if err := s.faults.Add(r); err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+func TestCutStreamIsResumedOrEndsWithAnError(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	b.adapter("suhrn")
+	b.engine("stroj-1", "sala-a", record.DialectOpenAI, 2)
+	b.engine("stroj-2", "sala-b", record.DialectStatus, 2)
+	b.commit("first")
+	a, c := b.entry("a1", "sala-a"), b.entry("b1", "sala-b")
+	b.awaitOwned("sala-a", "stroj-1")
+	b.awaitOwned("sala-b", "stroj-2")
+	for _, n := range []*node{a, c} {
+		b.mustComplete(n, "suhrn@v1", "warm", 2)
+	}
+	b.fault(b.ports["stroj-1"], fault.Rule{Path: "/v1/completions", CutAfter: 1000, Count: 1})
+	text, done, resp := b.stream(a, "suhrn@v1", "resume", 30)
+	if text != engine.Text("suhrn@v1", "resume", 30) || !done {
+		t.Errorf("resumed stream: done %t: %s", done, resp.body)
+	}
+	b.fault(b.ports["stroj-2"], fault.Rule{Path: "/generate", CutAfter: 300, Count: 1})
+	_, done, resp = b.stream(c, "suhrn@v1", "cut", 30)
+	if done || !strings.Contains(resp.body, "event: error") || !strings.Contains(resp.body, "may-have-run") {
+		t.Errorf("cut stream looks whole or has no error: %s", resp.body)
+	}
+	b.fault(b.ports["stroj-2"], fault.Rule{Path: "/generate", CutAfter: 300, Count: 1})
+	// A whole answer of which nothing was sent yet can run again.
+	b.mustComplete(c, "suhrn@v1", "again", 30)
+}
+
+func TestCallerThatGoesAwayCancelsItsRun(t *testing.T) {
+	t.Parallel()
+	for name, dialect := range map[string]record.Dialect{"openai": record.DialectOpenAI, "status": record.DialectStatus} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBed(t)
+			b.adapter("suhrn")
+			e := b.engine("stroj-1", "sala-a", dialect, 2)
+			b.commit("first")
+			b.entry("a1", "sala-a")
+			b.entry("a2", "sala-a")
+			b.awaitOwned("sala-a", "stroj-1")
+			n := b.entries["a1"]
+			if b.ownerOf("sala-a", "stroj-1") == n {
+				n = b.entries["a2"] // so that the cancellation crosses a hop
+			}
+			b.mustComplete(n, "suhrn@v1", "warm", 2)
+			ctx, cancel := context.WithCancel(t.Context())
+			body := `{"model":"suhrn@v1","prompt":"long","max_tokens":30000,"stream":true}`
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.instance.CallerAddress()+"/v1/completions", strings.NewReader(body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Header.Set("Authorization", "Bearer "+callerToken)
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.ReadFull(resp.Body, make([]byte, 100)); err != nil {
+				t.Fatal(err)
+			}
+			cancel()
+			_ = resp.Body.Close()
+			b.await("the run has ended", func() bool { return e.State().Running == 0 })
+		})
+	}
+}
+
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	for name, leave := range map[string]func(b *bed){
+		"declared by operators": func(b *bed) {
+			b.record("%s", strings.Replace(b.targetRecord("stroj-1"), `"slots"`, `"state":"draining","slots"`, 1))
+			b.commit("drain")
+		},
+		"reported by the engine without the platform": func(b *bed) {
+			b.fault(b.platform, fault.Rule{Path: "/v1", Cut: true})
+			b.engines["stroj-1"].Leave()
+		},
+		"listed by the platform": func(b *bed) {
+			list := []bamboorail.Instance{{ID: "stroj-1", Zone: "sala-a", State: bamboorail.InstanceLeaving}}
+			data, err := json.Marshal(list)
+			if err != nil {
+				b.t.Fatal(err)
+			}
+			req, err := http.NewRequest(http.MethodPut, b.platform.server.URL+"/fault-instances", strings.NewReader(string(data)))
+			if err != nil {
+				b.t.Fatal(err)
+			}
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				b.t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBed(t)
+			b.adapter("suhrn")
+			leaving := b.engine("stroj-1", "sala-a", record.DialectOpenAI, 2)
+			b.engine("stroj-2", "sala-a", record.DialectOpenAI, 2)
+			b.commit("first")
+			n := b.entry("a1", "sala-a")
+			b.entry("a2", "sala-a")
+			b.awaitOwned("sala-a", "stroj-1", "stroj-2")
+			b.await("both engines serve", func() bool {
+				var group sync.WaitGroup
+				for k := range 12 {
+					group.Go(func() { b.complete(n, "suhrn@v1", fmt.Sprint(k), 20) })
+				}
+				group.Wait()
+				return leaving.Started() > 0
+			})
+			running := make(chan string, 1)
+			go func() {
+				text, _, _ := b.stream(n, "suhrn@v1", "long", 200)
+				running <- text
+			}()
+			b.await("the long stream runs", func() bool { return leaving.State().Running+b.engines["stroj-2"].State().Running > 0 })
+			leave(b)
+			b.await("both instances know", func() bool {
+				for _, n := range []string{"a1", "a2"} {
+					var list []operatorapi.Target
+					_ = json.Unmarshal([]byte(b.operator(b.entries[n], "/v1/targets")), &list)
+					if len(list) == 0 || list[0].State == "active" {
+						return false
+					}
+				}
+				return true
+			})
+			before := leaving.Started()
+			for k := range 30 {
+				b.mustComplete(n, "suhrn@v1", fmt.Sprint("late", k), 2)
+			}
+			if leaving.Started() != before {
+				t.Error("the leaving engine got new work")
+			}
+			if text := <-running; text != engine.Text("suhrn@v1", "long", 200) {
+				t.Errorf("the running stream was cut after %d bytes", len(text))
+			}
+		})
+	}
+}
+
+// targetRecord returns the declared record of a target.
+func (b *bed) targetRecord(name string) string {
+	b.t.Helper()
+	r := platform.NewReader(b.store, func(*platform.View, []error) {})
+	if err := r.Refresh(b.t.Context()); err != nil {
+		b.t.Fatal(err)
+	}
+	rec, ok := r.Current().Record(record.Key{Kind: record.KindTarget, Name: name})
+	if !ok {
+		b.t.Fatalf("no record of %s", name)
+	}
+	return string(rec.Raw())
+}
+
+// TestAnswersStayExactWhileVersionsChange retires and reloads versions on few
+// slots while engines restart and loads fail. Every answer must be whole and
+// of the named version, or an error.
+func TestAnswersStayExactWhileVersionsChange(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	for _, a := range []string{"suhrn", "stitky", "varovania"} {
+		b.adapter(a)
+	}
+	b.engine("stroj-1", "sala-a", record.DialectOpenAI, 2)
+	b.engine("stroj-2", "sala-a", record.DialectStatus, 2)
+	b.commit("first")
+	b.entry("a1", "sala-a")
+	b.entry("a2", "sala-a")
+	b.awaitOwned("sala-a", "stroj-1", "stroj-2")
+	b.fault(b.weights, fault.Rule{Path: "/weights/stitky", Status: 503, Count: 3})
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	whole := 0
+	for k := range 8 {
+		group.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				model := fmt.Sprintf("%s@v%d", []string{"suhrn", "stitky", "varovania"}[(k+n)%3], 1+n%2)
+				prompt := fmt.Sprintf("%d-%d", k, n)
+				text, a := b.complete(b.entries[fmt.Sprint("a", 1+k%2)], model, prompt, 10)
+				switch {
+				case a.status == http.StatusOK && text == engine.Text(model, prompt, 10):
+					mu.Lock()
+					whole++
+					mu.Unlock()
+				case a.status == http.StatusOK || a.kind() == "answer-mismatch":
+					t.Errorf("%s: %q", model, a.body)
+				}
+			}
+		})
+	}
+	progress := func() func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		before := whole
+		return func() bool { mu.Lock(); defer mu.Unlock(); return whole >= before+40 }
+	}
+	b.await("answers", progress())
+	b.engines["stroj-1"].Restart()
+	b.engines["stroj-2"].Restart()
+	b.await("answers after restarts", progress())
+	b.record(`{"schema-version":1,"kind":"adapter","name":"suhrn","base-model":"zaklad","versions":[{"name":"v1","state":"retired"},{"name":"v2"}]}`)
+	b.commit("retire")
+	b.await("answers after a retirement", progress())
+	b.await("the retired version is refused", func() bool {
+		_, a := b.complete(b.entries["a1"], "suhrn@v1", "x", 1)
+		_, c := b.complete(b.entries["a2"], "suhrn@v1", "x", 1)
+		return a.kind() == "unknown-version" && c.kind() == "unknown-version"
+	})
+	b.record(`{"schema-version":1,"kind":"adapter","name":"suhrn","base-model":"zaklad","versions":[{"name":"v1"},{"name":"v2"}]}`)
+	b.commit("restore")
+	b.await("answers after a restoration", progress())
+	close(stop)
+	group.Wait()
+	b.await("the restored version serves", func() bool {
+		text, _ := b.complete(b.entries["a2"], "suhrn@v1", "back", 3)
+		return text == engine.Text("suhrn@v1", "back", 3)
+	})
+	if v := b.violations(); len(v) > 0 {
+		t.Errorf("evicted while serving: %v", v)
+	}
+}
+
+func TestConfigurationReachesEveryInstance(t *testing.T) {
+	t.Parallel()
+	for name, rule := range map[string]fault.Rule{
+		"watch works":            {Path: "/none"},
+		"watch events are lost":  {Path: "/v1/watch", Cut: true},
+		"the platform is slow":   {Path: "/v1", Delay: "300ms"},
+		"one call in two is cut": {Path: "/v1/objects/config", Cut: true, Count: 8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBed(t)
+			b.commit("first")
+			nodes := []*node{b.entry("a1", "sala-a"), b.entry("a2", "sala-a"), b.entry("b1", "sala-b")}
+			b.fault(b.platform, rule)
+			b.adapter("novy")
+			b.await("the change is committed", func() bool {
+				records := b.records
+				head, _, err := platform.ReadHead(t.Context(), b.store)
+				if err != nil {
+					return false
+				}
+				_, err = platform.NewWriter(b.store).Commit(t.Context(), platform.Change{ID: "second", Base: head.Revision, Apply: []json.RawMessage{json.RawMessage(records[0])}})
+				return err == nil
+			})
+			for _, n := range nodes {
+				b.await("in force", func() bool {
+					return strings.Contains(b.call(n, http.MethodGet, "/v1/models", "", nil).body, "novy@v1")
+				})
+			}
+		})
+	}
+}
+
+// cutter forwards TCP connections and can cut them: connections then hang, as
+// across a network partition.
+type cutter struct {
+	address string
+	mu      sync.Mutex
+	healed  chan struct{}
+	conns   []net.Conn
+}
+
+func newCutter(t *testing.T, to func() string) *cutter {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	c := &cutter{address: l.Addr().String(), healed: make(chan struct{})}
+	close(c.healed)
+	t.Cleanup(c.heal)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go c.forward(conn, to())
+		}
+	}()
+	return c
+}
+
+func (c *cutter) forward(in net.Conn, to string) {
+	out, err := net.Dial("tcp", to)
+	if err != nil {
+		_ = in.Close()
+		return
+	}
+	c.mu.Lock()
+	c.conns = append(c.conns, in, out)
+	c.mu.Unlock()
+	go c.pipe(in, out)
+	c.pipe(out, in)
+}
+
+func (c *cutter) pipe(from, to net.Conn) {
+	defer to.Close()
+	defer from.Close()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		c.mu.Lock()
+		healed := c.healed
+		c.mu.Unlock()
+		<-healed
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (c *cutter) cut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.healed = make(chan struct{})
+}
+
+func (c *cutter) heal() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-c.healed:
+	default:
+		close(c.healed)
+	}
+}
+
+func TestZoneCutOffServesWhatItCan(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	b.adapter("suhrn")
+	b.engine("stroj-1", "sala-a", record.DialectOpenAI, 2)
+	b.engine("stroj-2", "sala-b", record.DialectOpenAI, 2)
+	appA := b.application("citaren-a", "sala-a", "citaren", 0)
+	appB := b.application("citaren-b", "sala-b", "citaren", 0)
+	b.commit("first")
+	// Every link of zone sala-b to the outside goes through a cutter.
+	var a, c *node
+	toA := newCutter(t, func() string { return a.instance.PeerAddress() })
+	toB := newCutter(t, func() string { return c.instance.PeerAddress() })
+	toPlatform := newCutter(t, func() string { return strings.TrimPrefix(b.platform.server.URL, "http://") })
+	a = b.entry("a1", "sala-a", func(s *settings.Entry) { s.PeerAnnounce = toA.address })
+	c = b.entry("b1", "sala-b", func(s *settings.Entry) { s.PeerAnnounce, s.PlatformURL = toB.address, "http://"+toPlatform.address })
+	b.awaitOwned("sala-a", append(keeperTargets("citaren"), "stroj-1")...)
+	b.awaitOwned("sala-b", append(keeperTargets("citaren"), "stroj-2")...)
+	idA, idB := b.idInUse(a, "sala-a"), b.idInUse(c, "sala-b")
+	b.await("calls cross the zones", func() bool {
+		id := b.idInUse(a, "sala-a")
+		resp := b.call(c, http.MethodPost, "/v1/services/citaren/x", "", map[string]string{requestid.Header: id})
+		return resp.status == http.StatusOK
+	})
+	for _, l := range []*cutter{toA, toB, toPlatform} {
+		l.cut()
+	}
+	b.mustComplete(c, "suhrn@v1", "in the cut zone", 4)
+	b.mustComplete(c, "suhrn@v2", "a load in the cut zone", 4)
+	resp := b.call(c, http.MethodPost, "/v1/services/citaren/x", "", map[string]string{requestid.Header: idB})
+	if resp.status != http.StatusOK {
+		t.Errorf("a call homed in the cut zone: %d %s", resp.status, resp.body)
+	}
+	resp = b.call(c, http.MethodPost, "/v1/services/citaren/x", "", map[string]string{requestid.Header: idA, "Request-Deadline": "3s"})
+	if resp.status == http.StatusOK || appB.Runs()[idA] > 0 || appA.Runs()[idA] > 1 {
+		t.Errorf("a call homed in the other zone: %d, runs %d and %d", resp.status, appA.Runs()[idA], appB.Runs()[idA])
+	}
+	for _, l := range []*cutter{toA, toB, toPlatform} {
+		l.heal()
+	}
+	b.await("calls cross the zones again", func() bool {
+		id := b.idInUse(a, "sala-a")
+		resp := b.call(c, http.MethodPost, "/v1/services/citaren/x", "", map[string]string{requestid.Header: id})
+		return resp.status == http.StatusOK
+	})
+	for _, app := range []map[string]int{appA.Runs(), appB.Runs()} {
+		for id, n := range app {
+			if n > 1 {
+				t.Errorf("request %s ran %d times", id, n)
+			}
+		}
+	}
+}
+
+func TestGivenUpRequestIsAnsweredAtOnce(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	b.adapter("suhrn")
+	e := b.engine("stroj-1", "sala-a", record.DialectOpenAI, 1)
+	b.commit("first")
+	n := b.entry("a1", "sala-a")
+	b.awaitOwned("sala-a", "stroj-1")
+	b.mustComplete(n, "suhrn@v1", "warm", 2)
+	for k := range 8 {
+		go func() { b.stream(n, "suhrn@v1", fmt.Sprint("fill", k), 3000) }()
+	}
+	b.await("the batch is full", func() bool { return e.State().Running == 8 })
+	b.await("a short deadline is refused", func() bool {
+		start := time.Now()
+		body := `{"model":"suhrn@v1","prompt":"x","max_tokens":5}`
+		a := b.call(n, http.MethodPost, "/v1/completions", body, map[string]string{"Request-Deadline": "900ms"})
+		if a.status == http.StatusOK {
+			return false
+		}
+		if a.header.Get("Retry-After") == "" || a.header.Get("Run-Outcome") != "not-run" {
+			t.Errorf("refusal without Retry-After or outcome: %v", a.header)
+		}
+		return time.Since(start) < 450*time.Millisecond && a.kind() == "overloaded"
+	})
+}
--- a/internal/service/operators.go
+++ b/internal/service/operators.go
@@ -76,6 +76,9 @@
 		if t.GetTarget() != row.Name || t.GetTerm() < row.Term {
 			continue
 		}
+		if t.GetLeaving() {
+			row.State = string(membership.StateLeaving)
+		}
 		row.Owner, row.Term = s.GetInstance(), t.GetTerm()
 		row.Running, row.Queued = int(t.GetRunning()), int(t.GetQueued())
 		row.Adapters = row.Adapters[:0]
