--- /dev/null
+++ b/internal/owner/keeper_test.go
@@ -0,0 +1,128 @@
+package owner_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/logflags"
+	"bamboorail.example/bamboorail/internal/owner"
+	"bamboorail.example/bamboorail/internal/placement"
+)
+
+// fakeApplication counts the calls that reach it.
+type fakeApplication struct {
+	mu    sync.Mutex
+	calls map[string]int
+	err   error
+}
+
+func (f *fakeApplication) Call(_ context.Context, w *bamboorail.Work, s bamboorail.Sink) error {
+	f.mu.Lock()
+	f.calls[w.RequestID]++
+	f.mu.Unlock()
+	time.Sleep(10 * time.Millisecond)
+	if f.err != nil {
+		return f.err
+	}
+	return s.Begin(bamboorail.AnswerHead{Status: 200})
+}
+
+type nullSink struct{}
+
+func (nullSink) Begin(bamboorail.AnswerHead) error { return nil }
+func (nullSink) Write([]byte) error                { return nil }
+
+func newKeeper(e placement.Evidence, began time.Time, app bamboorail.Application) *owner.Keeper {
+	k := owner.NewKeeper("service/kasa/0", e, began, logflags.Discard().Layer("keeper"))
+	k.SetBackends([]owner.Backend{{Name: "kasa-1", Limit: 4, Call: app}})
+	return k
+}
+
+func TestKeeperDecidesByTheAgeOfAnID(t *testing.T) {
+	for name, c := range map[string]struct {
+		issued  time.Duration // after the beginning of the term
+		now     time.Duration
+		open    bool
+		outcome bamboorail.Outcome
+		runs    int
+	}{
+		"fresh":                          {issued: 10 * time.Second, now: 10 * time.Second, runs: 1},
+		"issued before the term":         {issued: -time.Second, now: 10 * time.Second, outcome: bamboorail.OutcomeMayHaveRun},
+		"issued within the clock skew":   {issued: time.Second, now: 10 * time.Second, outcome: bamboorail.OutcomeMayHaveRun},
+		"issued just after the skew":     {issued: 2 * time.Second, now: 10 * time.Second, runs: 1},
+		"too old":                        {issued: 5 * time.Second, now: 11 * time.Minute, outcome: bamboorail.OutcomeMayHaveRun},
+		"from the future":                {issued: 15 * time.Second, now: 10 * time.Second, outcome: bamboorail.OutcomeNotRun},
+		"an earlier keeper may still be": {issued: 10 * time.Second, now: 10 * time.Second, open: true, outcome: bamboorail.OutcomeNotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				e := placement.Evidence{Term: 2}
+				if c.open {
+					e.Earlier = []placement.Earlier{{Term: 1, State: placement.TermOpen}}
+				}
+				app := &fakeApplication{calls: map[string]int{}}
+				k := newKeeper(e, began, app)
+				time.Sleep(c.now)
+				w := &bamboorail.Work{RequestID: "z.1", IssuedAt: began.Add(c.issued), Weight: 1}
+				err := k.Dispatch(t.Context(), w, nullSink{})
+				if (err == nil) != (c.outcome == "") || (err != nil && bamboorail.FailureOf(err).Outcome != c.outcome) {
+					t.Errorf("error %v, expected outcome %q", err, c.outcome)
+				}
+				if app.calls["z.1"] != c.runs {
+					t.Errorf("ran %d times, expected %d", app.calls["z.1"], c.runs)
+				}
+				if err := k.Dispatch(t.Context(), w, nullSink{}); err == nil {
+					t.Error("the repeat ran")
+				}
+			})
+		})
+	}
+}
+
+func TestKeeperRunsCrossedRepeatsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		app := &fakeApplication{calls: map[string]int{}}
+		k := newKeeper(placement.Evidence{Term: 1}, time.Now(), app)
+		time.Sleep(5 * time.Second)
+		w := &bamboorail.Work{RequestID: "z.1", IssuedAt: time.Now(), Weight: 1}
+		var group sync.WaitGroup
+		for range 20 {
+			group.Go(func() { _ = k.Dispatch(t.Context(), w, nullSink{}) })
+		}
+		group.Wait()
+		if app.calls["z.1"] != 1 {
+			t.Errorf("ran %d times", app.calls["z.1"])
+		}
+	})
+}
+
+func TestKeeperForgetsOnlyWhatProvablyDidNotLeave(t *testing.T) {
+	for name, c := range map[string]struct {
+		outcome bamboorail.Outcome
+		calls   int
+	}{
+		"not run":      {bamboorail.OutcomeNotRun, 2},
+		"may have run": {bamboorail.OutcomeMayHaveRun, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				app := &fakeApplication{calls: map[string]int{}}
+				app.err = &owner.Error{Failure: bamboorail.Failure{Kind: bamboorail.KindTargetFailed, Outcome: c.outcome}}
+				k := newKeeper(placement.Evidence{Term: 1}, time.Now(), app)
+				time.Sleep(5 * time.Second)
+				w := &bamboorail.Work{RequestID: "z.1", IssuedAt: time.Now(), Weight: 1}
+				for range 2 {
+					_ = k.Dispatch(t.Context(), w, nullSink{})
+				}
+				if app.calls["z.1"] != c.calls {
+					t.Errorf("%d calls, expected %d", app.calls["z.1"], c.calls)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/placement/table_test.go
@@ -0,0 +1,261 @@
+package placement
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/admission"
+)
+
+func loadedTable(t *testing.T, slots int, models ...string) *Table {
+	t.Helper()
+	table := NewTable(Limits{Slots: slots, MaxBatch: 4}, DefaultSettings(), Weighted{}, Evidence{Term: 1})
+	table.Observe(modelNow, bamboorail.EngineReport{Incarnation: "i", BaseModel: "b"})
+	for _, m := range models {
+		if err := table.Preload(modelNow, ref(m)); err != nil {
+			t.Fatal(err)
+		}
+		p, ok := table.BeginLoad(modelNow)
+		if !ok {
+			t.Fatalf("no load of %s", m)
+		}
+		table.Loaded(modelNow, p.Handle, nil)
+	}
+	return table
+}
+
+func item(model, caller string, now time.Time) *admission.Item {
+	return admission.NewItem(&bamboorail.Work{
+		RequestID: model + caller, Model: ref(model), Caller: caller, Weight: 1, Tokens: 10, Deadline: now.Add(time.Hour),
+	}, now)
+}
+
+// TestUnclearUnloadKeepsTheHandleOutOfUse: an unload order without an answer
+// may still take effect, so the handle must not serve until it is gone.
+func TestUnclearUnloadKeepsTheHandleOutOfUse(t *testing.T) {
+	table := loadedTable(t, 1, "x")
+	if err := table.Enqueue(modelNow, item("y", "c", modelNow)); err != nil {
+		t.Fatal(err)
+	}
+	p, _ := table.BeginLoad(modelNow)
+	table.Unloaded(p.Victim, errors.New("no answer"))
+	table.Loaded(modelNow, p.Handle, Aborted(errors.New("no answer")))
+	if err := table.Enqueue(modelNow, item("x", "c", modelNow)); err != nil {
+		t.Fatal(err)
+	}
+	if d, ok := table.NextDispatch(modelNow); ok {
+		t.Fatalf("dispatched to %s, which may be unloaded any time", d.Handle)
+	}
+	if retired := table.Retire(func(bamboorail.ModelRef) bool { return true }); len(retired) != 1 || retired[0] != p.Victim {
+		t.Errorf("unload not repeated: %v", retired)
+	}
+}
+
+// TestLostLoadIsFoundAndUnloaded: a load whose answer was lost must not hold
+// its slot for ever.
+func TestLostLoadIsFoundAndUnloaded(t *testing.T) {
+	table := loadedTable(t, 1)
+	if err := table.Enqueue(modelNow, item("y", "c", modelNow)); err != nil {
+		t.Fatal(err)
+	}
+	p, _ := table.BeginLoad(modelNow)
+	table.Loaded(modelNow, p.Handle, errors.New("no answer"))
+	if free := table.FreeSlots(); free != 0 {
+		t.Errorf("%d free slots although the load may have taken one", free)
+	}
+	if retired := table.Retire(func(bamboorail.ModelRef) bool { return true }); len(retired) != 1 {
+		t.Fatalf("lost load not unloaded: %v", retired)
+	}
+	table.Unloaded(p.Handle, nil)
+	if free := table.FreeSlots(); free != 1 {
+		t.Errorf("%d free slots after the unload", free)
+	}
+	// The delayed load arrives after all: a report made after the unload
+	// shows a handle of this term that the table does not know.
+	n, _ := table.Barrier()
+	table.Observe(modelNow, bamboorail.EngineReport{
+		Incarnation: "i", BaseModel: "b", LastOrder: BarrierID(1, n),
+		Handles: []bamboorail.HandleState{{Handle: p.Handle, Model: ref("y")}},
+	})
+	if retired := table.Retire(func(bamboorail.ModelRef) bool { return true }); len(retired) != 1 {
+		t.Errorf("stray handle not unloaded: %v", retired)
+	}
+}
+
+func TestRepeatedLoadFailuresRefuseTheWaiting(t *testing.T) {
+	table := loadedTable(t, 1)
+	if err := table.Enqueue(modelNow, item("y", "c", modelNow)); err != nil {
+		t.Fatal(err)
+	}
+	now := modelNow
+	failure := &Error{bamboorail.Failure{Kind: bamboorail.KindTargetFailed, Outcome: bamboorail.OutcomeMayHaveRun}}
+	for n := range maxLoadFailures {
+		p, ok := table.BeginLoad(now)
+		if !ok {
+			t.Fatalf("no load attempt %d", n)
+		}
+		refused := table.Loaded(now, p.Handle, failure)
+		if want := n == maxLoadFailures-1; (len(refused) == 1) != want {
+			t.Errorf("attempt %d refused %d requests", n, len(refused))
+		}
+		now = now.Add(maxLoadBackoff)
+	}
+	if f := bamboorail.FailureOf(table.LoadFailure(modelNow, ref("y"))); f.Outcome != bamboorail.OutcomeNotRun || f.RetryAfter <= 0 {
+		t.Errorf("refusal %+v", f)
+	}
+}
+
+func TestFairnessBetweenCallers(t *testing.T) {
+	table := loadedTable(t, 1, "x")
+	for n := range 40 {
+		caller := "greedy"
+		if n%4 == 0 {
+			caller = "modest"
+		}
+		if err := table.Enqueue(modelNow, item("x", caller, modelNow.Add(time.Duration(n)))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	served := map[string]int{}
+	for range 20 {
+		d, ok := table.NextDispatch(modelNow)
+		if !ok {
+			t.Fatal("nothing to dispatch")
+		}
+		served[d.Item.Work().Caller]++
+		table.Finished(modelNow, d.Item.Work(), d.Handle, 10, true)
+	}
+	if served["modest"] != 10 {
+		t.Errorf("served %v of which modest should have all 10", served)
+	}
+}
+
+// TestPoliciesObeyTheSameRules drives the table with random operations under
+// both policies: slots are never exceeded, nothing that serves is evicted, and
+// every request is granted or refused exactly once.
+func TestPoliciesObeyTheSameRules(t *testing.T) {
+	for name, policy := range map[string]Policy{"weighted": Weighted{}, "naive": Naive{}} {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(rt *rapid.T) { drive(rt, policy) })
+		})
+	}
+}
+
+// granted is a request that runs.
+type granted struct {
+	work   *bamboorail.Work
+	handle bamboorail.Handle
+}
+
+func drive(t *rapid.T, policy Policy) {
+	const slots, batch = 2, 3
+	table := NewTable(Limits{Slots: slots, MaxBatch: batch}, DefaultSettings(), policy, Evidence{Term: 1})
+	table.Observe(modelNow, bamboorail.EngineReport{Incarnation: "i", BaseModel: "b"})
+	now, ids := modelNow, 0
+	var running []granted
+	var loading []LoadPlan
+	waiting := map[*admission.Item]bool{}
+	held := map[bamboorail.Handle]bamboorail.ModelRef{}
+	settle := func(i *admission.Item) {
+		if !waiting[i] {
+			t.Fatalf("request %s decided twice", i.Work().RequestID)
+		}
+		delete(waiting, i)
+	}
+	t.Repeat(map[string]func(*rapid.T){
+		"enqueue": func(t *rapid.T) {
+			ids++
+			i := item(fmt.Sprint("m", rapid.IntRange(0, 5).Draw(t, "model")), fmt.Sprint("c", rapid.IntRange(0, 2).Draw(t, "caller")), now)
+			if table.Enqueue(now, i) == nil {
+				waiting[i] = true
+			}
+		},
+		"dispatch": func(t *rapid.T) {
+			d, ok := table.NextDispatch(now)
+			if !ok {
+				return
+			}
+			settle(d.Item)
+			if held[d.Handle] != d.Item.Work().Model {
+				t.Fatalf("request for %s sent to %s", d.Item.Work().Model, d.Handle)
+			}
+			if running = append(running, granted{d.Item.Work(), d.Handle}); len(running) > batch {
+				t.Fatalf("%d requests run", len(running))
+			}
+		},
+		"finish": func(t *rapid.T) {
+			if len(running) == 0 {
+				return
+			}
+			n := rapid.IntRange(0, len(running)-1).Draw(t, "run")
+			table.Finished(now, running[n].work, running[n].handle, 10, true)
+			running = append(running[:n], running[n+1:]...)
+		},
+		"load": func(t *rapid.T) {
+			p, ok := table.BeginLoad(now)
+			if !ok {
+				return
+			}
+			for _, r := range running {
+				if r.handle == p.Victim {
+					t.Fatalf("evicted %s while it serves", p.Victim)
+				}
+			}
+			if p.Victim != "" {
+				table.Unloaded(p.Victim, nil)
+				delete(held, p.Victim)
+			}
+			loading = append(loading, p)
+			if len(held)+len(loading) > slots {
+				t.Fatalf("%d adapters in %d slots", len(held)+len(loading), slots)
+			}
+		},
+		"loaded": func(t *rapid.T) {
+			if len(loading) == 0 {
+				return
+			}
+			p := loading[0]
+			loading = loading[1:]
+			var err error
+			if rapid.Bool().Draw(t, "fails") {
+				err = &Error{bamboorail.Failure{Kind: bamboorail.KindTargetFailed, Outcome: bamboorail.OutcomeMayHaveRun}}
+			} else {
+				held[p.Handle] = p.Model
+			}
+			for _, i := range table.Loaded(now, p.Handle, err) {
+				settle(i)
+			}
+		},
+		"time passes": func(t *rapid.T) {
+			now = now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
+			for _, i := range table.Expired(now) {
+				settle(i)
+			}
+		},
+		"restart": func(t *rapid.T) {
+			table.Observe(now, bamboorail.EngineReport{Incarnation: fmt.Sprint(ids, now), BaseModel: "b"})
+			clear(held)
+			// What ran is lost with the engine, and so are its loads.
+			for _, r := range running {
+				table.Finished(now, r.work, r.handle, 0, true)
+			}
+			running = nil
+			for _, p := range loading {
+				for _, i := range table.Loaded(now, p.Handle, Aborted(errors.New("restart"))) {
+					settle(i)
+				}
+			}
+			loading = nil
+		},
+		"": func(t *rapid.T) {
+			if table.Queued() != len(waiting) || table.Running() != len(running) {
+				t.Fatalf("table has %d waiting and %d running, expected %d and %d", table.Queued(), table.Running(), len(waiting), len(running))
+			}
+		},
+	})
+}
