--- /dev/null
+++ b/internal/caller/caller_test.go
@@ -0,0 +1,104 @@
+package caller_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/caller"
+	"bamboorail.example/bamboorail/internal/logflags"
+	"bamboorail.example/bamboorail/internal/platform"
+	"bamboorail.example/bamboorail/internal/stand/memory"
+	"bamboorail.example/bamboorail/internal/telemetry"
+	"bamboorail.example/bamboorail/pkg/record"
+)
+
+// dispatcher answers every request with an error.
+type dispatcher struct{ err error }
+
+func (d *dispatcher) Dispatch(context.Context, *bamboorail.Work, bamboorail.Sink) error { return d.err }
+
+func newHandler(t testing.TB, err error) http.Handler {
+	t.Helper()
+	store := memory.NewStore()
+	change := platform.Change{ID: "c", Apply: []json.RawMessage{
+		json.RawMessage(`{"schema-version":1,"kind":"caller","name":"c","token-sha256":"` + record.HashToken("secret") + `","adapters":["*"],"services":["*"]}`),
+		json.RawMessage(`{"schema-version":1,"kind":"adapter","name":"a","base-model":"b","versions":[{"name":"v1"}]}`),
+	}}
+	if _, err := platform.NewWriter(store).Commit(t.Context(), change); err != nil {
+		t.Fatal(err)
+	}
+	r := platform.NewReader(store, func(*platform.View, []error) {})
+	if err := r.Refresh(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	spans := telemetry.NewSpanStore("i", 16)
+	return caller.NewServer(caller.Config{
+		Zone: "z", View: r.Current, Dispatcher: &dispatcher{err}, Ready: func() error { return nil }, MaxBody: 1 << 16,
+		Metrics: telemetry.NewMetrics(), Tracer: telemetry.NewTracer(spans), Log: logflags.Discard().Layer("caller"),
+	}).Handler()
+}
+
+func post(h http.Handler, body string, header map[string]string) *httptest.ResponseRecorder {
+	req := httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(body))
+	req.Header.Set("Authorization", "Bearer secret")
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, req)
+	return w
+}
+
+type taggedError struct{ bamboorail.Failure }
+
+// TestEveryErrorStatesItsOutcome walks all kinds of errors: each has a status,
+// an outcome, and on 429 and 503 a time to come back.
+func TestEveryErrorStatesItsOutcome(t *testing.T) {
+	kinds := map[bamboorail.Kind]int{
+		bamboorail.KindOverloaded: 429, bamboorail.KindNoTarget: 503, bamboorail.KindNotOwner: 503, bamboorail.KindUnavailable: 503,
+		bamboorail.KindLoadFailed: 503, bamboorail.KindStaleHandle: 503, bamboorail.KindDeadlineExceeded: 504, bamboorail.KindMismatch: 502,
+		bamboorail.KindTruncated: 502, bamboorail.KindTargetFailed: 502, bamboorail.KindAlreadySeen: 409, bamboorail.KindCancelled: 499,
+		bamboorail.KindInternal: 500, bamboorail.Kind("of-a-newer-peer"): 500,
+	}
+	for kind, status := range kinds {
+		for _, outcome := range []bamboorail.Outcome{bamboorail.OutcomeNotRun, bamboorail.OutcomeMayHaveRun, ""} {
+			t.Run(string(kind)+" "+string(outcome), func(t *testing.T) {
+				err := &taggedError{bamboorail.Failure{Op: "x", Kind: kind, Outcome: outcome}}
+				w := post(newHandler(t, err), `{"model":"a@v1","prompt":"x"}`, nil)
+				want := outcome
+				if want == "" {
+					want = bamboorail.OutcomeMayHaveRun // where unsure
+				}
+				if w.Code != status || w.Header().Get(caller.OutcomeHeader) != string(want) {
+					t.Errorf("status %d, outcome %q", w.Code, w.Header().Get(caller.OutcomeHeader))
+				}
+				if (status == 429 || status == 503) && w.Header().Get("Retry-After") == "" {
+					t.Error("no Retry-After")
+				}
+			})
+		}
+	}
+	w := post(newHandler(t, errors.New("without a failure")), `{"model":"a@v1","prompt":"x"}`, nil)
+	if w.Header().Get(caller.OutcomeHeader) != string(bamboorail.OutcomeMayHaveRun) {
+		t.Error("an unclassified error is not reported as possibly run")
+	}
+}
+
+func FuzzCompletions(f *testing.F) {
+	f.Add(`{"model":"a@v1","prompt":"x"}`, "1s", "z.1", "secret")
+	f.Add(`{"model":"a@v1","messages":[{}],"n":2}`, "-1", "\x00", "")
+	f.Add(`[[[[`, "9999h", strings.Repeat("x", 200), "x")
+	h := newHandler(f, &taggedError{bamboorail.Failure{Kind: bamboorail.KindOverloaded, Outcome: bamboorail.OutcomeNotRun}})
+	f.Fuzz(func(t *testing.T, body, deadline, id, token string) {
+		w := post(h, body, map[string]string{"Request-Deadline": deadline, "Request-Id": id, "Authorization": "Bearer " + token})
+		if w.Code < 400 || w.Header().Get(caller.OutcomeHeader) != "not-run" || !json.Valid(w.Body.Bytes()) {
+			t.Errorf("status %d, header %v, body %q", w.Code, w.Header(), w.Body)
+		}
+	})
+}
