--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -717,6 +717,15 @@
 	return true
 }
 
+// Reset forgets the requests that ran on an engine that is known to have
+// restarted.
+func (t *Table) Reset(now time.Time) {
+	t.running = 0
+	for _, s := range t.slots {
+		s.running, s.doubtful, s.lastUse = 0, 0, now
+	}
+}
+
 // Running returns the number of requests that run on the engine.
 func (t *Table) Running() int { return t.running }
 
--- a/internal/weightstore/permits.go
+++ b/internal/weightstore/permits.go
@@ -125,8 +125,11 @@
 	return best
 }
 
-func (w *waiter) urgency(now time.Time) float64 {
-	return w.request.Urgency + ageingPerSecond*now.Sub(w.since).Seconds()
+func (w *waiter) urgency(now time.Time) float64 { return Urgency(w.request.Urgency, now.Sub(w.since)) }
+
+// Urgency returns the rank of a request for a permit after it waited.
+func Urgency(asked float64, waited time.Duration) float64 {
+	return asked + ageingPerSecond*waited.Seconds()
 }
 
 // Waiting returns the number of waiting requests.
