internal/placement: route by the whole cost of a load

Cause: the time of a load left out the wait for its permit, so a saturated weight store looked free; requests for one cold adapter scattered over engines that each loaded it, because an awaited load was not announced and the order of options was not even transitive. Change: a load counts from the request for its permit; tables announce awaited models; options are ordered by one cost that charges a new load for the delay it causes.

--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -232,9 +232,6 @@
 		o.LoadTime = defaultLoadTime
 	}
 	for _, l := range s.GetLoaded() {
-		if !l.GetReady() {
-			o.Loads++
-		}
 		if l.GetModel() == m.String() {
 			o.Loaded = o.Loaded || l.GetReady()
 			o.Loading = o.Loading || !l.GetReady()
--- a/internal/measure/driver.go
+++ b/internal/measure/driver.go
@@ -53,6 +53,8 @@
 	table   *placement.Table
 	summary placement.Summary
 	sent    int
+	// sentModels are the models of the requests sent since the announcement.
+	sentModels map[bamboorail.ModelRef]bool
 	// asked is the time since which the engine waits for a permit.
 	asked      time.Time
 	waiting    bool
@@ -131,7 +133,7 @@
 		limits := placement.Limits{Slots: s.Slots, MaxBatch: s.MaxBatch}
 		e.table = placement.NewTable(limits, settings, c.Policy, placement.Evidence{Term: 1})
 		e.table.Observe(epoch, bamboorail.EngineReport{Incarnation: "0", BaseModel: "b"})
-		e.summary = e.table.Summary()
+		e.summary, e.sentModels = e.table.Summary(), map[bamboorail.ModelRef]bool{}
 		d.engines = append(d.engines, e)
 	}
 	for _, a := range Demand(s, sc, seed) {
@@ -192,6 +194,7 @@
 		return
 	}
 	e.sent++
+	e.sentModels[r.arrival.Model] = true
 	d.requests[r.item] = r
 	d.act(e)
 }
@@ -237,10 +240,8 @@
 		Target: e.name, MaxBatch: e.summary.Limits.MaxBatch, Load: e.load(), Wait: e.summary.Wait,
 		LoadTime: e.summary.LoadTime, Avoid: e.summary.Cold,
 	}
+	o.Loading = e.sentModels[m] || slices.Contains(e.summary.Awaited, m)
 	for _, s := range e.summary.Slots {
-		if !s.Ready {
-			o.Loads++
-		}
 		if s.Model == m {
 			o.Loaded, o.Loading = o.Loaded || s.Ready, o.Loading || !s.Ready
 		}
@@ -250,7 +251,7 @@
 
 func (d *driver) announce() {
 	for _, e := range d.engines {
-		e.summary, e.sent = e.table.Summary(), 0
+		e.summary, e.sent, e.sentModels = e.table.Summary(), 0, map[bamboorail.ModelRef]bool{}
 	}
 }
 
@@ -289,6 +290,7 @@
 	}
 	if urgency, ok := e.table.Wanted(d.clock()); ok {
 		e.waiting, e.urgency, e.asked = true, urgency, d.clock()
+		e.table.LoadAsked(d.clock())
 		d.grant()
 	}
 }
--- a/internal/owner/engine.go
+++ b/internal/owner/engine.go
@@ -182,6 +182,7 @@
 	}
 	if urgency, ok := e.table.Wanted(now); ok {
 		e.waiting = true
+		e.table.LoadAsked(now)
 		e.wanted <- urgency
 	}
 }
--- a/internal/placement/route.go
+++ b/internal/placement/route.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -18,68 +19,71 @@
 	Load int
 	// Wait is the announced time to work off the queue.
 	Wait time.Duration
-	// Loaded and Loading tell whether the model is on the target.
+	// Loaded tells whether the model is on the target, Loading whether its
+	// load is under way or awaited.
 	Loaded, Loading bool
-	// LoadTime is the time of a load, Loads the number of loads ahead.
+	// LoadTime is the time of a load with the wait for its permit.
 	LoadTime time.Duration
-	Loads    int
+	// VictimValue is the worth of what the next load would evict, in requests
+	// during the time of a load.
+	VictimValue float64
 	// Avoid is set for targets that start or do not answer.
 	Avoid bool
 }
 
-// cost estimates the time until a request would start on the target.
-func (o Option) cost() time.Duration {
-	cost := o.Wait
-	if over := o.Load - o.MaxBatch; over > 0 && o.Wait == 0 {
-		cost = time.Duration(over) * o.LoadTime / time.Duration(max(1, o.MaxBatch))
+const (
+	// awaitedShare is the part of the load time that is left on average when
+	// a request joins others that wait for the same load.
+	awaitedShare = 0.5
+	// loadShare charges a request that needs a load of its own for the delay
+	// that the load causes to others at the weight store.
+	loadShare = 2.0
+	// affinityShare is the part of the load time by which the engines that
+	// rendezvous hashing prefers for a model are favored.
+	affinityShare = 0.25
+	// avoidPenalty outweighs every expected wait.
+	avoidPenalty = float64(time.Hour / time.Second)
+)
+
+// cost estimates, in seconds, the time until a request for the model would
+// start on the target, with the delay that it causes to others.
+func (o Option) cost(m bamboorail.ModelRef) float64 {
+	load := o.LoadTime.Seconds()
+	cost := o.Wait.Seconds()
+	if o.Avoid {
+		cost += avoidPenalty
 	}
 	switch {
 	case o.Loaded:
+		return cost + float64(o.Load)/float64(max(1, o.MaxBatch))*loadedSpread
 	case o.Loading:
-		cost = max(cost, o.LoadTime)
-	default:
-		cost = max(cost, o.LoadTime*time.Duration(1+o.Loads))
-	}
-	if o.Avoid {
-		cost += avoidPenalty
+		return cost + awaitedShare*load
 	}
-	return cost
+	return cost + loadShare*load + o.VictimValue*load - affinityShare*load*affinity(m, o.Target)
 }
 
-// avoidPenalty outweighs every expected wait.
-const avoidPenalty = time.Hour
+// loadedSpread is the time, in seconds, that a full batch counts for among
+// engines without a queue, so that they fill evenly.
+const loadedSpread = 0.1
 
 // Route returns the options in the order in which a request for the model
-// should try them. Among options of about equal cost, a cold model prefers
-// one target by rendezvous hashing, so that its requests meet, and a loaded
-// one the target with the least load.
+// should try them.
 func Route(m bamboorail.ModelRef, options []Option) []Option {
+	costs := make(map[string]float64, len(options))
+	for _, o := range options {
+		costs[o.Target] = o.cost(m)
+	}
 	ordered := slices.Clone(options)
 	slices.SortFunc(ordered, func(a, b Option) int {
-		ca, cb := a.cost(), b.cost()
-		tolerance := min(a.LoadTime, b.LoadTime) / 2
-		if d := ca - cb; a.Loaded != b.Loaded || d > tolerance || d < -tolerance {
-			return compare(ca, cb)
-		}
-		if a.Loaded && a.Load*b.MaxBatch != b.Load*a.MaxBatch {
-			return compare(a.Load*b.MaxBatch, b.Load*a.MaxBatch)
+		if c := cmp.Compare(costs[a.Target], costs[b.Target]); c != 0 {
+			return c
 		}
-		return -compare(affinity(m, a.Target), affinity(m, b.Target))
+		return cmp.Compare(a.Target, b.Target)
 	})
 	return ordered
 }
 
-func compare[T int | uint64 | time.Duration](a, b T) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
-// affinity is the rendezvous weight of a target for a model.
-func affinity(m bamboorail.ModelRef, target string) uint64 {
-	return xxhash.Sum64String(m.String() + "\x00" + target)
+// affinity is the rendezvous weight of a target for a model, from 0 to 1.
+func affinity(m bamboorail.ModelRef, target string) float64 {
+	return float64(xxhash.Sum64String(m.String()+"\x00"+target)) / (1 << 64)
 }
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -42,7 +42,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Balance:        0.3,
-		DemandHalfLife: 30 * time.Second,
+		DemandHalfLife: 5 * time.Minute,
 		LoadTime:       time.Second,
 		TokenTime:      25 * time.Millisecond,
 		MaxQueue:       2048,
@@ -73,8 +73,8 @@
 	// The order may still take effect, so the handle is only unloaded again.
 	unloadFailed bool
 	lastUse      time.Time
-	// began is the start of the load, readyAt its end; both are zero for a
-	// handle that an earlier term loaded.
+	// began is the time at which the load was asked for, readyAt its end; both
+	// are zero for a handle that an earlier term loaded.
 	began, readyAt time.Time
 }
 
@@ -100,6 +100,8 @@
 	// strayBarrier the one sent after the last unload.
 	evidenceBarrier, strayBarrier uint64
 	failed                        map[bamboorail.ModelRef]backoff
+	// askedAt is the time since which the owner waits for a permit, or zero.
+	askedAt time.Time
 	// preload holds the models that operators asked for, by time.
 	preload       map[bamboorail.ModelRef]time.Time
 	checksFencing bool
@@ -378,6 +380,14 @@
 	return c.Urgency, ok
 }
 
+// LoadAsked records that the owner waits for a permit. The time until the load
+// ends is what requests wait, so it counts as the time of a load.
+func (t *Table) LoadAsked(now time.Time) {
+	if t.askedAt.IsZero() {
+		t.askedAt = now
+	}
+}
+
 // LoadPlan is the decision to load a model, after unloading a victim if the
 // engine has no free slot.
 type LoadPlan struct {
@@ -390,17 +400,22 @@
 // BeginLoad chooses the load to make with a permit that was granted. The
 // slots of the plan are taken from then on.
 func (t *Table) BeginLoad(now time.Time) (LoadPlan, bool) {
+	asked := t.askedAt
+	t.askedAt = time.Time{}
 	c, ok := t.policy.Load(t, now)
 	if !ok {
 		return LoadPlan{}, false
 	}
+	if asked.IsZero() {
+		asked = now
+	}
 	t.loads++
 	p := LoadPlan{Model: c.Model, Handle: NewHandle(c.Model, t.evidence.Term, t.loads), Victim: c.Victim}
 	if p.Victim != "" {
 		t.slots[p.Victim].state = slotUnloading
 		t.slots[p.Victim].unloadFailed = false
 	}
-	t.slots[p.Handle] = &slot{handle: p.Handle, model: p.Model, state: slotLoading, began: now}
+	t.slots[p.Handle] = &slot{handle: p.Handle, model: p.Model, state: slotLoading, began: asked}
 	return p, true
 }
 
@@ -667,13 +682,18 @@
 
 // Summary describes a table to operators and routers.
 type Summary struct {
-	Slots    []SlotView
-	Limits   Limits
-	Running  int
-	Queued   int
-	Wait     time.Duration
-	LoadTime time.Duration
-	Cold     bool
+	Slots []SlotView
+	// Awaited are the models that requests wait for and that are not loaded.
+	Awaited []bamboorail.ModelRef
+	// VictimValue is the worth of the adapter that the next load would evict,
+	// 0 with a free slot.
+	VictimValue float64
+	Limits      Limits
+	Running     int
+	Queued      int
+	Wait        time.Duration
+	LoadTime    time.Duration
+	Cold        bool
 	// Leaving is set for a target that reports that it leaves.
 	Leaving bool
 	// Unreachable is set after several missing reports.
@@ -692,6 +712,11 @@
 	if t.running+t.queue.Len() >= t.limits.MaxBatch {
 		s.Wait = t.drainTime()
 	}
+	for m := range t.queue.Models() {
+		if t.serving(m) == nil {
+			s.Awaited = append(s.Awaited, m)
+		}
+	}
 	for _, sl := range t.slots {
 		s.Slots = append(s.Slots, SlotView{
 			Handle: sl.handle, Model: sl.model, Running: sl.running,
