internal/placement: charge loads at a saturated weight store, age every wait

Cause: 29 of 96 slots held replicas, because a cold target looked as near as one load, however many loads it awaited. Change: the cost of a load grows with the loads that a target awaits, joining an awaited load is cheap, ageing equals the number that waits. The setting that was to trade stalls against fill had no point where the two users differ and is removed.

--- a/internal/measure/demand.go
+++ b/internal/measure/demand.go
@@ -30,8 +30,6 @@
 	// MeanTokens is the mean length of an answer.
 	MeanTokens int
 	Callers    []CallerDemand
-	// Balance is the setting that trades load stalls against batch fill.
-	Balance float64
 }
 
 // CallerDemand is one caller's part of the demand.
@@ -47,7 +45,7 @@
 func Archive() Site {
 	return Site{
 		Name: "archive", Engines: 12, Zones: 3, Slots: 8, MaxBatch: 16, Adapters: 3000, Skew: 1.4, LoadsPerSecond: 3,
-		Step: 25 * time.Millisecond, MeanTokens: 300, Balance: 0.2,
+		Step: 25 * time.Millisecond, MeanTokens: 300,
 		Callers: []CallerDemand{
 			{Name: "summaries", Share: 0.6, Weight: 1, Priority: bamboorail.PriorityInteractive, Deadline: time.Minute},
 			{Name: "warnings", Share: 0.3, Weight: 1, Priority: bamboorail.PriorityInteractive, Deadline: time.Minute},
@@ -61,7 +59,7 @@
 func Coupons() Site {
 	return Site{
 		Name: "coupons", Engines: 9, Zones: 3, Slots: 8, MaxBatch: 16, Adapters: 3000, Skew: 1.4, LoadsPerSecond: 2,
-		Step: 25 * time.Millisecond, MeanTokens: 300, Balance: 0.8,
+		Step: 25 * time.Millisecond, MeanTokens: 300,
 		Callers: []CallerDemand{
 			{Name: "partner-1", Share: 0.45, Weight: 3, Priority: bamboorail.PriorityBatch, Deadline: 10 * time.Minute},
 			{Name: "partner-2", Share: 0.25, Weight: 3, Priority: bamboorail.PriorityBatch, Deadline: 10 * time.Minute},
--- a/internal/measure/driver.go
+++ b/internal/measure/driver.go
@@ -125,7 +125,6 @@
 		requests: map[*admission.Item]*request{}, results: newResults(s),
 	}
 	settings := placement.DefaultSettings()
-	settings.Balance = s.Balance
 	settings.TokenTime = s.Step
 	settings.LoadTime = time.Duration(float64(time.Second) / s.LoadsPerSecond)
 	for n := range s.Engines {
@@ -133,7 +132,7 @@
 		limits := placement.Limits{Slots: s.Slots, MaxBatch: s.MaxBatch}
 		e.table = placement.NewTable(limits, settings, c.Policy, placement.Evidence{Term: 1})
 		e.table.Observe(epoch, bamboorail.EngineReport{Incarnation: "0", BaseModel: "b"})
-		e.summary, e.sentModels = e.table.Summary(), map[bamboorail.ModelRef]bool{}
+		e.summary, e.sentModels = e.table.Summary(epoch), map[bamboorail.ModelRef]bool{}
 		d.engines = append(d.engines, e)
 	}
 	for _, a := range Demand(s, sc, seed) {
@@ -238,7 +237,7 @@
 func (e *engine) option(m bamboorail.ModelRef) placement.Option {
 	o := placement.Option{
 		Target: e.name, MaxBatch: e.summary.Limits.MaxBatch, Load: e.load(), Wait: e.summary.Wait,
-		LoadTime: e.summary.LoadTime, Avoid: e.summary.Cold,
+		LoadTime: e.summary.LoadTime, VictimValue: e.summary.VictimValue, Awaited: len(e.summary.Awaited), Avoid: e.summary.Cold,
 	}
 	o.Loading = e.sentModels[m] || slices.Contains(e.summary.Awaited, m)
 	for _, s := range e.summary.Slots {
@@ -251,7 +250,7 @@
 
 func (d *driver) announce() {
 	for _, e := range d.engines {
-		e.summary, e.sent, e.sentModels = e.table.Summary(), 0, map[bamboorail.ModelRef]bool{}
+		e.summary, e.sent, e.sentModels = e.table.Summary(d.clock()), 0, map[bamboorail.ModelRef]bool{}
 	}
 }
 
--- a/internal/owner/engine.go
+++ b/internal/owner/engine.go
@@ -145,7 +145,7 @@
 		i.Decide(admission.Grant{Err: e.table.LeavingRefusal()})
 	}
 	e.table.Compact(now)
-	e.config.Observer.Batch(e.config.Target, e.table.Running(), e.table.Summary().Limits.MaxBatch)
+	e.config.Observer.Batch(e.config.Target, e.table.Running(), e.table.Summary(now).Limits.MaxBatch)
 	for _, h := range e.table.Retire(e.declared) {
 		e.sendUnload(h)
 	}
@@ -391,7 +391,7 @@
 
 // Summary returns the state of the target.
 func (e *Engine) Summary() (placement.Summary, bool) {
-	return ask(e, func(time.Time) placement.Summary { return e.table.Summary() })
+	return ask(e, e.table.Summary)
 }
 
 // Preload asks for a model to be loaded although nobody waits for it.
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"bamboorail.example/bamboorail"
@@ -37,7 +38,7 @@
 const (
 	// ageGain turns waited seconds into urgency beside the number of
 	// waiting requests, so that a cold adapter always gets its turn.
-	ageGain = 0.5
+	ageGain = 1.0
 	// hysteresis is the factor by which the urgency of a load must exceed
 	// the value of its victim while the load is fresh.
 	hysteresis = 1.0
@@ -107,8 +108,28 @@
 	return best, best.Urgency > 0
 }
 
-// victim returns the idle handle with the least expected demand during the
-// time that a reload would take.
+// worth returns the demand that is expected for a model during the time of a
+// load.
+func (t *Table) worth(now time.Time, m bamboorail.ModelRef) float64 {
+	return t.Demand(now, m) * math.Ln2 * t.loadTime.seconds / t.settings.DemandHalfLife.Seconds()
+}
+
+// victimValue returns the worth of the adapter that the next load would evict.
+func (t *Table) victimValue(now time.Time) float64 {
+	if t.FreeSlots() > 0 {
+		return 0
+	}
+	_, value, ok := Weighted{}.victim(t, now)
+	if !ok {
+		return noVictimValue
+	}
+	return value
+}
+
+// noVictimValue is announced if nothing can be evicted now.
+const noVictimValue = 10
+
+// victim returns the idle handle of the least worth.
 func (Weighted) victim(t *Table, now time.Time) (bamboorail.Handle, float64, bool) {
 	var best bamboorail.Handle
 	var least float64
@@ -116,7 +137,7 @@
 		if !t.usable(t.slots[h]) {
 			return h, 0, true
 		}
-		value := t.Demand(now, t.slots[h].model) * t.loadTime.seconds / t.settings.DemandHalfLife.Seconds()
+		value := t.worth(now, t.slots[h].model)
 		if best == "" || value < least {
 			best, least = h, value
 		}
--- a/internal/placement/route.go
+++ b/internal/placement/route.go
@@ -24,6 +24,8 @@
 	Loaded, Loading bool
 	// LoadTime is the time of a load with the wait for its permit.
 	LoadTime time.Duration
+	// Awaited is the number of models whose loads the target awaits.
+	Awaited int
 	// VictimValue is the worth of what the next load would evict, in requests
 	// during the time of a load.
 	VictimValue float64
@@ -34,10 +36,10 @@
 const (
 	// awaitedShare is the part of the load time that is left on average when
 	// a request joins others that wait for the same load.
-	awaitedShare = 0.5
+	awaitedShare = 0.25
 	// loadShare charges a request that needs a load of its own for the delay
 	// that the load causes to others at the weight store.
-	loadShare = 2.0
+	loadShare = 4.0
 	// affinityShare is the part of the load time by which the engines that
 	// rendezvous hashing prefers for a model are favored.
 	affinityShare = 0.25
@@ -48,7 +50,7 @@
 // cost estimates, in seconds, the time until a request for the model would
 // start on the target, with the delay that it causes to others.
 func (o Option) cost(m bamboorail.ModelRef) float64 {
-	load := o.LoadTime.Seconds()
+	load := o.LoadTime.Seconds() * float64(1+o.Awaited)
 	cost := o.Wait.Seconds()
 	if o.Avoid {
 		cost += avoidPenalty
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -25,9 +25,6 @@
 
 // Settings tune the decisions of a table.
 type Settings struct {
-	// Balance weighs load stalls against batch fill, from 0 (only stalls
-	// count) to 1 (only batch fill counts).
-	Balance float64
 	// DemandHalfLife is the time in which past demand loses half its weight.
 	DemandHalfLife time.Duration
 	// LoadTime is the expected time of a load before the first was measured.
@@ -41,7 +38,6 @@
 // DefaultSettings returns the settings of a new owner.
 func DefaultSettings() Settings {
 	return Settings{
-		Balance:        0.3,
 		DemandHalfLife: 5 * time.Minute,
 		LoadTime:       time.Second,
 		TokenTime:      25 * time.Millisecond,
@@ -705,13 +701,14 @@
 const unreachableReports = 2
 
 // Summary returns the state of the table.
-func (t *Table) Summary() Summary {
+func (t *Table) Summary(now time.Time) Summary {
 	s := Summary{Limits: t.limits, Running: t.running, Queued: t.queue.Len(), Cold: t.cold, Leaving: t.leaving}
 	s.Unreachable = t.unreachable >= unreachableReports
 	s.LoadTime = time.Duration(t.loadTime.seconds * float64(time.Second))
 	if t.running+t.queue.Len() >= t.limits.MaxBatch {
 		s.Wait = t.drainTime()
 	}
+	s.VictimValue = t.victimValue(now)
 	for m := range t.queue.Models() {
 		if t.serving(m) == nil {
 			s.Awaited = append(s.Awaited, m)
--- a/internal/service/targets.go
+++ b/internal/service/targets.go
@@ -82,7 +82,6 @@
 
 func (i *Instance) engineConfig(t record.Target, e placement.Evidence) owner.EngineConfig {
 	s := placement.DefaultSettings()
-	s.Balance = i.settings.Balance
 	var policy placement.Policy = placement.Weighted{}
 	if i.settings.Policy == "naive" {
 		policy = placement.Naive{}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -91,7 +91,6 @@
 		DrainTimeout:        f.Duration("instance", "drain-timeout", defaultDrainTimeout),
 		ReadinessDelay:      f.Duration("instance", "readiness-delay", defaultReadinessDelay),
 		Policy:              f.OneOf("placement", "policy", "weighted", "weighted", "naive"),
-		Balance:             f.Float("placement", "balance", defaultBalance, 0, 1),
 		LoadsAtOnce:         f.Int("placement", "loads-at-once", 1, 1),
 		TraceCapacity:       f.Int("traces", "capacity", defaultTraceCapacity, 1),
 		CallerTLS:           f.tls("callers"),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -239,20 +239,6 @@
 	return n
 }
 
-// Float returns an optional number between low and high.
-func (f *File) Float(section, key string, def, low, high float64) float64 {
-	v, ok := f.text(section, key)
-	if !ok {
-		return def
-	}
-	n, err := strconv.ParseFloat(v, 64)
-	if err != nil || n < low || n > high {
-		f.Faultf(section, key, "%q is not a number between %g and %g", v, low, high)
-		return def
-	}
-	return n
-}
-
 // sizeUnits are the accepted units of sizes.
 var sizeUnits = map[string]int64{"KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30, "B": 1}
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -36,7 +36,7 @@
 token-sha256 = abc
 
 [placement]
-balance = 2
+loads-at-once = 0
 policy = best
 
 [unknown]
@@ -51,7 +51,7 @@
 	for _, want := range []string{
 		":2: [instance] name", ":3: [instance] drain-timeout", ":4: [instance] colour: unknown key", "[instance] availability-zone: is required",
 		":7: [callers] address", ":8: [callers] max-body", ":11: [peers] address", "[operators] address: is required", ":14: [operators] token-sha256",
-		":17: [placement] balance", ":18: [placement] policy", ":21: [unknown] key: unknown key", "[metrics] address: is required", "[platform] url: is required",
+		":17: [placement] loads-at-once", ":18: [placement] policy", ":21: [unknown] key: unknown key", "[metrics] address: is required", "[platform] url: is required",
 	} {
 		if !strings.Contains(text, want) {
 			t.Errorf("faults lack %q:\n%s", want, text)
