--- a/internal/engine/openai.go
+++ b/internal/engine/openai.go
@@ -212,7 +212,7 @@
 }
 
 const (
-	streamBufferBytes = 8 << 10
+	streamBufferBytes = 2 << 10
 	maxLineBytes      = 1 << 20
 )
 
--- a/internal/service/failure_test.go
+++ b/internal/service/failure_test.go
@@ -90,7 +90,12 @@
 			}
 			cancel()
 			_ = resp.Body.Close()
+			// Without a cancellation the engine would end the run by itself
+			// some time after its reader left.
 			b.await("the run has ended", func() bool { return e.State().Running == 0 })
+			if e.Canceled() != 1 {
+				t.Errorf("%d runs were canceled", e.Canceled())
+			}
 		})
 	}
 }
@@ -411,8 +416,15 @@
 	for _, l := range []*cutter{toA, toB, toPlatform} {
 		l.cut()
 	}
-	b.mustComplete(c, "suhrn@v1", "in the cut zone", 4)
-	b.mustComplete(c, "suhrn@v2", "a load in the cut zone", 4)
+	for _, model := range []string{"suhrn@v1", "suhrn@v2"} {
+		// The deadline is far below the default, so that a request that hangs
+		// in the cut fails.
+		body := fmt.Sprintf(`{"model":%q,"prompt":"cut","max_tokens":4}`, model)
+		resp := b.call(c, http.MethodPost, "/v1/completions", body, map[string]string{"Request-Deadline": "25s"})
+		if resp.status != http.StatusOK {
+			t.Errorf("%s in the cut zone: %d %s", model, resp.status, resp.body)
+		}
+	}
 	resp := b.call(c, http.MethodPost, "/v1/services/citaren/x", "", map[string]string{requestid.Header: idB})
 	if resp.status != http.StatusOK {
 		t.Errorf("a call homed in the cut zone: %d %s", resp.status, resp.body)
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -103,6 +103,7 @@
 	violations  []Evicted
 	leaving     bool
 	started     int
+	canceled    int
 	history     []snapshot
 	steps       uint64
 	stepTokens  uint64
@@ -387,6 +388,13 @@
 	return e.started
 }
 
+// Canceled returns the number of runs that were canceled.
+func (e *Engine) Canceled() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.canceled
+}
+
 // Cancel ends a run.
 func (e *Engine) Cancel(id string) error {
 	e.mu.Lock()
@@ -396,6 +404,7 @@
 		return errUnknownRun
 	}
 	if !r.finished {
+		e.canceled++
 		r.fail(errors.New("canceled"))
 	}
 	return nil
--- /dev/null
+++ b/tools/slopes/measures.go
@@ -0,0 +1,300 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"runtime"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/duty"
+	"bamboorail.example/bamboorail/internal/logflags"
+	"bamboorail.example/bamboorail/internal/membership"
+	"bamboorail.example/bamboorail/internal/peer"
+	"bamboorail.example/bamboorail/internal/peer/wire"
+	"bamboorail.example/bamboorail/internal/platform"
+	"bamboorail.example/bamboorail/internal/stand/memory"
+)
+
+// handler answers peers; an answer has as many chunks as the request says
+// tokens.
+type handler struct{ peer.Handler }
+
+func (handler) Heartbeat(s *wire.InstanceState) *wire.HeartbeatReply {
+	return &wire.HeartbeatReply{Session: "00000000-0000-0000-0000-000000000000", Instance: "vstup-a1", Revision: s.GetRevision()}
+}
+
+func (handler) Serve(_ context.Context, w *bamboorail.Work, s bamboorail.Sink) error {
+	if err := s.Begin(bamboorail.AnswerHead{Status: 200}); err != nil {
+		return err
+	}
+	chunk := []byte(`{"id":"sala-a.00000000-0000-0000-0000-000000000000","object":"text_completion","model":"suhrn@v1","choices":[{"index":0,"text":" t12345","finish_reason":null}]}`)
+	for range w.Tokens {
+		if err := s.Write(chunk); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// countingListener counts the bytes of its connections in both directions.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countingConn{c, l.bytes}, err
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// serve starts a peer listener.
+func serve(bytes *atomic.Int64) (string, func(), error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d := duty.Start(ctx, "serve", func(ctx context.Context) error {
+		return peer.Serve(ctx, countingListener{l, bytes}, handler{}, logflags.Discard().Layer("peer"))
+	})
+	return l.Addr().String(), func() { cancel(); <-d.Done() }, nil
+}
+
+// state is a heartbeat with some changed targets of eight adapters each.
+func state(changed int) *wire.InstanceState {
+	s := &wire.InstanceState{
+		Session: "00000000-0000-0000-0000-000000000000", Instance: "vstup-a1", Zone: "sala-a", Region: "kosice",
+		Peer: "192.0.2.11:7102", Revision: 1 << 20,
+	}
+	for n := range 5 {
+		name := fmt.Sprintf("jazykovy-stroj-%d", n)
+		s.Owned = append(s.Owned, name)
+		if n >= changed {
+			continue
+		}
+		t := &wire.TargetState{Target: name, Term: 1 << 40, Slots: 8, MaxBatch: 16, Running: 9, Queued: 2, WaitMicros: 1, LoadMicros: 1e6}
+		for k := range 8 {
+			t.Loaded = append(t.Loaded, &wire.SlotState{Model: fmt.Sprintf("adapter-%d@v1", k), Ready: true, Running: 2, Handle: fmt.Sprintf("adapter-%d@v1#4972661456.%d", k, k)})
+		}
+		s.Targets = append(s.Targets, t)
+	}
+	return s
+}
+
+// heartbeats measures one round of heartbeats to a number of peers: processor
+// time of both sides, and bytes with their framing.
+func heartbeats() ([]series, error) {
+	const rounds = 300
+	processor := series{name: "heartbeat round, both sides, by peers", unit: "us"}
+	traffic := series{name: "heartbeat round, bytes, by peers", unit: "B"}
+	for _, peers := range []int{2, 7, 14, 28, 56} {
+		var bytes atomic.Int64
+		var addresses []string
+		var stops []func()
+		for range peers {
+			a, stop, err := serve(&bytes)
+			if err != nil {
+				return nil, err
+			}
+			addresses, stops = append(addresses, a), append(stops, stop)
+		}
+		c := peer.NewClient(nil)
+		message := state(1)
+		round := func() error {
+			for _, a := range addresses {
+				if _, err := c.Heartbeat(context.Background(), a, message); err != nil {
+					return err
+				}
+			}
+			return nil
+		}
+		if err := round(); err != nil {
+			return nil, err
+		}
+		bytes.Store(0)
+		before := cpu()
+		for range rounds {
+			if err := round(); err != nil {
+				return nil, err
+			}
+		}
+		processor.samples = append(processor.samples, sample{float64(peers), float64((cpu() - before).Microseconds()) / rounds})
+		traffic.samples = append(traffic.samples, sample{float64(peers), float64(bytes.Load()) / rounds})
+		for _, stop := range stops {
+			stop()
+		}
+	}
+	size := series{name: "heartbeat message, bytes, by changed targets", unit: "B"}
+	for _, changed := range []int{0, 1, 2, 5} {
+		size.samples = append(size.samples, sample{float64(changed), float64(proto.Size(state(changed)))})
+	}
+	return []series{processor, traffic, size}, nil
+}
+
+// sessions measures one listing: bytes, processor time and memory.
+func sessions() ([]series, error) {
+	const rounds = 50
+	traffic := series{name: "session listing, bytes, by sessions", unit: "B"}
+	processor := series{name: "session listing, processor, by sessions", unit: "us"}
+	for _, count := range []int{28, 56, 120, 240, 420} {
+		store := memory.NewStore()
+		for n := range count {
+			k := platform.NewSessionKeeper(store, platform.Session{
+				ID: fmt.Sprintf("00000000-0000-0000-0000-%012d", n), Instance: fmt.Sprintf("vstup-%d", n), Zone: "sala-a", Region: "kosice",
+				Peer: "192.0.2.11:7102", Caller: "192.0.2.11:7101",
+			})
+			if err := k.Renew(context.Background(), false); err != nil {
+				return nil, err
+			}
+		}
+		objects, revision, err := store.List(context.Background(), "sessions/")
+		if err != nil {
+			return nil, err
+		}
+		body, err := json.Marshal(bamboorail.Events{Revision: revision, Objects: objects})
+		if err != nil {
+			return nil, err
+		}
+		d := membership.NewDirectory(platform.Session{ID: "self"})
+		before := cpu()
+		for range rounds {
+			var events bamboorail.Events
+			if err := json.Unmarshal(body, &events); err != nil {
+				return nil, err
+			}
+			d.ApplySessions("", events.Objects, time.Now())
+		}
+		processor.samples = append(processor.samples, sample{float64(count), float64((cpu() - before).Microseconds()) / rounds})
+		traffic.samples = append(traffic.samples, sample{float64(count), float64(len(body))})
+	}
+	return []series{traffic, processor}, nil
+}
+
+const batchSize = 1000
+
+// configuration measures a reader with a number of adapters: memory, time of a
+// first read, and time and bytes of one change.
+func configuration() ([]series, error) {
+	memoryUse := series{name: "configuration in memory, by adapters", unit: "B"}
+	first := series{name: "first read, processor, by adapters", unit: "us"}
+	change := series{name: "one change, processor, by adapters", unit: "us"}
+	traffic := series{name: "one change, bytes read, by adapters", unit: "B"}
+	for _, adapters := range []int{3000, 10000, 40000, 85000} {
+		store := memory.NewStore()
+		if err := declare(store, adapters); err != nil {
+			return nil, err
+		}
+		before := heap()
+		start := cpu()
+		r := platform.NewReader(store, func(*platform.View, []error) {})
+		if err := r.Refresh(context.Background()); err != nil {
+			return nil, err
+		}
+		first.samples = append(first.samples, sample{float64(adapters), float64((cpu() - start).Microseconds())})
+		memoryUse.samples = append(memoryUse.samples, sample{float64(adapters), heap() - before})
+		if err := commit(store, "change", adapters/2, 1); err != nil {
+			return nil, err
+		}
+		bytes, err := changedBytes(store)
+		if err != nil {
+			return nil, err
+		}
+		start = cpu()
+		if err := r.Refresh(context.Background()); err != nil {
+			return nil, err
+		}
+		change.samples = append(change.samples, sample{float64(adapters), float64((cpu() - start).Microseconds())})
+		traffic.samples = append(traffic.samples, sample{float64(adapters), float64(bytes)})
+		runtime.KeepAlive(r)
+	}
+	return []series{memoryUse, first, change, traffic}, nil
+}
+
+func declare(store bamboorail.ObjectStore, adapters int) error {
+	for from := 0; from < adapters; from += batchSize {
+		if err := commit(store, fmt.Sprintf("declare-%d", from), from, min(batchSize, adapters-from)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func commit(store bamboorail.ObjectStore, id string, from, count int) error {
+	head, _, err := platform.ReadHead(context.Background(), store)
+	if err != nil {
+		return err
+	}
+	c := platform.Change{ID: id, Base: head.Revision}
+	for n := range count {
+		c.Apply = append(c.Apply, json.RawMessage(fmt.Sprintf(
+			`{"schema-version":1,"kind":"adapter","name":"adapter-%06d","base-model":"zaklad","versions":[{"name":"v1","source":"weights/adapter-%06d/v1"},{"name":"v2","source":"weights/adapter-%06d/v2"}]}`,
+			from+n, from+n, from+n)))
+	}
+	_, err = platform.NewWriter(store).Commit(context.Background(), c)
+	return err
+}
+
+// changedBytes returns the size of the head and of one shard.
+func changedBytes(store bamboorail.ObjectStore) (int64, error) {
+	head, err := store.Get(context.Background(), platform.HeadKey)
+	if err != nil {
+		return 0, err
+	}
+	shards, _, err := store.List(context.Background(), "config/shard/7/")
+	if err != nil || len(shards) == 0 {
+		return 0, fmt.Errorf("shard 7 not found: %w", err)
+	}
+	return int64(len(head.Value) + len(shards[0].Value)), nil
+}
+
+type countingSink struct{ chunks int }
+
+func (c *countingSink) Begin(bamboorail.AnswerHead) error { return nil }
+
+func (c *countingSink) Write([]byte) error { c.chunks++; return nil }
+
+// tokens measures the hop between two instances: processor time of both sides
+// by the number of relayed tokens.
+func tokens() ([]series, error) {
+	processor := series{name: "hop between instances, both sides, by tokens", unit: "us"}
+	var bytes atomic.Int64
+	address, stop, err := serve(&bytes)
+	if err != nil {
+		return nil, err
+	}
+	defer stop()
+	c := peer.NewClient(nil)
+	for _, count := range []int{10000, 20000, 40000, 80000, 160000} {
+		w := &bamboorail.Work{RequestID: "r", Target: "t", Tokens: count, Deadline: time.Now().Add(time.Minute)}
+		before := cpu()
+		s := &countingSink{}
+		if err := c.Dispatch(context.Background(), address, w, s); err != nil {
+			return nil, err
+		}
+		processor.samples = append(processor.samples, sample{float64(count), float64((cpu() - before).Microseconds())})
+	}
+	return []series{processor}, nil
+}
