--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINTER := $(TOOLS)/golangci-lint
 LINTER_VERSION := v2.15.0
 
-.PHONY: build test lint demo mutants
+.PHONY: build test lint demo mutants measure bench slopes
 
 build:
 	go build -o bin/ ./cmd/...
@@ -19,6 +19,7 @@
 
 test: lint
 	go vet ./...
+	_scripts/gen-cli.sh --check
 	go test -race -skip $(MODEL) ./...
 	go test -run $(MODEL) ./internal/placement
 
@@ -27,3 +28,13 @@
 
 mutants:
 	_scripts/mutants.sh
+
+# Figures of docs/MEASUREMENTS.md and docs/CAPACITY.md.
+measure:
+	go run ./tools/measure -plot docs/stalls.svg
+
+bench: build
+	go run ./tools/bench
+
+slopes:
+	go run ./tools/slopes
--- a/cmd/railctl/cmds/script_test.go
+++ b/cmd/railctl/cmds/script_test.go
@@ -57,7 +57,7 @@
 		return err
 	}
 	d := duty.Start(ctx, "a1", func(ctx context.Context) error { return i.Run(ctx, ctx) })
-	env.Defer(func() { cancel(); <-d.Done(); front.Close() })
+	env.Defer(func() { cancel(); d.Join(); front.Close() })
 	env.Setenv("RAILCTL_SERVER", "http://"+i.OperatorAddress())
 	env.Setenv("RAILCTL_TOKEN_FILE", filepath.Join(env.WorkDir, "token"))
 	return os.WriteFile(filepath.Join(env.WorkDir, "token"), []byte("tajne\n"), 0o600)
--- a/cmd/railentry/cmds/commands.go
+++ b/cmd/railentry/cmds/commands.go
@@ -66,7 +66,7 @@
 	toggled := duty.Start(signals, "log-level", func(ctx context.Context) error { return toggleDebug(ctx, logs, s.Log.Level) })
 	err = i.Run(context.WithoutCancel(ctx), ctx)
 	cancel()
-	<-toggled.Done()
+	toggled.Join()
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
--- a/cmd/railstand/cmds/commands.go
+++ b/cmd/railstand/cmds/commands.go
@@ -45,24 +45,24 @@
 			"Example:\n  railstand engine --settings engine.ini\n\n" +
 			"Exit codes: 0 stopped as told, 1 failed, 2 wrong command line or settings.",
 	}
-	for kind, usage := range map[string]string{
-		"platform":     "the object API with instance list",
-		"weight-store": "the rate-limited store of weights",
-		"engine":       "a model engine",
-		"application":  "a plain service",
+	for _, k := range []struct{ name, usage string }{
+		{"platform", "run the object API with instance list"},
+		{"weight-store", "run the rate-limited store of weights"},
+		{"engine", "run a model engine"},
+		{"application", "run a plain service"},
 	} {
 		root.Commands = append(root.Commands, &urfave.Command{
-			Name: kind, Usage: "run " + usage,
+			Name: k.name, Usage: k.usage,
 			Flags: []urfave.Flag{
 				&urfave.StringFlag{Name: "settings", Usage: "read settings from `FILE`", Required: true},
 				&urfave.BoolFlag{Name: "check-settings", Usage: "check the settings and exit"},
 			},
 			Action: func(ctx context.Context, c *urfave.Command) error {
-				s, err := settings.ReadStand(c.String("settings"), kind)
+				s, err := settings.ReadStand(c.String("settings"), k.name)
 				if err != nil || c.Bool("check-settings") {
 					return err
 				}
-				return run(ctx, kind, s, stderr)
+				return run(ctx, k.name, s, stderr)
 			},
 		})
 	}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -34,6 +34,12 @@
 // Done returns the channel that carries the result of the duty once.
 func (d *Duty) Done() <-chan error { return d.done }
 
+// Join waits for the end of the duty and drops its result.
+func (d *Duty) Join() {
+	for range d.done {
+	}
+}
+
 // Group owns several duties that end together.
 type Group struct {
 	ctx    context.Context
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -152,7 +152,7 @@
 
 func (o *owned) stop() {
 	o.cancel()
-	<-o.end.Done()
+	o.end.Join()
 }
 
 // step brings ledger and owners up to date once.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -61,7 +61,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d := duty.Start(ctx, "serve", func(ctx context.Context) error { return peer.Serve(ctx, l, h, logflags.Discard().Layer("peer")) })
-	t.Cleanup(func() { cancel(); <-d.Done() })
+	t.Cleanup(func() { cancel(); d.Join() })
 	return l.Addr().String()
 }
 
--- a/internal/placement/table_test.go
+++ b/internal/placement/table_test.go
@@ -274,7 +274,7 @@
 				settle(i)
 			}
 		},
-		"restart": func(t *rapid.T) {
+		"restart": func(*rapid.T) {
 			restarts++
 			table.Observe(now, bamboorail.EngineReport{Incarnation: fmt.Sprint("restart ", restarts), BaseModel: "b"})
 			clear(held)
--- a/internal/service/bed_test.go
+++ b/internal/service/bed_test.go
@@ -109,7 +109,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	steps := duty.Start(ctx, name, e.Run)
-	b.t.Cleanup(func() { cancel(); <-steps.Done() })
+	b.t.Cleanup(func() { cancel(); steps.Join() })
 	b.engines[name], b.ports[name] = e, newStandIn(b.t, h, e.Restart)
 	b.record(`{"schema-version":1,"kind":"target","name":%q,"role":"engine","zone":%q,"url":%q,"dialect":%q,"base-model":"zaklad","slots":%d,"max-batch":8,"checks-fencing":%t}`,
 		name, zone, b.ports[name].server.URL, dialect, slots, fenced)
@@ -181,12 +181,12 @@
 	n := &node{instance: i, kill: kill, stop: leave}
 	n.end = duty.Start(ctx, name, func(ctx context.Context) error { return i.Run(ctx, stop) })
 	b.entries[name] = n
-	b.t.Cleanup(func() { kill(); <-n.end.Done() })
+	b.t.Cleanup(func() { kill(); n.end.Join() })
 	return n
 }
 
 // killed ends an instance at once.
-func (n *node) killed() { n.kill(); <-n.end.Done() }
+func (n *node) killed() { n.kill(); n.end.Join() }
 
 // await polls until a condition holds. Only the time limit of the whole test
 // run bounds it.
--- a/tools/bench/system.go
+++ b/tools/bench/system.go
@@ -247,7 +247,7 @@
 	}
 	s.cancel()
 	for _, d := range s.duties {
-		_ = <-d.Done()
+		d.Join()
 	}
 	for _, c := range s.closers {
 		c()
--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -45,14 +45,7 @@
 				continue
 			}
 			cells := measureAll(site, sc, contenders)
-			for _, c := range cells {
-				printRow(w, sc, c)
-			}
-			bounds := make([]float64, 0, len(seeds))
-			for _, seed := range seeds {
-				bounds = append(bounds, measure.LowerBound(site, sc, seed))
-			}
-			_, _ = fmt.Fprintf(w, "%s\tlower bound\t%s\n", sc.Name, spread(bounds))
+			printScenario(w, site, sc, cells)
 			if plotFile != "" && sc.ShiftAt > 0 {
 				if err := plotStalls(strings.Replace(plotFile, ".svg", "-"+site.Name+".svg", 1), site.Name, cells); err != nil {
 					return err
@@ -67,6 +60,18 @@
 	return nil
 }
 
+// printScenario prints the rows of a scenario, with the lower bound.
+func printScenario(w *tabwriter.Writer, site measure.Site, sc measure.Scenario, cells []cell) {
+	for _, c := range cells {
+		printRow(w, sc, c)
+	}
+	bounds := make([]float64, 0, len(seeds))
+	for _, seed := range seeds {
+		bounds = append(bounds, measure.LowerBound(site, sc, seed))
+	}
+	_, _ = fmt.Fprintf(w, "%s\tlower bound\t%s\n", sc.Name, spread(bounds))
+}
+
 // measureAll runs every contender with every seed, in parallel.
 func measureAll(site measure.Site, sc measure.Scenario, contenders []measure.Contender) []cell {
 	cells := make([]cell, len(contenders))
--- a/tools/slopes/measures.go
+++ b/tools/slopes/measures.go
@@ -80,7 +80,7 @@
 	d := duty.Start(ctx, "serve", func(ctx context.Context) error {
 		return peer.Serve(ctx, countingListener{l, bytes}, handler{}, logflags.Discard().Layer("peer"))
 	})
-	return l.Addr().String(), func() { cancel(); <-d.Done() }, nil
+	return l.Addr().String(), func() { cancel(); d.Join() }, nil
 }
 
 // state is a heartbeat with some changed targets of eight adapters each.
@@ -111,41 +111,12 @@
 	processor := series{name: "heartbeat round, both sides, by peers", unit: "us"}
 	traffic := series{name: "heartbeat round, bytes, by peers", unit: "B"}
 	for _, peers := range []int{2, 7, 14, 28, 56} {
-		var bytes atomic.Int64
-		var addresses []string
-		var stops []func()
-		for range peers {
-			a, stop, err := serve(&bytes)
-			if err != nil {
-				return nil, err
-			}
-			addresses, stops = append(addresses, a), append(stops, stop)
-		}
-		c := peer.NewClient(nil)
-		message := state(1)
-		round := func() error {
-			for _, a := range addresses {
-				if _, err := c.Heartbeat(context.Background(), a, message); err != nil {
-					return err
-				}
-			}
-			return nil
-		}
-		if err := round(); err != nil {
+		spent, bytes, err := beatRounds(peers, rounds)
+		if err != nil {
 			return nil, err
 		}
-		bytes.Store(0)
-		before := cpu()
-		for range rounds {
-			if err := round(); err != nil {
-				return nil, err
-			}
-		}
-		processor.samples = append(processor.samples, sample{float64(peers), float64((cpu() - before).Microseconds()) / rounds})
-		traffic.samples = append(traffic.samples, sample{float64(peers), float64(bytes.Load()) / rounds})
-		for _, stop := range stops {
-			stop()
-		}
+		processor.samples = append(processor.samples, sample{float64(peers), float64(spent.Microseconds()) / rounds})
+		traffic.samples = append(traffic.samples, sample{float64(peers), float64(bytes) / rounds})
 	}
 	size := series{name: "heartbeat message, bytes, by changed targets", unit: "B"}
 	for _, changed := range []int{0, 1, 2, 5} {
@@ -154,6 +125,42 @@
 	return []series{processor, traffic, size}, nil
 }
 
+// beatRounds sends rounds of heartbeats to peers over connections that are
+// open already.
+func beatRounds(peers, rounds int) (time.Duration, int64, error) {
+	var bytes atomic.Int64
+	addresses := make([]string, peers)
+	for n := range addresses {
+		address, stop, err := serve(&bytes)
+		if err != nil {
+			return 0, 0, err
+		}
+		defer stop()
+		addresses[n] = address
+	}
+	c := peer.NewClient(nil)
+	message := state(1)
+	round := func() error {
+		for _, a := range addresses {
+			if _, err := c.Heartbeat(context.Background(), a, message); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	if err := round(); err != nil {
+		return 0, 0, err
+	}
+	bytes.Store(0)
+	before := cpu()
+	for range rounds {
+		if err := round(); err != nil {
+			return 0, 0, err
+		}
+	}
+	return cpu() - before, bytes.Load(), nil
+}
+
 // sessions measures one listing: bytes, processor time and memory.
 func sessions() ([]series, error) {
 	const rounds = 50
