internal/peer: a silent peer loses its load permit

The test TestPermitOfASilentPeerIsReclaimed does not end without the change. Conclusion: the load of the frozen owner may overlap with the next; that only slows both.

--- a/dispatch.go
+++ b/dispatch.go
@@ -98,7 +98,9 @@
 // PermitRequest asks for a permit to load an adapter.
 type PermitRequest struct {
 	Target string
-	Model  ModelRef
+	// Session is the session that asks.
+	Session string
+	Model   ModelRef
 	// Urgency orders waiting requests: weighted seconds of waiting callers.
 	Urgency float64
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -145,7 +145,7 @@
 	const op = "acquire-permit"
 	held, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, cancel)
-	stream, err := c.peer(held, address).AcquirePermit(held, &wire.PermitRequest{Target: r.Target, Urgency: r.Urgency})
+	stream, err := c.peer(held, address).AcquirePermit(held, &wire.PermitRequest{Target: r.Target, Urgency: r.Urgency, Session: r.Session})
 	if err == nil {
 		_, err = stream.Recv()
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +21,7 @@
 	chunks  []string
 	err     error
 	permits chan struct{}
+	silent  atomic.Bool
 }
 
 func (h *handler) Serve(_ context.Context, _ *bamboorail.Work, s bamboorail.Sink) error {
@@ -47,6 +49,7 @@
 	}
 }
 
+func (h *handler) Reachable(string) bool                     { return !h.silent.Load() }
 func (h *handler) Release()                                  { <-h.permits }
 func (h *handler) Preload(string, bamboorail.ModelRef) error { return h.err }
 func (h *handler) Snapshot(uint64) ([]byte, error)           { return make([]byte, 3<<20), nil }
@@ -155,6 +158,22 @@
 	second.Release()
 }
 
+// TestPermitOfASilentPeerIsReclaimed: a frozen peer keeps its connection.
+func TestPermitOfASilentPeerIsReclaimed(t *testing.T) {
+	h := &handler{permits: make(chan struct{}, 1)}
+	address := serve(t, h)
+	c := peer.NewClient(nil)
+	if _, err := c.AcquirePermit(t.Context(), address, bamboorail.PermitRequest{Session: "frozen"}); err != nil {
+		t.Fatal(err)
+	}
+	h.silent.Store(true)
+	second, err := c.AcquirePermit(t.Context(), address, bamboorail.PermitRequest{Session: "other"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	second.Release()
+}
+
 func TestSnapshotInParts(t *testing.T) {
 	data, err := peer.NewClient(nil).Snapshot(t.Context(), serve(t, &handler{}), 0)
 	if err != nil || len(data) != 3<<20 {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -36,6 +37,8 @@
 	Heartbeat(state *wire.InstanceState) *wire.HeartbeatReply
 	// AcquirePermit waits for a load permit of this zone.
 	AcquirePermit(ctx context.Context, r bamboorail.PermitRequest) (bamboorail.Permit, error)
+	// Reachable reports whether a session answers heartbeats.
+	Reachable(session string) bool
 	// Preload asks for a load on an owned target.
 	Preload(target string, m bamboorail.ModelRef) error
 	// Snapshot returns the configuration if it is newer than a revision.
@@ -116,7 +119,8 @@
 
 // AcquirePermit holds a permit until the peer closes the stream.
 func (s *server) AcquirePermit(r *wire.PermitRequest, stream wire.DRPCPeer_AcquirePermitStream) error {
-	permit, err := s.handler.AcquirePermit(stream.Context(), bamboorail.PermitRequest{Target: r.GetTarget(), Urgency: r.GetUrgency()})
+	request := bamboorail.PermitRequest{Target: r.GetTarget(), Urgency: r.GetUrgency(), Session: r.GetSession()}
+	permit, err := s.handler.AcquirePermit(stream.Context(), request)
 	if err != nil {
 		return err
 	}
@@ -124,8 +128,29 @@
 	if err := stream.Send(&wire.PermitGranted{}); err != nil {
 		return err
 	}
-	<-stream.Context().Done()
-	return nil
+	return s.holdPermit(stream.Context(), r.GetSession())
+}
+
+// permitCheck is the time between two looks at the holder of a permit.
+const permitCheck = time.Second
+
+var errPermitLost = errors.New("the holder of the permit does not answer heartbeats")
+
+// holdPermit returns when the peer closes the stream or does not answer any
+// more: a frozen peer must not keep all others from loading.
+func (s *server) holdPermit(ctx context.Context, session string) error {
+	t := time.NewTicker(permitCheck)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			if !s.handler.Reachable(session) {
+				return errPermitLost
+			}
+		}
+	}
 }
 
 // Preload passes a load request on.
--- /dev/null
+++ b/internal/placement/summary.go
@@ -0,0 +1,108 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bamboorail.example/bamboorail"
+)
+
+// Drained reports whether no request runs, or may run, that the owner sent.
+func (t *Table) Drained() bool {
+	if t.running > 0 {
+		return false
+	}
+	for _, s := range t.slots {
+		if s.doubtful > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// SlotView describes a slot to operators and routers.
+type SlotView struct {
+	Handle  bamboorail.Handle
+	Model   bamboorail.ModelRef
+	Ready   bool
+	Running int
+}
+
+// Summary describes a table to operators and routers.
+type Summary struct {
+	Slots []SlotView
+	// Awaited are the models that requests wait for and that are not loaded.
+	Awaited []bamboorail.ModelRef
+	// VictimValue is the worth of the adapter that the next load would evict,
+	// 0 with a free slot.
+	VictimValue float64
+	Limits      Limits
+	Running     int
+	Queued      int
+	Wait        time.Duration
+	LoadTime    time.Duration
+	Cold        bool
+	// Leaving is set for a target that reports that it leaves.
+	Leaving bool
+	// Unreachable is set after several missing reports.
+	Unreachable bool
+}
+
+// unreachableReports is the number of missing reports after which routers
+// prefer another target.
+const unreachableReports = 2
+
+// Summary returns the state of the table.
+func (t *Table) Summary(now time.Time) Summary {
+	s := Summary{Limits: t.limits, Running: t.running, Queued: t.queue.Len(), Cold: t.cold, Leaving: t.leaving}
+	s.Unreachable = t.unreachable >= unreachableReports
+	s.LoadTime = time.Duration(t.loadTime.seconds * float64(time.Second))
+	if t.running+t.queue.Len() >= t.limits.MaxBatch {
+		s.Wait = t.drainTime(bamboorail.PriorityBatch)
+	}
+	s.VictimValue = t.victimValue(now)
+	for m := range t.queue.Models() {
+		if t.serving(m) == nil {
+			s.Awaited = append(s.Awaited, m)
+		}
+	}
+	for _, sl := range t.slots {
+		s.Slots = append(s.Slots, SlotView{
+			Handle: sl.handle, Model: sl.model, Running: sl.running,
+			Ready: t.usable(sl),
+		})
+	}
+	slices.SortFunc(s.Slots, func(a, b SlotView) int { return cmp.Compare(a.Handle, b.Handle) })
+	return s
+}
+
+// EarlierCleared reports whether the engine, asked after the newest evidence,
+// holds no handle of an owner that is gone.
+func (t *Table) EarlierCleared() bool {
+	if t.passed < t.evidenceBarrier || t.incarnation == "" {
+		return false
+	}
+	for _, s := range t.slots {
+		state := t.evidence.StateOf(s.handle)
+		if state == TermGone || (state == TermReleasedGone && !s.verifiedIdle) {
+			return false
+		}
+	}
+	return true
+}
+
+// Reset forgets the requests that ran on an engine that is known to have
+// restarted.
+func (t *Table) Reset(now time.Time) {
+	t.running = 0
+	for _, s := range t.slots {
+		s.running, s.doubtful, s.lastUse = 0, 0, now
+	}
+}
+
+// Running returns the number of requests that run on the engine.
+func (t *Table) Running() int { return t.running }
+
+// Queued returns the number of waiting requests.
+func (t *Table) Queued() int { return t.queue.Len() }
--- a/internal/service/peers.go
+++ b/internal/service/peers.go
@@ -106,6 +106,12 @@
 	return p.instance.holder.AcquirePermit(ctx, r)
 }
 
+// Reachable reports whether a session answers heartbeats.
+func (p *peerHandler) Reachable(session string) bool {
+	reachable := p.instance.directory.Reachable(time.Now())
+	return slices.ContainsFunc(reachable, func(s platform.Session) bool { return s.ID == session })
+}
+
 // Preload asks an owned target to load a model.
 func (p *peerHandler) Preload(target string, m bamboorail.ModelRef) error {
 	o, ok := p.instance.manager.Owner(target)
@@ -172,6 +178,7 @@
 // goes on with a permit of this process: that costs speed, not safety.
 func (p *permits) AcquirePermit(ctx context.Context, r bamboorail.PermitRequest) (bamboorail.Permit, error) {
 	i := p.instance
+	r.Session = i.directory.Self().ID
 	holder := holderOf(i.directory.Reachable(time.Now()), i.settings.Region)
 	if holder.ID == i.directory.Self().ID {
 		return i.holder.AcquirePermit(ctx, r)
