_scripts: end frozen processes too

Cause: stop_all sent SIGTERM to a stopped process and waited for it, so a failed run of make failures left an instance behind that hung the next run. Change: SIGCONT follows; waiting for readiness has a limit.

--- a/_scripts/cluster.sh
+++ b/_scripts/cluster.sh
@@ -15,7 +15,10 @@
 
 stop_all() {
   local name
-  for name in "${!pids[@]}"; do kill -TERM "${pids[$name]}" 2>/dev/null || true; done
+  for name in "${!pids[@]}"; do
+    kill -TERM "${pids[$name]}" 2>/dev/null || true
+    kill -CONT "${pids[$name]}" 2>/dev/null || true
+  done
   for name in "${!pids[@]}"; do wait "${pids[$name]}" 2>/dev/null || true; done
   rm -rf "$run"
 }
@@ -49,7 +52,7 @@
 start_entries() {
   local name
   for name in vstup-a1 vstup-a2 vstup-b1 vstup-b2; do start_entry "$name"; done
-  for name in 7111 7121 7131 7141; do wait_for 20 curl -fs "http://127.0.0.1:$name/readyz"; done
+  for name in 7111 7121 7131 7141; do wait_for 20 curl -fs --max-time 2 "http://127.0.0.1:$name/readyz"; done
 }
 
 ctl() { "$root/bin/railctl" --server http://127.0.0.1:7113 --token-file "$root/_fixtures/demo/operator.token" "$@"; }
--- a/_scripts/failures.sh
+++ b/_scripts/failures.sh
@@ -73,7 +73,7 @@
 echo "  new owner after $(since "$killed") ms"
 progress "after the kill" 30
 start_entry "$victim"
-wait_for 20 curl -fs "http://127.0.0.1:$([ "$victim" = vstup-a1 ] && echo 7111 || echo 7121)/readyz"
+wait_for 20 curl -fs --max-time 2 "http://127.0.0.1:$([ "$victim" = vstup-a1 ] && echo 7111 || echo 7121)/readyz"
 
 echo "== the owner of jazykovy-stroj-1 is frozen past its lease and resumed"
 frozen=$(owner_of "$other" jazykovy-stroj-1)
