internal/placement: a restart seen late drops nothing that serves

Cause: one of eight runs of TestAnswersStayExactWhileVersionsChange unloaded a handle under eight requests. After an engine's restart the owner learnt from a refusal that a handle was lost, loaded the adapter anew and sent requests; then the report that showed the restart arrived, dropped the new handle from the table, and the next report made it a stray to unload. Ruled out: stale orders, doubtful requests, the stand-in's own counting. Change: a restart drops only handles without a request of this owner; a stray that runs something is not unloaded. Before: TestRestartSeenLateKeepsWhatServes fails with 'unloads x@v1#1.2 under a request'. After: it passes, and six runs of the three service tests that restart and kill pass with the race detector.

--- a/internal/placement/observe.go
+++ b/internal/placement/observe.go
@@ -48,11 +48,13 @@
 	t.dropMissing(reported)
 }
 
-// restarted drops what an engine lost by a restart. Loads under way fail on
-// their own.
+// restarted drops what an engine lost by a restart. The report may come late:
+// a handle with requests may have been loaded after the restart and stays. If it
+// was lost, the engine refuses the next request for it. Loads under way fail
+// on their own.
 func (t *Table) restarted() {
 	for h, s := range t.slots {
-		if s.state == slotReady {
+		if s.state == slotReady && s.running == 0 && s.doubtful == 0 {
 			delete(t.slots, h)
 		}
 	}
@@ -73,8 +75,8 @@
 	if !ok {
 		s = &slot{handle: h.Handle, model: h.Model, state: slotReady, lastUse: now}
 		if t.evidence.StateOf(h.Handle) == TermOwn {
-			if t.passed < t.strayBarrier {
-				return // possibly unloaded since the reported state
+			if t.passed < t.strayBarrier || h.Running > 0 {
+				return // possibly unloaded since the reported state, or in use
 			}
 			// A load whose result was lost: it can only be unloaded.
 			s.state, s.unloadFailed = slotUnloading, true
