internal/service: pin the adapters of tests that aim at one engine

Cause: make test failed once in a fresh clone: the stream that the test cut at the engine of the status dialect had been routed to the other one, which the region allows since engines of all zones serve. The checks are the same; the adapters name the engine that the fault is set at. Conclusion: a fault of the tests, not of the routing.

--- a/internal/service/bed_test.go
+++ b/internal/service/bed_test.go
@@ -91,6 +91,11 @@
 	b.record(`{"schema-version":1,"kind":"adapter","name":%q,"base-model":"zaklad","versions":[{"name":"v1"},{"name":"v2"}]}`, name)
 }
 
+// adapterOn declares an adapter that only one engine may host.
+func (b *bed) adapterOn(name, target string) {
+	b.record(`{"schema-version":1,"kind":"adapter","name":%q,"base-model":"zaklad","versions":[{"name":"v1"},{"name":"v2"}],"targets":[%q]}`, name, target)
+}
+
 // engine adds an engine of a dialect to a zone.
 func (b *bed) engine(name, zone string, dialect record.Dialect, slots int) *engine.Engine {
 	b.t.Helper()
--- a/internal/service/failure_test.go
+++ b/internal/service/failure_test.go
@@ -32,29 +32,29 @@
 func TestCutStreamIsResumedOrEndsWithAnError(t *testing.T) {
 	t.Parallel()
 	b := newBed(t)
-	b.adapter("suhrn")
+	b.adapterOn("suhrn", "stroj-1")
+	b.adapterOn("stitky", "stroj-2")
 	b.engine("stroj-1", "sala-a", record.DialectOpenAI, 2)
 	b.engine("stroj-2", "sala-b", record.DialectStatus, 2)
 	b.commit("first")
 	a, c := b.entry("a1", "sala-a"), b.entry("b1", "sala-b")
 	b.awaitOwned("sala-a", "stroj-1")
 	b.awaitOwned("sala-b", "stroj-2")
-	for _, n := range []*node{a, c} {
-		b.mustComplete(n, "suhrn@v1", "warm", 2)
-	}
+	b.mustComplete(a, "suhrn@v1", "warm", 2)
+	b.mustComplete(c, "stitky@v1", "warm", 2)
 	b.fault(b.ports["stroj-1"], fault.Rule{Path: "/v1/completions", CutAfter: 1000, Count: 1})
 	text, done, resp := b.stream(a, "suhrn@v1", "resume", 30)
 	if text != engine.Text("suhrn@v1", "resume", 30) || !done {
 		t.Errorf("resumed stream: done %t: %s", done, resp.body)
 	}
 	b.fault(b.ports["stroj-2"], fault.Rule{Path: "/generate", CutAfter: 300, Count: 1})
-	_, done, resp = b.stream(c, "suhrn@v1", "cut", 30)
+	_, done, resp = b.stream(c, "stitky@v1", "cut", 30)
 	if done || !strings.Contains(resp.body, "event: error") || !strings.Contains(resp.body, "may-have-run") {
 		t.Errorf("cut stream looks whole or has no error: %s", resp.body)
 	}
 	b.fault(b.ports["stroj-2"], fault.Rule{Path: "/generate", CutAfter: 300, Count: 1})
 	// A whole answer of which nothing was sent yet can run again.
-	b.mustComplete(c, "suhrn@v1", "again", 30)
+	b.mustComplete(c, "stitky@v1", "again", 30)
 }
 
 func TestCallerThatGoesAwayCancelsItsRun(t *testing.T) {
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -20,21 +20,22 @@
 func TestServesBothDialects(t *testing.T) {
 	t.Parallel()
 	b := newBed(t)
-	b.adapter("suhrn")
+	b.adapterOn("suhrn", "stroj-1")
+	b.adapterOn("stitky", "stroj-2")
 	b.engine("stroj-1", "sala-a", record.DialectOpenAI, 2)
 	b.engine("stroj-2", "sala-b", record.DialectStatus, 2)
 	b.commit("first")
 	a, c := b.entry("a1", "sala-a"), b.entry("b1", "sala-b")
 	b.awaitOwned("sala-a", "stroj-1")
 	b.awaitOwned("sala-b", "stroj-2")
-	for name, n := range map[string]*node{"openai": a, "status": c} {
-		t.Run(name, func(t *testing.T) {
-			b.mustComplete(n, "suhrn@v1", "whole", 6)
-			text, done, resp := b.stream(n, "suhrn@v2", "stream", 6)
-			if want := engine.Text("suhrn@v2", "stream", 6); text != want || !done {
+	for adapter, n := range map[string]*node{"suhrn": a, "stitky": c} {
+		t.Run(adapter, func(t *testing.T) {
+			b.mustComplete(n, adapter+"@v1", "whole", 6)
+			text, done, resp := b.stream(n, adapter+"@v2", "stream", 6)
+			if want := engine.Text(adapter+"@v2", "stream", 6); text != want || !done {
 				t.Errorf("stream %q, done %t, expected %q: %s", text, done, want, resp.body)
 			}
-			if !strings.Contains(resp.body, `"model":"suhrn@v2"`) {
+			if !strings.Contains(resp.body, `"model":"`+adapter+`@v2"`) {
 				t.Errorf("stream does not name the model as the caller did: %s", resp.body)
 			}
 		})
