internal/adapters, internal/placer: one home zone for each adapter

The heartbeat counter of an engine's entry was taken for its order counter, so that its state was read again four times a second. Change: an adapter is fetched in its home zone (rendezvous hashing) and is replicated where it is asked for often; entries are compared by content.

--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -24,7 +24,10 @@
 	FetchTime, ReloadTime time.Duration
 	// FetchesAtOnce is the number of fetches of this zone that the weight
 	// store carries at full speed.
-	FetchesAtOnce int
+	FetchesAtOnce float64
+	// ReplicaDemand is the decayed number of calls from which an adapter that
+	// is at home in another zone is fetched into this one too.
+	ReplicaDemand float64
 	// LoadsPerEngine bounds the adapters on their way to one engine.
 	LoadsPerEngine int
 	// CallCost is the delay that a running call causes to the next one.
@@ -70,9 +73,11 @@
 
 // resident is an adapter that an engine holds or loads.
 type resident struct {
-	version  int
-	readyAt  time.Time
-	loading  bool
+	version int
+	readyAt time.Time
+	loading bool
+	// fetch is set for a load from the weight store.
+	fetch    bool
 	leaving  bool
 	running  int
 	lastUsed time.Time
@@ -130,11 +135,7 @@
 
 // compare corrects the state of an engine by its entry, which lags.
 func (e *engine) compare(now time.Time) {
-	if !e.synced || e.entry.Orders < e.orders {
-		return
-	}
-	if e.entry.Orders > e.orders {
-		e.doubt(now)
+	if !e.synced {
 		return
 	}
 	for model, at := range e.models {
@@ -236,10 +237,23 @@
 	Avoid []string
 	// Instance is the instance that sends the call.
 	Instance string
-	// LoadedOnly rules out engines that would have to load the adapter.
-	LoadedOnly bool
+	Loads    LoadRule
 }
 
+// LoadRule states which loads a request may cause.
+type LoadRule int
+
+// The rules for loads.
+const (
+	// LoadFreely permits any load.
+	LoadFreely LoadRule = iota
+	// LoadIfWanted permits a reload of what an engine held recently, and a
+	// fetch from the weight store if the zone asks for the adapter often.
+	LoadIfWanted
+	// LoadNever rules out engines that do not hold the adapter.
+	LoadNever
+)
+
 // Placement is an answer to a request.
 type Placement struct {
 	Target  bamboorail.TargetEntry
@@ -312,7 +326,10 @@
 	if old := e.adapters[r.Key]; old != nil {
 		running = old.running
 	}
-	e.adapters[r.Key] = &resident{version: r.Version, readyAt: now.Add(p.loadTime(e, r.Key, now)), loading: true, running: running}
+	_, atHand := e.atHand[r.Key]
+	e.adapters[r.Key] = &resident{
+		version: r.Version, readyAt: now.Add(p.loadTime(e, r.Key, now)), loading: true, fetch: !atHand, running: running,
+	}
 	return orders
 }
 
@@ -373,7 +390,7 @@
 		// A replacement waits for the runs of the old version.
 		return o, false
 	}
-	if r.LoadedOnly {
+	if !p.mayLoad(e, r, now) {
 		return o, false
 	}
 	o.load = true
@@ -391,6 +408,19 @@
 	return o, true
 }
 
+// mayLoad reports whether a request may cause a load at an engine.
+func (p *Planner) mayLoad(e *engine, r Request, now time.Time) bool {
+	switch r.Loads {
+	case LoadNever:
+		return false
+	case LoadIfWanted:
+		_, atHand := e.atHand[r.Key]
+		return atHand || p.demandOf(r.Key, now) >= p.tuning.ReplicaDemand
+	case LoadFreely:
+	}
+	return true
+}
+
 // queueCost is the expected wait for the first token behind running calls.
 func (p *Planner) queueCost(e *engine, now time.Time) time.Duration {
 	cost := time.Duration(e.running) * p.tuning.CallCost
@@ -413,9 +443,9 @@
 	}
 	fetching := 1
 	for _, other := range p.engines {
-		fetching += other.loading(now)
+		fetching += other.fetching(now)
 	}
-	congestion := max(1, float64(fetching)/float64(max(p.tuning.FetchesAtOnce, 1)))
+	congestion := max(1, float64(fetching)/p.tuning.FetchesAtOnce)
 	return time.Duration(float64(p.tuning.FetchTime) * congestion)
 }
 
@@ -430,6 +460,18 @@
 	return n
 }
 
+// fetching returns the number of adapters that the engine fetches from the
+// weight store.
+func (e *engine) fetching(now time.Time) int {
+	n := 0
+	for _, r := range e.adapters {
+		if r.loading && r.fetch && r.readyAt.After(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // rank returns the place of an engine in the adapter's own order of engines.
 func (p *Planner) rank(name string, r Request) int {
 	own := weight(name, r.Key)
@@ -442,6 +484,17 @@
 	return rank
 }
 
+// Home returns the zone in which an adapter is loaded first.
+func Home(zones []string, key bamboorail.AdapterKey) string {
+	best, most := "", uint64(0)
+	for _, zone := range zones {
+		if w := weight(zone, key); best == "" || w > most {
+			best, most = zone, w
+		}
+	}
+	return best
+}
+
 func weight(engine string, key bamboorail.AdapterKey) uint64 {
 	return xxhash.Sum64String(engine + "/" + key.Model + "/" + key.Adapter)
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -40,14 +40,26 @@
 	}
 }
 
-// Update takes in the entry of a target.
+// Update takes in the entry of a target. An entry that was written before the
+// known one is dropped.
 func (f *Fleet) Update(e bamboorail.TargetEntry) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if k := f.targets[e.ID.Name]; k != nil && older(e, k.entry) {
+		return
+	}
 	f.targets[e.ID.Name] = &known{entry: e}
 	f.notify()
 }
 
+// older reports whether a was written before b by the same target.
+func older(a, b bamboorail.TargetEntry) bool {
+	if a.ID.Born != b.ID.Born {
+		return a.ID.Born < b.ID.Born
+	}
+	return a.Beat < b.Beat
+}
+
 // Remove forgets a target.
 func (f *Fleet) Remove(name string) {
 	f.mu.Lock()
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -88,11 +88,11 @@
 		return c.choosePlain(a)
 	}
 	var failure error
-	for _, z := range c.Zones {
-		if c.isPaused(z.Zone) {
+	for _, q := range c.questions(a.Call.Key) {
+		if c.isPaused(q.zone.Zone) {
 			continue
 		}
-		place, err := c.ask(ctx, z, a)
+		place, err := c.ask(ctx, q.zone, a, q.loads)
 		if err == nil {
 			return place, nil
 		}
@@ -110,6 +110,35 @@
 	return relay.Place{}, failure
 }
 
+// question is a question to the holder of one zone.
+type question struct {
+	zone  ZoneHolder
+	loads adapters.LoadRule
+}
+
+// questions returns whom to ask for an adapter, in order: the own zone if it
+// holds the adapter or wants it often, the adapter's home, then whoever has
+// room. One home an adapter keeps fetches from the weight store few.
+func (c *Chooser) questions(key bamboorail.AdapterKey) []question {
+	list := make([]question, 0, len(c.Zones)+1)
+	if key.Adapter != "" {
+		names := make([]string, 0, len(c.Zones))
+		for _, z := range c.Zones {
+			names = append(names, z.Zone)
+		}
+		if home := slices.Index(names, adapters.Home(names, key)); home > 0 {
+			list = append(list, question{c.Zones[0], adapters.LoadIfWanted}, question{c.Zones[home], adapters.LoadFreely})
+		}
+	}
+	for _, z := range c.Zones {
+		if len(list) > 1 && z.Zone == list[1].zone.Zone {
+			continue
+		}
+		list = append(list, question{z, adapters.LoadFreely})
+	}
+	return list
+}
+
 // keepRefusal keeps the failure that says most about when to come back.
 func keepRefusal(first, second error) error {
 	if first == nil || bamboorail.KindOf(first) != bamboorail.KindOverloaded {
@@ -171,11 +200,12 @@
 }
 
 // ask asks the holder of a zone.
-func (c *Chooser) ask(ctx context.Context, z ZoneHolder, a relay.Ask) (relay.Place, error) {
+func (c *Chooser) ask(ctx context.Context, z ZoneHolder, a relay.Ask, loads adapters.LoadRule) (relay.Place, error) {
 	newest, released := c.Fleet.Newest(a.Call.Key)
 	if z.Local != nil && z.Lease.Leading() {
 		p, err := z.Local.Place(ctx, adapters.Request{
 			Key: a.Call.Key, Service: a.Service.Name, Version: newest, Released: released, Avoid: a.Avoid, Instance: c.Instance,
+			Loads: loads,
 		})
 		if err != nil {
 			return relay.Place{}, err
@@ -186,17 +216,19 @@
 	if address == "" {
 		return relay.Place{}, failRetry("ask-holder", bamboorail.KindUnavailable, noEngineRetry, errNoHolder)
 	}
-	return c.askPeer(ctx, z, address, a, newest)
+	return c.askPeer(ctx, z, address, a, newest, loads)
 }
 
-func (c *Chooser) askPeer(ctx context.Context, z ZoneHolder, address string, a relay.Ask, newest int) (relay.Place, error) {
+func (c *Chooser) askPeer(
+	ctx context.Context, z ZoneHolder, address string, a relay.Ask, newest int, loads adapters.LoadRule,
+) (relay.Place, error) {
 	const op = "ask-holder"
 	asked, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
 	ended := c.takeEnded(z.Zone)
 	reply, err := c.Peers.Place(asked, address, &wire.PlaceRequest{
 		Zone: z.Zone, Instance: c.Instance, Service: a.Service.Name, Model: a.Call.Key.Model, Adapter: a.Call.Key.Adapter,
-		Version: int64(newest), Avoid: a.Avoid, Ended: endedMessages(ended),
+		Version: int64(newest), Avoid: a.Avoid, Ended: endedMessages(ended), Loads: int32(loads),
 	})
 	received := time.Now()
 	switch {
@@ -327,6 +359,7 @@
 	}
 	p, err := h.Place(ctx, adapters.Request{
 		Key: key, Service: r.GetService(), Version: newest, Released: released, Avoid: r.GetAvoid(), Instance: r.GetInstance(),
+		Loads: adapters.LoadRule(r.GetLoads()),
 	})
 	if err != nil {
 		f := bamboorail.FailureOf(err)
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -206,8 +206,9 @@
 	if !h.Lease.Leading() {
 		return adapters.Placement{}, fail(op, bamboorail.KindNotOwner, errNotHolder)
 	}
-	_, acting := h.Lease.Tenure()
-	r.LoadedOnly = !acting
+	if _, acting := h.Lease.Tenure(); !acting {
+		r.Loads = adapters.LoadNever
+	}
 	h.mu.Lock()
 	p, ok := h.planner.Place(r, time.Now())
 	h.mu.Unlock()
