--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -55,6 +55,9 @@
 	demand  map[bamboorail.AdapterKey]*demand
 	tickets map[uint64]ticket
 	next    uint64
+	// fetchedBy is the time at which the weight store has carried the fetches
+	// of this zone, if it carries an equal share for each zone.
+	fetchedBy time.Time
 }
 
 type engine struct {
@@ -73,11 +76,9 @@
 
 // resident is an adapter that an engine holds or loads.
 type resident struct {
-	version int
-	readyAt time.Time
-	loading bool
-	// fetch is set for a load from the weight store.
-	fetch    bool
+	version  int
+	readyAt  time.Time
+	loading  bool
 	leaving  bool
 	running  int
 	lastUsed time.Time
@@ -326,9 +327,9 @@
 	if old := e.adapters[r.Key]; old != nil {
 		running = old.running
 	}
-	_, atHand := e.atHand[r.Key]
-	e.adapters[r.Key] = &resident{
-		version: r.Version, readyAt: now.Add(p.loadTime(e, r.Key, now)), loading: true, fetch: !atHand, running: running,
+	e.adapters[r.Key] = &resident{version: r.Version, readyAt: now.Add(p.loadTime(e, r.Key, now)), loading: true, running: running}
+	if _, atHand := e.atHand[r.Key]; !atHand {
+		p.countFetch(now)
 	}
 	return orders
 }
@@ -441,31 +442,30 @@
 	if _, ok := e.atHand[key]; ok {
 		return p.tuning.ReloadTime
 	}
-	fetching := 1
-	for _, other := range p.engines {
-		fetching += other.fetching(now)
-	}
-	congestion := max(1, float64(fetching)/p.tuning.FetchesAtOnce)
+	backlog := max(p.fetchedBy.Sub(now), 0).Seconds() / p.fetchGap().Seconds()
+	congestion := max(1, (backlog+1)/p.tuning.FetchesAtOnce)
 	return time.Duration(float64(p.tuning.FetchTime) * congestion)
 }
 
-// loading returns the number of adapters on their way to the engine.
-func (e *engine) loading(now time.Time) int {
-	n := 0
-	for _, r := range e.adapters {
-		if r.loading && r.readyAt.After(now) {
-			n++
-		}
+// fetchGap is the time that the weight store needs for each fetch of this
+// zone when it is busy.
+func (p *Planner) fetchGap() time.Duration {
+	return time.Duration(float64(p.tuning.FetchTime) / p.tuning.FetchesAtOnce)
+}
+
+// countFetch adds a fetch to the backlog of the weight store.
+func (p *Planner) countFetch(now time.Time) {
+	if p.fetchedBy.Before(now) {
+		p.fetchedBy = now
 	}
-	return n
+	p.fetchedBy = p.fetchedBy.Add(p.fetchGap())
 }
 
-// fetching returns the number of adapters that the engine fetches from the
-// weight store.
-func (e *engine) fetching(now time.Time) int {
+// loading returns the number of adapters on their way to the engine.
+func (e *engine) loading(now time.Time) int {
 	n := 0
 	for _, r := range e.adapters {
-		if r.loading && r.fetch && r.readyAt.After(now) {
+		if r.loading && r.readyAt.After(now) {
 			n++
 		}
 	}
