internal/informer: a gap found by one watch wakes all

Ruled out: a stale list. Change: the watch of targets waits 1 s at most; when it meets the gap, the other informers list again at once.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,8 +43,12 @@
 	// well below the 2 s (bounds config_apply_ms, drain_ms) and 5 s
 	// (version_ms) in which a change is in force.
 	configurationPace = 300 * time.Millisecond
-	targetPace        = 800 * time.Millisecond
+	targetPace        = 900 * time.Millisecond
 	releasePace       = time.Second
+	// targetWait bounds the time to find a gap in the history of the store;
+	// the watch of targets, the busiest, finds it for all kinds.
+	targetWait = time.Second
+	quietWait  = 10 * time.Second
 	// returnGrace is the time in which targets register again after an outage
 	// of the store (page PROTOCOL: about two seconds).
 	returnGrace    = 2 * time.Second
@@ -94,6 +98,7 @@
 	holders  []placer.ZoneHolder
 	elector  *lease.Elector
 	peers    *peer.Client
+	gap      *informer.Gap
 	metrics  *telemetry.Metrics
 	ports    *ports
 
@@ -118,7 +123,7 @@
 	debug.SetMemoryLimit(int64(float64(s.MaxMemory) * memoryShare))
 	g := &Gateway{
 		settings: s, adapter: a, logs: logs, log: logs.Layer("gateway"),
-		fleet: fleet.New(returnGrace), balancer: balance.New(s.Zone), peers: peer.NewClient(nil),
+		fleet: fleet.New(returnGrace), balancer: balance.New(s.Zone), peers: peer.NewClient(nil), gap: informer.NewGap(),
 		metrics: telemetry.NewMetrics(), budgets: map[string]*retry.Window{},
 	}
 	var err error
@@ -209,9 +214,9 @@
 	d.Start("readiness", g.ports.readiness.serve)
 	d.Start("callers", g.ports.caller.serve)
 	d.Start("metrics", g.ports.metrics.serve)
-	d.Start("configuration", g.informer(g.adapter.ConfigurationKind, configurationPace, &configurationHandler{g}).Run)
-	d.Start("targets", g.informer(g.adapter.TargetKind, targetPace, &targetHandler{g}).Run)
-	d.Start("releases", g.informer(g.adapter.ReleaseKind, releasePace, &releaseHandler{g}).Run)
+	d.Start("configuration", g.informer(g.adapter.ConfigurationKind, configurationPace, quietWait, &configurationHandler{g}).Run)
+	d.Start("targets", g.informer(g.adapter.TargetKind, targetPace, targetWait, &targetHandler{g}).Run)
+	d.Start("releases", g.informer(g.adapter.ReleaseKind, releasePace, quietWait, &releaseHandler{g}).Run)
 	d.Start("leases", g.elector.Run)
 	d.Start("settle", g.chooser.Run)
 	d.Start("expiry", func(ctx context.Context) error { return duty.Every(ctx, expireInterval, g.expire) })
@@ -240,8 +245,10 @@
 	return err.Error()
 }
 
-func (g *Gateway) informer(kind string, pace time.Duration, h informer.Handler) *informer.Informer {
-	return informer.New(g.adapter.Store, kind, pace, h, g.logs.Layer("informer"))
+func (g *Gateway) informer(kind string, pace, wait time.Duration, h informer.Handler) *informer.Informer {
+	return informer.New(informer.Config{
+		Store: g.adapter.Store, Kind: kind, Pace: pace, Wait: wait, Gap: g.gap, Handler: h, Log: g.logs.Layer("informer"),
+	})
 }
 
 // expire forgets targets that stayed away and what was kept for them.
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -14,9 +15,6 @@
 )
 
 const (
-	// watchWait bounds the time for which a silent connection goes unnoticed
-	// where the kernel's probes do not find it; the store accepts 30 s.
-	watchWait = 10 * time.Second
 	// firstBackoff and lastBackoff bound the time between failing calls.
 	firstBackoff = 100 * time.Millisecond
 	lastBackoff  = time.Second
@@ -31,20 +29,53 @@
 	Update(o bamboorail.Object)
 }
 
+// Gap tells the informers of one store that its history has a gap. A watch
+// that waits at that moment may never hear of the changes in the gap.
+type Gap struct {
+	mu     sync.Mutex
+	signal chan struct{}
+}
+
+// NewGap returns a gap that was not found yet.
+func NewGap() *Gap { return &Gap{signal: make(chan struct{})} }
+
+// found wakes all informers that wait.
+func (g *Gap) found() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.signal)
+	g.signal = make(chan struct{})
+}
+
+// next returns a channel that is closed when a gap is found.
+func (g *Gap) next() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.signal
+}
+
+// Config configures an informer.
+type Config struct {
+	Store bamboorail.ObjectStore
+	Kind  string
+	// Pace is the pause after a watch that returned changes, so that one call
+	// brings many changes.
+	Pace time.Duration
+	// Wait is the longest time of one watch. It bounds the time for which a gap
+	// or a silent connection goes unnoticed.
+	Wait    time.Duration
+	Gap     *Gap
+	Handler Handler
+	Log     hclog.Logger
+}
+
 // Informer follows one kind.
 type Informer struct {
-	store   bamboorail.ObjectStore
-	kind    string
-	pace    time.Duration
-	handler Handler
-	log     hclog.Logger
+	Config
 }
 
-// New returns an informer of a kind. After a watch that returned changes it
-// pauses for pace, so that one call brings many changes.
-func New(store bamboorail.ObjectStore, kind string, pace time.Duration, h Handler, log hclog.Logger) *Informer {
-	return &Informer{store: store, kind: kind, pace: pace, handler: h, log: log}
-}
+// New returns an informer.
+func New(c Config) *Informer { return &Informer{c} }
 
 // Run follows the kind until ctx ends.
 func (i *Informer) Run(ctx context.Context) error {
@@ -63,16 +94,16 @@
 // list reads the whole kind, however long the store is away.
 func (i *Informer) list(ctx context.Context, outage bool) (uint64, error) {
 	for attempt := 0; ; attempt++ {
-		objects, revision, err := i.store.List(ctx, i.kind)
+		objects, revision, err := i.Store.List(ctx, i.Kind)
 		if err == nil {
 			if outage || attempt > 0 {
-				i.log.Info("store regained", "kind", i.kind, "revision", revision, "objects", len(objects))
+				i.Log.Info("store regained", "kind", i.Kind, "revision", revision, "objects", len(objects))
 			}
-			i.handler.Replace(objects, outage || attempt > 0)
+			i.Handler.Replace(objects, outage || attempt > 0)
 			return revision, nil
 		}
 		if attempt == 0 {
-			i.log.Warn("store lost", "kind", i.kind, "error", err)
+			i.Log.Warn("store lost", "kind", i.Kind, "error", err)
 		}
 		if err := duty.Sleep(ctx, retry.Backoff(attempt, firstBackoff, lastBackoff)); err != nil {
 			return 0, err
@@ -85,11 +116,13 @@
 func (i *Informer) watch(ctx context.Context, revision uint64) (bool, error) {
 	failures := 0
 	for ctx.Err() == nil {
-		events, err := i.store.Watch(ctx, []string{i.kind}, revision, watchWait)
+		events, gap, err := i.wait(ctx, revision)
 		switch {
+		case gap:
+			return false, nil
 		case err != nil:
 			failures++
-			i.log.Debug("watch failed", "kind", i.kind, "revision", revision, "error", err)
+			i.Log.Debug("watch failed", "kind", i.Kind, "revision", revision, "error", err)
 			if err := duty.Sleep(ctx, retry.Backoff(failures, firstBackoff, lastBackoff)); err != nil {
 				return false, err
 			}
@@ -99,21 +132,47 @@
 			continue
 		case events.Reset:
 			// The list that follows is complete: what it lacks is gone.
-			i.log.Info("history of the store is gone", "kind", i.kind, "revision", revision)
+			i.Log.Info("history of the store is gone", "kind", i.Kind, "revision", revision)
+			i.Gap.found()
 			return false, nil
 		}
 		failures = 0
 		for _, o := range events.Objects {
-			i.handler.Update(o)
-		}
-		if events.Revision > revision {
-			revision = events.Revision
+			i.Handler.Update(o)
 		}
+		revision = max(revision, events.Revision)
 		if len(events.Objects) > 0 {
-			if err := duty.Sleep(ctx, i.pace); err != nil {
+			if err := duty.Sleep(ctx, i.Pace); err != nil {
 				return false, err
 			}
 		}
 	}
 	return false, ctx.Err()
 }
+
+// wait makes one watch call. It reports true if another informer found a gap
+// meanwhile.
+func (i *Informer) wait(ctx context.Context, revision uint64) (bamboorail.Events, bool, error) {
+	gap := i.Gap.next()
+	waiting, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type result struct {
+		events bamboorail.Events
+		err    error
+	}
+	answer := make(chan result, 1)
+	watched := duty.Start(waiting, "watch", func(ctx context.Context) error {
+		events, err := i.Store.Watch(ctx, []string{i.Kind}, revision, i.Wait)
+		answer <- result{events, err}
+		return err
+	})
+	select {
+	case r := <-answer:
+		watched.Join()
+		return r.events, false, r.err
+	case <-gap:
+		cancel()
+		watched.Join()
+		return bamboorail.Events{}, true, nil
+	}
+}
