internal/adapters: calls wait for scarce fetches in order of value

Cause: calls were refused when four loads ran at an engine, met adapters that were still on their way (421) and were then sent to another engine, which fetched the adapter again; one unanswered order took its engine out of use. Ruled out: a longer estimate of the fetch time, which grew from its own errors. Change: the zone's holder starts at most its share of the fetches; the adapter that serves most waiting calls on time comes first; a call that meets a late load returns to the same engine; an engine in doubt serves what it holds.

--- /dev/null
+++ b/internal/adapters/cost.go
@@ -0,0 +1,190 @@
+package adapters
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bamboorail.example/bamboorail"
+)
+
+// option is an engine that could take a call, with the expected time to the
+// start of the call.
+type option struct {
+	name   string
+	cost   time.Duration
+	load   bool
+	victim *bamboorail.AdapterKey
+}
+
+// best returns the cheapest option, and the one that uses the previous
+// version of the adapter while the new one is not loaded.
+func (p *Planner) best(r Request, now time.Time) (best, old *option) {
+	for _, name := range p.names() {
+		e := p.engines[name]
+		if !e.usable(r) || slices.Contains(r.Avoid, name) {
+			continue
+		}
+		if o, ok := p.option(name, e, r, now); ok && (best == nil || o.cost < best.cost) {
+			best = &o
+		}
+		if o, ok := p.oldVersion(name, e, r, now); ok && (old == nil || o.cost < old.cost) {
+			old = &o
+		}
+	}
+	return best, old
+}
+
+// oldVersion returns the option to use a version that was replaced a short
+// time ago.
+func (p *Planner) oldVersion(name string, e *engine, r Request, now time.Time) (option, bool) {
+	held := e.adapters[r.Key]
+	if r.Key.Adapter == "" || held == nil || held.leaving || held.loading || held.version >= r.Version ||
+		now.Sub(r.Released) >= p.tuning.OldVersion {
+		return option{}, false
+	}
+	return option{name: name, cost: p.queueCost(e, now)}, true
+}
+
+func (e *engine) usable(r Request) bool {
+	if e.entry.Leaving || !e.known || e.entry.Service != r.Service {
+		return false
+	}
+	_, loaded := e.models[r.Key.Model]
+	return loaded
+}
+
+// option returns the cost of running the call at an engine.
+func (p *Planner) option(name string, e *engine, r Request, now time.Time) (option, bool) {
+	o := option{name: name, cost: p.queueCost(e, now)}
+	if at := e.models[r.Key.Model]; at.After(now) {
+		o.cost += at.Sub(now)
+	}
+	if r.Key.Adapter == "" {
+		return o, true
+	}
+	held := e.adapters[r.Key]
+	if held != nil && !held.leaving && held.version >= r.Version {
+		if held.readyAt.After(now) {
+			o.cost += held.readyAt.Sub(now)
+		}
+		return o, true
+	}
+	if held != nil && (held.leaving || held.running > 0) {
+		// A replacement waits for the runs of the old version.
+		return o, false
+	}
+	if !e.synced || !p.mayLoad(e, r, now) {
+		return o, false
+	}
+	o.load = true
+	o.cost += p.loadTime(e, r.Key) + time.Duration(p.rank(name, r))*p.tuning.RankCost
+	if e.loading(now) >= p.tuning.LoadsPerEngine {
+		return o, false
+	}
+	if held == nil && len(e.adapters) >= e.slots {
+		victim, ok := p.victim(e, now)
+		if !ok {
+			return o, false
+		}
+		o.victim = &victim
+	}
+	return o, true
+}
+
+// mayLoad reports whether a request may cause a load at an engine.
+func (p *Planner) mayLoad(e *engine, r Request, now time.Time) bool {
+	switch r.Loads {
+	case LoadNever:
+		return false
+	case LoadIfWanted:
+		if _, atHand := e.atHand[r.Key]; !atHand && p.demandOf(r.Key, now) < p.tuning.ReplicaDemand {
+			return false
+		}
+	case LoadFreely:
+	}
+	if _, atHand := e.atHand[r.Key]; atHand {
+		return true
+	}
+	return p.waiting.mayStart(r.Key, p.tuning.FetchesAtOnce-p.fetching(now), now)
+}
+
+// fetching returns the number of fetches of this zone under way.
+func (p *Planner) fetching(now time.Time) int {
+	n := 0
+	for _, e := range p.engines {
+		for _, r := range e.adapters {
+			if r.loading && r.fetch && r.readyAt.After(now) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// queueCost is the expected wait for the first token behind running calls.
+func (p *Planner) queueCost(e *engine, now time.Time) time.Duration {
+	cost := time.Duration(e.running) * p.tuning.CallCost
+	if slots := e.entry.Slots; slots > 0 && e.running >= slots {
+		// Calls beyond the batch wait for others to end.
+		cost += time.Duration(e.running-slots+1) * 10 * p.tuning.CallCost
+	}
+	if now.Before(e.suspectTo) {
+		cost += suspectCost
+	}
+	return cost
+}
+
+// suspectCost makes a suspected engine the last choice.
+const suspectCost = time.Hour
+
+// loadTime is the expected time of a load that starts now.
+func (p *Planner) loadTime(e *engine, key bamboorail.AdapterKey) time.Duration {
+	if _, ok := e.atHand[key]; ok {
+		return p.tuning.ReloadTime
+	}
+	return p.fetchTime
+}
+
+// rank returns the place of an engine in the adapter's own order of engines.
+func (p *Planner) rank(name string, r Request) int {
+	own := weight(name, r.Key)
+	rank := 0
+	for other, e := range p.engines {
+		if other != name && e.entry.Service == r.Service && !e.entry.Leaving && weight(other, r.Key) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Home returns the zone in which an adapter is loaded first.
+func Home(zones []string, key bamboorail.AdapterKey) string {
+	best, most := "", uint64(0)
+	for _, zone := range zones {
+		if w := weight(zone, key); best == "" || w > most {
+			best, most = zone, w
+		}
+	}
+	return best
+}
+
+func weight(engine string, key bamboorail.AdapterKey) uint64 {
+	return xxhash.Sum64String(engine + "/" + key.Model + "/" + key.Adapter)
+}
+
+// victim returns the idle adapter with the least demand.
+func (p *Planner) victim(e *engine, now time.Time) (bamboorail.AdapterKey, bool) {
+	best, least := bamboorail.AdapterKey{}, math.Inf(1)
+	for key, r := range e.adapters {
+		if r.running > 0 || r.leaving || r.readyAt.After(now) || now.Sub(r.lastUsed) < p.tuning.KeepIdle {
+			continue
+		}
+		if d := p.demandOf(key, now); d < least || (d == least && key.Adapter < best.Adapter) {
+			best, least = key, d
+		}
+	}
+	return best, !math.IsInf(least, 1)
+}
--- /dev/null
+++ b/internal/adapters/waiting.go
@@ -0,0 +1,94 @@
+package adapters
+
+import (
+	"time"
+
+	"bamboorail.example/bamboorail"
+)
+
+const (
+	// askedWithin is the time after which a call that was not placed again has
+	// left.
+	askedWithin = 250 * time.Millisecond
+	// lateValue is the value of a call that misses its objective, against one
+	// that does not; the users' sheets give 0.3.
+	lateValue = 0.3
+	// ageValue is added for each second of waiting, so that late calls are
+	// served before their callers leave.
+	ageValue = 0.2
+	// priorityStep is the part of the value that each rank takes away.
+	priorityStep = 0.15
+	leastValue   = 0.3
+)
+
+// waitlist holds the calls that wait for a fetch, by adapter. When fetches are
+// scarce, the adapter that serves most calls on time is fetched first.
+type waitlist map[bamboorail.AdapterKey]map[string]waitingCall
+
+type waitingCall struct {
+	value float64
+	asked time.Time
+}
+
+// add enters or refreshes a call.
+func (w waitlist) add(r Request, fetch time.Duration, now time.Time) {
+	calls := w[r.Key]
+	if calls == nil {
+		calls = map[string]waitingCall{}
+		w[r.Key] = calls
+	}
+	value := max(1-priorityStep*float64(r.Priority), leastValue)
+	if r.Waited+fetch > r.Objective {
+		value *= lateValue
+	}
+	calls[r.CallID] = waitingCall{value: value + ageValue*r.Waited.Seconds(), asked: now}
+}
+
+// leave removes a call.
+func (w waitlist) leave(r Request) {
+	delete(w[r.Key], r.CallID)
+	if len(w[r.Key]) == 0 {
+		delete(w, r.Key)
+	}
+}
+
+// remove removes an adapter whose load starts.
+func (w waitlist) remove(key bamboorail.AdapterKey) { delete(w, key) }
+
+// score is the value of the calls that wait for an adapter.
+func (w waitlist) score(key bamboorail.AdapterKey, now time.Time) float64 {
+	total := 0.0
+	for _, c := range w[key] {
+		if now.Sub(c.asked) <= askedWithin {
+			total += c.value
+		}
+	}
+	return total
+}
+
+// mayStart reports whether an adapter is among the free best of those that
+// wait.
+func (w waitlist) mayStart(key bamboorail.AdapterKey, free int, now time.Time) bool {
+	own := w.score(key, now)
+	ahead := 0
+	for other := range w {
+		if s := w.score(other, now); other != key && (s > own || (s == own && other.Adapter < key.Adapter)) {
+			ahead++
+		}
+	}
+	return ahead < free
+}
+
+// prune forgets calls that left.
+func (w waitlist) prune(now time.Time) {
+	for key, calls := range w {
+		for id, c := range calls {
+			if now.Sub(c.asked) > askedWithin {
+				delete(calls, id)
+			}
+		}
+		if len(calls) == 0 {
+			delete(w, key)
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -170,7 +170,7 @@
 // sheets (page SYSTEM).
 func (g *Gateway) tuning() adapters.Tuning {
 	return adapters.Tuning{
-		FetchTime: 260 * time.Millisecond, ReloadTime: 30 * time.Millisecond, FetchesAtOnce: 8 / float64(len(g.settings.Zones)),
+		FetchTime: 260 * time.Millisecond, ReloadTime: 30 * time.Millisecond, FetchesAtOnce: (g.settings.AdapterLoads + len(g.settings.Zones) - 1) / len(g.settings.Zones),
 		ReplicaDemand:  8,
 		LoadsPerEngine: 4, CallCost: 3 * time.Millisecond, RankCost: 15 * time.Millisecond, KeepIdle: 500 * time.Millisecond,
 		AtHand: 126, OldVersion: g.settings.ReleaseTimeout / 2, Suspicion: time.Second, DemandHalfLife: 20 * time.Second,
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -21,9 +21,13 @@
 )
 
 const (
-	// placeTimeout bounds the question to a holder, which answers within some
-	// ten milliseconds if it does not wait for an engine.
-	placeTimeout = 300 * time.Millisecond
+	// placeTimeout bounds the question to a holder, which waits for a place for
+	// maxPlaceWait and for an order for orderTimeout.
+	placeTimeout = 750 * time.Millisecond
+	// settleTimeout bounds a report of ended placements.
+	settleTimeout = 300 * time.Millisecond
+	// startMargin is left for the way to the engine.
+	startMargin = 50 * time.Millisecond
 	// holderPause is the time for which a holder that did not answer is left
 	// out.
 	holderPause = 700 * time.Millisecond
@@ -82,11 +86,27 @@
 	return &Chooser{ChooserConfig: c, paused: map[string]time.Time{}, ended: map[string][]Ended{}}
 }
 
-// Choose finds a target for a call.
+// Choose finds a target for a call. A call that waits for an engine is placed
+// again until the time by which it must start.
 func (c *Chooser) Choose(ctx context.Context, a relay.Ask) (relay.Place, error) {
 	if !a.Service.Engine || a.Call.Key.Model == "" {
 		return c.choosePlain(a)
 	}
+	for {
+		place, err := c.chooseEngine(ctx, a)
+		if err == nil || bamboorail.KindOf(err) != bamboorail.KindOverloaded {
+			return place, err
+		}
+		if time.Now().Add(startMargin).After(a.StartBy) {
+			return place, err
+		}
+		if err := duty.Sleep(ctx, placeInterval); err != nil {
+			return place, fail("choose-engine", bamboorail.KindCancelled, err)
+		}
+	}
+}
+
+func (c *Chooser) chooseEngine(ctx context.Context, a relay.Ask) (relay.Place, error) {
 	var failure error
 	for _, q := range c.questions(a.Call.Key) {
 		if c.isPaused(q.zone.Zone) {
@@ -205,7 +225,7 @@
 	if z.Local != nil && z.Lease.Leading() {
 		p, err := z.Local.Place(ctx, adapters.Request{
 			Key: a.Call.Key, Service: a.Service.Name, Version: newest, Released: released, Avoid: a.Avoid, Instance: c.Instance,
-			Loads: loads,
+			Loads: loads, CallID: a.Call.ID, Waited: time.Since(a.Received), Objective: a.Route.Objective, Priority: a.Route.Priority,
 		})
 		if err != nil {
 			return relay.Place{}, err
@@ -229,6 +249,8 @@
 	reply, err := c.Peers.Place(asked, address, &wire.PlaceRequest{
 		Zone: z.Zone, Instance: c.Instance, Service: a.Service.Name, Model: a.Call.Key.Model, Adapter: a.Call.Key.Adapter,
 		Version: int64(newest), Avoid: a.Avoid, Ended: endedMessages(ended), Loads: int32(loads),
+		CallId: a.Call.ID, WaitedMicros: time.Since(a.Received).Microseconds(), ObjectiveMicros: a.Route.Objective.Microseconds(),
+		Priority: int32(a.Route.Priority),
 	})
 	received := time.Now()
 	switch {
@@ -265,7 +287,16 @@
 
 // settleLater returns the end of a placement.
 func (c *Chooser) settleLater(zone string, ticket uint64) func(balance.Result, time.Duration) {
-	return func(r balance.Result, _ time.Duration) { c.putBack(zone, []Ended{{Ticket: ticket, Result: r}}) }
+	return func(r balance.Result, _ time.Duration) {
+		end := []Ended{{Ticket: ticket, Result: r}}
+		for _, z := range c.Zones {
+			if z.Zone == zone && z.Local != nil && z.Lease.Leading() {
+				z.Local.Settle(end)
+				return
+			}
+		}
+		c.putBack(zone, end)
+	}
 }
 
 func (c *Chooser) takeEnded(zone string) []Ended {
@@ -315,7 +346,7 @@
 		c.putBack(z.Zone, list)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	reply, err := c.Peers.Settle(ctx, address, &wire.SettleRequest{Zone: z.Zone, Instance: c.Instance, Ended: endedMessages(list)})
 	if err != nil {
@@ -359,7 +390,8 @@
 	}
 	p, err := h.Place(ctx, adapters.Request{
 		Key: key, Service: r.GetService(), Version: newest, Released: released, Avoid: r.GetAvoid(), Instance: r.GetInstance(),
-		Loads: adapters.LoadRule(r.GetLoads()),
+		Loads: adapters.LoadRule(r.GetLoads()), CallID: r.GetCallId(), Waited: time.Duration(r.GetWaitedMicros()) * time.Microsecond,
+		Objective: time.Duration(r.GetObjectiveMicros()) * time.Microsecond, Priority: int(r.GetPriority()),
 	})
 	if err != nil {
 		f := bamboorail.FailureOf(err)
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -33,7 +33,7 @@
 	// an earlier tenure never ends a placement of this one.
 	ticketBits = 32
 	// orderTimeout bounds one order, so that a silent engine holds up few calls.
-	orderTimeout = 600 * time.Millisecond
+	orderTimeout = 300 * time.Millisecond
 )
 
 // HolderConfig configures the holder of a zone.
@@ -209,11 +209,9 @@
 	if _, acting := h.Lease.Tenure(); !acting {
 		r.Loads = adapters.LoadNever
 	}
-	h.mu.Lock()
-	p, ok := h.planner.Place(r, time.Now())
-	h.mu.Unlock()
-	if !ok {
-		return adapters.Placement{}, failRetry(op, bamboorail.KindOverloaded, noPlaceRetry, errNoPlace)
+	p, err := h.awaitPlace(ctx, r)
+	if err != nil {
+		return adapters.Placement{}, err
 	}
 	if len(p.Background) > 0 {
 		select {
@@ -239,8 +237,39 @@
 	return p, nil
 }
 
-// noPlaceRetry is the time in which a load ends and makes room.
-const noPlaceRetry = 300 * time.Millisecond
+const (
+	// noPlaceRetry is the time in which a load ends and makes room.
+	noPlaceRetry = 300 * time.Millisecond
+	// placeInterval is the time between looks at a call that waits for a load.
+	placeInterval = 25 * time.Millisecond
+	// maxPlaceWait is the longest wait within one question, well below the
+	// timeout of the instance that asks.
+	maxPlaceWait = 350 * time.Millisecond
+)
+
+// awaitPlace places a call, and waits for a while if fetches of other
+// adapters come first.
+func (h *Holder) awaitPlace(ctx context.Context, r adapters.Request) (adapters.Placement, error) {
+	const op = "place-call"
+	start := time.Now()
+	waited := r.Waited
+	for {
+		now := time.Now()
+		r.Waited = waited + now.Sub(start)
+		h.mu.Lock()
+		p, ok := h.planner.Place(r, now)
+		h.mu.Unlock()
+		if ok {
+			return p, nil
+		}
+		if r.Loads != adapters.LoadFreely || now.Sub(start) > maxPlaceWait {
+			return adapters.Placement{}, failRetry(op, bamboorail.KindOverloaded, noPlaceRetry, errNoPlace)
+		}
+		if err := duty.Sleep(ctx, placeInterval); err != nil {
+			return adapters.Placement{}, fail(op, bamboorail.KindCancelled, err)
+		}
+	}
+}
 
 // lockEngine serialises orders to and reports of one engine, so that the
 // number of accepted orders is known when the next one is sent.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -36,12 +36,17 @@
 func (x *exchange) attempt(ctx context.Context) error {
 	asked := time.Now()
 	place, err := x.h.Chooser.Choose(ctx, Ask{
-		Call: &x.call, Route: x.route, Service: x.service, Avoid: x.avoid, Deadline: x.deadline,
+		Call: &x.call, Route: x.route, Service: x.service, Avoid: x.avoid,
+		Received: x.received, StartBy: x.startBy, Deadline: x.deadline,
 	})
 	if err != nil {
 		x.trail = append(x.trail, "no-place")
 		return x.ended(ctx, err, "choose-target")
 	}
+	if place.ReadyAt.After(x.startBy) {
+		place.Done(balance.Abandoned, 0)
+		return x.ended(ctx, notRun("await-adapter", bamboorail.KindOverloaded, time.Until(place.ReadyAt), errTooLate), "await-adapter")
+	}
 	if err := duty.Sleep(ctx, time.Until(place.ReadyAt)); err != nil {
 		place.Done(balance.Abandoned, 0)
 		return x.ended(ctx, notRun("await-adapter", bamboorail.KindDeadlineExceeded, retryLater, err), "await-adapter")
@@ -51,7 +56,7 @@
 	place.Done(result, time.Since(sent))
 	x.trail = append(x.trail, fmt.Sprintf("%s@%d wait=%d took=%d %s", place.Target.ID.Name, place.Version,
 		sent.Sub(asked).Milliseconds(), time.Since(sent).Milliseconds(), outcome(err)))
-	if err != nil {
+	if err != nil && result != balance.Misdirected {
 		x.avoid = append(x.avoid, place.Target.ID.Name)
 	}
 	return err
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -40,8 +40,9 @@
 	Service bamboorail.ServiceSpec
 	// Avoid names the targets that failed or refused this call.
 	Avoid []string
-	// Deadline is the time at which the answer is useless.
-	Deadline time.Time
+	// Received is the time at which the call arrived, StartBy the time by which
+	// a target must have it, and Deadline the time at which an answer is useless.
+	Received, StartBy, Deadline time.Time
 }
 
 // Place is a place at a target that was taken for a call.
@@ -119,6 +120,7 @@
 	service  bamboorail.ServiceSpec
 	version  uint64
 	body     []byte
+	startBy  time.Time
 	deadline time.Time
 
 	// committed is set once the head of an answer went to the caller.
@@ -174,9 +176,33 @@
 		x.service = bamboorail.ServiceSpec{Name: name}
 	}
 	x.deadline = x.received.Add(patience(x.call.Patience, x.route.Timeout))
+	x.startBy = x.startTime()
 	return x.readBody(table.Limits().MaxBodyBytes)
 }
 
+const (
+	// startFactor times the objective is the time for which callers of streams
+	// wait for the first event (page PROTOCOL), startLeast the least of it.
+	startFactor = 4
+	startLeast  = 2 * time.Second
+	// startShare of that time may pass before a target has the call.
+	startShare = 0.8
+)
+
+// startTime returns the time by which a target must have the call. Later, the
+// caller is better told to come back.
+func (x *exchange) startTime() time.Time {
+	if !x.route.Streaming {
+		return x.deadline
+	}
+	gap := max(startLeast, startFactor*x.route.Objective)
+	start := x.received.Add(time.Duration(startShare * float64(gap)))
+	if start.After(x.deadline) {
+		return x.deadline
+	}
+	return start
+}
+
 // patience returns the smaller of two limits, of which 0 means none.
 func patience(caller, operator time.Duration) time.Duration {
 	switch {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -33,6 +33,9 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// AdapterLoads is the number of adapters that the weight store brings at
+	// full speed at once, over all engines.
+	AdapterLoads int
 	// MaxMemory is the limit of the process in bytes.
 	MaxMemory int64
 
@@ -47,6 +50,7 @@
 	defaultRetryWindow    = 10 * time.Second
 	defaultRetryRatio     = 0.2
 	defaultRetrySlack     = 50
+	defaultAdapterLoads   = 8
 	defaultGatewayMemory  = 256 << 20
 )
 
@@ -79,6 +83,7 @@
 		RetryRatio:       f.Float(section, "retry-ratio", defaultRetryRatio),
 		RetrySlack:       f.Float(section, "retry-slack", defaultRetrySlack),
 		RetryWindow:      f.Duration(section, "retry-window", defaultRetryWindow),
+		AdapterLoads:     f.Int(section, "adapter-loads", defaultAdapterLoads, 1),
 		MaxMemory:        f.Size(section, "max-memory", defaultGatewayMemory),
 		PlatformURL:      f.URL("platform", "url"),
 		Log:              f.log(),
