internal/relay: no call to a leaving target, no short stream that looks whole

Change: the place is looked at again after the wait; a failure after the head was sent breaks the connection. Tests with scripted targets fail without.

--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -173,7 +173,7 @@
 	if !ok {
 		return relay.Place{}, failRetry("choose-target", bamboorail.KindNoTarget, noEngineRetry, errNoEngine)
 	}
-	return relay.Place{Target: target, ReadyAt: now, Done: func(r balance.Result, took time.Duration) {
+	return relay.Place{Target: target, ReadyAt: now, Valid: c.valid(target), Done: func(r balance.Result, took time.Duration) {
 		c.Balancer.Done(target.ID, r, took, time.Now())
 	}}, nil
 }
@@ -202,7 +202,7 @@
 	}
 	c.Log.Info("engine chosen without a holder", "id", a.Call.ID, "engine", target.ID.Name, "adapter", key.Adapter)
 	return relay.Place{
-		Target: target, Version: target.Models[key.Model][key.Adapter], ReadyAt: now,
+		Target: target, Version: target.Models[key.Model][key.Adapter], ReadyAt: now, Valid: c.valid(target),
 		Done: func(r balance.Result, took time.Duration) { c.Balancer.Done(target.ID, r, took, time.Now()) },
 	}, true
 }
@@ -230,7 +230,9 @@
 		if err != nil {
 			return relay.Place{}, err
 		}
-		return relay.Place{Target: p.Target, Version: p.Version, ReadyAt: p.ReadyAt, Done: c.settleLater(z.Zone, p.Ticket)}, nil
+		return relay.Place{
+			Target: p.Target, Version: p.Version, ReadyAt: p.ReadyAt, Valid: c.valid(p.Target), Done: c.settleLater(z.Zone, p.Ticket),
+		}, nil
 	}
 	_, address := z.Lease.Holder()
 	if address == "" {
@@ -274,15 +276,19 @@
 		Address: reply.GetAddress(), Zone: reply.GetZone(),
 	}
 	ready := received.Add(time.Duration(reply.GetReadyInMicros()) * time.Microsecond)
-	place := relay.Place{
-		Target: target, Version: int(reply.GetVersion()), ReadyAt: ready, Done: c.settleLater(z.Zone, reply.GetTicket()),
-	}
-	if known, ok := c.Fleet.Target(target.ID.Name); ok && known.Leaving {
-		// This instance learned of the leaving before the holder did.
-		place.Done(balance.Unreachable, 0)
-		return relay.Place{}, failRetry(op, bamboorail.KindNoTarget, noEngineRetry, errNoEngine)
+	return relay.Place{
+		Target: target, Version: int(reply.GetVersion()), ReadyAt: ready, Valid: c.valid(target),
+		Done: c.settleLater(z.Zone, reply.GetTicket()),
+	}, nil
+}
+
+// valid returns whether a target still takes calls, by what this instance
+// knows; it may have learned of a leaving before the holder did.
+func (c *Chooser) valid(t bamboorail.TargetEntry) func() bool {
+	return func() bool {
+		known, ok := c.Fleet.Target(t.ID.Name)
+		return ok && !known.Leaving && known.ID == t.ID
 	}
-	return place, nil
 }
 
 // settleLater returns the end of a placement.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -35,22 +35,10 @@
 // attempt takes a place and runs the call there.
 func (x *exchange) attempt(ctx context.Context) error {
 	asked := time.Now()
-	place, err := x.h.Chooser.Choose(ctx, Ask{
-		Call: &x.call, Route: x.route, Service: x.service, Avoid: x.avoid,
-		Received: x.received, StartBy: x.startBy, Deadline: x.deadline,
-	})
+	place, err := x.takePlace(ctx)
 	if err != nil {
-		x.trail = append(x.trail, "no-place")
 		return x.ended(ctx, err, "choose-target")
 	}
-	if place.ReadyAt.After(x.startBy) {
-		place.Done(balance.Abandoned, 0)
-		return x.ended(ctx, notRun("await-adapter", bamboorail.KindOverloaded, time.Until(place.ReadyAt), errTooLate), "await-adapter")
-	}
-	if err := duty.Sleep(ctx, time.Until(place.ReadyAt)); err != nil {
-		place.Done(balance.Abandoned, 0)
-		return x.ended(ctx, notRun("await-adapter", bamboorail.KindDeadlineExceeded, retryLater, err), "await-adapter")
-	}
 	sent := time.Now()
 	result, err := x.send(ctx, place)
 	place.Done(result, time.Since(sent))
@@ -62,6 +50,36 @@
 	return err
 }
 
+// takePlace chooses a target and waits until it can run the call. A target
+// that leaves meanwhile is replaced.
+func (x *exchange) takePlace(ctx context.Context) (Place, error) {
+	const op = "await-adapter"
+	for {
+		place, err := x.h.Chooser.Choose(ctx, Ask{
+			Call: &x.call, Route: x.route, Service: x.service, Avoid: x.avoid,
+			Received: x.received, StartBy: x.startBy, Deadline: x.deadline,
+		})
+		if err != nil {
+			x.trail = append(x.trail, "no-place")
+			return Place{}, err
+		}
+		if place.ReadyAt.After(x.startBy) {
+			place.Done(balance.Abandoned, 0)
+			return Place{}, notRun(op, bamboorail.KindOverloaded, time.Until(place.ReadyAt), errTooLate)
+		}
+		if err := duty.Sleep(ctx, time.Until(place.ReadyAt)); err != nil {
+			place.Done(balance.Abandoned, 0)
+			return Place{}, notRun(op, bamboorail.KindDeadlineExceeded, retryLater, err)
+		}
+		if place.Valid() {
+			return place, nil
+		}
+		place.Done(balance.Abandoned, 0)
+		x.avoid = append(x.avoid, place.Target.ID.Name)
+		x.trail = append(x.trail, place.Target.ID.Name+" left")
+	}
+}
+
 func outcome(err error) string {
 	if err == nil {
 		return "answered"
@@ -200,7 +218,9 @@
 	if x.route.Streaming && resp.StatusCode == http.StatusOK {
 		return x.passStream(ctx, cancel, resp)
 	}
-	if resp.StatusCode >= http.StatusInternalServerError && x.canRunAgain() {
+	if x.committed || (resp.StatusCode >= http.StatusInternalServerError && x.canRunAgain()) {
+		// The failure of a second target must not end the stream of the first
+		// as if it were whole.
 		return balance.Failed, mayHaveRun(op, bamboorail.KindTargetFailed, fmt.Errorf("the target answered with status %d", resp.StatusCode))
 	}
 	head, err := io.ReadAll(io.LimitReader(resp.Body, holdBack))
@@ -230,7 +250,7 @@
 // canRunAgain reports whether a failure of the target itself is worth another
 // run.
 func (x *exchange) canRunAgain() bool {
-	return x.route.Repeat == bamboorail.RepeatAlways && x.runs < x.route.MaxAttempts && x.arrivals < maxArrivals &&
+	return x.route.Repeat != bamboorail.RepeatNever && x.runs < x.route.MaxAttempts && x.arrivals < maxArrivals &&
 		time.Until(x.deadline) > x.route.Objective/2 && x.budget().Available(time.Now())
 }
 
--- /dev/null
+++ b/internal/relay/bed_test.go
@@ -0,0 +1,279 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/balance"
+	"bamboorail.example/bamboorail/internal/retry"
+	"bamboorail.example/bamboorail/internal/route"
+	"bamboorail.example/bamboorail/internal/telemetry"
+)
+
+// dialect is a plain dialect for tests.
+type dialect struct{}
+
+func (dialect) Decode(r *http.Request) (bamboorail.Call, error) {
+	c := bamboorail.Call{ID: r.Header.Get("Id"), LastEvent: r.Header.Get("Last-Event-Id"), Header: r.Header.Clone()}
+	if ms, err := strconv.Atoi(r.Header.Get("Patience")); err == nil {
+		c.Patience = time.Duration(ms) * time.Millisecond
+	}
+	return c, nil
+}
+
+func (dialect) ReadyPath() string { return "/ready" }
+
+func (dialect) Refuse(h http.Header, _ *bamboorail.Call, after time.Duration) {
+	if after > 0 {
+		h.Set("Retry-After", fmt.Sprint(after.Seconds()))
+	}
+}
+
+func (dialect) Encode(r *http.Request, c *bamboorail.Call, s bamboorail.Sending) {
+	r.Header = c.Header.Clone()
+	r.Header.Set("Remaining", strconv.FormatInt(s.Remaining.Milliseconds(), 10))
+	if s.LastEvent != "" {
+		r.Header.Set("Last-Event-Id", s.LastEvent)
+	}
+}
+
+func (dialect) Judge(r *http.Response, c *bamboorail.Call) bamboorail.Verdict {
+	switch {
+	case r.Header.Get("Not-Run") != "":
+		return bamboorail.VerdictNotRun
+	case r.StatusCode == http.StatusMisdirectedRequest:
+		return bamboorail.VerdictMisdirected
+	case r.Header.Get("Id") != c.ID:
+		return bamboorail.VerdictForeign
+	}
+	return bamboorail.VerdictAnswer
+}
+
+// target is a scripted peer: each request gets the next script.
+type target struct {
+	listener net.Listener
+	entry    bamboorail.TargetEntry
+
+	mu       sync.Mutex
+	scripts  []script
+	requests []received
+	closed   chan struct{} // receives when a peer closed its connection
+}
+
+// script answers one request on a connection. It returns false to close it.
+type script func(c net.Conn, r *http.Request) bool
+
+// received is a request as the target saw it.
+type received struct {
+	method, uri, body string
+	header            http.Header
+}
+
+func newTarget(t *testing.T, name string, scripts ...script) *target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	g := &target{
+		listener: l, scripts: scripts, closed: make(chan struct{}, 16),
+		entry: bamboorail.TargetEntry{ID: bamboorail.TargetID{Name: name}, Address: l.Addr().String(), Slots: 8},
+	}
+	go g.accept()
+	return g
+}
+
+func (g *target) accept() {
+	for {
+		c, err := g.listener.Accept()
+		if err != nil {
+			return
+		}
+		go g.serve(c)
+	}
+}
+
+func (g *target) serve(c net.Conn) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		g.mu.Lock()
+		g.requests = append(g.requests, received{r.Method, r.RequestURI, string(body), r.Header})
+		next := answer("whole")
+		if len(g.scripts) > 0 {
+			next, g.scripts = g.scripts[0], g.scripts[1:]
+		}
+		g.mu.Unlock()
+		if !next(c, r) {
+			return
+		}
+	}
+}
+
+func (g *target) seen() []received {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]received(nil), g.requests...)
+}
+
+// raw writes bytes with the id of the request in place of ID, and closes.
+func raw(text string) script {
+	return func(c net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(c, strings.ReplaceAll(text, "ID", r.Header.Get("Id")))
+		return false
+	}
+}
+
+// answer is a whole answer on a connection that stays open.
+func answer(body string) script {
+	return func(c net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Id"), len(body), body)
+		return true
+	}
+}
+
+// reset closes the connection with a reset after some bytes.
+func reset(text string) script {
+	return func(c net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(c, strings.ReplaceAll(text, "ID", r.Header.Get("Id")))
+		time.Sleep(20 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+}
+
+// stream answers with events as chunks; with whole set it ends them.
+func stream(whole bool, events ...string) script {
+	return func(c net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+		for _, e := range events {
+			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e)
+		}
+		if whole {
+			_, _ = io.WriteString(c, "0\r\n\r\n")
+		}
+		return whole
+	}
+}
+
+// silent never answers; it reports when its peer closes the connection.
+func (g *target) silent(c net.Conn, _ *http.Request) bool {
+	_, _ = io.Copy(io.Discard, c)
+	g.closed <- struct{}{}
+	return false
+}
+
+var errNoneLeft = errors.New("no target is left")
+
+// chooser hands out the targets in turn, leaving out those to avoid.
+type chooser struct {
+	targets []*target
+	// leaves names a target that leaves while the call waits for it.
+	leaves string
+	wait   time.Duration
+
+	mu      sync.Mutex
+	results []balance.Result
+}
+
+func (c *chooser) Choose(_ context.Context, a Ask) (Place, error) {
+	for _, g := range c.targets {
+		avoided := false
+		for _, name := range a.Avoid {
+			avoided = avoided || name == g.entry.ID.Name
+		}
+		if avoided {
+			continue
+		}
+		name := g.entry.ID.Name
+		return Place{
+			Target: g.entry, ReadyAt: time.Now().Add(c.wait), Valid: func() bool { return name != c.leaves },
+			Done: func(r balance.Result, _ time.Duration) {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				c.results = append(c.results, r)
+			},
+		}, nil
+	}
+	return Place{}, notRun("choose", bamboorail.KindNoTarget, time.Second, errNoneLeft)
+}
+
+// bed is a relay in front of scripted targets.
+type bed struct {
+	*httptest.Server
+	chooser *chooser
+}
+
+func newBed(t *testing.T, spec bamboorail.RouteSpec, targets ...*target) *bed {
+	t.Helper()
+	spec.Name, spec.Host, spec.Prefix = "r", "host.example", "/p/"
+	spec.Shares = []bamboorail.ServiceShare{{Service: "s", Weight: 1}}
+	if spec.Timeout == 0 {
+		spec.Timeout = 5 * time.Second
+	}
+	table := route.NewTable(bamboorail.Configuration{Version: 1, Routes: []bamboorail.RouteSpec{spec}})
+	budget := retry.NewWindow(1, 100, 10*time.Second)
+	b := &bed{chooser: &chooser{targets: targets}}
+	handler := NewHandler(Config{
+		Ingress: dialect{}, Egress: dialect{}, Table: func() *route.Table { return table }, Chooser: b.chooser,
+		Budget: func(string) *retry.Window { return budget }, Dialer: NewDialer(), Metrics: telemetry.NewMetrics(),
+		Leaving: func() bool { return false }, Log: hclog.NewNullLogger(),
+	})
+	b.Server = httptest.NewServer(handler)
+	t.Cleanup(b.Close)
+	return b
+}
+
+// result is an answer as a caller sees it.
+type result struct {
+	status int
+	body   string
+	header http.Header
+	// broken is set if the answer did not end as a whole one.
+	broken bool
+}
+
+// call sends one request on a connection of its own.
+func (b *bed) call(t *testing.T, method, path, body string, header ...string) result {
+	t.Helper()
+	req, err := http.NewRequest(method, b.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "host.example"
+	req.Header.Set("Id", "id-1")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	tr := &http.Transport{DisableKeepAlives: true}
+	resp, err := tr.RoundTrip(req)
+	if err != nil {
+		return result{broken: true}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return result{status: resp.StatusCode, body: string(data), header: resp.Header, broken: err != nil}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -52,6 +52,8 @@
 	Version int
 	// ReadyAt is the time from which the target can run the call.
 	ReadyAt time.Time
+	// Valid reports whether the target still takes calls.
+	Valid func() bool
 	// Done gives the place back. It is called once.
 	Done func(r balance.Result, took time.Duration)
 }
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,249 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/balance"
+)
+
+var (
+	once      = bamboorail.RouteSpec{Repeat: bamboorail.RepeatNever, MaxAttempts: 1}
+	always    = bamboorail.RouteSpec{Repeat: bamboorail.RepeatAlways, MaxAttempts: 2, Objective: 300 * time.Millisecond}
+	resumable = bamboorail.RouteSpec{Repeat: bamboorail.RepeatResume, Streaming: true, MaxAttempts: 2}
+	oneStream = bamboorail.RouteSpec{Repeat: bamboorail.RepeatNever, Streaming: true, MaxAttempts: 1}
+)
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: token-%d\n\n", id, id) }
+
+// TestRequestsPassUnchanged: method, path, query and body reach the target as
+// the caller wrote them.
+func TestRequestsPassUnchanged(t *testing.T) {
+	cases := map[string]struct{ method, uri, body string }{
+		"escaped slash":      {http.MethodGet, "/p/a%2fb%20c?x=1&y=%2f", ""},
+		"empty query":        {http.MethodGet, "/p/a?", ""},
+		"dots and semicolon": {http.MethodPost, "/p/../p/;a=b", "{}"},
+		"request in a body":  {http.MethodPost, "/p/x", "GET /other HTTP/1.1\r\nHost: host.example\r\n\r\n"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := newTarget(t, "a", answer("ok"))
+			b := newBed(t, once, g)
+			if r := b.call(t, c.method, c.uri, c.body); r.status != http.StatusOK || r.body != "ok" {
+				t.Fatalf("answer %+v", r)
+			}
+			got := g.seen()
+			if len(got) != 1 || got[0].method != c.method || got[0].uri != c.uri || got[0].body != c.body {
+				t.Errorf("target saw %+v", got)
+			}
+		})
+	}
+}
+
+// cutPoints are answers that break off at each point of a connection's life.
+var cutPoints = map[string]script{
+	"closed before the answer":   raw(""),
+	"reset before the answer":    reset(""),
+	"closed in the status line":  raw("HTTP/1.1 20"),
+	"closed in the head":         raw("HTTP/1.1 200 OK\r\nId: ID\r\nContent-Le"),
+	"closed in the body":         raw("HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 9\r\n\r\nwho"),
+	"closed in a chunk":          raw("HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nwho"),
+	"closed before the last one": raw("HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n"),
+	"reset without a length":     reset("HTTP/1.1 200 OK\r\nId: ID\r\n\r\nwho"),
+	"not HTTP":                   raw("garbage\r\n\r\n"),
+	"another request's answer":   raw("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nno"),
+}
+
+// TestACutCallIsNeverRepeated: a call that may not be repeated reaches one
+// target once, wherever its connection is cut, and its caller is not told that
+// it has not run.
+func TestACutCallIsNeverRepeated(t *testing.T) {
+	for name, cut := range cutPoints {
+		for _, kept := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, kept connection %t", name, kept), func(t *testing.T) {
+				scripts := []script{cut}
+				if kept {
+					scripts = []script{answer("first"), cut}
+				}
+				a, spare := newTarget(t, "a", scripts...), newTarget(t, "spare")
+				b := newBed(t, once, a, spare)
+				if kept {
+					b.call(t, http.MethodPost, "/p/x", "body")
+				}
+				r := b.call(t, http.MethodPost, "/p/x", "body")
+				if r.status != http.StatusBadGateway {
+					t.Errorf("status %d, want 502", r.status)
+				}
+				if n := len(a.seen()) + len(spare.seen()); n != len(scripts) {
+					t.Errorf("%d requests reached targets, want %d", n, len(scripts))
+				}
+			})
+		}
+	}
+}
+
+// TestTheTransportRepeatsNothing: net/http repeats some requests on kept
+// connections by itself. Each arrival must be one that the relay counted.
+func TestTheTransportRepeatsNothing(t *testing.T) {
+	spec := always
+	spec.MaxAttempts = 1
+	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodOptions} {
+		t.Run(method, func(t *testing.T) {
+			g := newTarget(t, "a", answer("first"), raw(""))
+			b := newBed(t, spec, g)
+			b.call(t, http.MethodGet, "/p/x", "", "Idempotency-Key", "k")
+			b.call(t, method, "/p/x", "", "Idempotency-Key", "k")
+			if n := len(g.seen()); n != 2 {
+				t.Errorf("%d requests reached the target, want 2", n)
+			}
+		})
+	}
+}
+
+// TestACutCallIsRepeatedWherePermitted: an idempotent call goes to another
+// target, and the caller gets one whole answer.
+func TestACutCallIsRepeatedWherePermitted(t *testing.T) {
+	for name, cut := range cutPoints {
+		t.Run(name, func(t *testing.T) {
+			a, spare := newTarget(t, "a", cut), newTarget(t, "spare", answer("whole"))
+			r := newBed(t, always, a, spare).call(t, http.MethodGet, "/p/x", "")
+			if r.status != http.StatusOK || r.body != "whole" || r.broken {
+				t.Errorf("answer %+v", r)
+			}
+			if len(a.seen()) != 1 || len(spare.seen()) != 1 {
+				t.Errorf("%d and %d arrivals", len(a.seen()), len(spare.seen()))
+			}
+		})
+	}
+}
+
+// TestPromisesAreTrue: statuses that promise "not run" are given only to calls
+// that no target ran.
+func TestPromisesAreTrue(t *testing.T) {
+	refusal := raw("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	cases := map[string]struct {
+		spec   bamboorail.RouteSpec
+		first  script
+		status int
+	}{
+		"refused by the target":          {once, refusal, http.StatusServiceUnavailable},
+		"failure of the target":          {once, raw("HTTP/1.1 500 No\r\nId: ID\r\nContent-Length: 2\r\n\r\nno"), http.StatusInternalServerError},
+		"cut":                            {once, raw(""), http.StatusBadGateway},
+		"cut, then refused":              {always, raw(""), http.StatusBadGateway},
+		"another instance's address":     {once, raw("HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n"), http.StatusServiceUnavailable},
+		"answer to another call":         {once, raw("HTTP/1.1 200 OK\r\nId: x\r\nContent-Length: 0\r\n\r\n"), http.StatusBadGateway},
+		"stream refused before an event": {oneStream, refusal, http.StatusServiceUnavailable},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			second := refusal
+			if name == "another instance's address" {
+				second = c.first
+			}
+			a, spare := newTarget(t, "a", c.first, second, second, second), newTarget(t, "spare", second, second, second, second)
+			r := newBed(t, c.spec, a, spare).call(t, http.MethodPost, "/p/x", "body")
+			if r.status != c.status {
+				t.Errorf("status %d, want %d", r.status, c.status)
+			}
+			if c.status == http.StatusServiceUnavailable && r.header.Get("Retry-After") == "" {
+				t.Error("no time to come back")
+			}
+		})
+	}
+}
+
+// TestStreamsGoOnElsewhere: a resumable stream that breaks off continues at
+// another target, without a gap or an event twice.
+func TestStreamsGoOnElsewhere(t *testing.T) {
+	a := newTarget(t, "a", stream(false, event(1), event(2)+"id: 3\ndata: hal"))
+	spare := newTarget(t, "spare", stream(true, event(3), event(4)))
+	r := newBed(t, resumable, a, spare).call(t, http.MethodPost, "/p/x", "body")
+	if want := event(1) + event(2) + event(3) + event(4); r.body != want || r.broken {
+		t.Errorf("answer %+v, want body %q", r, want)
+	}
+	if got := spare.seen(); len(got) != 1 || got[0].header.Get("Last-Event-Id") != "2" {
+		t.Errorf("second target saw %+v", got)
+	}
+}
+
+// TestAFailedResumptionIsSeen: if the second target fails, the caller sees a
+// broken stream, never a short one that looks whole. Found by hunt-2113-3 of
+// the coupons site (ORDER).
+func TestAFailedResumptionIsSeen(t *testing.T) {
+	cases := map[string]script{
+		"failure of the target": raw("HTTP/1.1 500 No\r\nId: ID\r\nContent-Length: 2\r\n\r\nno"),
+		"refusal":               raw("HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"),
+		"another call's answer": raw("HTTP/1.1 200 OK\r\nId: x\r\nContent-Length: 0\r\n\r\n"),
+		"cut again":             stream(false, event(3)),
+	}
+	for name, second := range cases {
+		t.Run(name, func(t *testing.T) {
+			a, spare := newTarget(t, "a", stream(false, event(1), event(2))), newTarget(t, "spare", second)
+			if r := newBed(t, resumable, a, spare).call(t, http.MethodPost, "/p/x", "body"); !r.broken {
+				t.Errorf("the stream ended as if whole: %+v", r)
+			}
+		})
+	}
+}
+
+// TestStreamsThatMayNotResumeBreak: nothing is joined and nothing looks whole.
+func TestStreamsThatMayNotResumeBreak(t *testing.T) {
+	a, spare := newTarget(t, "a", stream(false, event(1), event(2))), newTarget(t, "spare")
+	r := newBed(t, oneStream, a, spare).call(t, http.MethodPost, "/p/x", "body")
+	if !r.broken || len(spare.seen()) != 0 {
+		t.Errorf("answer %+v, %d arrivals at the second target", r, len(spare.seen()))
+	}
+}
+
+// TestATargetThatLeavesWhileACallWaits: the call goes elsewhere. Found by
+// scale-2 --seed 306864834133 of the archive site (DRAIN).
+func TestATargetThatLeavesWhileACallWaits(t *testing.T) {
+	a, spare := newTarget(t, "a"), newTarget(t, "spare", answer("whole"))
+	b := newBed(t, once, a, spare)
+	b.chooser.leaves, b.chooser.wait = "a", 10*time.Millisecond
+	if r := b.call(t, http.MethodPost, "/p/x", "body"); r.body != "whole" {
+		t.Errorf("answer %+v", r)
+	}
+	if len(a.seen()) != 0 {
+		t.Error("the leaving target got the call")
+	}
+}
+
+// TestALeftCallerFreesItsTarget: the connection to the target ends with the
+// caller's.
+func TestALeftCallerFreesItsTarget(t *testing.T) {
+	a := newTarget(t, "a")
+	a.scripts = []script{a.silent}
+	b := newBed(t, once, a)
+	req, err := http.NewRequest(http.MethodGet, b.URL+"/p/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "host.example"
+	client := &http.Client{Timeout: 100 * time.Millisecond}
+	if resp, err := client.Do(req); err == nil {
+		_ = resp.Body.Close()
+		t.Fatal("a silent target answered")
+	}
+	<-a.closed
+	b.Close()
+	if got := b.chooser.results; len(got) != 1 || got[0] != balance.Abandoned {
+		t.Errorf("the place was given back with %v", got)
+	}
+}
+
+// TestTheDeadlineEndsACall: at the operator's timeout the caller has its
+// answer, which does not promise that the call has not run.
+func TestTheDeadlineEndsACall(t *testing.T) {
+	a := newTarget(t, "a")
+	a.scripts = []script{a.silent}
+	spec := once
+	spec.Timeout = 150 * time.Millisecond
+	if r := newBed(t, spec, a).call(t, http.MethodPost, "/p/x", "body", "Patience", "60000"); r.status != http.StatusGatewayTimeout {
+		t.Errorf("status %d, want 504", r.status)
+	}
+	<-a.closed
+}
