--- a/internal/adapters/cost.go
+++ b/internal/adapters/cost.go
@@ -72,18 +72,21 @@
 		}
 		return o, true
 	}
+	return p.loadOption(o, e, r, now)
+}
+
+// loadOption returns the cost of loading the adapter at an engine first.
+func (p *Planner) loadOption(o option, e *engine, r Request, now time.Time) (option, bool) {
+	held := e.adapters[r.Key]
 	if held != nil && (held.leaving || held.running > 0) {
 		// A replacement waits for the runs of the old version.
 		return o, false
 	}
-	if !e.synced || !p.mayLoad(e, r, now) {
+	if !e.synced || e.loading(now) >= p.tuning.LoadsPerEngine || !p.mayLoad(e, r, now) {
 		return o, false
 	}
 	o.load = true
-	o.cost += p.loadTime(e, r.Key) + time.Duration(p.rank(name, r))*p.tuning.RankCost
-	if e.loading(now) >= p.tuning.LoadsPerEngine {
-		return o, false
-	}
+	o.cost += p.loadTime(e, r.Key) + time.Duration(p.rank(o.name, r))*p.tuning.RankCost
 	if held == nil && len(e.adapters) >= e.slots {
 		victim, ok := p.victim(e, now)
 		if !ok {
--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -183,20 +183,27 @@
 	}
 	p.waiting.leave(r)
 	p.count(r.Key, now)
+	placement := Placement{ReadyAt: now}
 	var orders []bamboorail.AdapterOrder
 	if best != nil && best.load {
 		orders = p.startLoad(p.engines[best.name], r, best.victim, now)
-	}
-	placement := Placement{ReadyAt: now, Orders: orders}
-	if old != nil && best != nil && best.load && best.name == old.name {
-		// The new version replaces the old one in place.
-		old = nil
+		if old != nil && best.name == old.name {
+			// The new version replaces the old one in place.
+			old = nil
+		}
 	}
 	if old != nil && (best == nil || p.engines[best.name].adapters[r.Key].readyAt.After(now)) {
-		best = old
-		placement.Orders, placement.Background = nil, orders
+		best, placement.Background = old, orders
+	} else {
+		placement.Orders = orders
 	}
-	e := p.engines[best.name]
+	p.take(&placement, best.name, r, now)
+	return placement, true
+}
+
+// take enters a call at an engine.
+func (p *Planner) take(placement *Placement, name string, r Request, now time.Time) {
+	e := p.engines[name]
 	placement.Target = e.entry
 	if r.Key.Adapter != "" {
 		held := e.adapters[r.Key]
@@ -210,8 +217,7 @@
 	e.running++
 	p.next++
 	placement.Ticket = p.next
-	p.tickets[p.next] = ticket{engine: best.name, id: e.entry.ID, key: r.Key, instance: r.Instance, issued: now}
-	return placement, true
+	p.tickets[p.next] = ticket{engine: name, id: e.entry.ID, key: r.Key, instance: r.Instance, issued: now}
 }
 
 // Refused takes in that an engine was full.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -28,7 +28,7 @@
 
 type release struct {
 	version int
-	seen    time.Time
+	made    time.Time
 }
 
 // New returns an empty fleet. Targets that are missing after an outage of the
@@ -151,21 +151,22 @@
 	return k.entry, true
 }
 
-// Released takes in the newest version of an adapter. Versions never go back.
-func (f *Fleet) Released(r bamboorail.AdapterRelease, now time.Time) {
+// Released takes in the newest version of an adapter and the time at which it
+// was made, or the zero time if that is not known. Versions never go back.
+func (f *Fleet) Released(r bamboorail.AdapterRelease, made time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if r.Version > f.releases[r.Key].version {
-		f.releases[r.Key] = release{version: r.Version, seen: now}
+		f.releases[r.Key] = release{version: r.Version, made: made}
 		f.notify()
 	}
 }
 
-// Newest returns the newest announced version of an adapter and when it was
-// learned; 0 if none was announced.
+// Newest returns the newest announced version of an adapter and the time at
+// which it was made, as for Released; 0 if none was announced.
 func (f *Fleet) Newest(key bamboorail.AdapterKey) (int, time.Time) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	r := f.releases[key]
-	return r.version, r.seen
+	return r.version, r.made
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,10 @@
 	// uses; it holds for up to eight instances of uneven load.
 	retryShare      = 1.0 / 8
 	retryRatioShare = 0.8
+	// oldVersionPercent of the time in which a new adapter version must be in
+	// use, the previous one is used; a call may wait in an engine's queue for
+	// some seconds before it begins.
+	oldVersionPercent = 30
 	// memoryShare is the part of the memory limit at which the collector works
 	// harder.
 	memoryShare = 0.7
@@ -143,7 +147,7 @@
 	// The own zone comes first; the others follow in a turn of the list, so
 	// that zones spread what they cannot serve.
 	zones = append(zones[own:], zones[:own]...)
-	var candidates []lease.Candidate
+	candidates := make([]lease.Candidate, 0, len(zones))
 	for _, zone := range zones {
 		l := lease.New(lease.Config{
 			Key: leaseKind + "/" + zone, Holder: s.Instance, Address: s.PeerAddress, Timing: timing,
@@ -169,11 +173,12 @@
 // tuning returns the costs of the planner. Times are those of the users'
 // sheets (page SYSTEM).
 func (g *Gateway) tuning() adapters.Tuning {
+	zones := len(g.settings.Zones)
 	return adapters.Tuning{
-		FetchTime: 260 * time.Millisecond, ReloadTime: 30 * time.Millisecond, FetchesAtOnce: (g.settings.AdapterLoads + len(g.settings.Zones) - 1) / len(g.settings.Zones),
+		FetchTime: 260 * time.Millisecond, ReloadTime: 30 * time.Millisecond, FetchesAtOnce: (g.settings.AdapterLoads + zones - 1) / zones,
 		ReplicaDemand:  8,
 		LoadsPerEngine: 4, CallCost: 3 * time.Millisecond, RankCost: 15 * time.Millisecond, KeepIdle: 500 * time.Millisecond,
-		AtHand: 126, OldVersion: g.settings.ReleaseTimeout / 2, Suspicion: time.Second, DemandHalfLife: 20 * time.Second,
+		AtHand: 126, OldVersion: g.settings.ReleaseTimeout * oldVersionPercent / 100, Suspicion: time.Second, DemandHalfLife: 20 * time.Second,
 	}
 }
 
--- a/internal/gateway/records.go
+++ b/internal/gateway/records.go
@@ -89,15 +89,18 @@
 // releaseHandler follows the newest versions of adapters.
 type releaseHandler struct{ g *Gateway }
 
-// Replace takes in all releases after a gap.
+// Replace takes in all releases after a gap. Their age is not known, so the
+// versions before them are not used any more.
 func (h *releaseHandler) Replace(objects []bamboorail.Object, _ bool) {
 	for _, o := range objects {
-		h.Update(o)
+		h.take(o, time.Time{})
 	}
 }
 
-// Update takes in one release.
-func (h *releaseHandler) Update(o bamboorail.Object) {
+// Update takes in one release as it is made.
+func (h *releaseHandler) Update(o bamboorail.Object) { h.take(o, time.Now()) }
+
+func (h *releaseHandler) take(o bamboorail.Object, made time.Time) {
 	if o.Deleted {
 		return
 	}
@@ -106,6 +109,6 @@
 		h.g.log.Warn("release is unreadable", "key", o.Key, "revision", o.Version, "error", err)
 		return
 	}
-	h.g.fleet.Released(r, time.Now())
+	h.g.fleet.Released(r, made)
 	h.g.log.Info("release known", "model", r.Key.Model, "adapter", r.Key.Adapter, "version", r.Version, "revision", o.Version)
 }
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -34,7 +34,7 @@
 	lost chan struct{}
 }
 
-func (s *gapStore) Watch(ctx context.Context, kinds []string, revision uint64, wait time.Duration) (bamboorail.Events, error) {
+func (s *gapStore) Watch(ctx context.Context, kinds []string, _ uint64, _ time.Duration) (bamboorail.Events, error) {
 	if kinds[0] == "busy" {
 		select {
 		case <-s.lost:
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -38,7 +38,7 @@
 	maxUnsettled = 4096
 	// oldVersionUse is the time after a release in which the previous version
 	// still serves if no holder answers; the bound version_ms is 5 s.
-	oldVersionUse = 2 * time.Second
+	oldVersionUse = 1500 * time.Millisecond
 	noEngineRetry = time.Second
 )
 
@@ -392,7 +392,8 @@
 	key := bamboorail.AdapterKey{Model: r.GetModel(), Adapter: r.GetAdapter()}
 	newest, released := s.fleet.Newest(key)
 	if int(r.GetVersion()) > newest {
-		newest, released = int(r.GetVersion()), time.Now()
+		// The asking instance knows a release that this one has yet to hear of.
+		newest, released = int(r.GetVersion()), time.Time{}
 	}
 	p, err := h.Place(ctx, adapters.Request{
 		Key: key, Service: r.GetService(), Version: newest, Released: released, Avoid: r.GetAvoid(), Instance: r.GetInstance(),
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -59,7 +59,7 @@
 	planner   *adapters.Planner
 	leading   bool
 	modelLoad time.Time
-	// orders serialises the orders to each engine.
+	// orders serializes the orders to each engine.
 	orders map[bamboorail.TargetID]chan struct{}
 }
 
@@ -271,7 +271,7 @@
 	}
 }
 
-// lockEngine serialises orders to and reports of one engine, so that the
+// lockEngine serializes orders to and reports of one engine, so that the
 // number of accepted orders is known when the next one is sent.
 func (h *Holder) lockEngine(ctx context.Context, id bamboorail.TargetID) (func(), error) {
 	h.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -169,13 +169,14 @@
 		return notRun(op, bamboorail.KindUnavailable, retryLater, errNoConfiguration)
 	}
 	x.version = table.Version()
-	found := false
-	if x.route, found = table.Match(x.r.Host, x.path()); !found {
+	spec, found := table.Match(x.r.Host, x.path())
+	if !found {
 		return notRun(op, bamboorail.KindNotFound, 0, errNoRoute)
 	}
-	name := route.PickService(x.route, rand.Float64())
-	if x.service, found = table.Service(name); !found {
-		x.service = bamboorail.ServiceSpec{Name: name}
+	x.route = spec
+	x.service = bamboorail.ServiceSpec{Name: route.PickService(spec, rand.Float64())}
+	if declared, ok := table.Service(x.service.Name); ok {
+		x.service = declared
 	}
 	x.deadline = x.received.Add(patience(x.call.Patience, x.route.Timeout))
 	x.startBy = x.startTime()
