cmd/railentry: changed settings in force without a restart, bounded logs

Cause: the platform changes the settings file with and without SIGHUP, collects logs from standard output, and a full pipe would have blocked calls. Change: the file is read again at SIGHUP and every two seconds; the store's address, the retry budget, the drain timeout, the memory limit and the log level take effect at once. Log lines pass a ring that drops and counts what exceeds its rate.

--- a/cmd/railentry/cmds/commands.go
+++ b/cmd/railentry/cmds/commands.go
@@ -8,7 +8,9 @@
 	"io"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
+	"time"
 
 	urfave "github.com/urfave/cli/v3"
 
@@ -35,6 +37,8 @@
 		Version: bamboorail.Version,
 		Description: "Runs until it gets SIGTERM, then hands over what it owns and waits for the requests in flight.\n" +
 			"SIGHUP switches the log between its configured level and debug.\n\n" +
+			"Settings with a section [gateway] run an instance on a platform that keeps routes and targets itself;\n" +
+			"it reads changed settings at SIGHUP and every two seconds, and logs to standard output.\n\n" +
 			"Examples:\n  railentry --settings /etc/bamboorail/railentry.ini\n  railentry --settings railentry.ini --check-settings\n\n" +
 			"Exit codes: 0 left as told, 1 failed, 2 wrong command line or settings.",
 		Flags: []urfave.Flag{
@@ -51,7 +55,7 @@
 			if gateway {
 				open = openGateway
 			}
-			p, err := open(path)
+			p, err := open(path, stdout, stderr)
 			if err != nil {
 				return err
 			}
@@ -59,7 +63,7 @@
 				_, err := fmt.Fprintln(stdout, "settings are valid")
 				return err
 			}
-			return run(ctx, p, stderr)
+			return run(ctx, p)
 		},
 	}
 }
@@ -67,8 +71,11 @@
 // program is what the settings ask for.
 type program struct {
 	log settings.Log
+	out io.Writer
 	// start opens the ports of an instance.
 	start func(ctx context.Context, logs *logflags.Logs) (instance, error)
+	// watch follows signals and the settings file while i runs.
+	watch func(ctx context.Context, i instance, logs *logflags.Logs) error
 }
 
 // instance runs until stop ends, then shuts down gracefully.
@@ -77,23 +84,41 @@
 }
 
 // openEntry reads the settings of an instance that owns targets.
-func openEntry(path string) (program, error) {
+func openEntry(path string, _, stderr io.Writer) (program, error) {
 	s, err := settings.ReadEntry(path)
-	return program{log: s.Log, start: func(ctx context.Context, logs *logflags.Logs) (instance, error) {
-		return service.New(ctx, s, logs)
-	}}, err
+	return program{
+		log: s.Log, out: stderr,
+		start: func(ctx context.Context, logs *logflags.Logs) (instance, error) { return service.New(ctx, s, logs) },
+		watch: func(ctx context.Context, _ instance, logs *logflags.Logs) error {
+			return toggleDebug(ctx, logs, s.Log.Level)
+		},
+	}, err
 }
 
-// openGateway reads the settings of an instance on the users' platform.
-func openGateway(path string) (program, error) {
+// openGateway reads the settings of an instance on the users' platform, which
+// collects logs from standard output.
+func openGateway(path string, stdout, _ io.Writer) (program, error) {
 	s, err := settings.ReadGateway(path)
-	return program{log: s.Log, start: func(ctx context.Context, logs *logflags.Logs) (instance, error) {
-		return gateway.New(ctx, s, platform.NewAdapter(s.PlatformURL, gateway.Transport()), logs)
-	}}, err
+	return program{
+		log: s.Log, out: stdout,
+		start: func(ctx context.Context, logs *logflags.Logs) (instance, error) {
+			return gateway.New(ctx, s, platform.NewAdapter(s.PlatformURL, gateway.Transport()), logs)
+		},
+		watch: func(ctx context.Context, i instance, logs *logflags.Logs) error {
+			return reloadSettings(ctx, path, s, i.(*gateway.Gateway), logs)
+		},
+	}, err
 }
 
-func run(ctx context.Context, p program, stderr io.Writer) error {
-	logs, err := logflags.New(stderr, "railentry", p.log.Level, p.log.JSON)
+func run(ctx context.Context, p program) error {
+	ring := logflags.NewRing()
+	logging, stopLog := context.WithCancel(context.WithoutCancel(ctx))
+	written := duty.Start(logging, "log", func(ctx context.Context) error { return ring.Run(ctx, p.out) })
+	defer func() {
+		stopLog()
+		written.Join()
+	}()
+	logs, err := logflags.New(ring, "railentry", p.log.Level, p.log.JSON)
 	if err != nil {
 		return err
 	}
@@ -101,17 +126,54 @@
 	if err != nil {
 		return err
 	}
-	signals, cancel := context.WithCancel(ctx)
-	toggled := duty.Start(signals, "log-level", func(ctx context.Context) error { return toggleDebug(ctx, logs, p.log.Level) })
+	watching, cancel := context.WithCancel(ctx)
+	watched := duty.Start(watching, "settings", func(ctx context.Context) error { return p.watch(ctx, i, logs) })
 	err = i.Run(context.WithoutCancel(ctx), ctx)
 	cancel()
-	toggled.Join()
+	watched.Join()
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
 	return err
 }
 
+// settingsInterval is the time between looks at the settings file, which may
+// change without a signal.
+const settingsInterval = 2 * time.Second
+
+// reloadSettings follows the settings file. Settings with faults are reported
+// and leave those before in force.
+func reloadSettings(ctx context.Context, path string, inForce settings.Gateway, g *gateway.Gateway, logs *logflags.Logs) error {
+	log := logs.Layer("settings")
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	ticks := time.NewTicker(settingsInterval)
+	defer ticks.Stop()
+	var faults string
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-hangups:
+		case <-ticks.C:
+		}
+		next, err := settings.ReadGateway(path)
+		if err != nil {
+			if err.Error() != faults {
+				log.Error("settings not reloaded", "error", err)
+			}
+			faults = err.Error()
+			continue
+		}
+		faults = ""
+		if !reflect.DeepEqual(next, inForce) {
+			inForce = next
+			g.Reload(next)
+		}
+	}
+}
+
 // toggleDebug switches the log level at each SIGHUP.
 func toggleDebug(ctx context.Context, logs *logflags.Logs, configured string) error {
 	hangups := make(chan os.Signal, 1)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,7 +8,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -86,6 +85,8 @@
 type Store interface {
 	bamboorail.ObjectStore
 	bamboorail.StaleLister
+	// Move directs further calls to the store at base, an http URL.
+	Move(base string)
 }
 
 // Gateway is one running instance.
@@ -106,8 +107,10 @@
 	metrics  *telemetry.Metrics
 	ports    *ports
 
-	table   atomic.Pointer[route.Table]
-	leaving atomic.Bool
+	// reloaded are the settings in force; settings those of the start.
+	reloaded atomic.Pointer[settings.Gateway]
+	table    atomic.Pointer[route.Table]
+	leaving  atomic.Bool
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
@@ -124,12 +127,13 @@
 
 // New returns a gateway whose ports are open, but that does not run yet.
 func New(ctx context.Context, s settings.Gateway, a Adapter, logs *logflags.Logs) (*Gateway, error) {
-	debug.SetMemoryLimit(int64(float64(s.MaxMemory) * memoryShare))
 	g := &Gateway{
 		settings: s, adapter: a, logs: logs, log: logs.Layer("gateway"),
 		fleet: fleet.New(returnGrace), balancer: balance.New(s.Zone), peers: peer.NewClient(nil), gap: informer.NewGap(),
 		metrics: telemetry.NewMetrics(), budgets: map[string]*retry.Window{},
 	}
+	g.reloaded.Store(&s)
+	setMemoryLimit(s)
 	var err error
 	if g.ports, err = openPorts(ctx, s); err != nil {
 		return nil, err
@@ -201,7 +205,8 @@
 	defer g.mu.Unlock()
 	w := g.budgets[service]
 	if w == nil {
-		w = retry.NewWindow(g.settings.RetryRatio*retryRatioShare, g.settings.RetrySlack*retryShare, g.settings.RetryWindow)
+		s := g.reloaded.Load()
+		w = retry.NewWindow(s.RetryRatio*retryRatioShare, s.RetrySlack*retryShare, s.RetryWindow)
 		g.budgets[service] = w
 	}
 	return w
@@ -278,9 +283,10 @@
 // shutdown tells the balancer first, gives the leases up, and waits for the
 // calls in flight.
 func (g *Gateway) shutdown(ctx context.Context) error {
-	g.log.Info("instance leaves", "drain-timeout", g.settings.DrainTimeout.String())
+	timeout := g.reloaded.Load().DrainTimeout
+	g.log.Info("instance leaves", "drain-timeout", timeout.String())
 	g.leaving.Store(true)
-	ctx, cancel := context.WithTimeout(ctx, g.settings.DrainTimeout-exitMargin)
+	ctx, cancel := context.WithTimeout(ctx, timeout-exitMargin)
 	defer cancel()
 	g.ports.caller.server.SetKeepAlivesEnabled(false)
 	g.elector.Release(ctx)
