--- a/cmd/railctl/cmds/commands.go
+++ b/cmd/railctl/cmds/commands.go
@@ -40,6 +40,7 @@
   railctl records adapter --output json
   railctl targets
   railctl trace sala-a.0190c1f2-...
+  railctl explain 9c41d07be2a35f68 node-1.log node-2.log
 
 Exit codes: 0 done, 1 failed, 2 wrong command line, record or settings,
 3 conflict with another change, 4 not found, 5 instance or platform
@@ -64,7 +65,7 @@
 			}
 			return ctx, nil
 		},
-		Commands: append(a.commands(), a.queries()...),
+		Commands: append(append(a.commands(), a.queries()...), a.explainCommand()),
 	}
 }
 
--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,194 @@
+// Package explain finds in the logs of instances what decided a request.
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"bamboorail.example/bamboorail"
+)
+
+// Error is the error type of the package.
+type Error struct{ bamboorail.Failure }
+
+const (
+	// maxLine bounds a line of a log.
+	maxLine = 1 << 20
+	// before is the time before a request in which related lines matter: a
+	// lease lapses, and its gap passes, within it.
+	before = 8 * time.Second
+)
+
+// Line is one line of a log.
+type Line struct {
+	at      time.Time
+	message string
+	module  string
+	fields  map[string]any
+}
+
+// At returns the time at which the line was written.
+func (l Line) At() time.Time { return l.at }
+
+// String returns the line in a short form: time, part, message and fields.
+func (l Line) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s  %-10s %s", l.at.Format("15:04:05.000"), l.module[strings.LastIndex(l.module, ".")+1:], l.message)
+	keys := make([]string, 0, len(l.fields))
+	for key := range l.fields {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	for _, key := range keys {
+		fmt.Fprintf(&b, " %s=%v", key, l.fields[key])
+	}
+	return b.String()
+}
+
+func (l Line) text(key string) string {
+	s, _ := l.fields[key].(string)
+	return s
+}
+
+// Read returns the lines of a log. Text before the JSON of a line is dropped;
+// lines without JSON are passed over.
+func Read(r io.Reader) ([]Line, error) {
+	var lines []Line
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLine)
+	for s.Scan() {
+		if l, ok := parse(s.Bytes()); ok {
+			lines = append(lines, l)
+		}
+	}
+	if err := s.Err(); err != nil {
+		return nil, &Error{bamboorail.Failure{Op: "read-log", Kind: bamboorail.KindBadRequest, Err: err}}
+	}
+	return lines, nil
+}
+
+func parse(data []byte) (Line, bool) {
+	start := bytes.IndexByte(data, '{')
+	if start < 0 {
+		return Line{}, false
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(data[start:], &fields); err != nil {
+		return Line{}, false
+	}
+	l := Line{fields: fields}
+	at, err := time.Parse("2006-01-02T15:04:05.000Z07:00", l.text("@timestamp"))
+	if err != nil {
+		return Line{}, false
+	}
+	l.at, l.message, l.module = at, l.text("@message"), l.text("@module")
+	for _, key := range []string{"@timestamp", "@message", "@module", "@level"} {
+		delete(fields, key)
+	}
+	return l, true
+}
+
+// Report is what the logs tell of a request.
+type Report struct {
+	// Cause is one sentence.
+	Cause string
+	// Lines are those of the request and of what it met, in order of time.
+	Lines []Line
+}
+
+// Request returns the report on a request.
+func Request(lines []Line, id string) (Report, error) {
+	var ended Line
+	found := false
+	for _, l := range lines {
+		if l.message == "call ended" && l.text("id") == id {
+			ended, found = l, true
+		}
+	}
+	if !found {
+		return Report{}, &Error{bamboorail.Failure{
+			Op: "explain", Kind: bamboorail.KindNotFound, Err: fmt.Errorf("no line ends request %q: it did not arrive, or its instance ended", id),
+		}}
+	}
+	took, _ := ended.fields["took-ms"].(float64)
+	from := ended.at.Add(-time.Duration(took)*time.Millisecond - before)
+	report := Report{Cause: cause(ended)}
+	for _, l := range lines {
+		if l.at.Before(from) || l.at.After(ended.at.Add(time.Second)) {
+			continue
+		}
+		if related(l, ended, id) {
+			report.Lines = append(report.Lines, l)
+		}
+	}
+	slices.SortStableFunc(report.Lines, func(a, b Line) int { return a.at.Compare(b.at) })
+	return report, nil
+}
+
+// related reports whether a line tells of the request, its targets, its
+// adapter, or of the holders of the zones.
+func related(l, ended Line, id string) bool {
+	if l.message == "call ended" {
+		return l.text("id") == id
+	}
+	if l.text("id") == id {
+		return true
+	}
+	for _, target := range targets(ended) {
+		if l.text("target") == target || l.text("engine") == target {
+			return true
+		}
+	}
+	if adapter := ended.text("adapter"); adapter != "" && l.text("adapter") == adapter {
+		return true
+	}
+	switch l.message {
+	case "lease taken", "lease lost", "lease not renewed", "holder does not answer", "store lost", "store regained", "instance leaves":
+		return true
+	}
+	return false
+}
+
+// targets returns the names in the trail of a request.
+func targets(ended Line) []string {
+	var names []string
+	trail, _ := ended.fields["trail"].([]any)
+	for _, step := range trail {
+		text, _ := step.(string)
+		if name, _, ok := strings.Cut(text, "@"); ok {
+			names = append(names, name)
+		} else if name, ok := strings.CutSuffix(text, " left"); ok {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// cause puts the end of a request into a sentence.
+func cause(ended Line) string {
+	kind, outcome := ended.text("kind"), ended.text("outcome")
+	if kind == "" {
+		return fmt.Sprintf("answered with status %v by the last target of the trail", ended.fields["status"])
+	}
+	meaning := map[bamboorail.Kind]string{
+		bamboorail.KindOverloaded:       "no target had room in time",
+		bamboorail.KindNoTarget:         "no target or no holder of its zone was known",
+		bamboorail.KindUnavailable:      "the target or its holder could not be reached, or closed the connection",
+		bamboorail.KindTruncated:        "the target's answer broke off",
+		bamboorail.KindMismatch:         "what came back was not the answer to this request",
+		bamboorail.KindDeadlineExceeded: "the time of the caller or of the route had passed",
+		bamboorail.KindCancelled:        "the caller left",
+		bamboorail.KindNotFound:         "no route of the configuration matches",
+		bamboorail.KindTargetFailed:     "the target failed",
+	}[bamboorail.Kind(kind)]
+	if meaning == "" {
+		meaning = kind
+	}
+	return fmt.Sprintf("%s (%s, %s): %s", meaning, kind, outcome, ended.text("error"))
+}
--- a/internal/logflags/logflags.go
+++ b/internal/logflags/logflags.go
@@ -31,6 +31,9 @@
 	return &Logs{root: root}, nil
 }
 
+// With returns logs whose lines carry a field.
+func (l *Logs) With(key, value string) *Logs { return &Logs{root: l.root.With(key, value)} }
+
 // Discard returns loggers without output.
 func Discard() *Logs { return &Logs{root: hclog.NewNullLogger()} }
 
