--- a/internal/adapters/cost.go
+++ b/internal/adapters/cost.go
@@ -111,7 +111,7 @@
 	if _, atHand := e.atHand[r.Key]; atHand {
 		return true
 	}
-	return p.waiting.mayStart(r.Key, p.tuning.FetchesAtOnce-p.fetching(now), now)
+	return p.waiting.mayStart(r.Key, int(p.fetchWindow)-p.fetching(now), now)
 }
 
 // fetching returns the number of fetches of this zone under way.
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -77,13 +77,65 @@
 	paused map[string]time.Time
 	// ended are the ends that each zone's holder has yet to learn.
 	ended map[string][]Ended
+	// suspects are the engines that this instance does not reach; others may.
+	suspects map[string]suspect
 }
 
+// suspect is an engine that did not answer.
+type suspect struct {
+	until time.Time
+	pause time.Duration
+}
+
+const (
+	// firstSuspicion doubles with each failure up to lastSuspicion.
+	firstSuspicion = time.Second
+	lastSuspicion  = 4 * time.Second
+)
+
+// observe takes in how a call at an engine ended.
+func (c *Chooser) observe(name string, r balance.Result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch r {
+	case balance.Unreachable:
+		pause := max(firstSuspicion, min(2*c.suspects[name].pause, lastSuspicion))
+		c.suspects[name] = suspect{until: time.Now().Add(pause), pause: pause}
+	case balance.Answered, balance.Refused, balance.Misdirected:
+		delete(c.suspects, name)
+	case balance.Failed, balance.Abandoned:
+	}
+}
+
+// avoid returns the engines that a call should not be sent to.
+func (c *Chooser) avoid(a relay.Ask) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.suspects) == 0 {
+		return a.Avoid
+	}
+	now := time.Now()
+	names := slices.Clone(a.Avoid)
+	for name, s := range c.suspects {
+		switch {
+		case now.Before(s.until):
+			names = append(names, name)
+		case now.Sub(s.until) > forgetSuspect:
+			delete(c.suspects, name)
+		}
+	}
+	return names
+}
+
+// forgetSuspect is the time after which a failure no longer lengthens the
+// next suspicion.
+const forgetSuspect = 10 * time.Second
+
 var _ relay.Chooser = (*Chooser)(nil)
 
 // NewChooser returns a chooser.
 func NewChooser(c ChooserConfig) *Chooser {
-	return &Chooser{ChooserConfig: c, paused: map[string]time.Time{}, ended: map[string][]Ended{}}
+	return &Chooser{ChooserConfig: c, paused: map[string]time.Time{}, ended: map[string][]Ended{}, suspects: map[string]suspect{}}
 }
 
 // Choose finds a target for a call. A call that waits for an engine is placed
@@ -108,6 +160,7 @@
 
 func (c *Chooser) chooseEngine(ctx context.Context, a relay.Ask) (relay.Place, error) {
 	var failure error
+	a.Avoid = c.avoid(a)
 	for _, q := range c.questions(a.Call.Key) {
 		if c.isPaused(q.zone.Zone) {
 			continue
@@ -231,7 +284,7 @@
 			return relay.Place{}, err
 		}
 		return relay.Place{
-			Target: p.Target, Version: p.Version, ReadyAt: p.ReadyAt, Valid: c.valid(p.Target), Done: c.settleLater(z.Zone, p.Ticket),
+			Target: p.Target, Version: p.Version, ReadyAt: p.ReadyAt, Valid: c.valid(p.Target), Done: c.settleLater(z.Zone, p.Target.ID.Name, p.Ticket),
 		}, nil
 	}
 	_, address := z.Lease.Holder()
@@ -278,7 +331,7 @@
 	ready := received.Add(time.Duration(reply.GetReadyInMicros()) * time.Microsecond)
 	return relay.Place{
 		Target: target, Version: int(reply.GetVersion()), ReadyAt: ready, Valid: c.valid(target),
-		Done: c.settleLater(z.Zone, reply.GetTicket()),
+		Done: c.settleLater(z.Zone, target.ID.Name, reply.GetTicket()),
 	}, nil
 }
 
@@ -292,8 +345,9 @@
 }
 
 // settleLater returns the end of a placement.
-func (c *Chooser) settleLater(zone string, ticket uint64) func(balance.Result, time.Duration) {
+func (c *Chooser) settleLater(zone, engine string, ticket uint64) func(balance.Result, time.Duration) {
 	return func(r balance.Result, _ time.Duration) {
+		c.observe(engine, r)
 		end := []Ended{{Ticket: ticket, Result: r}}
 		for _, z := range c.Zones {
 			if z.Zone == zone && z.Local != nil && z.Lease.Leading() {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -25,6 +25,9 @@
 	// eventGap is the pause after which a resumable stream goes on elsewhere.
 	// Callers leave after two seconds without an event (page PROTOCOL).
 	eventGap = 1200 * time.Millisecond
+	// resumeWithin is the time in which another target must have a stream that
+	// broke off, before its caller leaves.
+	resumeWithin = 1500 * time.Millisecond
 	// holdBack is the largest answer that is read whole before it is passed
 	// on, so that a broken one can be replaced.
 	holdBack = 256 << 10
@@ -32,22 +35,27 @@
 	readSize = 16 << 10
 )
 
-// attempt takes a place and runs the call there.
-func (x *exchange) attempt(ctx context.Context) error {
+// attempt takes a place and runs the call there. It reports whether there was
+// a place; the chooser has looked for one for as long as is of use.
+func (x *exchange) attempt(ctx context.Context) (bool, error) {
 	asked := time.Now()
+	if x.committed {
+		x.startBy = asked.Add(resumeWithin)
+	}
 	place, err := x.takePlace(ctx)
 	if err != nil {
-		return x.ended(ctx, err, "choose-target")
+		return false, x.ended(ctx, err, "choose-target")
 	}
 	sent := time.Now()
 	result, err := x.send(ctx, place)
 	place.Done(result, time.Since(sent))
+	x.attempts++
 	x.trail = append(x.trail, fmt.Sprintf("%s@%d wait=%d took=%d %s", place.Target.ID.Name, place.Version,
 		sent.Sub(asked).Milliseconds(), time.Since(sent).Milliseconds(), outcome(err)))
 	if err != nil && result != balance.Misdirected {
 		x.avoid = append(x.avoid, place.Target.ID.Name)
 	}
-	return err
+	return true, err
 }
 
 // takePlace chooses a target and waits until it can run the call. A target
@@ -160,6 +168,8 @@
 func (x *exchange) lost(ctx context.Context, op string, err error) (balance.Result, error) {
 	var dial *net.OpError
 	if errors.As(err, &dial) && dial.Op == "dial" {
+		// Nothing arrived, so nothing counts against the budget.
+		x.arrivals--
 		if x.runs > 0 {
 			return balance.Unreachable, mayHaveRun(op, bamboorail.KindUnavailable, err)
 		}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// dialTimeout bounds a connection attempt; a handshake takes 1 ms.
-	dialTimeout = 700 * time.Millisecond
+	// dialTimeout bounds a connection attempt; a handshake takes 1 ms and some
+	// milliseconds of way. A lost packet would be repeated after a second.
+	dialTimeout = 300 * time.Millisecond
 	// idleTimeout closes idle connections to targets that announce no timeout.
 	idleTimeout = 4 * time.Second
 	// idleMargin closes an idle connection before its target does.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,9 +26,10 @@
 	defaultMaxBody = 4 << 20
 	// defaultPatience is assumed where neither caller nor route set a limit.
 	defaultPatience = 30 * time.Second
-	// maxArrivals bounds the targets that one call is sent to, refusals
-	// included.
+	// maxArrivals bounds the targets that one call reaches, refusals included;
+	// maxAttempts counts failed connections too.
 	maxArrivals = 4
+	maxAttempts = 6
 	// retryLater is suggested where nothing is known about the cause.
 	retryLater = 500 * time.Millisecond
 )
@@ -129,6 +130,9 @@
 	committed bool
 	status    int
 	events    eventBuffer
+	// attempts counts the targets chosen, arrivals those that the call reached,
+	// and runs those that may have run it.
+	attempts  int
 	arrivals  int
 	runs      int
 	avoid     []string
@@ -144,11 +148,12 @@
 	defer cancel()
 	x.budget().Request(x.received)
 	for {
-		err := x.attempt(ctx)
-		if err == nil || !x.mayRepeat(ctx, err) {
+		arrived := x.arrivals
+		placed, err := x.attempt(ctx)
+		if err == nil || !placed || !x.mayRepeat(ctx, err) {
 			return err
 		}
-		if !x.budget().Take(time.Now()) {
+		if x.arrivals > arrived && !x.budget().Take(time.Now()) {
 			x.trail = append(x.trail, "no-budget")
 			return err
 		}
@@ -238,7 +243,7 @@
 
 // mayRepeat reports whether the call may go to another target after err.
 func (x *exchange) mayRepeat(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || x.arrivals == 0 || x.arrivals >= maxArrivals {
+	if ctx.Err() != nil || x.attempts >= maxAttempts || x.arrivals >= maxArrivals {
 		return false
 	}
 	if bamboorail.NotRun(err) {
