--- a/internal/adapters/cost.go
+++ b/internal/adapters/cost.go
@@ -111,7 +111,12 @@
 	if _, atHand := e.atHand[r.Key]; atHand {
 		return true
 	}
-	return p.waiting.mayStart(r.Key, int(p.fetchWindow)-p.fetching(now), now)
+	return p.waiting.mayStart(r.Key, p.fetchLimit()-p.fetching(now), now)
+}
+
+// fetchLimit returns the number of fetches of this zone that may be under way.
+func (p *Planner) fetchLimit() int {
+	return max(p.tuning.FetchesAtOnce, int(p.tuning.FetchesPerEngine*float64(len(p.engines))))
 }
 
 // fetching returns the number of fetches of this zone under way.
--- a/internal/adapters/engine.go
+++ b/internal/adapters/engine.go
@@ -31,10 +31,8 @@
 	readyAt time.Time
 	loading bool
 	// fetch is set for a load from the weight store, started at started.
-	fetch   bool
-	started time.Time
-	// late is set once the load took longer than expected.
-	late     bool
+	fetch    bool
+	started  time.Time
 	leaving  bool
 	running  int
 	lastUsed time.Time
--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -19,9 +19,10 @@
 	// FetchTime is the time of an adapter load from the weight store that is
 	// assumed at first, ReloadTime that of one which the engine held recently.
 	FetchTime, ReloadTime time.Duration
-	// FetchesAtOnce bounds the fetches of this zone under way at first; the
-	// bound follows what the weight store carries.
-	FetchesAtOnce int
+	// FetchesAtOnce bounds the fetches of this zone under way, or
+	// FetchesPerEngine times the engines of the zone if that is more.
+	FetchesAtOnce    int
+	FetchesPerEngine float64
 	// ReplicaDemand is the decayed number of calls from which an adapter that
 	// is at home in another zone is fetched into this one too.
 	ReplicaDemand float64
@@ -53,10 +54,8 @@
 	tickets map[uint64]ticket
 	next    uint64
 	waiting waitlist
-	// fetchTime follows the observed time of fetches, fetchWindow the number of
-	// them that the weight store carries without a longer time.
-	fetchTime   time.Duration
-	fetchWindow float64
+	// fetchTime follows the observed time of fetches.
+	fetchTime time.Duration
 }
 
 // ticket is a call that was placed and has not ended.
@@ -72,7 +71,7 @@
 func NewPlanner(t Tuning, after uint64) *Planner {
 	return &Planner{
 		tuning: t, next: after, engines: map[string]*engine{}, demand: map[bamboorail.AdapterKey]*demand{}, tickets: map[uint64]ticket{},
-		waiting: waitlist{}, fetchTime: t.FetchTime, fetchWindow: float64(t.FetchesAtOnce),
+		waiting: waitlist{}, fetchTime: t.FetchTime,
 	}
 }
 
@@ -245,14 +244,8 @@
 const (
 	// lateFactor and earlyFactor let the expected time of a fetch follow what
 	// is observed: quickly up, slowly down.
-	lateFactor  = 1.03
-	earlyFactor = 0.998
-	// windowDecrease and windowIncrease adapt the number of fetches at once, as
-	// congestion control does: late fetches shrink it more than the expected
-	// time grows, so that it settles at what the store carries.
-	windowDecrease = 0.9
-	windowIncrease = 0.3
-	maxWindow      = 64
+	lateFactor  = 1.1
+	earlyFactor = 0.99
 	// lateLimit times the expected time is the longest wait for a load.
 	lateLimit = 4
 	// latePart of the time since its start is added to a load that is late.
@@ -271,9 +264,7 @@
 	}
 	if r.fetch {
 		p.fetchTime = min(time.Duration(float64(p.fetchTime)*lateFactor), lateLimit*p.tuning.FetchTime)
-		p.fetchWindow = max(p.fetchWindow*windowDecrease, 1)
 	}
-	r.late = true
 	r.readyAt = now.Add(max(p.tuning.ReloadTime, time.Duration(latePart*float64(now.Sub(r.started)))))
 	return true
 }
@@ -289,9 +280,6 @@
 		if r.fetch {
 			p.fetchTime = max(time.Duration(float64(p.fetchTime)*earlyFactor), p.tuning.FetchTime/4)
 		}
-		if r.fetch && !r.late && len(p.waiting) > 0 {
-			p.fetchWindow = min(p.fetchWindow+windowIncrease/p.fetchWindow, maxWindow)
-		}
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,10 @@
 	// use, the previous one is used; a call may wait in an engine's queue for
 	// some seconds before it begins.
 	oldVersionPercent = 30
+	// fetchesPerEngine is the number of adapters on their way from the weight
+	// store that it carries at full speed for each engine (page LATER: 48 and 64
+	// for 140 engines).
+	fetchesPerEngine = 0.4
 	// memoryShare is the part of the memory limit at which the collector works
 	// harder.
 	memoryShare = 0.7
