internal/mirror: instances of a zone read the store through its holder

Change: the holder of a zone passes on what it read, by drpc within the zone, while its last answer from the store is younger than 1.5 s; whoever gets no answer within 1.1 s, or none that is fresh, asks the store. Targets that are missing after an outage stay through lists without one. Ruled out: fewer watches by a longer pause, which the 2 s of drain_ms bound.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -78,16 +78,14 @@
 	for _, e := range entries {
 		f.targets[e.ID.Name] = &known{entry: e}
 	}
-	if afterOutage {
-		for name, k := range previous {
-			if f.targets[name] != nil {
-				continue
-			}
-			if k.missingSince.IsZero() {
-				k.missingSince = now
-			}
-			f.targets[name] = k
+	for name, k := range previous {
+		if f.targets[name] != nil || (!afterOutage && k.missingSince.IsZero()) {
+			continue
 		}
+		if k.missingSince.IsZero() {
+			k.missingSince = now
+		}
+		f.targets[name] = k
 	}
 	f.notify()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"bamboorail.example/bamboorail/internal/informer"
 	"bamboorail.example/bamboorail/internal/lease"
 	"bamboorail.example/bamboorail/internal/logflags"
+	"bamboorail.example/bamboorail/internal/mirror"
 	"bamboorail.example/bamboorail/internal/peer"
 	"bamboorail.example/bamboorail/internal/placer"
 	"bamboorail.example/bamboorail/internal/relay"
@@ -108,6 +109,7 @@
 	elector  *lease.Elector
 	peers    *peer.Client
 	gap      *informer.Gap
+	mirror   *mirror.Store
 	metrics  *telemetry.Metrics
 	ports    *ports
 
@@ -168,6 +170,7 @@
 		})
 		g.holders = append(g.holders, placer.ZoneHolder{Zone: zone, Local: h, Lease: l})
 	}
+	g.mirror = mirror.NewStore(g.adapter.Store, s.Zone, g.holders[0].Lease, g.peers, g.logs.Layer("mirror"))
 	g.elector = lease.NewElector(leaseKind, g.adapter.Store, candidates, timing, lease.BootTime, g.logs.Layer("lease"))
 	g.chooser = placer.NewChooser(placer.ChooserConfig{
 		Instance: s.Instance, Zones: g.holders, Peers: g.peers, Fleet: g.fleet, Balancer: g.balancer, Log: g.logs.Layer("placer"),
@@ -223,7 +226,7 @@
 	defer cancel()
 	d := duty.NewGroup(ctx)
 	d.Start("peers", func(ctx context.Context) error {
-		return peer.ServePlacer(ctx, g.ports.peer, placer.NewServer(g.holders, g.fleet), g.logs.Layer("peer"))
+		return peer.ServePlacer(ctx, g.ports.peer, placer.NewServer(g.holders, g.fleet, g.mirror), g.logs.Layer("peer"))
 	})
 	d.Start("readiness", g.ports.readiness.serve)
 	d.Start("callers", g.ports.caller.serve)
@@ -261,7 +264,7 @@
 
 func (g *Gateway) informer(kind string, pace, wait time.Duration, h informer.Handler) *informer.Informer {
 	return informer.New(informer.Config{
-		Store: g.adapter.Store, Kind: kind, Pace: pace, Wait: wait, Gap: g.gap, Handler: h, Log: g.logs.Layer("informer"),
+		Store: g.mirror, Kind: kind, Pace: pace, Wait: wait, Gap: g.gap, Handler: h, Log: g.logs.Layer("informer"),
 	})
 }
 
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -18,6 +18,8 @@
 	// firstBackoff and lastBackoff bound the time between failing calls.
 	firstBackoff = 100 * time.Millisecond
 	lastBackoff  = time.Second
+	// mirroredPace is the pause after changes that a peer passed on.
+	mirroredPace = 100 * time.Millisecond
 )
 
 // Handler takes in what an informer reads. Its methods are called by one
@@ -142,7 +144,11 @@
 		}
 		revision = max(revision, events.Revision)
 		if len(events.Objects) > 0 {
-			if err := duty.Sleep(ctx, i.Pace); err != nil {
+			pace := i.Pace
+			if events.Mirrored {
+				pace = min(pace, mirroredPace)
+			}
+			if err := duty.Sleep(ctx, pace); err != nil {
 				return false, err
 			}
 		}
--- /dev/null
+++ b/internal/mirror/cache.go
@@ -0,0 +1,155 @@
+// Package mirror lets the instances of a zone read the object store through
+// the holder of the zone, so that its calls do not grow with the instances.
+// Whoever finds no fresh holder reads the store itself.
+package mirror
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"bamboorail.example/bamboorail"
+)
+
+const (
+	// keptEvents is the number of changes of a kind that a peer may lag behind.
+	keptEvents = 2048
+	// freshness is the time after the last answer of the store in which the
+	// cache may be passed on; a watch of targets answers once a second.
+	freshness = 1500 * time.Millisecond
+)
+
+// cache holds what an instance read of the store.
+type cache struct {
+	mu      sync.Mutex
+	kinds   map[string]*kindCache
+	contact time.Time
+	now     func() time.Time
+}
+
+// kindCache holds the objects of a kind at a revision, and the changes since
+// another, oldest first.
+type kindCache struct {
+	objects  map[string]bamboorail.Object
+	revision uint64
+	since    uint64
+	events   []bamboorail.Object
+	changed  chan struct{}
+}
+
+func newCache() *cache { return &cache{kinds: map[string]*kindCache{}, now: time.Now} }
+
+func (c *cache) kind(name string) *kindCache {
+	k := c.kinds[name]
+	if k == nil {
+		k = &kindCache{changed: make(chan struct{})}
+		c.kinds[name] = k
+	}
+	return k
+}
+
+// notify wakes the peers that wait. The caller holds the lock.
+func (k *kindCache) notify() {
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+// list takes in all objects of a kind.
+func (c *cache) list(name string, objects []bamboorail.Object, revision uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.contact = c.now()
+	k := c.kind(name)
+	k.objects = make(map[string]bamboorail.Object, len(objects))
+	for _, o := range objects {
+		k.objects[o.Key] = o
+	}
+	k.revision, k.since, k.events = revision, revision, nil
+	k.notify()
+}
+
+// apply takes in the changes of a kind.
+func (c *cache) apply(name string, e bamboorail.Events) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.contact = c.now()
+	k := c.kind(name)
+	if e.Reset || k.objects == nil {
+		// The objects are listed again.
+		k.objects = nil
+		k.notify()
+		return
+	}
+	for _, o := range e.Objects {
+		if o.Deleted {
+			delete(k.objects, o.Key)
+		} else {
+			k.objects[o.Key] = o
+		}
+		k.events = append(k.events, o)
+	}
+	if extra := len(k.events) - keptEvents; extra > 0 {
+		k.since = k.events[extra-1].Version
+		k.events = append([]bamboorail.Object(nil), k.events[extra:]...)
+	}
+	k.revision = max(k.revision, e.Revision)
+	if len(e.Objects) > 0 {
+		k.notify()
+	}
+}
+
+// answer is what a peer gets.
+type answer struct {
+	fresh   bool
+	objects []bamboorail.Object
+	events  bamboorail.Events
+}
+
+// read returns the changes of a kind after a revision, or all objects for 0,
+// and a channel that is closed at the next change.
+func (c *cache) read(name string, revision uint64) (answer, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.kind(name)
+	if k.objects == nil || c.now().Sub(c.contact) > freshness {
+		return answer{}, k.changed
+	}
+	a := answer{fresh: true, events: bamboorail.Events{Revision: k.revision}}
+	switch {
+	case revision == 0:
+		for _, o := range k.objects {
+			a.objects = append(a.objects, o)
+		}
+	case revision < k.since:
+		a.events.Reset = true
+	default:
+		for _, o := range k.events {
+			if o.Version > revision {
+				a.events.Objects = append(a.events.Objects, o)
+			}
+		}
+		a.events.Revision = max(revision, k.revision)
+	}
+	return a, k.changed
+}
+
+// follow reads a kind, and waits for a change if there is none.
+func (c *cache) follow(ctx context.Context, name string, revision uint64, wait time.Duration) answer {
+	a, changed := c.read(name, revision)
+	if !a.fresh || revision == 0 || a.events.Reset || len(a.events.Objects) > 0 {
+		return a
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	a, _ = c.read(name, revision)
+	return a
+}
+
+// kindOf returns the kind that a prefix names.
+func kindOf(prefix string) string { return strings.TrimSuffix(prefix, "/") }
--- /dev/null
+++ b/internal/mirror/mirror_test.go
@@ -0,0 +1,141 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/peer/wire"
+	"bamboorail.example/bamboorail/internal/stand/memory"
+)
+
+// node is an instance that leads or follows another.
+type node struct {
+	*Store
+	objects *memory.Store
+	leads   bool
+	follows *node
+	silent  bool
+	asked   int // calls of the object store
+}
+
+var errSilent = errors.New("no answer")
+
+func (n *node) Leading() bool { return n.leads }
+
+func (n *node) Holder() (string, string) {
+	if n.follows == nil {
+		return "", ""
+	}
+	return "holder", "address"
+}
+
+// Follow carries a question to the node that is followed.
+func (n *node) follow(ctx context.Context, r *wire.FollowRequest) (*wire.FollowReply, error) {
+	if n.follows.silent {
+		return nil, errSilent
+	}
+	return n.follows.Store.Follow(ctx, r)
+}
+
+type line struct{ n *node }
+
+func (l line) Follow(ctx context.Context, _ string, r *wire.FollowRequest) (*wire.FollowReply, error) {
+	return l.n.follow(ctx, r)
+}
+
+// counted counts the calls of the object store.
+type counted struct {
+	*memory.Store
+	n *node
+}
+
+func (c counted) List(ctx context.Context, prefix string) ([]bamboorail.Object, uint64, error) {
+	c.n.asked++
+	return c.Store.List(ctx, prefix)
+}
+
+func (c counted) Watch(ctx context.Context, prefixes []string, revision uint64, wait time.Duration) (bamboorail.Events, error) {
+	c.n.asked++
+	return c.Store.Watch(ctx, prefixes, revision, wait)
+}
+
+func pair(t *testing.T) (holder, follower *node) {
+	t.Helper()
+	objects := memory.NewStore()
+	if _, err := objects.Put(context.Background(), "k/a", []byte("1"), 0); err != nil {
+		t.Fatal(err)
+	}
+	holder = &node{objects: objects, leads: true}
+	follower = &node{objects: objects, follows: holder}
+	for _, n := range []*node{holder, follower} {
+		n.Store = NewStore(counted{objects, n}, "z", n, line{n}, hclog.NewNullLogger())
+	}
+	return holder, follower
+}
+
+// read lists at the holder and returns its revision.
+func (n *node) read(t *testing.T) uint64 {
+	t.Helper()
+	list, revision, err := n.List(context.Background(), "k/")
+	if err != nil || len(list) != 1 {
+		t.Fatalf("list %v, %v", list, err)
+	}
+	return revision
+}
+
+func TestFollowersReadThroughTheHolder(t *testing.T) {
+	holder, follower := pair(t)
+	revision := holder.read(t)
+	if got := follower.read(t); got != revision || follower.asked != 0 {
+		t.Fatalf("revision %d, want %d, after %d calls of the store", got, revision, follower.asked)
+	}
+	ctx := context.Background()
+	if _, err := holder.objects.Put(ctx, "k/b", []byte("2"), 0); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := holder.Watch(ctx, []string{"k/"}, revision, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	events, err := follower.Watch(ctx, []string{"k/"}, revision, time.Second)
+	if err != nil || !events.Mirrored || len(events.Objects) != 1 || events.Objects[0].Key != "k/b" || follower.asked != 0 {
+		t.Errorf("events %+v, %v, after %d calls of the store", events, err, follower.asked)
+	}
+}
+
+// TestFollowersHelpThemselves: a holder that is silent, cut off from the store
+// or no longer the holder is not waited for.
+func TestFollowersHelpThemselves(t *testing.T) {
+	cases := map[string]func(holder *node){
+		"silent":             func(h *node) { h.silent = true },
+		"not the holder":     func(h *node) { h.leads = false },
+		"cut from the store": func(h *node) { h.cache.contact = time.Now().Add(-2 * freshness) },
+		"has never listed":   func(h *node) { h.cache = newCache() },
+	}
+	for name, breaks := range cases {
+		t.Run(name, func(t *testing.T) {
+			holder, follower := pair(t)
+			holder.read(t)
+			breaks(holder)
+			follower.read(t)
+			if follower.asked != 1 {
+				t.Errorf("%d calls of the store", follower.asked)
+			}
+		})
+	}
+}
+
+// TestAFollowerThatLagsTooFarListsAgain: what the holder dropped is a gap.
+func TestAFollowerThatLagsTooFarListsAgain(t *testing.T) {
+	holder, follower := pair(t)
+	revision := holder.read(t)
+	holder.cache.list("k", nil, revision+5)
+	events, err := follower.Watch(context.Background(), []string{"k/"}, revision, time.Second)
+	if err != nil || !events.Reset {
+		t.Errorf("events %+v, %v", events, err)
+	}
+}
--- /dev/null
+++ b/internal/mirror/store.go
@@ -0,0 +1,146 @@
+package mirror
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/peer/wire"
+)
+
+const (
+	// peerWait is the time for which a peer waits for changes, replySlack the
+	// time for its answer: together well below the 2 s in which a change must be
+	// in force (bounds config_apply_ms, drain_ms).
+	peerWait   = 700 * time.Millisecond
+	replySlack = 400 * time.Millisecond
+	// peerPause is the time for which a peer that failed is not asked.
+	peerPause = 2 * time.Second
+)
+
+// Peers passes on what other instances read.
+type Peers interface {
+	Follow(ctx context.Context, address string, r *wire.FollowRequest) (*wire.FollowReply, error)
+}
+
+// Holder tells who holds the zone of this instance.
+type Holder interface {
+	// Leading reports whether this instance does.
+	Leading() bool
+	// Holder returns the name and address of the holder, or empty texts.
+	Holder() (name, address string)
+}
+
+// Store is an object store whose lists and watches go through the holder of
+// the zone. All other calls go to the store.
+type Store struct {
+	bamboorail.ObjectStore
+	zone   string
+	holder Holder
+	peers  Peers
+	log    hclog.Logger
+	cache  *cache
+
+	mu     sync.Mutex
+	paused time.Time
+}
+
+// NewStore returns a store that reads through the holder of a zone.
+func NewStore(store bamboorail.ObjectStore, zone string, h Holder, p Peers, log hclog.Logger) *Store {
+	return &Store{ObjectStore: store, zone: zone, holder: h, peers: p, log: log, cache: newCache()}
+}
+
+// address returns whom to ask, or an empty text if this instance has to ask
+// the store itself.
+func (s *Store) address() string {
+	if s.holder.Leading() {
+		return ""
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Now().Before(s.paused) {
+		return ""
+	}
+	_, address := s.holder.Holder()
+	return address
+}
+
+func (s *Store) pause() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paused = time.Now().Add(peerPause)
+}
+
+// List returns the objects of a kind.
+func (s *Store) List(ctx context.Context, prefix string) ([]bamboorail.Object, uint64, error) {
+	if reply, ok := s.ask(ctx, prefix, 0, 0); ok {
+		return objectsOf(reply), reply.GetRevision(), nil
+	}
+	objects, revision, err := s.ObjectStore.List(ctx, prefix)
+	if err == nil {
+		s.cache.list(kindOf(prefix), objects, revision)
+	}
+	return objects, revision, err
+}
+
+// Watch waits for changes of one kind after revision.
+func (s *Store) Watch(ctx context.Context, prefixes []string, revision uint64, wait time.Duration) (bamboorail.Events, error) {
+	if reply, ok := s.ask(ctx, prefixes[0], revision, min(wait, peerWait)); ok {
+		return bamboorail.Events{
+			Revision: reply.GetRevision(), Objects: objectsOf(reply), Reset: reply.GetGap(), Mirrored: true,
+		}, nil
+	}
+	events, err := s.ObjectStore.Watch(ctx, prefixes, revision, wait)
+	if err == nil {
+		s.cache.apply(kindOf(prefixes[0]), events)
+	}
+	return events, err
+}
+
+// ask asks the holder of the zone. It returns false if the store must be
+// asked.
+func (s *Store) ask(ctx context.Context, prefix string, revision uint64, wait time.Duration) (*wire.FollowReply, bool) {
+	address := s.address()
+	if address == "" {
+		return nil, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+replySlack)
+	defer cancel()
+	reply, err := s.peers.Follow(ctx, address, &wire.FollowRequest{
+		Zone: s.zone, Kind: kindOf(prefix), Revision: revision, WaitMicros: wait.Microseconds(),
+	})
+	switch {
+	case err != nil:
+		s.log.Info("holder passes nothing on", "kind", kindOf(prefix), "address", address, "error", err)
+	case !reply.GetFresh():
+		s.log.Debug("holder is not fresh", "kind", kindOf(prefix), "address", address)
+	default:
+		return reply, true
+	}
+	s.pause()
+	return nil, false
+}
+
+func objectsOf(reply *wire.FollowReply) []bamboorail.Object {
+	objects := make([]bamboorail.Object, 0, len(reply.GetObjects()))
+	for _, o := range reply.GetObjects() {
+		objects = append(objects, bamboorail.Object{Key: o.GetKey(), Version: o.GetVersion(), Value: o.GetValue(), Deleted: o.GetDeleted()})
+	}
+	return objects
+}
+
+// Follow answers a peer from what this instance read.
+func (s *Store) Follow(ctx context.Context, r *wire.FollowRequest) (*wire.FollowReply, error) {
+	if r.GetZone() != s.zone || !s.holder.Leading() {
+		return &wire.FollowReply{}, nil
+	}
+	a := s.cache.follow(ctx, r.GetKind(), r.GetRevision(), min(time.Duration(r.GetWaitMicros())*time.Microsecond, peerWait))
+	reply := &wire.FollowReply{Fresh: a.fresh, Revision: a.events.Revision, Gap: a.events.Reset}
+	for _, o := range append(a.objects, a.events.Objects...) {
+		reply.Objects = append(reply.Objects, &wire.FollowedObject{Key: o.Key, Version: o.Version, Value: o.Value, Deleted: o.Deleted})
+	}
+	return reply, nil
+}
--- a/internal/peer/placer.go
+++ b/internal/peer/placer.go
@@ -16,6 +16,7 @@
 type PlacerHandler interface {
 	Place(ctx context.Context, r *wire.PlaceRequest) (*wire.PlaceReply, error)
 	Settle(ctx context.Context, r *wire.SettleRequest) (*wire.SettleReply, error)
+	Follow(ctx context.Context, r *wire.FollowRequest) (*wire.FollowReply, error)
 }
 
 // ServePlacer answers instances that ask for places until ctx ends.
@@ -52,3 +53,12 @@
 	}
 	return reply, nil
 }
+
+// Follow asks the instance at address for what it read of the object store.
+func (c *Client) Follow(ctx context.Context, address string, r *wire.FollowRequest) (*wire.FollowReply, error) {
+	reply, err := wire.NewDRPCPlacerClient(c.pool.Get(ctx, address, c.dial)).Follow(ctx, r)
+	if err != nil {
+		return nil, failed("follow-store", err)
+	}
+	return reply, nil
+}
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -421,15 +421,21 @@
 	}
 }
 
+// Follower passes on what this instance read of the object store.
+type Follower interface {
+	Follow(ctx context.Context, r *wire.FollowRequest) (*wire.FollowReply, error)
+}
+
 // Server answers other instances for the zones that this one holds.
 type Server struct {
+	Follower
 	zones map[string]*Holder
 	fleet *fleet.Fleet
 }
 
 // NewServer returns a server for the holders of all zones.
-func NewServer(zones []ZoneHolder, f *fleet.Fleet) *Server {
-	s := &Server{zones: map[string]*Holder{}, fleet: f}
+func NewServer(zones []ZoneHolder, f *fleet.Fleet, follower Follower) *Server {
+	s := &Server{Follower: follower, zones: map[string]*Holder{}, fleet: f}
 	for _, z := range zones {
 		s.zones[z.Zone] = z.Local
 	}
