--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -34,18 +34,18 @@
 	return "holder", "address"
 }
 
-// Follow carries a question to the node that is followed.
-func (n *node) follow(ctx context.Context, r *wire.FollowRequest) (*wire.FollowReply, error) {
+// ask carries a question to the node that is followed.
+func (n *node) ask(ctx context.Context, r *wire.FollowRequest) (*wire.FollowReply, error) {
 	if n.follows.silent {
 		return nil, errSilent
 	}
-	return n.follows.Store.Follow(ctx, r)
+	return n.follows.Follow(ctx, r)
 }
 
 type line struct{ n *node }
 
 func (l line) Follow(ctx context.Context, _ string, r *wire.FollowRequest) (*wire.FollowReply, error) {
-	return l.n.follow(ctx, r)
+	return l.n.ask(ctx, r)
 }
 
 // counted counts the calls of the object store.
