--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -1,34 +1,36 @@
 #!/usr/bin/env bash
 # Applies each patch of _fixtures/mutants to a scratch copy and demands that
 # the test named in its first line fails. Arguments limit it to named patches.
+# JOBS patches are tried at once (3).
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
-killed=0
-survived=0
 names=("$@")
 if ((${#names[@]} == 0)); then
   for patch in "$root"/_fixtures/mutants/*.patch; do names+=("$(basename "$patch" .patch)"); done
 fi
-for name in "${names[@]}"; do
-  patch=$root/_fixtures/mutants/$name.patch
-  rm -rf "${scratch:?}/tree"
-  mkdir "$scratch/tree"
-  (cd "$root" && git ls-files -z | xargs -0 tar cf - --) | tar xf - -C "$scratch/tree"
-  (cd "$scratch/tree" && patch --quiet -p1 <"$patch")
+
+# try prints the fate of one patch.
+try() {
+  local name=$1 patch=$root/_fixtures/mutants/$1.patch tree=$scratch/$1
+  mkdir "$tree"
+  (cd "$root" && git ls-files -z | xargs -0 tar cf - --) | tar xf - -C "$tree"
+  (cd "$tree" && patch --quiet -p1 <"$patch")
   read -r _ _ package test < <(head -n 1 "$patch")
-  if ! (cd "$scratch/tree" && go vet "$package") >"$scratch/log" 2>&1; then
+  if ! (cd "$tree" && go vet "$package") >"$tree.log" 2>&1; then
     echo "INVALID  $name does not build"
-    cat "$scratch/log"
-    survived=$((survived + 1))
-  elif (cd "$scratch/tree" && go test -count=1 -timeout 120s -run "^$test\$" "$package") >"$scratch/log" 2>&1; then
+    cat "$tree.log"
+  elif (cd "$tree" && go test -count=1 -timeout 120s -run "^$test\$" "$package") >"$tree.log" 2>&1; then
     echo "SURVIVED $name: $package $test passes"
-    survived=$((survived + 1))
   else
     echo "killed   $name by $test"
-    killed=$((killed + 1))
   fi
-done
-echo "$killed killed, $survived survived"
-((survived == 0))
+  rm -rf "$tree"
+}
+export -f try
+export root scratch
+printf '%s\n' "${names[@]}" | xargs -P "${JOBS:-3}" -I {} bash -c 'try {}' | tee "$scratch/fates"
+killed=$(grep -c '^killed' "$scratch/fates" || true)
+echo "$killed killed, $((${#names[@]} - killed)) survived or invalid"
+((killed == ${#names[@]}))
