internal/adapters: the expected time of a fetch follows what was seen

Cause: each refused call raised the expected time by a tenth, and many meet one late load: on the grown archive, where a fetch takes 288 ms, it rose to 743 ms (p90) and calls waited as long. Adapters were kept 500 ms after their last use, though the holder knows what runs; with 8 places an engine that is long. Change: the estimate moves by a fifth of the excess of a late fetch, and down by 0.2 % with each one on time; kept 50 ms.

--- a/internal/adapters/engine.go
+++ b/internal/adapters/engine.go
@@ -31,8 +31,10 @@
 	readyAt time.Time
 	loading bool
 	// fetch is set for a load from the weight store, started at started.
-	fetch    bool
-	started  time.Time
+	fetch   bool
+	started time.Time
+	// late is set once the load took longer than expected.
+	late     bool
 	leaving  bool
 	running  int
 	lastUsed time.Time
--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -242,14 +242,14 @@
 }
 
 const (
-	// lateFactor and earlyFactor let the expected time of a fetch follow what
-	// is observed: quickly up, slowly down.
-	lateFactor  = 1.1
-	earlyFactor = 0.99
+	// earlyFactor shortens the expected time of a fetch with each one that was
+	// on time; lateShare of the excess of a late one is added.
+	earlyFactor = 0.998
+	lateShare   = 0.2
 	// lateLimit times the expected time is the longest wait for a load.
 	lateLimit = 4
 	// latePart of the time since its start is added to a load that is late.
-	latePart = 0.2
+	latePart = 0.1
 )
 
 // late extends a load that takes longer than expected. It returns false for
@@ -262,9 +262,7 @@
 	if r.readyAt.After(now) {
 		return true
 	}
-	if r.fetch {
-		p.fetchTime = min(time.Duration(float64(p.fetchTime)*lateFactor), lateLimit*p.tuning.FetchTime)
-	}
+	r.late = true
 	r.readyAt = now.Add(max(p.tuning.ReloadTime, time.Duration(latePart*float64(now.Sub(r.started)))))
 	return true
 }
@@ -275,11 +273,17 @@
 	if e == nil {
 		return
 	}
-	if r := e.adapters[key]; r != nil && r.loading {
-		r.loading = false
-		if r.fetch {
-			p.fetchTime = max(time.Duration(float64(p.fetchTime)*earlyFactor), p.tuning.FetchTime/4)
-		}
+	r := e.adapters[key]
+	if r == nil || !r.loading {
+		return
+	}
+	r.loading = false
+	switch {
+	case !r.fetch:
+	case r.late:
+		p.fetchTime += time.Duration(lateShare * float64(r.readyAt.Sub(r.started)-p.fetchTime))
+	default:
+		p.fetchTime = max(time.Duration(float64(p.fetchTime)*earlyFactor), p.tuning.FetchTime/4)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -188,7 +188,7 @@
 	return adapters.Tuning{
 		FetchTime: 260 * time.Millisecond, ReloadTime: 30 * time.Millisecond, FetchesAtOnce: (g.settings.AdapterLoads + zones - 1) / zones,
 		FetchesPerEngine: fetchesPerEngine, ReplicaDemand: 8,
-		LoadsPerEngine: 4, CallCost: 3 * time.Millisecond, RankCost: 15 * time.Millisecond, KeepIdle: 500 * time.Millisecond,
+		LoadsPerEngine: 4, CallCost: 3 * time.Millisecond, RankCost: 15 * time.Millisecond, KeepIdle: 50 * time.Millisecond,
 		AtHand: 126, OldVersion: g.settings.ReleaseTimeout * oldVersionPercent / 100, Suspicion: time.Second, DemandHalfLife: 20 * time.Second,
 	}
 }
