internal/lease: a lapsed holder places on what is loaded

Change: a holder that could not renew goes on placing calls without loads until it sees another holder. Orders still end with the term.

--- a/internal/lease/elector.go
+++ b/internal/lease/elector.go
@@ -80,7 +80,7 @@
 // renew extends the leases that are held and due.
 func (e *Elector) renew(ctx context.Context) {
 	for _, c := range e.candidates {
-		if !c.Lease.isHeld() || e.clock()-c.renewed < e.timing.Renew {
+		if !c.Lease.Leading() || e.clock()-c.renewed < e.timing.Renew {
 			continue
 		}
 		sent := e.clock()
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -98,17 +98,10 @@
 	return l.fencing
 }
 
-// Leading reports whether this instance holds the lease, though it may have
-// to wait before it acts.
+// Leading reports whether this instance holds the lease as far as it knows. It
+// may have to wait before it acts, or may not act any more because its tenure
+// has lapsed; nobody has a better view until another holder is seen.
 func (l *Lease) Leading() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.held && l.clock() < l.actUntil
-}
-
-// isHeld reports whether this instance holds the lease as far as it knows,
-// though its tenure may have lapsed.
-func (l *Lease) isHeld() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.held
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -88,7 +88,7 @@
 					_ = l.Claim(ctx)
 				}
 			case 3:
-				if l.isHeld() {
+				if l.Leading() {
 					_ = l.Renew(ctx)
 				}
 			case 4:
@@ -146,7 +146,7 @@
 						t.Fatal(err)
 					}
 				}
-				if b.isHeld() {
+				if b.Leading() {
 					if err := b.Renew(ctx); err != nil {
 						t.Fatal(err)
 					}
