internal/placer: an engine is in doubt after an unload that was not sent

Ruled out: a late order (none was unanswered at that engine before). Change: orders that are given up leave the engine in doubt, so that its report is read before the next load. Besides: the share of fetches of zones whose holder is not alive goes to the others.

--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -99,6 +99,9 @@
 	}
 }
 
+// SetFetches bounds the fetches of this zone under way.
+func (p *Planner) SetFetches(n int) { p.tuning.FetchesAtOnce = max(n, 1) }
+
 // Unsynced returns the engines whose state must be read before they are used.
 func (p *Planner) Unsynced() []bamboorail.TargetEntry {
 	var list []bamboorail.TargetEntry
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -166,7 +166,7 @@
 		candidates = append(candidates, lease.Candidate{Lease: l, Stranger: zone != s.Zone})
 		h := placer.NewHolder(placer.HolderConfig{
 			Zone: zone, Instance: s.Instance, Lease: l, Fleet: g.fleet, Table: g.table.Load, Engines: g.adapter.Engines,
-			Tuning: g.tuning(), ModelLoadGap: g.modelLoadGap, Log: g.logs.Layer("placer"),
+			Tuning: g.tuning(), FetchShare: g.fetchShare, ModelLoadGap: g.modelLoadGap, Log: g.logs.Layer("placer"),
 		})
 		g.holders = append(g.holders, placer.ZoneHolder{Zone: zone, Local: h, Lease: l})
 	}
@@ -184,15 +184,27 @@
 // tuning returns the costs of the planner. Times are those of the users'
 // sheets (page SYSTEM).
 func (g *Gateway) tuning() adapters.Tuning {
-	zones := len(g.settings.Zones)
 	return adapters.Tuning{
-		FetchTime: 260 * time.Millisecond, ReloadTime: 30 * time.Millisecond, FetchesAtOnce: (g.settings.AdapterLoads + zones - 1) / zones,
+		FetchTime: 260 * time.Millisecond, ReloadTime: 30 * time.Millisecond, FetchesAtOnce: g.settings.AdapterLoads / len(g.settings.Zones),
 		FetchesPerEngine: fetchesPerEngine, ReplicaDemand: 8,
 		LoadsPerEngine: 4, CallCost: 3 * time.Millisecond, RankCost: 15 * time.Millisecond, KeepIdle: 50 * time.Millisecond,
 		AtHand: 126, OldVersion: g.settings.ReleaseTimeout * oldVersionPercent / 100, Suspicion: time.Second, DemandHalfLife: 20 * time.Second,
 	}
 }
 
+// fetchShare divides the fetches of the weight store among the zones whose
+// holder is alive; the others fetch nothing.
+func (g *Gateway) fetchShare() int {
+	alive := 0
+	for _, z := range g.holders {
+		if z.Lease.Alive() {
+			alive++
+		}
+	}
+	alive = max(alive, 1)
+	return (g.settings.AdapterLoads + alive - 1) / alive
+}
+
 // modelLoadGap spreads the rate of the weight store over the zones.
 func (g *Gateway) modelLoadGap() time.Duration {
 	rate := 1.0
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -107,6 +107,18 @@
 	return l.held
 }
 
+// staleList is the time by which a listed lease may be old, with the time
+// between looks at it.
+const staleList = 4 * time.Second
+
+// Alive reports whether somebody renews the lease, as far as this instance
+// sees it.
+func (l *Lease) Alive() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.revision > 0 && !l.seen.Released && l.clock()-l.unchangedSince < l.timing.Term+staleList
+}
+
 // Holder returns the name and address of the holder that was last seen.
 func (l *Lease) Holder() (name, address string) {
 	l.mu.Lock()
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -45,6 +45,9 @@
 	Table    func() *route.Table
 	Engines  bamboorail.OrderTaker
 	Tuning   adapters.Tuning
+	// FetchShare returns the zone's share of the fetches that the weight store
+	// carries at full speed.
+	FetchShare func() int
 	// ModelLoadGap is the least time between loads of base models.
 	ModelLoadGap func() time.Duration
 	Log          hclog.Logger
@@ -144,6 +147,7 @@
 		s, _ := table.Service(service)
 		return s.AdapterSlots
 	}, now)
+	h.planner.SetFetches(h.FetchShare())
 	h.planner.Expire(now.Add(-placementExpiry), now)
 	return h.planner.Unsynced()
 }
@@ -318,7 +322,9 @@
 			h.planner.LoadFailed(o.Target, o.Key)
 		}
 	}
-	if !errors.Is(err, errTenure) && !errors.Is(err, errVictimBusy) {
+	if !errors.Is(err, errVictimBusy) {
+		// An order may have been accepted, or the adapter that was to make way
+		// is still there.
 		h.planner.Desync(orders[0].Target, now)
 	}
 }
