internal/mirror, internal/gateway: the retry budget is divided by the instances

Change: the holder counts the instances that follow it and tells them; each takes its share, an eighth of its zone's while the count is unknown. The expected fetch time takes half of an excess at once, and a late load is tried again after 15 % of its time.

--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -248,11 +248,11 @@
 	// earlyFactor shortens the expected time of a fetch with each one that was
 	// on time; lateShare of the excess of a late one is added.
 	earlyFactor = 0.998
-	lateShare   = 0.2
+	lateShare   = 0.5
 	// lateLimit times the expected time is the longest wait for a load.
 	lateLimit = 4
 	// latePart of the time since its start is added to a load that is late.
-	latePart = 0.1
+	latePart = 0.15
 )
 
 // late extends a load that takes longer than expected. It returns false for
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,10 +53,12 @@
 	// of the store (page PROTOCOL: about two seconds).
 	returnGrace    = 2 * time.Second
 	expireInterval = 500 * time.Millisecond
-	// retryShare is the part of the common retry budget that one instance
-	// uses; it holds for up to eight instances of uneven load.
-	retryShare      = 1.0 / 8
+	// unknownInstances is assumed of a zone whose instances were not counted.
+	unknownInstances = 8
+	// retryRatioShare and retrySlackShare leave a part of the common retry
+	// budget for the time in which the count of instances is old.
 	retryRatioShare = 0.8
+	retrySlackShare = 0.9
 	// oldVersionPercent of the time in which a new adapter version must be in
 	// use, the previous one is used; a call may wait in an engine's queue for
 	// some seconds before it begins.
@@ -64,7 +66,7 @@
 	// fetchesPerEngine is the number of adapters on their way from the weight
 	// store that it carries at full speed for each engine (page LATER: 48 and 64
 	// for 140 engines).
-	fetchesPerEngine = 0.4
+	fetchesPerEngine = 0.33
 	// memoryShare is the part of the memory limit at which the collector works
 	// harder.
 	memoryShare = 0.7
@@ -170,7 +172,7 @@
 		})
 		g.holders = append(g.holders, placer.ZoneHolder{Zone: zone, Local: h, Lease: l})
 	}
-	g.mirror = mirror.NewStore(g.adapter.Store, s.Zone, g.holders[0].Lease, g.peers, g.logs.Layer("mirror"))
+	g.mirror = mirror.NewStore(g.adapter.Store, s.Instance, s.Zone, g.holders[0].Lease, g.peers, g.logs.Layer("mirror"))
 	g.elector = lease.NewElector(leaseKind, g.adapter.Store, candidates, timing, lease.BootTime, g.logs.Layer("lease"))
 	g.chooser = placer.NewChooser(placer.ChooserConfig{
 		Instance: s.Instance, Zones: g.holders, Peers: g.peers, Fleet: g.fleet, Balancer: g.balancer, Log: g.logs.Layer("placer"),
@@ -185,7 +187,7 @@
 // sheets (page SYSTEM).
 func (g *Gateway) tuning() adapters.Tuning {
 	return adapters.Tuning{
-		FetchTime: 260 * time.Millisecond, ReloadTime: 30 * time.Millisecond, FetchesAtOnce: g.settings.AdapterLoads / len(g.settings.Zones),
+		FetchTime: 270 * time.Millisecond, ReloadTime: 30 * time.Millisecond, FetchesAtOnce: g.settings.AdapterLoads / len(g.settings.Zones),
 		FetchesPerEngine: fetchesPerEngine, ReplicaDemand: 8,
 		LoadsPerEngine: 4, CallCost: 3 * time.Millisecond, RankCost: 15 * time.Millisecond, KeepIdle: 50 * time.Millisecond,
 		AtHand: 126, OldVersion: g.settings.ReleaseTimeout * oldVersionPercent / 100, Suspicion: time.Second, DemandHalfLife: 20 * time.Second,
@@ -225,12 +227,22 @@
 	w := g.budgets[service]
 	if w == nil {
 		s := g.reloaded.Load()
-		w = retry.NewWindow(s.RetryRatio*retryRatioShare, s.RetrySlack*retryShare, s.RetryWindow)
+		w = retry.NewWindow(s.RetryRatio*retryRatioShare, g.retrySlack(s.RetrySlack), s.RetryWindow)
 		g.budgets[service] = w
 	}
 	return w
 }
 
+// retrySlack returns this instance's share of the constant part of the retry
+// budget.
+func (g *Gateway) retrySlack(all float64) float64 {
+	instances := g.mirror.ZoneSize()
+	if instances == 0 {
+		instances = unknownInstances
+	}
+	return all * retrySlackShare / float64(instances*len(g.settings.Zones))
+}
+
 // Run serves until stop ends, then shuts down gracefully. The end of ctx ends
 // all work at once.
 func (g *Gateway) Run(ctx, stop context.Context) error {
@@ -289,6 +301,12 @@
 	}
 	g.balancer.Retain(live)
 	g.relay.Retain(live)
+	slack := g.retrySlack(g.reloaded.Load().RetrySlack)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, w := range g.budgets {
+		w.SetSlack(slack)
+	}
 }
 
 const (
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -72,8 +72,8 @@
 	}
 	holder = &node{objects: objects, leads: true}
 	follower = &node{objects: objects, follows: holder}
-	for _, n := range []*node{holder, follower} {
-		n.Store = NewStore(counted{objects, n}, "z", n, line{n}, hclog.NewNullLogger())
+	for name, n := range map[string]*node{"holder": holder, "follower": follower} {
+		n.Store = NewStore(counted{objects, n}, name, "z", n, line{n}, hclog.NewNullLogger())
 	}
 	return holder, follower
 }
@@ -139,3 +139,19 @@
 		t.Errorf("events %+v, %v", events, err)
 	}
 }
+
+func TestInstancesAreCounted(t *testing.T) {
+	holder, follower := pair(t)
+	if n := follower.ZoneSize(); n != 0 {
+		t.Errorf("%d instances before the first answer", n)
+	}
+	holder.read(t)
+	follower.read(t)
+	if holder.ZoneSize() != 2 || follower.ZoneSize() != 2 {
+		t.Errorf("%d and %d instances", holder.ZoneSize(), follower.ZoneSize())
+	}
+	holder.followers["follower"] = time.Now().Add(-2 * followerExpiry)
+	if n := holder.ZoneSize(); n != 1 {
+		t.Errorf("%d instances after one is gone", n)
+	}
+}
--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -19,6 +19,9 @@
 	replySlack = 400 * time.Millisecond
 	// peerPause is the time for which a peer that failed is not asked.
 	peerPause = 2 * time.Second
+	// followerExpiry is the time after its last question in which a follower
+	// counts as an instance of the zone.
+	followerExpiry = 5 * time.Second
 )
 
 // Peers passes on what other instances read.
@@ -38,19 +41,49 @@
 // the zone. All other calls go to the store.
 type Store struct {
 	bamboorail.ObjectStore
-	zone   string
-	holder Holder
-	peers  Peers
-	log    hclog.Logger
-	cache  *cache
+	instance string
+	zone     string
+	holder   Holder
+	peers    Peers
+	log      hclog.Logger
+	cache    *cache
 
 	mu     sync.Mutex
 	paused time.Time
+	// followers are the instances that asked, and when; instances is the number
+	// that the holder told.
+	followers map[string]time.Time
+	instances int
 }
 
-// NewStore returns a store that reads through the holder of a zone.
-func NewStore(store bamboorail.ObjectStore, zone string, h Holder, p Peers, log hclog.Logger) *Store {
-	return &Store{ObjectStore: store, zone: zone, holder: h, peers: p, log: log, cache: newCache()}
+// NewStore returns a store by which an instance reads through the holder of
+// its zone.
+func NewStore(store bamboorail.ObjectStore, instance, zone string, h Holder, p Peers, log hclog.Logger) *Store {
+	return &Store{
+		ObjectStore: store, instance: instance, zone: zone, holder: h, peers: p, log: log, cache: newCache(),
+		followers: map[string]time.Time{},
+	}
+}
+
+// ZoneSize returns the number of instances of the zone, this one included,
+// or 0 if it is not known.
+func (s *Store) ZoneSize() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.holder.Leading() {
+		return s.countFollowers(time.Now()) + 1
+	}
+	return s.instances
+}
+
+// countFollowers forgets followers that are gone. The caller holds the lock.
+func (s *Store) countFollowers(now time.Time) int {
+	for name, at := range s.followers {
+		if now.Sub(at) > followerExpiry {
+			delete(s.followers, name)
+		}
+	}
+	return len(s.followers)
 }
 
 // address returns whom to ask, or an empty text if this instance has to ask
@@ -110,7 +143,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+replySlack)
 	defer cancel()
 	reply, err := s.peers.Follow(ctx, address, &wire.FollowRequest{
-		Zone: s.zone, Kind: kindOf(prefix), Revision: revision, WaitMicros: wait.Microseconds(),
+		Instance: s.instance, Zone: s.zone, Kind: kindOf(prefix), Revision: revision, WaitMicros: wait.Microseconds(),
 	})
 	switch {
 	case err != nil:
@@ -118,6 +151,9 @@
 	case !reply.GetFresh():
 		s.log.Debug("holder is not fresh", "kind", kindOf(prefix), "address", address)
 	default:
+		s.mu.Lock()
+		s.instances = int(reply.GetInstances())
+		s.mu.Unlock()
 		return reply, true
 	}
 	s.pause()
@@ -137,8 +173,13 @@
 	if r.GetZone() != s.zone || !s.holder.Leading() {
 		return &wire.FollowReply{}, nil
 	}
+	now := time.Now()
+	s.mu.Lock()
+	s.followers[r.GetInstance()] = now
+	instances := s.countFollowers(now) + 1
+	s.mu.Unlock()
 	a := s.cache.follow(ctx, r.GetKind(), r.GetRevision(), min(time.Duration(r.GetWaitMicros())*time.Microsecond, peerWait))
-	reply := &wire.FollowReply{Fresh: a.fresh, Revision: a.events.Revision, Gap: a.events.Reset}
+	reply := &wire.FollowReply{Fresh: a.fresh, Revision: a.events.Revision, Gap: a.events.Reset, Instances: int32(instances)}
 	for _, o := range append(a.objects, a.events.Objects...) {
 		reply.Objects = append(reply.Objects, &wire.FollowedObject{Key: o.Key, Version: o.Version, Value: o.Value, Deleted: o.Deleted})
 	}
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -28,6 +28,13 @@
 	return &Window{ratio: ratio, slack: slack, part: length / windowParts, start: time.Now()}
 }
 
+// SetSlack changes the constant.
+func (w *Window) SetSlack(slack float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.slack = slack
+}
+
 // advance drops the parts that left the window. The caller holds the lock.
 func (w *Window) advance(now time.Time) {
 	n := int64(now.Sub(w.start) / w.part)
