internal/httpport: one HTTP port for both kinds of instance

The gateway had copied the listener of internal/service; both use one package now. internal/placer: server and suspects in files of their own.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -252,9 +251,9 @@
 	d.Start("peers", func(ctx context.Context) error {
 		return peer.ServePlacer(ctx, g.ports.peer, placer.NewServer(g.holders, g.fleet, g.mirror), g.logs.Layer("peer"))
 	})
-	d.Start("readiness", g.ports.readiness.serve)
-	d.Start("callers", g.ports.caller.serve)
-	d.Start("metrics", g.ports.metrics.serve)
+	d.Start("readiness", g.ports.readiness.Serve)
+	d.Start("callers", g.ports.caller.Serve)
+	d.Start("metrics", g.ports.metrics.Serve)
 	d.Start("configuration", g.informer(g.adapter.ConfigurationKind, configurationPace, quietWait, &configurationHandler{g}).Run)
 	d.Start("targets", g.informer(g.adapter.TargetKind, targetPace, targetWait, &targetHandler{g}).Run)
 	d.Start("releases", g.informer(g.adapter.ReleaseKind, releasePace, quietWait, &releaseHandler{g}).Run)
@@ -325,33 +324,14 @@
 	g.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, timeout-exitMargin)
 	defer cancel()
-	g.ports.caller.server.SetKeepAlivesEnabled(false)
+	g.ports.caller.RefuseKeepAlive()
 	g.elector.Release(ctx)
 	if err := duty.Sleep(ctx, balancerNotice); err != nil {
 		return err
 	}
-	if err := g.ports.caller.server.Shutdown(ctx); err != nil {
+	if err := g.ports.caller.Drain(ctx); err != nil {
 		g.log.Warn("calls still run at the drain timeout", "error", err)
 	}
 	g.log.Info("instance left")
 	return nil
 }
-
-// ports are the open ports of a gateway.
-type ports struct {
-	peer                       net.Listener
-	caller, readiness, metrics *httpPort
-}
-
-func openPorts(ctx context.Context, s settings.Gateway) (*ports, error) {
-	p := &ports{}
-	var err, failure error
-	p.peer, err = (&net.ListenConfig{}).Listen(ctx, "tcp", s.PeerAddress)
-	failure = errors.Join(failure, err)
-	p.caller, err = openHTTP(ctx, s.CallerAddress)
-	failure = errors.Join(failure, err)
-	p.readiness, err = openHTTP(ctx, s.ReadinessAddress)
-	failure = errors.Join(failure, err)
-	p.metrics, err = openHTTP(ctx, s.MetricsAddress)
-	return p, errors.Join(failure, err)
-}
--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -10,7 +10,8 @@
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"bamboorail.example/bamboorail/internal/duty"
+	"bamboorail.example/bamboorail/internal/httpport"
+	"bamboorail.example/bamboorail/internal/settings"
 )
 
 const (
@@ -21,44 +22,38 @@
 	idleTimeout    = 60 * time.Second
 )
 
-// httpPort is an HTTP server on an open port.
-type httpPort struct {
-	listener net.Listener
-	server   *http.Server
-}
+// portLimits bound what callers may send.
+var portLimits = httpport.Limits{MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 
-func openHTTP(ctx context.Context, address string) (*httpPort, error) {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return &httpPort{listener: l, server: &http.Server{
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}}, nil
+// ports are the open ports of a gateway.
+type ports struct {
+	peer                       net.Listener
+	caller, readiness, metrics *httpport.Port
 }
 
-// serve answers requests until ctx ends or the server is shut down.
-func (p *httpPort) serve(ctx context.Context) error {
-	closed := duty.Start(ctx, "close", func(ctx context.Context) error {
-		<-ctx.Done()
-		return p.server.Close()
-	})
-	err := p.server.Serve(p.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return <-closed.Done()
-	}
-	return err
+// openPorts opens every port before the instance runs.
+func openPorts(ctx context.Context, s settings.Gateway) (*ports, error) {
+	p, none := &ports{}, settings.TLS{}
+	var err, failure error
+	p.peer, err = httpport.Listen(ctx, s.PeerAddress, none)
+	failure = errors.Join(failure, err)
+	p.caller, err = httpport.Open(ctx, s.CallerAddress, none, portLimits)
+	failure = errors.Join(failure, err)
+	p.readiness, err = httpport.Open(ctx, s.ReadinessAddress, none, portLimits)
+	failure = errors.Join(failure, err)
+	p.metrics, err = httpport.Open(ctx, s.MetricsAddress, none, portLimits)
+	return p, errors.Join(failure, err)
 }
 
 // handle connects the ports to their handlers.
 func (g *Gateway) handle() {
-	g.ports.caller.server.Handler = g.relay
+	g.ports.caller.Handle(g.relay)
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+g.adapter.Ingress.ReadyPath(), g.serveReadiness)
-	g.ports.readiness.server.Handler = ready
+	g.ports.readiness.Handle(ready)
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", promhttp.HandlerFor(g.metrics.Registry(), promhttp.HandlerOpts{}))
-	g.ports.metrics.server.Handler = metrics
+	g.ports.metrics.Handle(metrics)
 }
 
 // Ready returns why the instance should get no new calls, or nil.
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -81,56 +80,6 @@
 	suspects map[string]suspect
 }
 
-// suspect is an engine that did not answer.
-type suspect struct {
-	until time.Time
-	pause time.Duration
-}
-
-const (
-	// firstSuspicion doubles with each failure up to lastSuspicion.
-	firstSuspicion = time.Second
-	lastSuspicion  = 4 * time.Second
-)
-
-// observe takes in how a call at an engine ended.
-func (c *Chooser) observe(name string, r balance.Result) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch r {
-	case balance.Unreachable:
-		pause := max(firstSuspicion, min(2*c.suspects[name].pause, lastSuspicion))
-		c.suspects[name] = suspect{until: time.Now().Add(pause), pause: pause}
-	case balance.Answered, balance.Refused, balance.Misdirected:
-		delete(c.suspects, name)
-	case balance.Failed, balance.Abandoned:
-	}
-}
-
-// avoid returns the engines that a call should not be sent to.
-func (c *Chooser) avoid(a relay.Ask) []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.suspects) == 0 {
-		return a.Avoid
-	}
-	now := time.Now()
-	names := slices.Clone(a.Avoid)
-	for name, s := range c.suspects {
-		switch {
-		case now.Before(s.until):
-			names = append(names, name)
-		case now.Sub(s.until) > forgetSuspect:
-			delete(c.suspects, name)
-		}
-	}
-	return names
-}
-
-// forgetSuspect is the time after which a failure no longer lengthens the
-// next suspicion.
-const forgetSuspect = 10 * time.Second
-
 var _ relay.Chooser = (*Chooser)(nil)
 
 // NewChooser returns a chooser.
@@ -420,73 +369,3 @@
 		c.Log.Debug("ended placements dropped", "zone", z.Zone, "count", len(list))
 	}
 }
-
-// Follower passes on what this instance read of the object store.
-type Follower interface {
-	Follow(ctx context.Context, r *wire.FollowRequest) (*wire.FollowReply, error)
-}
-
-// Server answers other instances for the zones that this one holds.
-type Server struct {
-	Follower
-	zones map[string]*Holder
-	fleet *fleet.Fleet
-}
-
-// NewServer returns a server for the holders of all zones.
-func NewServer(zones []ZoneHolder, f *fleet.Fleet, follower Follower) *Server {
-	s := &Server{Follower: follower, zones: map[string]*Holder{}, fleet: f}
-	for _, z := range zones {
-		s.zones[z.Zone] = z.Local
-	}
-	return s
-}
-
-// Place finds a place for a peer's call.
-func (s *Server) Place(ctx context.Context, r *wire.PlaceRequest) (*wire.PlaceReply, error) {
-	h := s.zones[r.GetZone()]
-	if h == nil || !h.Lease.Leading() {
-		return &wire.PlaceReply{}, nil
-	}
-	h.Settle(endsOf(r.GetEnded()))
-	key := bamboorail.AdapterKey{Model: r.GetModel(), Adapter: r.GetAdapter()}
-	newest, released := s.fleet.Newest(key)
-	if int(r.GetVersion()) > newest {
-		// The asking instance knows a release that this one has yet to hear of.
-		newest, released = int(r.GetVersion()), time.Time{}
-	}
-	p, err := h.Place(ctx, adapters.Request{
-		Key: key, Service: r.GetService(), Version: newest, Released: released, Avoid: r.GetAvoid(), Instance: r.GetInstance(),
-		Loads: adapters.LoadRule(r.GetLoads()), CallID: r.GetCallId(), Waited: time.Duration(r.GetWaitedMicros()) * time.Microsecond,
-		Objective: time.Duration(r.GetObjectiveMicros()) * time.Microsecond, Priority: int(r.GetPriority()),
-	})
-	if err != nil {
-		f := bamboorail.FailureOf(err)
-		return &wire.PlaceReply{
-			Holder: f.Kind != bamboorail.KindNotOwner, Reason: f.Error(),
-			RetryAfterMicros: cmp.Or(f.RetryAfter, noPlaceRetry).Microseconds(),
-		}, nil
-	}
-	return &wire.PlaceReply{
-		Holder: true, Target: p.Target.ID.Name, Born: p.Target.ID.Born, Address: p.Target.Address, Zone: p.Target.Zone,
-		Version: int64(p.Version), ReadyInMicros: max(time.Until(p.ReadyAt), 0).Microseconds(), Ticket: p.Ticket,
-	}, nil
-}
-
-// Settle takes in the ends of a peer's placements.
-func (s *Server) Settle(_ context.Context, r *wire.SettleRequest) (*wire.SettleReply, error) {
-	h := s.zones[r.GetZone()]
-	if h == nil || !h.Lease.Leading() {
-		return &wire.SettleReply{}, nil
-	}
-	h.Settle(endsOf(r.GetEnded()))
-	return &wire.SettleReply{Holder: true}, nil
-}
-
-func endsOf(messages []*wire.EndedPlacement) []Ended {
-	list := make([]Ended, 0, len(messages))
-	for _, m := range messages {
-		list = append(list, Ended{Ticket: m.GetTicket(), Result: balance.Result(m.GetResult())})
-	}
-	return list
-}
--- /dev/null
+++ b/internal/placer/server.go
@@ -0,0 +1,83 @@
+package placer
+
+import (
+	"cmp"
+	"context"
+	"time"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/adapters"
+	"bamboorail.example/bamboorail/internal/balance"
+	"bamboorail.example/bamboorail/internal/fleet"
+	"bamboorail.example/bamboorail/internal/peer/wire"
+)
+
+// Follower passes on what this instance read of the object store.
+type Follower interface {
+	Follow(ctx context.Context, r *wire.FollowRequest) (*wire.FollowReply, error)
+}
+
+// Server answers other instances for the zones that this one holds.
+type Server struct {
+	Follower
+	zones map[string]*Holder
+	fleet *fleet.Fleet
+}
+
+// NewServer returns a server for the holders of all zones.
+func NewServer(zones []ZoneHolder, f *fleet.Fleet, follower Follower) *Server {
+	s := &Server{Follower: follower, zones: map[string]*Holder{}, fleet: f}
+	for _, z := range zones {
+		s.zones[z.Zone] = z.Local
+	}
+	return s
+}
+
+// Place finds a place for a peer's call.
+func (s *Server) Place(ctx context.Context, r *wire.PlaceRequest) (*wire.PlaceReply, error) {
+	h := s.zones[r.GetZone()]
+	if h == nil || !h.Lease.Leading() {
+		return &wire.PlaceReply{}, nil
+	}
+	h.Settle(endsOf(r.GetEnded()))
+	key := bamboorail.AdapterKey{Model: r.GetModel(), Adapter: r.GetAdapter()}
+	newest, released := s.fleet.Newest(key)
+	if int(r.GetVersion()) > newest {
+		// The asking instance knows a release that this one has yet to hear of.
+		newest, released = int(r.GetVersion()), time.Time{}
+	}
+	p, err := h.Place(ctx, adapters.Request{
+		Key: key, Service: r.GetService(), Version: newest, Released: released, Avoid: r.GetAvoid(), Instance: r.GetInstance(),
+		Loads: adapters.LoadRule(r.GetLoads()), CallID: r.GetCallId(), Waited: time.Duration(r.GetWaitedMicros()) * time.Microsecond,
+		Objective: time.Duration(r.GetObjectiveMicros()) * time.Microsecond, Priority: int(r.GetPriority()),
+	})
+	if err != nil {
+		f := bamboorail.FailureOf(err)
+		return &wire.PlaceReply{
+			Holder: f.Kind != bamboorail.KindNotOwner, Reason: f.Error(),
+			RetryAfterMicros: cmp.Or(f.RetryAfter, noPlaceRetry).Microseconds(),
+		}, nil
+	}
+	return &wire.PlaceReply{
+		Holder: true, Target: p.Target.ID.Name, Born: p.Target.ID.Born, Address: p.Target.Address, Zone: p.Target.Zone,
+		Version: int64(p.Version), ReadyInMicros: max(time.Until(p.ReadyAt), 0).Microseconds(), Ticket: p.Ticket,
+	}, nil
+}
+
+// Settle takes in the ends of a peer's placements.
+func (s *Server) Settle(_ context.Context, r *wire.SettleRequest) (*wire.SettleReply, error) {
+	h := s.zones[r.GetZone()]
+	if h == nil || !h.Lease.Leading() {
+		return &wire.SettleReply{}, nil
+	}
+	h.Settle(endsOf(r.GetEnded()))
+	return &wire.SettleReply{Holder: true}, nil
+}
+
+func endsOf(messages []*wire.EndedPlacement) []Ended {
+	list := make([]Ended, 0, len(messages))
+	for _, m := range messages {
+		list = append(list, Ended{Ticket: m.GetTicket(), Result: balance.Result(m.GetResult())})
+	}
+	return list
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -130,10 +130,10 @@
 }
 
 // CallerAddress returns the address on which callers are served.
-func (i *Instance) CallerAddress() string { return i.ports.caller.listener.Addr().String() }
+func (i *Instance) CallerAddress() string { return i.ports.caller.Address() }
 
 // OperatorAddress returns the address on which operators are served.
-func (i *Instance) OperatorAddress() string { return i.ports.operator.listener.Addr().String() }
+func (i *Instance) OperatorAddress() string { return i.ports.operator.Address() }
 
 // PeerAddress returns the address on which peers are served.
 func (i *Instance) PeerAddress() string { return i.ports.peer.Addr().String() }
@@ -147,9 +147,9 @@
 	g.Start("peers", func(ctx context.Context) error {
 		return peer.Serve(ctx, i.ports.peer, &peerHandler{i}, i.logs.Layer("peer"))
 	})
-	g.Start("callers", i.ports.caller.serve)
-	g.Start("operators", i.ports.operator.serve)
-	g.Start("metrics", i.ports.metrics.serve)
+	g.Start("callers", i.ports.caller.Serve)
+	g.Start("operators", i.ports.operator.Serve)
+	g.Start("metrics", i.ports.metrics.Serve)
 	g.Start("session", i.keepSession)
 	g.Start("listing", i.listSessions)
 	g.Start("watch", i.watch)
@@ -188,7 +188,9 @@
 	if err := i.manager.Leave(ctx); err != nil {
 		i.log.Error("requests still run at the drain timeout", "error", err)
 	}
-	i.ports.caller.drain(ctx)
+	if err := i.ports.caller.Drain(ctx); err != nil {
+		i.log.Warn("requests of callers still run at the drain timeout", "error", err)
+	}
 	ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), shutdownGraceExtra)
 	defer cancel()
 	if err := i.sessions.Withdraw(ctx); err != nil {
