--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -27,9 +27,10 @@
 	settleTimeout = 300 * time.Millisecond
 	// startMargin is left for the way to the engine.
 	startMargin = 50 * time.Millisecond
-	// holderPause is the time for which a holder that did not answer is left
-	// out.
-	holderPause = 700 * time.Millisecond
+	// firstPause is the time for which a holder that did not answer is left out;
+	// it doubles with each failure up to lastPause.
+	firstPause = 700 * time.Millisecond
+	lastPause  = 3 * time.Second
 	// settleInterval is the time between reports of ended placements.
 	settleInterval = 200 * time.Millisecond
 	// maxUnsettled bounds the ends kept for a holder that does not answer; it
@@ -72,8 +73,8 @@
 	ChooserConfig
 
 	mu sync.Mutex
-	// paused maps zones to the time until which their holder is left out.
-	paused map[string]time.Time
+	// paused are the holders that did not answer, by zone and address.
+	paused map[string]suspect
 	// ended are the ends that each zone's holder has yet to learn.
 	ended map[string][]Ended
 	// suspects are the engines that this instance does not reach; others may.
@@ -84,7 +85,7 @@
 
 // NewChooser returns a chooser.
 func NewChooser(c ChooserConfig) *Chooser {
-	return &Chooser{ChooserConfig: c, paused: map[string]time.Time{}, ended: map[string][]Ended{}, suspects: map[string]suspect{}}
+	return &Chooser{ChooserConfig: c, paused: map[string]suspect{}, ended: map[string][]Ended{}, suspects: map[string]suspect{}}
 }
 
 // Choose finds a target for a call. A call that waits for an engine is placed
@@ -111,7 +112,7 @@
 	var failure error
 	a.Avoid = c.avoid(a)
 	for _, q := range c.questions(a.Call.Key) {
-		if c.isPaused(q.zone.Zone) {
+		if c.isPaused(q.zone) {
 			continue
 		}
 		place, err := c.ask(ctx, q.zone, a, q.loads)
@@ -209,16 +210,33 @@
 	}, true
 }
 
-func (c *Chooser) isPaused(zone string) bool {
+// holderKey names the holder of a zone: a new one is not paused.
+func holderKey(z ZoneHolder) string {
+	_, address := z.Lease.Holder()
+	return z.Zone + "@" + address
+}
+
+func (c *Chooser) isPaused(z ZoneHolder) bool {
+	key := holderKey(z)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.paused[key].until)
+}
+
+// pause leaves a holder out for a while.
+func (c *Chooser) pause(z ZoneHolder) {
+	key := holderKey(z)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return time.Now().Before(c.paused[zone])
+	c.paused[key] = c.paused[key].again(firstPause, lastPause, time.Now())
 }
 
-func (c *Chooser) pause(zone string) {
+// answered forgets the failures of a holder.
+func (c *Chooser) answered(z ZoneHolder) {
+	key := holderKey(z)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.paused[zone] = time.Now().Add(holderPause)
+	delete(c.paused, key)
 }
 
 // ask asks the holder of a zone.
@@ -263,16 +281,19 @@
 		return relay.Place{}, fail(op, bamboorail.KindCancelled, err)
 	case err != nil:
 		c.putBack(z.Zone, ended)
-		c.pause(z.Zone)
+		c.pause(z)
 		c.Log.Warn("holder does not answer", "zone", z.Zone, "address", address, "id", a.Call.ID, "error", err)
 		return relay.Place{}, failRetry(op, bamboorail.KindUnavailable, noEngineRetry, err)
 	case !reply.GetHolder():
-		c.pause(z.Zone)
+		c.answered(z)
+		c.pause(z)
 		return relay.Place{}, failRetry(op, bamboorail.KindNotOwner, noEngineRetry, errNotHolder)
 	case reply.GetTarget() == "":
+		c.answered(z)
 		after := time.Duration(reply.GetRetryAfterMicros()) * time.Microsecond
 		return relay.Place{}, failRetry(op, bamboorail.KindOverloaded, after, errors.New(reply.GetReason()))
 	}
+	c.answered(z)
 	target := bamboorail.TargetEntry{
 		ID: bamboorail.TargetID{Name: reply.GetTarget(), Born: reply.GetBorn()}, Service: a.Service.Name,
 		Address: reply.GetAddress(), Zone: reply.GetZone(),
@@ -351,7 +372,7 @@
 		return
 	}
 	_, address := z.Lease.Holder()
-	if address == "" || c.isPaused(z.Zone) {
+	if address == "" || c.isPaused(z) {
 		c.putBack(z.Zone, list)
 		return
 	}
@@ -360,7 +381,7 @@
 	reply, err := c.Peers.Settle(ctx, address, &wire.SettleRequest{Zone: z.Zone, Instance: c.Instance, Ended: endedMessages(list)})
 	if err != nil {
 		c.putBack(z.Zone, list)
-		c.pause(z.Zone)
+		c.pause(z)
 		c.Log.Debug("ended placements not reported", "zone", z.Zone, "count", len(list), "error", err)
 		return
 	}
--- a/internal/placer/suspects.go
+++ b/internal/placer/suspects.go
@@ -8,12 +8,19 @@
 	"bamboorail.example/bamboorail/internal/relay"
 )
 
-// suspect is an engine that did not answer.
+// suspect is an engine or holder that did not answer.
 type suspect struct {
 	until time.Time
 	pause time.Duration
 }
 
+// again returns the suspicion after one more failure, which lasts twice as
+// long as the one before.
+func (s suspect) again(first, last time.Duration, now time.Time) suspect {
+	pause := max(first, min(2*s.pause, last))
+	return suspect{until: now.Add(pause), pause: pause}
+}
+
 const (
 	// firstSuspicion doubles with each failure up to lastSuspicion.
 	firstSuspicion = time.Second
@@ -26,8 +33,7 @@
 	defer c.mu.Unlock()
 	switch r {
 	case balance.Unreachable:
-		pause := max(firstSuspicion, min(2*c.suspects[name].pause, lastSuspicion))
-		c.suspects[name] = suspect{until: time.Now().Add(pause), pause: pause}
+		c.suspects[name] = c.suspects[name].again(firstSuspicion, lastSuspicion, time.Now())
 	case balance.Answered, balance.Refused, balance.Misdirected:
 		delete(c.suspects, name)
 	case balance.Failed, balance.Abandoned:
