internal/informer: the end of an outage wakes all watches

Ruled out: the holder's freshness (it was right; the instance asked the store itself). Change: whoever finds the store again wakes the other informers, as for a gap. An engine that only seemed to hold an adapter is not asked again for a call.

--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -31,8 +31,8 @@
 	Update(o bamboorail.Object)
 }
 
-// Gap tells the informers of one store that its history has a gap. A watch
-// that waits at that moment may never hear of the changes in the gap.
+// Gap tells the informers of one store that its history has a gap, or that it
+// was away. A watch that waits at that moment may never hear of the changes.
 type Gap struct {
 	mu     sync.Mutex
 	signal chan struct{}
@@ -99,6 +99,8 @@
 		objects, revision, err := i.Store.List(ctx, i.Kind)
 		if err == nil {
 			if outage || attempt > 0 {
+				// The watches that waited at its loss may never be answered.
+				i.Gap.found()
 				i.Log.Info("store regained", "kind", i.Kind, "revision", revision, "objects", len(objects))
 			}
 			i.Handler.Replace(objects, outage || attempt > 0)
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -104,3 +104,55 @@
 		t.Error("the list was taken for one without an outage")
 	}
 }
+
+// outageStore fails the watches and one list of the busy kind. A watch of the
+// quiet kind that began before the outage is never answered.
+type outageStore struct {
+	*memory.Store
+	outage chan struct{}
+	failed bool
+}
+
+var errAway = errors.New("away")
+
+func (s *outageStore) List(ctx context.Context, kind string) ([]bamboorail.Object, uint64, error) {
+	if kind == "busy" && s.failed {
+		s.failed = false
+		return nil, 0, errAway
+	}
+	return s.Store.List(ctx, kind)
+}
+
+func (s *outageStore) Watch(ctx context.Context, kinds []string, _ uint64, _ time.Duration) (bamboorail.Events, error) {
+	if kinds[0] == "busy" {
+		select {
+		case <-s.outage:
+			s.failed = true
+			return bamboorail.Events{}, errAway
+		case <-ctx.Done():
+		}
+	}
+	<-ctx.Done()
+	return bamboorail.Events{}, ctx.Err()
+}
+
+// TestTheEndOfAnOutageWakesAllInformers: the store may never answer the
+// watches that waited when it went away. Found by hunt-beeb-7 of the archive
+// site (CONFIG).
+func TestTheEndOfAnOutageWakesAllInformers(t *testing.T) {
+	store := &outageStore{Store: memory.NewStore(), outage: make(chan struct{})}
+	gap := NewGap()
+	quiet, busy := start(t, store, "quiet", gap), start(t, store, "busy", gap)
+	<-quiet.replaced
+	<-busy.replaced
+	store.outage <- struct{}{}
+	store.outage <- struct{}{} // two failed watches make an outage
+	if !<-busy.replaced {
+		t.Error("the outage was not noticed")
+	}
+	select {
+	case <-quiet.replaced:
+	case <-time.After(10 * time.Second):
+		t.Error("the quiet kind was not listed again")
+	}
+}
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -205,7 +205,7 @@
 	}
 	c.Log.Info("engine chosen without a holder", "id", a.Call.ID, "engine", target.ID.Name, "adapter", key.Adapter)
 	return relay.Place{
-		Target: target, Version: target.Models[key.Model][key.Adapter], ReadyAt: now, Valid: c.valid(target),
+		Target: target, Version: target.Models[key.Model][key.Adapter], ReadyAt: now, Assumed: true, Valid: c.valid(target),
 		Done: func(r balance.Result, took time.Duration) { c.Balancer.Done(target.ID, r, took, time.Now()) },
 	}, true
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -52,7 +52,7 @@
 	x.attempts++
 	x.trail = append(x.trail, fmt.Sprintf("%s@%d wait=%d took=%d %s", place.Target.ID.Name, place.Version,
 		sent.Sub(asked).Milliseconds(), time.Since(sent).Milliseconds(), outcome(err)))
-	if err != nil && result != balance.Misdirected {
+	if err != nil && (result != balance.Misdirected || place.Assumed) {
 		x.avoid = append(x.avoid, place.Target.ID.Name)
 	}
 	return true, err
--- a/internal/relay/bed_test.go
+++ b/internal/relay/bed_test.go
@@ -194,6 +194,8 @@
 	// leaves names a target that leaves while the call waits for it.
 	leaves string
 	wait   time.Duration
+	// assumed marks the places as assumed.
+	assumed bool
 
 	mu      sync.Mutex
 	results []balance.Result
@@ -210,7 +212,7 @@
 		}
 		name := g.entry.ID.Name
 		return Place{
-			Target: g.entry, ReadyAt: time.Now().Add(c.wait), Valid: func() bool { return name != c.leaves },
+			Target: g.entry, ReadyAt: time.Now().Add(c.wait), Assumed: c.assumed, Valid: func() bool { return name != c.leaves },
 			Done: func(r balance.Result, _ time.Duration) {
 				c.mu.Lock()
 				defer c.mu.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -53,6 +53,9 @@
 	Version int
 	// ReadyAt is the time from which the target can run the call.
 	ReadyAt time.Time
+	// Assumed is set if the target only seems to hold the adapter: one that
+	// lacks it is not asked again.
+	Assumed bool
 	// Valid reports whether the target still takes calls.
 	Valid func() bool
 	// Done gives the place back. It is called once.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -247,3 +249,32 @@
 	}
 	<-a.closed
 }
+
+// TestATargetWithoutTheAdapter: a target that is loading it is asked again, one
+// that only seemed to hold it is not.
+func TestATargetWithoutTheAdapter(t *testing.T) {
+	misdirected := func(c net.Conn, _ *http.Request) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}
+	cases := map[string]struct {
+		assumed bool
+		first   int // arrivals at the first target
+	}{
+		"it loads the adapter":       {false, 2},
+		"it seemed to hold adapters": {true, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			a, spare := newTarget(t, "a", misdirected, answer("whole")), newTarget(t, "spare", answer("whole"))
+			b := newBed(t, oneStream, a, spare)
+			b.chooser.assumed = c.assumed
+			if r := b.call(t, http.MethodPost, "/p/x", "body"); r.body != "whole" {
+				t.Errorf("answer %+v", r)
+			}
+			if n := len(a.seen()); n != c.first {
+				t.Errorf("%d arrivals at the first target, want %d", n, c.first)
+			}
+		})
+	}
+}
