--- a/fleet.go
+++ b/fleet.go
@@ -128,8 +128,6 @@
 	Patience time.Duration
 	// Key is empty for calls that name no model.
 	Key AdapterKey
-	// PromptTokens and OutputTokens are the caller's estimate, 0 if unknown.
-	PromptTokens, OutputTokens int
 	// LastEvent is the event after which the caller resumes a stream.
 	LastEvent string
 	// Header holds the fields that are passed on to the target.
--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -62,11 +62,9 @@
 
 // ticket is a call that was placed and has not ended.
 type ticket struct {
-	engine   string
-	id       bamboorail.TargetID
-	key      bamboorail.AdapterKey
-	instance string
-	issued   time.Time
+	id     bamboorail.TargetID
+	key    bamboorail.AdapterKey
+	issued time.Time
 }
 
 // NewPlanner returns a planner without engines. Its tickets follow after.
@@ -140,9 +138,7 @@
 	Released time.Time
 	// Avoid names engines that failed or refused the call.
 	Avoid []string
-	// Instance is the instance that sends the call.
-	Instance string
-	Loads    LoadRule
+	Loads LoadRule
 	// CallID identifies the call while it waits, Waited is the time for which
 	// it has, Objective the time in which its answer is due.
 	CallID    string
@@ -225,7 +221,7 @@
 	e.running++
 	p.next++
 	placement.Ticket = p.next
-	p.tickets[p.next] = ticket{engine: name, id: e.entry.ID, key: r.Key, instance: r.Instance, issued: now}
+	p.tickets[p.next] = ticket{id: e.entry.ID, key: r.Key, issued: now}
 }
 
 // Refused takes in that an engine was full.
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -244,7 +244,7 @@
 	newest, released := c.Fleet.Newest(a.Call.Key)
 	if z.Local != nil && z.Lease.Leading() {
 		p, err := z.Local.Place(ctx, adapters.Request{
-			Key: a.Call.Key, Service: a.Service.Name, Version: newest, Released: released, Avoid: a.Avoid, Instance: c.Instance,
+			Key: a.Call.Key, Service: a.Service.Name, Version: newest, Released: released, Avoid: a.Avoid,
 			Loads: loads, CallID: a.Call.ID, Waited: time.Since(a.Received), Objective: a.Route.Objective, Priority: a.Route.Priority,
 		})
 		if err != nil {
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -47,7 +47,7 @@
 		newest, released = int(r.GetVersion()), time.Time{}
 	}
 	p, err := h.Place(ctx, adapters.Request{
-		Key: key, Service: r.GetService(), Version: newest, Released: released, Avoid: r.GetAvoid(), Instance: r.GetInstance(),
+		Key: key, Service: r.GetService(), Version: newest, Released: released, Avoid: r.GetAvoid(),
 		Loads: adapters.LoadRule(r.GetLoads()), CallID: r.GetCallId(), Waited: time.Duration(r.GetWaitedMicros()) * time.Microsecond,
 		Objective: time.Duration(r.GetObjectiveMicros()) * time.Microsecond, Priority: int(r.GetPriority()),
 	})
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -65,7 +65,7 @@
 	for {
 		place, err := x.h.Chooser.Choose(ctx, Ask{
 			Call: &x.call, Route: x.route, Service: x.service, Avoid: x.avoid,
-			Received: x.received, StartBy: x.startBy, Deadline: x.deadline,
+			Received: x.received, StartBy: x.startBy,
 		})
 		if err != nil {
 			x.trail = append(x.trail, "no-place")
@@ -120,7 +120,7 @@
 	watchdog := time.AfterFunc(x.tryTimeout(), func() { cancel(errTryTimeout) })
 	defer watchdog.Stop()
 	single := x.route.Repeat == bamboorail.RepeatNever && !x.route.Streaming
-	resp, err := roundTrip(ctx, x.h.pool.transport(p.Target, single), req)
+	resp, err := x.h.pool.transport(p.Target, single).RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		return x.lost(ctx, op, err)
 	}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"strconv"
@@ -143,8 +142,3 @@
 		}
 	}
 }
-
-// roundTrip is http.RoundTripper with the failure of a dial told apart.
-func roundTrip(ctx context.Context, tr http.RoundTripper, r *http.Request) (*http.Response, error) {
-	return tr.RoundTrip(r.WithContext(ctx))
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -42,8 +42,8 @@
 	// Avoid names the targets that failed or refused this call.
 	Avoid []string
 	// Received is the time at which the call arrived, StartBy the time by which
-	// a target must have it, and Deadline the time at which an answer is useless.
-	Received, StartBy, Deadline time.Time
+	// a target must have it.
+	Received, StartBy time.Time
 }
 
 // Place is a place at a target that was taken for a call.
