--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -16,9 +16,11 @@
   local name=$1 patch=$root/_fixtures/mutants/$1.patch tree=$scratch/$1
   mkdir "$tree"
   (cd "$root" && git ls-files -z | xargs -0 tar cf - --) | tar xf - -C "$tree"
-  (cd "$tree" && patch --quiet -p1 <"$patch")
   read -r _ _ package test < <(head -n 1 "$patch")
-  if ! (cd "$tree" && go vet "$package") >"$tree.log" 2>&1; then
+  if ! (cd "$tree" && patch --quiet --batch --forward -p1 <"$patch") >"$tree.log" 2>&1; then
+    echo "INVALID  $name does not apply"
+    cat "$tree.log"
+  elif ! (cd "$tree" && go vet "$package") >"$tree.log" 2>&1; then
     echo "INVALID  $name does not build"
     cat "$tree.log"
   elif (cd "$tree" && go test -count=1 -timeout 120s -run "^$test\$" "$package") >"$tree.log" 2>&1; then
