pkg/record, internal/caller: route by host and path; internal/service: cut with a request in flight

Change: TestCutCallsBackRequestsInFlight holds a repeatable request at the far engine, cuts the zone and demands the answer of the near engine. Stand-ins read a body before they delay it: net/http notices a client that leaves only after that, so a delayed request outlived its client.

Change: record kind route (schema 3): host, longest path prefix, weighted services, repeat, timeout, objective, attempts, priority; railctl routes; calls of other paths than /v1/ are routed unchanged.

--- a/cmd/railctl/cmds/query.go
+++ b/cmd/railctl/cmds/query.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -11,6 +12,7 @@
 
 	urfave "github.com/urfave/cli/v3"
 
+	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/cli"
 	"bamboorail.example/bamboorail/pkg/operatorapi"
 	"bamboorail.example/bamboorail/pkg/record"
@@ -21,6 +23,7 @@
 func (a *app) queries() []*urfave.Command {
 	list := []*urfave.Command{
 		{Name: "records", Usage: "list records, or print one", ArgsUsage: "[kind[/name]]", Action: a.records},
+		{Name: "routes", Usage: "list routes in the order in which they match", Action: a.routes},
 		{Name: "targets", Usage: "list targets with owner and loaded adapters", Action: a.targets},
 		{Name: "instances", Usage: "list instances with the revision in force", Action: a.instances},
 		{Name: "trace", Usage: "print the hops of a request", ArgsUsage: "request-id", Action: a.trace},
@@ -86,6 +89,56 @@
 	return err
 }
 
+// routes lists the routes by host, the longest prefix first. Faulty records
+// are printed with their fault.
+func (a *app) routes(ctx context.Context, c *urfave.Command) error {
+	client, err := a.client(c)
+	if err != nil {
+		return err
+	}
+	list, err := client.Records(ctx, record.KindRoute, "")
+	if err != nil {
+		return err
+	}
+	if c.String("output") == "json" {
+		return a.printJSON(list)
+	}
+	var specs []bamboorail.RouteSpec
+	for _, stored := range list.Records {
+		spec, err := routeSpec(stored.Record)
+		if err != nil {
+			if _, err := fmt.Fprintf(a.stdout, "%s is not in force: %v\n", stored.Name, err); err != nil {
+				return err
+			}
+			continue
+		}
+		specs = append(specs, spec)
+	}
+	slices.SortStableFunc(specs, func(x, y bamboorail.RouteSpec) int {
+		return cmp.Or(strings.Compare(x.Host, y.Host), len(y.Prefix)-len(x.Prefix))
+	})
+	heading := []string{"ROUTE", "HOST", "PREFIX", "SERVICES", "REPEAT", "TIMEOUT", "ATTEMPTS", "PRIORITY"}
+	return printList(a, c, specs, heading, func(s bamboorail.RouteSpec) []string {
+		shares := make([]string, 0, len(s.Shares))
+		for _, v := range s.Shares {
+			shares = append(shares, fmt.Sprintf("%s:%d", v.Service, v.Weight))
+		}
+		return []string{
+			s.Name, s.Host, s.Prefix, strings.Join(shares, ","), string(s.Repeat), s.Timeout.String(),
+			fmt.Sprint(s.MaxAttempts), fmt.Sprint(s.Priority),
+		}
+	})
+}
+
+func routeSpec(raw json.RawMessage) (bamboorail.RouteSpec, error) {
+	r, err := record.Parse(raw)
+	if err != nil {
+		return bamboorail.RouteSpec{}, err
+	}
+	t, err := r.Route()
+	return t.Spec(), err
+}
+
 // targets lists targets.
 func (a *app) targets(ctx context.Context, c *urfave.Command) error {
 	client, err := a.client(c)
--- a/dispatch.go
+++ b/dispatch.go
@@ -52,6 +52,9 @@
 	Forwarded bool
 	// Repeatable permits sending a call again after an unclear failure.
 	Repeatable bool
+	// MaxAttempts bounds the attempts to send the request, 0 if its route does
+	// not say.
+	MaxAttempts int
 	// Body is the body of the request as the caller sent it.
 	Body []byte
 }
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/caller"
@@ -18,18 +19,32 @@
 	"bamboorail.example/bamboorail/pkg/record"
 )
 
-// dispatcher answers every request with an error.
-type dispatcher struct{ err error }
+// dispatcher answers every request with an error and keeps the last work.
+type dispatcher struct {
+	err  error
+	last *bamboorail.Work
+}
 
-func (d *dispatcher) Dispatch(context.Context, *bamboorail.Work, bamboorail.Sink) error { return d.err }
+func (d *dispatcher) Dispatch(_ context.Context, w *bamboorail.Work, _ bamboorail.Sink) error {
+	d.last = w
+	return d.err
+}
 
 func newHandler(t testing.TB, err error) http.Handler {
+	t.Helper()
+	return newHandlerOf(t, &dispatcher{err: err})
+}
+
+func newHandlerOf(t testing.TB, d *dispatcher, records ...string) http.Handler {
 	t.Helper()
 	store := memory.NewStore()
 	change := platform.Change{ID: "c", Apply: []json.RawMessage{
 		json.RawMessage(`{"schema-version":1,"kind":"caller","name":"c","token-sha256":"` + record.HashToken("secret") + `","adapters":["*"],"services":["*"]}`),
 		json.RawMessage(`{"schema-version":1,"kind":"adapter","name":"a","base-model":"b","versions":[{"name":"v1"}]}`),
 	}}
+	for _, r := range records {
+		change.Apply = append(change.Apply, json.RawMessage(r))
+	}
 	if _, err := platform.NewWriter(store).Commit(t.Context(), change); err != nil {
 		t.Fatal(err)
 	}
@@ -39,7 +54,7 @@
 	}
 	spans := telemetry.NewSpanStore("i", 16)
 	return caller.NewServer(caller.Config{
-		Zone: "z", View: r.Current, Dispatcher: &dispatcher{err}, Ready: func() error { return nil }, MaxBody: 1 << 16,
+		Zone: "z", View: r.Current, Dispatcher: d, Ready: func() error { return nil }, MaxBody: 1 << 16,
 		Metrics: telemetry.NewMetrics(), Tracer: telemetry.NewTracer(spans), Log: logflags.Discard().Layer("caller"),
 	}).Handler()
 }
@@ -90,6 +105,48 @@
 	}
 }
 
+// TestRoutedCallsArePassedOnUnchanged checks what a route makes of a call.
+func TestRoutedCallsArePassedOnUnchanged(t *testing.T) {
+	d := &dispatcher{err: &taggedError{bamboorail.Failure{Kind: bamboorail.KindOverloaded, Outcome: bamboorail.OutcomeNotRun}}}
+	h := newHandlerOf(t, d,
+		`{"schema-version":1,"kind":"target","name":"t","role":"application","zone":"z","url":"http://t.example","service":"s"}`,
+		`{"schema-version":3,"kind":"route","name":"davky","host":"h.example","path-prefix":"/","services":[{"service":"s"}],"repeat":"always","timeout":"2s","max-attempts":3,"priority":7}`,
+		`{"schema-version":3,"kind":"route","name":"raz","host":"h.example","path-prefix":"/raz/","services":[{"service":"s"}],"repeat":"never","timeout":"3m"}`,
+	)
+	for name, c := range map[string]struct {
+		target     string
+		repeatable bool
+		attempts   int
+		priority   bamboorail.Priority
+		timeout    time.Duration
+	}{
+		"path not in normal form": {"/a//b/../c?x=%2F&x=1", true, 3, bamboorail.PriorityBatch, 2 * time.Second},
+		"longest prefix":          {"/raz/%41", false, 6, bamboorail.PriorityInteractive, 3 * time.Minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := httptest.NewRequest(http.MethodPut, "http://h.example:8080"+c.target, strings.NewReader("body"))
+			r.Header.Set("Authorization", "Bearer secret")
+			r.Header.Set("Request-Deadline", "9m")
+			w := httptest.NewRecorder()
+			start := time.Now()
+			h.ServeHTTP(w, r)
+			got := d.last
+			if w.Code != http.StatusTooManyRequests || got == nil {
+				t.Fatalf("status %d: %s", w.Code, w.Body)
+			}
+			if got.Path != c.target || got.Method != http.MethodPut || string(got.Body) != "body" || got.Service != "s" {
+				t.Errorf("passed on as %s %s to %s: %q", got.Method, got.Path, got.Service, got.Body)
+			}
+			if got.Repeatable != c.repeatable || got.MaxAttempts != c.attempts || got.Priority != c.priority {
+				t.Errorf("repeatable %t, %d attempts, priority %d", got.Repeatable, got.MaxAttempts, got.Priority)
+			}
+			if got.Deadline.Before(start.Add(c.timeout)) || got.Deadline.After(time.Now().Add(c.timeout)) {
+				t.Errorf("deadline in %s, expected %s", got.Deadline.Sub(start), c.timeout)
+			}
+		})
+	}
+}
+
 func FuzzCompletions(f *testing.F) {
 	f.Add(`{"model":"a@v1","prompt":"x"}`, "1s", "z.1", "secret")
 	f.Add(`{"model":"a@v1","messages":[{}],"n":2}`, "-1", "\x00", "")
--- a/internal/caller/decode.go
+++ b/internal/caller/decode.go
@@ -11,8 +11,11 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/requestid"
+	"bamboorail.example/bamboorail/internal/route"
 	"bamboorail.example/bamboorail/pkg/record"
 )
 
@@ -29,6 +32,13 @@
 	// of cost: a prompt token costs a fraction of a generated one.
 	bytesPerToken = 4
 	prefillShare  = 8
+
+	// batchPriority is the route priority from which requests only fill slots
+	// that interactive ones leave free.
+	batchPriority = 5
+	// mantissaBits is the precision of a float64; a hash is cut down to it.
+	mantissaBits  = 53
+	mantissaShift = 64 - mantissaBits
 )
 
 // identify returns the caller whose token the request carries.
@@ -213,16 +223,32 @@
 	if err != nil {
 		return nil, err
 	}
-	name := r.PathValue("service")
-	if !c.MayUseService(name) {
-		return nil, rejected(bamboorail.KindForbidden, fmt.Errorf("caller %q may not use service %q", c.Name(), name))
+	path := url.URL{Path: "/" + r.PathValue("path"), RawQuery: r.URL.RawQuery}
+	targets, err := s.setServiceCall(w, c, r, r.PathValue("service"), path.RequestURI())
+	if err != nil {
+		return nil, err
+	}
+	w.Repeatable = targets[0].RepeatableMethod(r.Method)
+	if w.Repeatable {
+		w.Zone, w.IssuedAt = "", time.Time{}
 	}
-	targets := s.serviceTargets(name)
+	if err := s.checkHomeZone(w, targets); err != nil {
+		return nil, err
+	}
+	return completionRequest{work: w, sink: &rawSink{x: x, opaque: w.IssuedAt.IsZero() && !w.Repeatable}}, nil
+}
+
+// setServiceCall makes the work a call of a service and returns the targets of
+// the service.
+func (s *Server) setServiceCall(w *bamboorail.Work, c record.Caller, r *http.Request, service, path string) ([]record.Target, error) {
+	if !c.MayUseService(service) {
+		return nil, rejected(bamboorail.KindForbidden, fmt.Errorf("caller %q may not use service %q", c.Name(), service))
+	}
+	targets := s.serviceTargets(service)
 	if len(targets) == 0 {
-		return nil, rejected(bamboorail.KindUnknownService, fmt.Errorf("service %q is not declared", name))
+		return nil, rejected(bamboorail.KindUnknownService, fmt.Errorf("service %q is not declared", service))
 	}
-	path := url.URL{Path: "/" + r.PathValue("path"), RawQuery: r.URL.RawQuery}
-	w.Service, w.Method, w.Path = name, r.Method, path.RequestURI()
+	w.Service, w.Method, w.Path = service, r.Method, path
 	w.Header = http.Header{}
 	for _, k := range passedHeaders {
 		if v := r.Header.Values(k); len(v) > 0 {
@@ -230,14 +256,38 @@
 		}
 	}
 	w.Tokens = 1
-	w.Repeatable = targets[0].RepeatableMethod(r.Method)
-	if w.Repeatable {
-		w.Zone, w.IssuedAt = "", time.Time{}
+	return targets, nil
+}
+
+// decodeRoutedCall reads a call whose route is found by host and path. The id
+// of such a call binds it to no zone and makes it no repeat of another: keepers
+// remember ids by service, and the service of a route can change.
+func (s *Server) decodeRoutedCall(ctx context.Context, r *http.Request) (any, error) {
+	w, x, c, err := s.begin(ctx, r)
+	if err != nil {
+		return nil, err
 	}
-	if err := s.checkHomeZone(w, targets); err != nil {
+	spec, ok := s.config.View().Route(r.Host, r.URL.Path)
+	if !ok {
+		return nil, rejected(bamboorail.KindNotFound, fmt.Errorf("no route for host %q and path %q", r.Host, r.URL.Path))
+	}
+	if _, err := s.setServiceCall(w, c, r, route.PickService(spec, share(w.RequestID)), r.URL.RequestURI()); err != nil {
 		return nil, err
 	}
-	return completionRequest{work: w, sink: &rawSink{x: x, opaque: w.IssuedAt.IsZero() && !w.Repeatable}}, nil
+	if last := time.Now().Add(spec.Timeout); w.Deadline.After(last) {
+		w.Deadline = last
+	}
+	if spec.Priority >= batchPriority {
+		w.Priority = bamboorail.PriorityBatch
+	}
+	w.Repeatable, w.MaxAttempts = spec.Repeat == bamboorail.RepeatAlways, spec.MaxAttempts
+	w.Zone, w.IssuedAt = "", time.Time{}
+	return completionRequest{work: w, sink: &rawSink{x: x, opaque: !w.Repeatable}}, nil
+}
+
+// share maps a request id to [0, 1), so that repeats go to the same service.
+func share(id string) float64 {
+	return float64(xxhash.Sum64String(id)>>mantissaShift) / (1 << mantissaBits)
 }
 
 func (s *Server) serviceTargets(service string) []record.Target {
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -53,7 +53,19 @@
 	mux.Handle("POST /v1/request-ids", s.query("request-ids", s.newRequestID))
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("GET /readyz", s.serveReady)
-	return withExchange(mux)
+	return withExchange(ownOrRouted(mux, s.dispatching("routed-call", s.decodeRoutedCall)))
+}
+
+// ownOrRouted serves the paths of this interface, and passes all others on as
+// they came: a ServeMux would redirect paths that are not in normal form.
+func ownOrRouted(own, routed http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if record.OwnPath(r.URL.Path) {
+			own.ServeHTTP(w, r)
+			return
+		}
+		routed.ServeHTTP(w, r)
+	})
 }
 
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -103,12 +103,19 @@
 	sink := &onceSink{Sink: s}
 	started := time.Now()
 	failed := map[string]bool{}
+	reached := 0
 	for attempt := 0; ; attempt++ {
 		target, err := r.attempt(ctx, w, sink, failed)
 		if err == nil {
 			r.budget.Success()
 			return nil
 		}
+		if reachedTarget(err) {
+			reached++
+		}
+		if w.MaxAttempts > 0 && reached >= w.MaxAttempts {
+			return finalError(err)
+		}
 		if !r.mayRetry(ctx, w, sink, err, attempt, started) {
 			return finalError(err)
 		}
@@ -135,6 +142,13 @@
 	return err
 }
 
+// reachedTarget reports whether a failed attempt counts against the limit of
+// the route. A change of owner costs no target anything.
+func reachedTarget(err error) bool {
+	k := bamboorail.KindOf(err)
+	return k != bamboorail.KindNotOwner && k != bamboorail.KindNoTarget
+}
+
 // mayRetry reports whether a failed request should be sent again.
 func (r *Router) mayRetry(ctx context.Context, w *bamboorail.Work, s *onceSink, err error, attempt int, started time.Time) bool {
 	f := bamboorail.FailureOf(err)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -33,6 +33,7 @@
 		Adapter: w.Model.Adapter(), Version: w.Model.Version(), Chat: w.Chat, Tokens: int32(w.Tokens),
 		Service: w.Service, Method: w.Method, Path: w.Path, Header: headerFields(w.Header),
 		Repeatable: w.Repeatable, Body: w.Body, Zone: w.Zone, Forwarded: w.Forwarded,
+		MaxAttempts: int32(w.MaxAttempts),
 	}
 	if !w.IssuedAt.IsZero() {
 		r.IssuedUnixMilli = w.IssuedAt.UnixMilli()
@@ -48,6 +49,7 @@
 		Chat:     r.GetChat(), Tokens: int(r.GetTokens()),
 		Service: r.GetService(), Method: r.GetMethod(), Path: r.GetPath(), Header: headerOf(r.GetHeader()),
 		Repeatable: r.GetRepeatable(), Body: r.GetBody(), Zone: r.GetZone(), Forwarded: r.GetForwarded(),
+		MaxAttempts: int(r.GetMaxAttempts()),
 	}
 	if r.GetAdapter() != "" {
 		w.Model = bamboorail.NewModelRef(r.GetAdapter(), r.GetVersion())
--- a/internal/platform/view.go
+++ b/internal/platform/view.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/route"
 	"bamboorail.example/bamboorail/pkg/record"
 )
 
@@ -17,6 +18,7 @@
 	shards   map[int]parsedShard
 	callers  map[string]record.Caller // by token digest
 	targets  []record.Target          // sorted by name
+	routes   *route.Table
 }
 
 type parsedShard struct {
@@ -45,11 +47,18 @@
 
 func newView(revision uint64, shards map[int]parsedShard) *View {
 	v := &View{revision: revision, shards: shards, callers: map[string]record.Caller{}}
+	var routes []bamboorail.RouteSpec
 	for _, s := range shards {
 		for k, r := range s.records {
 			v.index(k, r)
+			if t, err := r.Route(); err == nil {
+				routes = append(routes, t.Spec())
+			}
 		}
 	}
+	// Of two routes for the same requests the first by name wins everywhere.
+	slices.SortFunc(routes, func(a, b bamboorail.RouteSpec) int { return strings.Compare(a.Name, b.Name) })
+	v.routes = route.NewTable(bamboorail.Configuration{Version: revision, Routes: routes})
 	slices.SortFunc(v.targets, func(a, b record.Target) int { return strings.Compare(a.Name(), b.Name()) })
 	return v
 }
@@ -99,6 +108,11 @@
 // Targets returns the targets in the order of their names.
 func (v *View) Targets() []record.Target { return v.targets }
 
+// Route returns the route of a request by host and path.
+func (v *View) Route(host, path string) (bamboorail.RouteSpec, bool) {
+	return v.routes.Match(host, path)
+}
+
 // CallerByToken returns the caller whose token is given.
 func (v *View) CallerByToken(token string) (record.Caller, bool) {
 	c, ok := v.callers[record.HashToken(token)]
--- a/internal/service/bed_test.go
+++ b/internal/service/bed_test.go
@@ -242,6 +242,9 @@
 	req.Header.Set("Authorization", "Bearer "+callerToken)
 	for k, v := range header {
 		req.Header.Set(k, v)
+		if k == "Host" {
+			req.Host = v
+		}
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
--- a/internal/service/failure_test.go
+++ b/internal/service/failure_test.go
@@ -450,6 +450,52 @@
 	}
 }
 
+// TestCutCallsBackRequestsInFlight cuts a zone while its repeatable request
+// waits for the first byte of an engine on the other side. The request must
+// run on the engine of its own zone instead of hanging until its deadline.
+func TestCutCallsBackRequestsInFlight(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	b.adapterOn("suhrn", "stroj-1")
+	b.engine("stroj-1", "sala-a", record.DialectOpenAI, 2)
+	b.engine("stroj-2", "sala-b", record.DialectOpenAI, 2)
+	b.commit("first")
+	toA, toB, toPlatform := newCutter(t), newCutter(t), newCutter(t)
+	toPlatform.setTarget(strings.TrimPrefix(b.platform.server.URL, "http://"))
+	a := b.entry("a1", "sala-a", func(s *settings.Entry) { s.PeerAnnounce = toA.address })
+	toA.setTarget(a.instance.PeerAddress())
+	c := b.entry("b1", "sala-b", func(s *settings.Entry) { s.PeerAnnounce, s.PlatformURL = toB.address, "http://"+toPlatform.address })
+	toB.setTarget(c.instance.PeerAddress())
+	b.awaitOwned("sala-a", "stroj-1")
+	b.awaitOwned("sala-b", "stroj-2")
+	b.mustComplete(c, "suhrn@v1", "warm", 2)
+
+	// The first generation on the far engine never answers.
+	b.fault(b.ports["stroj-1"], fault.Rule{Path: "/v1/completions", Delay: "1h", Count: 1})
+	answers := make(chan answer, 1)
+	go func() {
+		body := `{"model":"suhrn@v1","prompt":"cut","max_tokens":4}`
+		answers <- b.call(c, http.MethodPost, "/v1/completions", body, map[string]string{"Request-Deadline": "40s"})
+	}()
+	b.await("the request is at the far engine", func() bool { return len(b.ports["stroj-1"].faults.Rules()) == 0 })
+	b.adapter("suhrn")
+	b.adapter("znacka")
+	b.commit("second")
+	b.await("the near engine is allowed", func() bool {
+		return strings.Contains(b.call(c, http.MethodGet, "/v1/models", "", nil).body, "znacka@v1")
+	})
+	for _, l := range []*cutter{toA, toB, toPlatform} {
+		l.cut()
+	}
+	resp := <-answers
+	if resp.status != http.StatusOK || !strings.Contains(resp.body, engine.Text("suhrn@v1", "cut", 4)) {
+		t.Errorf("the request in flight: %d %s", resp.status, resp.body)
+	}
+	for _, l := range []*cutter{toA, toB, toPlatform} {
+		l.heal()
+	}
+}
+
 func TestGivenUpRequestIsAnsweredAtOnce(t *testing.T) {
 	t.Parallel()
 	b := newBed(t)
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -12,6 +12,7 @@
 	"bamboorail.example/bamboorail/internal/entry"
 	"bamboorail.example/bamboorail/internal/requestid"
 	"bamboorail.example/bamboorail/internal/settings"
+	"bamboorail.example/bamboorail/internal/stand/application"
 	"bamboorail.example/bamboorail/internal/stand/engine"
 	"bamboorail.example/bamboorail/internal/stand/fault"
 	"bamboorail.example/bamboorail/pkg/record"
@@ -124,6 +125,61 @@
 	return names
 }
 
+// TestRoutesSelectServices sends calls by host and path: the longest prefix
+// wins, repeats of an id stay with their service, and a call that may not be
+// repeated is sent once.
+func TestRoutesSelectServices(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	apps := map[string]*application.Server{}
+	for _, name := range []string{"citaren", "citaren-nova", "podania"} {
+		apps[name] = b.application(name+"-1", "sala-a", name, 0)
+	}
+	b.record(`{"schema-version":3,"kind":"route","name":"vsetko","host":"citaj.example","path-prefix":"/","repeat":"always","max-attempts":2,"services":[{"service":"citaren"},{"service":"citaren-nova"}]}`)
+	b.record(`{"schema-version":3,"kind":"route","name":"podania","host":"citaj.example","path-prefix":"/podaj/","repeat":"never","max-attempts":1,"services":[{"service":"podania"}]}`)
+	b.record(`{"schema-version":3,"kind":"route","name":"nikam","host":"citaj.example","path-prefix":"/nikam/","repeat":"never","services":[{"service":"neznama"}]}`)
+	b.commit("first")
+	n := b.entry("a1", "sala-a")
+	b.awaitOwned("sala-a", append(append(keeperTargets("citaren"), keeperTargets("citaren-nova")...), keeperTargets("podania")...)...)
+	call := func(method, path, id string) answer {
+		return b.call(n, method, path, "", map[string]string{"Host": "CITAJ.example:80", requestid.Header: id})
+	}
+	for k := range 40 {
+		id := fmt.Sprint("volanie-", k)
+		for range 2 {
+			if a := call(http.MethodPost, "/kapitoly/1?cast=2", id); a.status != http.StatusOK {
+				t.Fatalf("routed call: %d %s", a.status, a.body)
+			}
+		}
+		if runs := [2]int{apps["citaren"].Runs()[id], apps["citaren-nova"].Runs()[id]}; runs != [2]int{2, 0} && runs != [2]int{0, 2} {
+			t.Errorf("repeats of %s ran %v times on the two services", id, runs)
+		}
+	}
+	if len(apps["citaren"].Runs()) == 0 || len(apps["citaren-nova"].Runs()) == 0 {
+		t.Error("one side of the split was never chosen")
+	}
+	a := call(http.MethodPost, "/podaj/vec", "raz")
+	if a.status != http.StatusOK || apps["podania"].Runs()["raz"] != 1 || a.header.Get("Repeat-Policy") != "new-request" {
+		t.Errorf("longest prefix: %d %s %v", a.status, a.body, a.header)
+	}
+	b.fault(b.ports["podania-1"], fault.Rule{Path: "/podaj", LoseAnswer: true, Count: 1})
+	if a := call(http.MethodPost, "/podaj/vec", "stratene"); a.header.Get("Run-Outcome") != "may-have-run" || apps["podania"].Runs()["stratene"] != 1 {
+		t.Errorf("a lost answer: %d %v, %d runs", a.status, a.header, apps["podania"].Runs()["stratene"])
+	}
+	// A third attempt would be answered.
+	b.fault(b.ports["citaren-1"], fault.Rule{Path: "/medza", Cut: true, Count: 2})
+	b.fault(b.ports["citaren-nova-1"], fault.Rule{Path: "/medza", Cut: true, Count: 2})
+	if a := call(http.MethodGet, "/medza/x", "medza"); a.status == http.StatusOK {
+		t.Errorf("a call of two attempts was sent three times: %d %s", a.status, a.body)
+	}
+	if a := call(http.MethodGet, "/nikam/x", "x"); a.status != http.StatusNotFound || a.kind() != "unknown-service" {
+		t.Errorf("a route to an undeclared service: %d %s", a.status, a.body)
+	}
+	if a := b.call(n, http.MethodGet, "/kapitoly/1", "", nil); a.status != http.StatusNotFound || a.header.Get("Run-Outcome") != "not-run" {
+		t.Errorf("another host: %d %s", a.status, a.body)
+	}
+}
+
 func TestRunsAtMostOnceAcrossZonesAndKeepers(t *testing.T) {
 	t.Parallel()
 	b := newBed(t)
--- a/internal/stand/fault/fault.go
+++ b/internal/stand/fault/fault.go
@@ -2,7 +2,9 @@
 package fault
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -68,6 +70,17 @@
 	j.rules = nil
 }
 
+// Rules returns copies of the rules that still affect requests.
+func (j *Injector) Rules() []Rule {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	rules := make([]Rule, 0, len(j.rules))
+	for _, r := range j.rules {
+		rules = append(rules, *r)
+	}
+	return rules
+}
+
 // Freeze makes every request wait until Thaw.
 func (j *Injector) Freeze() {
 	j.mu.Lock()
@@ -158,6 +171,12 @@
 
 func (r Rule) apply(next http.Handler, w http.ResponseWriter, req *http.Request) {
 	if r.delay > 0 {
+		// net/http notices a client that leaves only once the body was read.
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		req.Body = io.NopCloser(bytes.NewReader(body))
 		select {
 		case <-time.After(r.delay):
 		case <-req.Context().Done():
--- a/pkg/record/kinds.go
+++ b/pkg/record/kinds.go
@@ -20,6 +20,10 @@
 		"checks-fencing": 1, "service": 1, "repeatable-methods": 1, "state": 1, "instance": 1, "pools": 2,
 	},
 	KindCaller: {"token-sha256": 1, "adapters": 1, "services": 1, "weight": 1, "priority": 1},
+	KindRoute: {
+		"host": 3, "path-prefix": 3, "services": 3, "repeat": 3, "timeout": 3, "objective": 3,
+		"max-attempts": 3, "priority": 3,
+	},
 }
 
 func knownField(k Kind, schema int, field string) bool {
--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -1,5 +1,5 @@
 // Package record defines the records with which operators declare adapters,
-// targets and callers. A record is a JSON object that carries its schema
+// targets, callers and routes. A record is a JSON object that carries its schema
 // version and kind. Fields that this version does not know are kept.
 package record
 
@@ -25,10 +25,11 @@
 	KindAdapter Kind = "adapter"
 	KindTarget  Kind = "target"
 	KindCaller  Kind = "caller"
+	KindRoute   Kind = "route"
 )
 
 // Kinds lists every kind in the order in which tables show them.
-func Kinds() []Kind { return []Kind{KindAdapter, KindTarget, KindCaller} }
+func Kinds() []Kind { return []Kind{KindAdapter, KindTarget, KindCaller, KindRoute} }
 
 // Error reports a record that cannot be used.
 type Error struct{ bamboorail.Failure }
@@ -110,6 +111,9 @@
 	case KindTarget:
 		_, err := r.Target()
 		return err
+	case KindRoute:
+		_, err := r.Route()
+		return err
 	default:
 		_, err := r.Caller()
 		return err
--- a/pkg/record/record_test.go
+++ b/pkg/record/record_test.go
@@ -21,20 +21,46 @@
 	// Output: adapter/suhrn zaklad false <nil>
 }
 
+func ExampleRecord_Route() {
+	r, err := record.Parse([]byte(`{"schema-version": 3, "kind": "route", "name": "kapitoly",
+		"host": "citaj.example", "path-prefix": "/kapitoly/", "repeat": "always", "timeout": "5s",
+		"services": [{"service": "citaren", "weight": 9}, {"service": "citaren-nova"}]}`))
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	t, err := r.Route()
+	s := t.Spec()
+	fmt.Println(t.Name(), s.Timeout, s.MaxAttempts, s.Shares, err)
+	// Output: kapitoly 5s 6 [{citaren 9} {citaren-nova 1}] <nil>
+}
+
 func TestInvalidRecordsHaveClearErrors(t *testing.T) {
 	for name, c := range map[string]struct{ raw, want string }{
-		"not JSON":         {`{`, "not a JSON object"},
-		"no schema":        {`{"kind":"adapter","name":"a"}`, "schema-version"},
-		"unknown kind":     {`{"schema-version":1,"kind":"x","name":"a"}`, `kind "x"`},
-		"bad name":         {`{"schema-version":1,"kind":"adapter","name":"a b"}`, `name "a b"`},
-		"no base model":    {`{"schema-version":1,"kind":"adapter","name":"a"}`, `"base-model"`},
-		"repeated version": {`{"schema-version":1,"kind":"adapter","name":"a","base-model":"z","versions":[{"name":"v"},{"name":"v"}]}`, `version "v"`},
-		"no url":           {`{"schema-version":1,"kind":"target","name":"t","role":"engine","zone":"z"}`, "url"},
-		"unknown dialect":  {`{"schema-version":1,"kind":"target","name":"t","role":"engine","zone":"z","url":"http://x","dialect":"y"}`, `dialect "y"`},
-		"no slots":         {`{"schema-version":1,"kind":"target","name":"t","role":"engine","zone":"z","url":"http://x","dialect":"openai"}`, "slots"},
-		"unknown role":     {`{"schema-version":1,"kind":"target","name":"t","role":"y","zone":"z","url":"http://x"}`, `role "y"`},
-		"no digest":        {`{"schema-version":1,"kind":"caller","name":"c"}`, "token-sha256"},
-		"unknown feature":  {`{"schema-version":1,"kind":"adapter","name":"a","base-model":"z","requires":["mixing"]}`, `"mixing"`},
+		"not JSON":                   {`{`, "not a JSON object"},
+		"no schema":                  {`{"kind":"adapter","name":"a"}`, "schema-version"},
+		"unknown kind":               {`{"schema-version":1,"kind":"x","name":"a"}`, `kind "x"`},
+		"bad name":                   {`{"schema-version":1,"kind":"adapter","name":"a b"}`, `name "a b"`},
+		"no base model":              {`{"schema-version":1,"kind":"adapter","name":"a"}`, `"base-model"`},
+		"repeated version":           {`{"schema-version":1,"kind":"adapter","name":"a","base-model":"z","versions":[{"name":"v"},{"name":"v"}]}`, `version "v"`},
+		"no url":                     {`{"schema-version":1,"kind":"target","name":"t","role":"engine","zone":"z"}`, "url"},
+		"unknown dialect":            {`{"schema-version":1,"kind":"target","name":"t","role":"engine","zone":"z","url":"http://x","dialect":"y"}`, `dialect "y"`},
+		"no slots":                   {`{"schema-version":1,"kind":"target","name":"t","role":"engine","zone":"z","url":"http://x","dialect":"openai"}`, "slots"},
+		"unknown role":               {`{"schema-version":1,"kind":"target","name":"t","role":"y","zone":"z","url":"http://x"}`, `role "y"`},
+		"no digest":                  {`{"schema-version":1,"kind":"caller","name":"c"}`, "token-sha256"},
+		"route of schema 2":          {`{"schema-version":2,"kind":"route","name":"r","host":"h","path-prefix":"/","services":[{"service":"s"}],"repeat":"never"}`, "schema-version"},
+		"route without host":         {`{"schema-version":3,"kind":"route","name":"r","path-prefix":"/","services":[{"service":"s"}],"repeat":"never"}`, "host"},
+		"route of an own path":       {`{"schema-version":3,"kind":"route","name":"r","host":"h","path-prefix":"/v1/models","services":[{"service":"s"}],"repeat":"never"}`, "interface to callers"},
+		"route without services":     {`{"schema-version":3,"kind":"route","name":"r","host":"h","path-prefix":"/","repeat":"never"}`, `"services"`},
+		"route of weight 0":          {`{"schema-version":3,"kind":"route","name":"r","host":"h","path-prefix":"/","services":[{"service":"s","weight":0}],"repeat":"never"}`, "weight above 0"},
+		"route of negative weight":   {`{"schema-version":3,"kind":"route","name":"r","host":"h","path-prefix":"/","services":[{"service":"s","weight":-1}],"repeat":"never"}`, "negative"},
+		"route with a service twice": {`{"schema-version":3,"kind":"route","name":"r","host":"h","path-prefix":"/","services":[{"service":"s"},{"service":"s"}],"repeat":"never"}`, "repeated"},
+		"route without repeat":       {`{"schema-version":3,"kind":"route","name":"r","host":"h","path-prefix":"/","services":[{"service":"s"}]}`, "repeat"},
+		"route timeout as number":    {`{"schema-version":3,"kind":"route","name":"r","host":"h","path-prefix":"/","services":[{"service":"s"}],"repeat":"never","timeout":5}`, "duration"},
+		"route timeout too long":     {`{"schema-version":3,"kind":"route","name":"r","host":"h","path-prefix":"/","services":[{"service":"s"}],"repeat":"never","timeout":"11m"}`, "timeout"},
+		"route priority":             {`{"schema-version":3,"kind":"route","name":"r","host":"h","path-prefix":"/","services":[{"service":"s"}],"repeat":"never","priority":10}`, "priority 10"},
+		"route attempts":             {`{"schema-version":3,"kind":"route","name":"r","host":"h","path-prefix":"/","services":[{"service":"s"}],"repeat":"never","max-attempts":7}`, "max-attempts"},
+		"unknown feature":            {`{"schema-version":1,"kind":"adapter","name":"a","base-model":"z","requires":["mixing"]}`, `"mixing"`},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r, err := record.Parse([]byte(c.raw))
