--- a/cmd/railentry/cmds/commands.go
+++ b/cmd/railentry/cmds/commands.go
@@ -6,12 +6,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"os"
 	"os/signal"
 	"reflect"
 	"syscall"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	urfave "github.com/urfave/cli/v3"
 
 	"bamboorail.example/bamboorail"
@@ -122,6 +124,9 @@
 	if err != nil {
 		return err
 	}
+	// Libraries such as net/http write to the standard logger.
+	log.SetFlags(0)
+	log.SetOutput(logs.Layer("library").StandardWriter(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn}))
 	i, err := p.start(ctx, logs)
 	if err != nil {
 		return err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,9 @@
 	// store that it carries at full speed for each engine (page LATER: 48 and 64
 	// for 140 engines).
 	fetchesPerEngine = 0.33
+	// traceCapacity is the number of hops kept, about 0.5 KB each: a small part
+	// of the 64 MB that an instance may use.
+	traceCapacity = 4096
 	// memoryShare is the part of the memory limit at which the collector works
 	// harder.
 	memoryShare = 0.7
@@ -112,6 +115,7 @@
 	gap      *informer.Gap
 	mirror   *mirror.Store
 	metrics  *telemetry.Metrics
+	spans    *telemetry.SpanStore
 	ports    *ports
 
 	// reloaded are the settings in force; settings those of the start.
@@ -137,7 +141,7 @@
 	g := &Gateway{
 		settings: s, adapter: a, logs: logs, log: logs.Layer("gateway"),
 		fleet: fleet.New(returnGrace), balancer: balance.New(s.Zone), peers: peer.NewClient(nil), gap: informer.NewGap(),
-		metrics: telemetry.NewMetrics(), budgets: map[string]*retry.Window{},
+		metrics: telemetry.NewMetrics(), spans: telemetry.NewSpanStore(s.Instance, traceCapacity), budgets: map[string]*retry.Window{},
 	}
 	g.reloaded.Store(&s)
 	setMemoryLimit(s)
@@ -152,6 +156,7 @@
 
 func (g *Gateway) assemble() {
 	s := g.settings
+	tracer := telemetry.NewTracer(g.spans)
 	timing := lease.Timing{Renew: renewInterval, Term: leaseTerm, Gap: s.LeaseGap}
 	zones := slices.Clone(s.Zones)
 	own := slices.Index(zones, s.Zone)
@@ -174,11 +179,12 @@
 	g.mirror = mirror.NewStore(g.adapter.Store, s.Instance, s.Zone, g.holders[0].Lease, g.peers, g.logs.Layer("mirror"))
 	g.elector = lease.NewElector(leaseKind, g.adapter.Store, candidates, timing, lease.BootTime, g.logs.Layer("lease"))
 	g.chooser = placer.NewChooser(placer.ChooserConfig{
-		Instance: s.Instance, Zones: g.holders, Peers: g.peers, Fleet: g.fleet, Balancer: g.balancer, Log: g.logs.Layer("placer"),
+		Instance: s.Instance, Zones: g.holders, Peers: g.peers, Fleet: g.fleet, Balancer: g.balancer,
+		Tracer: tracer, Log: g.logs.Layer("placer"),
 	})
 	g.relay = relay.NewHandler(relay.Config{
 		Ingress: g.adapter.Ingress, Egress: g.adapter.Egress, Table: g.table.Load, Chooser: g.chooser, Budget: g.budget,
-		Dialer: relay.NewDialer(), Metrics: g.metrics, Leaving: g.leaving.Load, Log: g.logs.Layer("relay"),
+		Dialer: relay.NewDialer(), Metrics: g.metrics, Tracer: tracer, Leaving: g.leaving.Load, Log: g.logs.Layer("relay"),
 	})
 }
 
--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 
 	"bamboorail.example/bamboorail/internal/httpport"
 	"bamboorail.example/bamboorail/internal/settings"
+	"bamboorail.example/bamboorail/pkg/operatorapi"
 )
 
 const (
@@ -53,9 +55,28 @@
 	g.ports.readiness.Handle(ready)
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", promhttp.HandlerFor(g.metrics.Registry(), promhttp.HandlerOpts{}))
+	metrics.HandleFunc("GET /v1/traces/{id}", g.serveTrace)
 	g.ports.metrics.Handle(metrics)
 }
 
+// serveTrace answers with the hops of a request that this instance recorded,
+// in the form of the interface to operators.
+func (g *Gateway) serveTrace(w http.ResponseWriter, r *http.Request) {
+	t := operatorapi.Trace{RequestID: r.PathValue("id")}
+	for _, s := range g.spans.Find("", t.RequestID) {
+		t.TraceID = s.TraceID
+		t.Spans = append(t.Spans, operatorapi.Span(s))
+	}
+	if len(t.Spans) == 0 {
+		http.Error(w, "this instance recorded no such request", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(t); err != nil {
+		g.log.Debug("trace not delivered", "error", err)
+	}
+}
+
 // Ready returns why the instance should get no new calls, or nil.
 func (g *Gateway) Ready() error {
 	if g.leaving.Load() {
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/trace"
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/adapters"
@@ -64,6 +65,7 @@
 	Peers    Peers
 	Fleet    *fleet.Fleet
 	Balancer *balance.Balancer
+	Tracer   trace.Tracer
 	Log      hclog.Logger
 }
 
@@ -267,6 +269,8 @@
 	const op = "ask-holder"
 	asked, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
+	asked, span := c.Tracer.Start(asked, "holder "+z.Zone, trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
 	ended := c.takeEnded(z.Zone)
 	reply, err := c.Peers.Place(asked, address, &wire.PlaceRequest{
 		Zone: z.Zone, Instance: c.Instance, Service: a.Service.Name, Model: a.Call.Key.Model, Adapter: a.Call.Key.Adapter,
--- a/internal/placer/chooser_test.go
+++ b/internal/placer/chooser_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/adapters"
@@ -62,7 +63,8 @@
 	f.Update(bamboorail.TargetEntry{ID: bamboorail.TargetID{Name: "e"}, Service: "s", Zone: "c"})
 	peers := &holders{replies: map[string]*wire.PlaceReply{}}
 	c := NewChooser(ChooserConfig{
-		Instance: "self", Zones: zones, Peers: peers, Fleet: f, Balancer: balance.New("a"), Log: hclog.NewNullLogger(),
+		Instance: "self", Zones: zones, Peers: peers, Fleet: f, Balancer: balance.New("a"),
+		Tracer: noop.NewTracerProvider().Tracer(""), Log: hclog.NewNullLogger(),
 	})
 	key := bamboorail.AdapterKey{Model: "m"}
 	for n := 0; key.Adapter == "" || adapters.Home(names, key) != "b"; n++ {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -42,12 +42,16 @@
 	if x.committed {
 		x.startBy = asked.Add(resumeWithin)
 	}
-	place, err := x.takePlace(ctx)
+	choosing, span := startHop(ctx, x.h.Tracer, "choose")
+	place, err := x.takePlace(choosing)
+	endHop(span, err)
 	if err != nil {
 		return false, x.ended(ctx, err, "choose-target")
 	}
 	sent := time.Now()
-	result, err := x.send(ctx, place)
+	sending, span := startHop(ctx, x.h.Tracer, "target "+place.Target.ID.Name)
+	result, err := x.send(sending, place)
+	endHop(span, err)
 	place.Done(result, time.Since(sent))
 	x.attempts++
 	x.trail = append(x.trail, fmt.Sprintf("%s@%d wait=%d took=%d %s", place.Target.ID.Name, place.Version,
--- a/internal/relay/bed_test.go
+++ b/internal/relay/bed_test.go
@@ -227,6 +227,7 @@
 type bed struct {
 	*httptest.Server
 	chooser *chooser
+	spans   *telemetry.SpanStore
 }
 
 func newBed(t *testing.T, spec bamboorail.RouteSpec, targets ...*target) *bed {
@@ -238,8 +239,9 @@
 	}
 	table := route.NewTable(bamboorail.Configuration{Version: 1, Routes: []bamboorail.RouteSpec{spec}})
 	budget := retry.NewWindow(1, 100, 10*time.Second)
-	b := &bed{chooser: &chooser{targets: targets}}
+	b := &bed{chooser: &chooser{targets: targets}, spans: telemetry.NewSpanStore("i", 64)}
 	handler := NewHandler(Config{
+		Tracer:  telemetry.NewTracer(b.spans),
 		Ingress: dialect{}, Egress: dialect{}, Table: func() *route.Table { return table }, Chooser: b.chooser,
 		Budget: func(string) *retry.Window { return budget }, Dialer: NewDialer(), Metrics: telemetry.NewMetrics(),
 		Leaving: func() bool { return false }, Log: hclog.NewNullLogger(),
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/trace"
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/balance"
@@ -78,6 +79,7 @@
 	Budget  func(service string) *retry.Window
 	Dialer  *net.Dialer
 	Metrics *telemetry.Metrics
+	Tracer  trace.Tracer
 	// Leaving is set while the instance shuts down.
 	Leaving func() bool
 	Log     hclog.Logger
@@ -103,11 +105,13 @@
 	if h.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
+	span := x.startTrace()
 	err := x.run()
 	if err != nil && !x.committed {
 		x.refuse(err)
 	}
 	x.report(err)
+	x.endTrace(span, err)
 	if err != nil && x.committed {
 		// The caller must see that the answer is not whole.
 		panic(http.ErrAbortHandler)
@@ -232,6 +236,10 @@
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
+	if !x.r.ProtoAtLeast(1, 1) && x.r.Method != http.MethodGet && x.r.Header.Get("Content-Length") == "" {
+		// net/http ignores the encoding of such a request and reads no body.
+		return notRun(op, bamboorail.KindBadRequest, 0, errNoLength)
+	}
 	var err error
 	x.body, err = io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
 	var tooLarge *http.MaxBytesError
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -5,11 +5,13 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/balance"
+	"bamboorail.example/bamboorail/internal/telemetry"
 )
 
 var (
@@ -278,3 +280,37 @@
 		})
 	}
 }
+
+// TestEachHopHasASpan follows a call that is repeated at a second target.
+func TestEachHopHasASpan(t *testing.T) {
+	first := newTarget(t, "t1", reset(""))
+	second := newTarget(t, "t2", answer("whole"))
+	b := newBed(t, bamboorail.RouteSpec{Repeat: bamboorail.RepeatAlways, MaxAttempts: 2}, first, second)
+	const traceID, parent = "0af7651916cd43dd8448eb211c80319c", "b7ad6b7169203331"
+	if got := b.call(t, http.MethodGet, "/p/x", "", "Traceparent", "00-"+traceID+"-"+parent+"-01"); got.body != "whole" {
+		t.Fatalf("answer %+v", got)
+	}
+	var hops []string
+	var root telemetry.Span
+	for len(hops) < 5 { // the caller has its answer before the last span ends
+		hops = nil
+		for _, s := range b.spans.Find("", "id-1") {
+			name := s.Name
+			if failed := s.Fields["failed"]; failed != "" {
+				name += " " + failed
+			}
+			hops = append(hops, name)
+			if s.ParentID == parent {
+				root = s
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+	want := []string{"entry r", "choose", "target t1 unavailable/may-have-run", "choose", "target t2"}
+	if !slices.Equal(hops, want) {
+		t.Errorf("hops %q, expected %q", hops, want)
+	}
+	if root.TraceID != traceID || root.Fields["sent"] != "2" || root.Fields["status"] != "200" {
+		t.Errorf("root span %+v", root)
+	}
+}
