internal/entry: a full engine is one among several, sent requests queue

Change: requests sent beyond the batch add to the expected wait, at the token time that the owner now announces; a request that an engine refuses goes to at most two others that would start it before its deadline. Neither costs retry budget: nothing ran.

--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -33,7 +33,10 @@
 }
 
 const (
-	maxAttempts  = 6
+	maxAttempts = 6
+	// maxOverflows bounds the engines that are asked after one was full, so
+	// that a region without room is not asked by every request in turn.
+	maxOverflows = 2
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = time.Second
 	// settleTime is the time for which a request waits for an owner to
@@ -103,7 +106,7 @@
 	sink := &onceSink{Sink: s}
 	started := time.Now()
 	failed := map[string]bool{}
-	reached := 0
+	reached, overflows := 0, 0
 	for attempt := 0; ; attempt++ {
 		target, err := r.attempt(ctx, w, sink, failed)
 		if err == nil {
@@ -116,13 +119,18 @@
 		if w.MaxAttempts > 0 && reached >= w.MaxAttempts {
 			return finalError(err)
 		}
+		if target != "" {
+			failed[target] = true
+		}
+		if overflows < maxOverflows && r.overflow(w, err, failed) {
+			overflows++
+			sink.reset()
+			continue
+		}
 		if !r.mayRetry(ctx, w, sink, err, attempt, started) {
 			return finalError(err)
 		}
 		sink.reset()
-		if target != "" {
-			failed[target] = true
-		}
 		if err := duty.Sleep(ctx, retry.Backoff(attempt, firstBackoff, maxBackoff)); err != nil {
 			return notRun("route", bamboorail.KindDeadlineExceeded, noTargetRetry, err)
 		}
@@ -149,6 +157,26 @@
 	return k != bamboorail.KindNotOwner && k != bamboorail.KindNoTarget
 }
 
+// overflow reports whether an engine that refused a request is one among
+// several: another one has not refused it and starts it before its deadline, as
+// far as is known. Such a refusal costs an engine nothing, and no budget.
+func (r *Router) overflow(w *bamboorail.Work, err error, failed map[string]bool) bool {
+	f := bamboorail.FailureOf(err)
+	if f.Kind != bamboorail.KindOverloaded || f.Outcome != bamboorail.OutcomeNotRun || w.Target != "" || w.Service != "" {
+		return false
+	}
+	now := time.Now()
+	for _, o := range r.options(w, now, nil) {
+		if failed[o.Target] || o.Avoid {
+			continue
+		}
+		if now.Add(o.Start()).Before(w.Deadline) {
+			return true
+		}
+	}
+	return false
+}
+
 // mayRetry reports whether a failed request should be sent again.
 func (r *Router) mayRetry(ctx context.Context, w *bamboorail.Work, s *onceSink, err error, attempt int, started time.Time) bool {
 	f := bamboorail.FailureOf(err)
@@ -183,7 +211,7 @@
 func (r *Router) zone() string { return r.config.Directory.Self().Zone }
 
 func (r *Router) attemptEngine(ctx context.Context, w *bamboorail.Work, s *onceSink, failed map[string]bool) (string, error) {
-	options := r.options(w.Model, time.Now(), failed)
+	options := r.options(w, time.Now(), failed)
 	if len(options) == 0 {
 		return "", r.elsewhere(ctx, w, s, fmt.Errorf("no engine that can be reached from zone %q serves model %s now", r.zone(), w.Model))
 	}
@@ -213,9 +241,9 @@
 // options lists the engines of the region that may run a model and whose
 // owners announce them. Targets that already failed this request come only if there is
 // no other.
-func (r *Router) options(m bamboorail.ModelRef, now time.Time, failed map[string]bool) []placement.Option {
+func (r *Router) options(w *bamboorail.Work, now time.Time, failed map[string]bool) []placement.Option {
 	view := r.config.View()
-	adapter, ok := view.Adapter(m.Adapter())
+	adapter, ok := view.Adapter(w.Model.Adapter())
 	if !ok {
 		return nil
 	}
@@ -226,7 +254,7 @@
 		if !owned || a.State.GetLeaving() || !adapter.MayRunOn(t) || !r.takesWork(t) {
 			continue
 		}
-		o := r.option(m, a)
+		o := r.option(w, a)
 		o.Far = t.Zone() != r.zone()
 		o.Avoid = o.Avoid || failed[t.Name()]
 		options = append(options, o)
@@ -240,8 +268,8 @@
 	return !t.Draining() && !r.config.Directory.MachineLeaving(t.Instance())
 }
 
-func (r *Router) option(m bamboorail.ModelRef, a membership.Target) placement.Option {
-	s := a.State
+func (r *Router) option(w *bamboorail.Work, a membership.Target) placement.Option {
+	s, m := a.State, w.Model
 	sent, asked := r.sentAfter(a, m)
 	o := placement.Option{
 		Target: a.Name, MaxBatch: int(s.GetMaxBatch()), Load: int(s.GetRunning()+s.GetQueued()) + sent,
@@ -252,6 +280,12 @@
 	if o.LoadTime <= 0 {
 		o.LoadTime = defaultLoadTime
 	}
+	if queued := min(sent, o.Load-o.MaxBatch); queued > 0 {
+		// What was sent since the announcement waits too. Its requests are
+		// taken to be as long as this one.
+		run := time.Duration(w.Tokens) * time.Duration(s.GetTokenMicros()) * time.Microsecond
+		o.Wait += run * time.Duration(queued) / time.Duration(max(1, o.MaxBatch))
+	}
 	for _, l := range s.GetLoaded() {
 		if l.GetModel() == m.String() {
 			o.Loaded = o.Loaded || l.GetReady()
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -43,7 +43,7 @@
 	t := &wire.TargetState{
 		Slots: int32(s.Limits.Slots), MaxBatch: int32(s.Limits.MaxBatch), Running: int32(s.Running), Queued: int32(s.Queued),
 		WaitMicros: s.Wait.Microseconds(), LoadMicros: s.LoadTime.Microseconds(), Cold: s.Cold, Unreachable: s.Unreachable,
-		Leaving: s.Leaving,
+		Leaving: s.Leaving, TokenMicros: s.TokenTime.Microseconds(),
 	}
 	t.VictimValue = s.VictimValue
 	for _, m := range s.Awaited {
--- a/internal/placement/route.go
+++ b/internal/placement/route.go
@@ -35,6 +35,14 @@
 	Avoid bool
 }
 
+// Start estimates the time until a request would start on the target.
+func (o Option) Start() time.Duration {
+	if o.Loaded || o.Loading {
+		return o.Wait
+	}
+	return o.Wait + o.LoadTime*time.Duration(1+o.Awaited)
+}
+
 const (
 	// awaitedShare is the part of the load time that is left on average when
 	// a request joins others that wait for the same load.
--- a/internal/placement/summary.go
+++ b/internal/placement/summary.go
@@ -45,7 +45,9 @@
 	Queued      int
 	Wait        time.Duration
 	LoadTime    time.Duration
-	Cold        bool
+	// TokenTime is the mean time between two tokens of a request.
+	TokenTime time.Duration
+	Cold      bool
 	// Leaving is set for a target that reports that it leaves.
 	Leaving bool
 	// Unreachable is set after several missing reports.
@@ -61,6 +63,7 @@
 	s := Summary{Limits: t.limits, Running: t.running, Queued: t.queue.Len(), Cold: t.cold, Leaving: t.leaving}
 	s.Unreachable = t.unreachable >= unreachableReports
 	s.LoadTime = time.Duration(t.loadTime.seconds * float64(time.Second))
+	s.TokenTime = time.Duration(t.tokenTime.seconds * float64(time.Second))
 	if t.running+t.queue.Len() >= t.limits.MaxBatch {
 		s.Wait = t.drainTime(bamboorail.PriorityBatch)
 	}
