internal/relay, internal/caller: callers that stand still end with their deadline

A caller that sends a part of its body held its goroutine for good: TestCallersThatStandStillAreCutOff timed out before the change in that case. One that reads nothing held its place at the target; with small events the first form of the test passed without the change, since the buffers of loopback took them all; it now sends more.

Change: reading of a request ends with its deadline, writing of its answer five seconds later. Ruled out: that the bounds outlive their request on a kept connection; net/http lifts them, which TestDeadlinesEndWithTheirRequest holds (it passed before too).

--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -1,9 +1,13 @@
 package caller_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -147,6 +151,35 @@
 	}
 }
 
+// TestDeadlinesEndWithTheirRequest: a bound of one request does not outlive it
+// on a kept connection.
+func TestDeadlinesEndWithTheirRequest(t *testing.T) {
+	overloaded := &taggedError{bamboorail.Failure{Kind: bamboorail.KindOverloaded, Outcome: bamboorail.OutcomeNotRun}}
+	server := httptest.NewServer(newHandler(t, overloaded))
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for n, body := range []string{`{"model":"a@v1","prompt":"x","stream":true}`, `{"model":"a@v1","prompt":"x"}`} {
+		_, err := fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer secret\r\n"+
+			"Request-Deadline: 50ms\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", n+1, err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusTooManyRequests {
+			t.Fatalf("request %d: status %d, %v", n+1, resp.StatusCode, err)
+		}
+		time.Sleep(100 * time.Millisecond) // beyond the deadline
+	}
+}
+
 func FuzzCompletions(f *testing.F) {
 	f.Add(`{"model":"a@v1","prompt":"x"}`, "1s", "z.1", "secret")
 	f.Add(`{"model":"a@v1","messages":[{}],"n":2}`, "-1", "\x00", "")
--- a/internal/caller/decode.go
+++ b/internal/caller/decode.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/httpport"
 	"bamboorail.example/bamboorail/internal/requestid"
 	"bamboorail.example/bamboorail/internal/route"
 	"bamboorail.example/bamboorail/pkg/record"
@@ -23,6 +24,9 @@
 	// DeadlineHeader holds the time that the caller waits, as a duration.
 	DeadlineHeader = "Request-Deadline"
 
+	// deliveryTime is left after the deadline to deliver an answer that is ready.
+	deliveryTime = 5 * time.Second
+
 	defaultDeadline = time.Minute
 	maxDeadline     = 10 * time.Minute
 	maxTokensLimit  = 1 << 15
@@ -73,6 +77,9 @@
 	}
 	w.Caller, w.Weight, w.Priority = c.Name(), c.Weight(), c.Priority()
 	w.Deadline = now.Add(d)
+	if err := httpport.Bound(x.writer, w.Deadline, w.Deadline.Add(deliveryTime)); err != nil {
+		return nil, x, c, rejected(bamboorail.KindUnavailable, err)
+	}
 	w.Body, err = s.readBody(r)
 	return w, x, c, err
 }
@@ -189,7 +196,7 @@
 		// id therefore binds it to no zone.
 		w.Repeatable, w.Zone, w.IssuedAt = true, "", time.Time{}
 		if b.Stream {
-			return completionRequest{work: w, sink: newStreamSink(x, w.Deadline)}, nil
+			return completionRequest{work: w, sink: newStreamSink(x)}, nil
 		}
 		return completionRequest{work: w, sink: &wholeSink{x: x, model: w.Model.String(), chat: chat}}, nil
 	}
--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -72,9 +72,8 @@
 	buffer  []byte
 }
 
-func newStreamSink(x *exchange, deadline time.Time) *streamSink {
+func newStreamSink(x *exchange) *streamSink {
 	s := &streamSink{x: x, flusher: http.NewResponseController(x.writer)}
-	_ = s.flusher.SetWriteDeadline(deadline)
 	x.abort = s.abort
 	return s
 }
--- a/internal/httpport/httpport.go
+++ b/internal/httpport/httpport.go
@@ -76,6 +76,22 @@
 	return err
 }
 
+// Bound ends the reading of a request at read, and the writing of its answer at
+// write, so that a peer that stands still holds nothing for longer. The server
+// lifts both for the next request of the connection.
+func Bound(w http.ResponseWriter, read, write time.Time) error {
+	c := http.NewResponseController(w)
+	return errors.Join(supported(c.SetReadDeadline(read)), supported(c.SetWriteDeadline(write)))
+}
+
+// supported drops the error of writers without a connection.
+func supported(err error) error {
+	if errors.Is(err, http.ErrNotSupported) {
+		return nil
+	}
+	return err
+}
+
 // Drain stops accepting requests and waits for those in flight, or for the end
 // of ctx, whose error it returns.
 func (p *Port) Drain(ctx context.Context) error { return p.server.Shutdown(ctx) }
--- a/internal/relay/bed_test.go
+++ b/internal/relay/bed_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -223,6 +224,13 @@
 	return Place{}, notRun("choose", bamboorail.KindNoTarget, time.Second, errNoneLeft)
 }
 
+// ended returns the results of the places that were given back.
+func (c *chooser) ended() []balance.Result {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.results)
+}
+
 // bed is a relay in front of scripted targets.
 type bed struct {
 	*httptest.Server
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,7 @@
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/balance"
+	"bamboorail.example/bamboorail/internal/httpport"
 	"bamboorail.example/bamboorail/internal/retry"
 	"bamboorail.example/bamboorail/internal/route"
 	"bamboorail.example/bamboorail/internal/telemetry"
@@ -31,6 +32,9 @@
 	// maxAttempts counts failed connections too.
 	maxArrivals = 4
 	maxAttempts = 6
+	// deliveryTime is left after the deadline to deliver an answer that is ready,
+	// at the pace of a slow mobile line for the largest that is held back.
+	deliveryTime = 5 * time.Second
 	// retryLater is suggested where nothing is known about the cause.
 	retryLater = 500 * time.Millisecond
 )
@@ -192,6 +196,9 @@
 	}
 	x.deadline = x.received.Add(patience(x.call.Patience, x.route.Timeout))
 	x.startBy = x.startTime()
+	if err := httpport.Bound(x.w, x.deadline, x.deadline.Add(deliveryTime)); err != nil {
+		return notRun(op, bamboorail.KindUnavailable, retryLater, err)
+	}
 	return x.readBody(table.Limits().MaxBodyBytes)
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1,11 +1,13 @@
 package relay
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -314,3 +316,63 @@
 		t.Errorf("root span %+v", root)
 	}
 }
+
+// endless streams events until its connection is closed.
+func (g *target) endless(c net.Conn, r *http.Request) bool {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\n\r\n", r.Header.Get("Id"))
+	// More than the buffers of both connections hold until the deadline.
+	many := strings.Repeat(event(0), 4096)
+	for {
+		if _, err := io.WriteString(c, many); err != nil {
+			g.closed <- struct{}{}
+			return false
+		}
+	}
+}
+
+// TestCallersThatStandStillAreCutOff: one that reads nothing holds its target
+// until its deadline, one that never sends its body gets no target at all.
+func TestCallersThatStandStillAreCutOff(t *testing.T) {
+	cases := map[string]struct {
+		body string
+		runs int
+	}{
+		"reads nothing":            {body: "body", runs: 1},
+		"sends a part of its body": {body: "bo", runs: 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			slow := newTarget(t, "t1")
+			slow.scripts = []script{slow.endless}
+			b := newBed(t, oneStream, slow)
+			conn, err := net.Dial("tcp", b.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if err := conn.(*net.TCPConn).SetReadBuffer(1 << 10); err != nil {
+				t.Fatal(err)
+			}
+			_, err = fmt.Fprintf(conn, "POST /p/x HTTP/1.1\r\nHost: host.example\r\nId: id-1\r\nPatience: 300\r\nContent-Length: 4\r\n\r\n%s", c.body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if c.runs == 0 {
+				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				if err != nil || resp.StatusCode != http.StatusBadRequest {
+					t.Errorf("answer %+v, %v", resp, err)
+				}
+			} else {
+				// The limit of the test run bounds both waits.
+				<-slow.closed
+				for len(b.chooser.ended()) == 0 {
+					time.Sleep(10 * time.Millisecond)
+				}
+			}
+			if runs := len(slow.seen()); runs != c.runs {
+				t.Errorf("%d requests reached the target, expected %d", runs, c.runs)
+			}
+		})
+	}
+}
