tools/soak: fault soak of real processes; internal/membership: keepers by zone

Traced by the trail of answers: keepers are named by service and shard, so the zones of a region own keepers of the same names, and the directory merged their announcements by name. An instance that did not own the shard itself sent an id of its zone to the keeper of the other. Ruled out: the faults; TestKeepersOfZonesStayApart shows it on a calm system with two instances in each of two zones. Older tests had the service in one zone, or one instance a zone.

Change: announcements are kept by zone and name; an instance refuses a directed call of another zone, not run. The soak starts platform, weight store, three engines, two applications and four instances, puts a proxy on each link (silent, one way, reset, slow), and stops, pauses, kills and restarts instances, pauses platform and engines, with overlaps. It checks exact texts, ends of streams, runs against outcomes, evictions, unexpected ends of processes, and recovery. make test plays seed 1 for five seconds of faults. Not injected: clocks, storage, engines that are killed.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINTER := $(TOOLS)/golangci-lint
 LINTER_VERSION := v2.15.0
 
-.PHONY: build test lint demo failures mutants measure bench slopes
+.PHONY: build test lint demo failures soak mutants measure bench slopes
 
 build:
 	go build -o bin/ ./cmd/...
@@ -17,10 +17,11 @@
 lint: $(LINTER)
 	$(LINTER) run ./...
 
-test: lint
+test: lint build
 	go vet ./...
 	_scripts/gen-cli.sh --check
 	go test -race -skip $(MODEL) ./...
+	go run ./tools/soak --seed 1 --duration 5s
 	go test -v -run $(MODEL) ./internal/placement ./internal/placer
 
 # The model checks have no goroutines; the race detector would only slow it.
@@ -29,6 +30,12 @@
 failures: build
 	_scripts/failures.sh
 
+# Fresh seeds of the fault soak; SEED=N plays one again.
+SEED ?= 0
+SEEDS ?= 10
+soak: build
+	go run ./tools/soak --seed $(SEED) --seeds $(SEEDS)
+
 mutants:
 	_scripts/mutants.sh
 
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -250,7 +250,7 @@
 	announced := r.config.Directory.Targets(now)
 	var options []placement.Option
 	for _, t := range view.Targets() {
-		a, owned := announced[t.Name()]
+		a, owned := announced[membership.TargetKey{Zone: t.Zone(), Name: t.Name()}]
 		if !owned || a.State.GetLeaving() || !adapter.MayRunOn(t) || !r.takesWork(t) {
 			continue
 		}
@@ -325,7 +325,12 @@
 	if d, ok := r.config.Owners.Dispatcher(target); ok {
 		return d.Dispatch(ctx, &directed, s)
 	}
-	a, ok := r.config.Directory.Targets(time.Now())[target]
+	// A keeper is no declared target; this zone's own one is meant.
+	key := membership.TargetKey{Zone: r.zone(), Name: target}
+	if t, ok := r.config.View().Target(target); ok {
+		key.Zone = t.Zone()
+	}
+	a, ok := r.config.Directory.Targets(time.Now())[key]
 	if !ok || a.Session == r.config.Directory.Self().ID {
 		return notRun("find-owner", bamboorail.KindNotOwner, noTargetRetry, fmt.Errorf("target %q has no owner now", target))
 	}
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -350,19 +350,27 @@
 	return maps.Clone(d.own)
 }
 
+// TargetKey identifies a target. Zones of a region own keepers of the same
+// names, which must not be taken for each other.
+type TargetKey struct{ Zone, Name string }
+
 // Targets returns the newest announcement of each owned target. Of several
 // owners, the one of the latest term counts.
-func (d *Directory) Targets(now time.Time) map[string]Target {
+func (d *Directory) Targets(now time.Time) map[TargetKey]Target {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	found := maps.Clone(d.own)
+	found := make(map[TargetKey]Target, len(d.own))
+	for name, t := range d.own {
+		found[TargetKey{d.self.Zone, name}] = t
+	}
 	for _, m := range d.members {
 		if m.gone || now.Sub(m.contact) > contactLease {
 			continue
 		}
 		for name, t := range m.targets {
-			if old, ok := found[name]; !ok || old.Term < t.Term {
-				found[name] = t
+			key := TargetKey{m.session.Zone, name}
+			if old, ok := found[key]; !ok || old.Term < t.Term {
+				found[key] = t
 			}
 		}
 	}
--- a/internal/service/operators.go
+++ b/internal/service/operators.go
@@ -179,7 +179,7 @@
 	if local, ok := o.instance.manager.Owner(target); ok {
 		return local.Preload(m)
 	}
-	announced, ok := o.instance.directory.Targets(time.Now())[target]
+	announced, ok := o.instance.directory.Targets(time.Now())[membership.TargetKey{Zone: t.Zone(), Name: target}]
 	if !ok {
 		return notOwner(target)
 	}
--- a/internal/service/peers.go
+++ b/internal/service/peers.go
@@ -81,7 +81,7 @@
 		return p.instance.router.Dispatch(ctx, w, s)
 	}
 	d, ok := (&owners{p.instance}).Dispatcher(w.Target)
-	if !ok {
+	if !ok || (w.Zone != "" && w.Zone != p.instance.settings.Zone) {
 		return notOwner(w.Target)
 	}
 	return d.Dispatch(ctx, w, s)
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -225,6 +225,44 @@
 	}
 }
 
+// TestKeepersOfZonesStayApart: two zones of a region have the service, and two
+// instances each. A request id runs once, in its zone. The fault soak found ids
+// that ran in both (seed 1).
+func TestKeepersOfZonesStayApart(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	apps := map[string]*application.Server{}
+	for _, zone := range []string{"sala-a", "sala-b"} {
+		apps[zone] = b.application("citaren-"+zone, zone, "citaren", 0)
+	}
+	b.commit("first")
+	nodes := []*node{b.entry("a1", "sala-a"), b.entry("b1", "sala-b"), b.entry("a2", "sala-a"), b.entry("b2", "sala-b")}
+	for zone := range apps {
+		b.awaitOwned(zone, keeperTargets("citaren")...)
+	}
+	for _, n := range nodes {
+		for zone := range apps {
+			b.await("calls reach each zone from each instance", func() bool {
+				id := b.idInUse(nodes[0], zone)
+				return b.call(n, http.MethodPost, "/v1/services/citaren/x", "", map[string]string{requestid.Header: id}).status == http.StatusOK
+			})
+		}
+	}
+	for zone, app := range apps {
+		for range 20 {
+			id := b.idInUse(nodes[0], zone)
+			for _, n := range nodes {
+				b.call(n, http.MethodPost, "/v1/services/citaren/x", "", map[string]string{requestid.Header: id})
+			}
+			for where, other := range apps {
+				if runs := other.Runs()[id]; runs > 1 || (other != app && runs > 0) {
+					t.Errorf("id %s ran %d times in %s", id, runs, where)
+				}
+			}
+		}
+	}
+}
+
 func TestKilledOwnerIsReplaced(t *testing.T) {
 	t.Parallel()
 	b := newBed(t)
--- /dev/null
+++ b/internal/soak/cluster.go
@@ -0,0 +1,277 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"bamboorail.example/bamboorail/internal/duty"
+	"bamboorail.example/bamboorail/pkg/operatorapi"
+	"bamboorail.example/bamboorail/pkg/record"
+)
+
+const (
+	operatorToken = "soak-operator"
+	callerToken   = "soak-caller"
+	serviceName   = "citaren"
+	engineCount   = 3
+	// portCount is enough for the ports of every process.
+	portCount = 40
+	// drainTimeout bounds the leave of an instance in the soak.
+	drainTimeout = 10 * time.Second
+	// startLimit bounds the start of the whole system on a busy machine.
+	startLimit = time.Minute
+)
+
+// models are the models that callers ask for; engines have two slots.
+var models = []string{"suhrn@v1", "suhrn@v2", "varovania@v1", "stitky@v1"}
+
+// node is an instance with the addresses that its clients use.
+type node struct {
+	*process
+	callers, operators string
+	// toPlatform and toPeers disturb its links.
+	toPlatform, toPeers *proxy
+}
+
+// cluster is the system under test: four instances in two zones before three
+// engines and two applications.
+type cluster struct {
+	dir, bin string
+	proxies  *duty.Group
+	ports    []string
+
+	platform, weights *process
+	nodes             []*node
+	engines           []*process
+	engineURLs        []string
+	appURLs           []string
+	// toTargets disturb the links to engines and applications.
+	toTargets []*proxy
+	all       []*process
+}
+
+// newCluster writes the settings and starts every process.
+func newCluster(ctx context.Context, bin, dir string) (*cluster, error) {
+	c := &cluster{dir: dir, bin: bin, proxies: duty.NewGroup(ctx)}
+	if err := c.reservePorts(ctx); err != nil {
+		return nil, err
+	}
+	if err := c.startStands(ctx); err != nil {
+		return nil, err
+	}
+	if err := c.startNodes(ctx); err != nil {
+		return nil, err
+	}
+	return c, c.declare(ctx)
+}
+
+// reservePorts finds free ports of loopback.
+func (c *cluster) reservePorts(ctx context.Context) error {
+	held := make([]net.Listener, 0, portCount)
+	defer func() {
+		for _, l := range held {
+			_ = l.Close()
+		}
+	}()
+	for range portCount {
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		held = append(held, l)
+		c.ports = append(c.ports, l.Addr().String())
+	}
+	return nil
+}
+
+func (c *cluster) port() string {
+	p := c.ports[0]
+	c.ports = c.ports[1:]
+	return p
+}
+
+// proxy starts a proxy to a target.
+func (c *cluster) proxy(ctx context.Context, name, target string) (*proxy, error) {
+	p, err := newProxy(ctx, target)
+	if err != nil {
+		return nil, err
+	}
+	c.proxies.Start("proxy "+name, p.run)
+	return p, nil
+}
+
+// launch writes settings and starts a program with them.
+func (c *cluster) launch(name, program string, args []string, settings string) (*process, error) {
+	path := filepath.Join(c.dir, name+".ini")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		return nil, err
+	}
+	p := &process{name: name, binary: filepath.Join(c.bin, program), args: append(args, "--settings", path), dir: c.dir}
+	c.all = append(c.all, p)
+	return p, p.start()
+}
+
+func (c *cluster) startStands(ctx context.Context) error {
+	weights := c.port()
+	var err error
+	c.weights, err = c.launch("weight-store", "railstand", []string{"weight-store"}, fmt.Sprintf("[weight-store]\naddress = %s\nload-time = 100ms\n", weights))
+	if err != nil {
+		return err
+	}
+	for n := range engineCount {
+		dialect := "openai"
+		if n == 1 {
+			dialect = "status"
+		}
+		name, address := fmt.Sprintf("stroj-%d", n+1), c.port()
+		e, err := c.launch(name, "railstand", []string{"engine"}, fmt.Sprintf(
+			"[engine]\naddress = %s\nname = %s\ndialect = %s\nbase-model = zaklad\nslots = 2\nmax-batch = 8\n"+
+				"step = 5ms\nprefill = 10ms\ncold-start = 300ms\nweight-store = http://%s\n",
+			address, name, dialect, weights))
+		if err != nil {
+			return err
+		}
+		c.engines, c.engineURLs = append(c.engines, e), append(c.engineURLs, "http://"+address)
+	}
+	for n := range 2 {
+		name, address := fmt.Sprintf("citaren-%d", n+1), c.port()
+		settings := fmt.Sprintf("[application]\naddress = %s\nname = %s\nrun-time = 5ms\n", address, name)
+		if _, err := c.launch(name, "railstand", []string{"application"}, settings); err != nil {
+			return err
+		}
+		c.appURLs = append(c.appURLs, "http://"+address)
+	}
+	for _, u := range append(append([]string(nil), c.engineURLs...), c.appURLs...) {
+		if err := await(ctx, "a stand-in to listen", func() bool { return listens(ctx, u[len("http://"):]) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func listens(ctx context.Context, address string) bool {
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	return c.Close() == nil
+}
+
+func zoneOf(n int) string { return []string{"sala-a", "sala-b"}[n%2] }
+
+func (c *cluster) startNodes(ctx context.Context) error {
+	address := c.port()
+	settings := fmt.Sprintf("[platform]\naddress = %s\nwrites-per-second = 300\ninstance-lag = 2s\n", address)
+	for n := range 4 {
+		settings += fmt.Sprintf("\n[instance vstup-%d]\navailability-zone = %s\n", n+1, zoneOf(n))
+	}
+	var err error
+	if c.platform, err = c.launch("platform", "railstand", []string{"platform"}, settings); err != nil {
+		return err
+	}
+	if err := await(ctx, "the platform to listen", func() bool { return listens(ctx, address) }); err != nil {
+		return err
+	}
+	for n := range 4 {
+		if err := c.startNode(ctx, n, address); err != nil {
+			return err
+		}
+	}
+	for _, v := range c.nodes {
+		if err := await(ctx, v.name+" to be ready", func() bool { return v.ready(ctx) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *cluster) startNode(ctx context.Context, n int, platformAddress string) error {
+	v := &node{callers: c.port(), operators: c.port()}
+	peers, name := c.port(), fmt.Sprintf("vstup-%d", n+1)
+	var err error
+	if v.toPlatform, err = c.proxy(ctx, name+" to the platform", platformAddress); err != nil {
+		return err
+	}
+	if v.toPeers, err = c.proxy(ctx, "peers to "+name, peers); err != nil {
+		return err
+	}
+	v.process, err = c.launch(name, "railentry", nil, fmt.Sprintf(
+		"[instance]\nname = %s\navailability-zone = %s\nregion = kosice\nreadiness-delay = 300ms\ndrain-timeout = %s\n\n"+
+			"[callers]\naddress = %s\n\n[peers]\naddress = %s\nannounce = %s\n\n[operators]\naddress = %s\ntoken-sha256 = %s\n\n"+
+			"[metrics]\naddress = %s\n\n[platform]\nurl = http://%s\n\n[log]\nlevel = info\n",
+		name, zoneOf(n), drainTimeout, v.callers, peers, v.toPeers.address(), v.operators, record.HashToken(operatorToken), c.port(), v.toPlatform.address()))
+	c.nodes = append(c.nodes, v)
+	return err
+}
+
+func (v *node) ready(ctx context.Context) bool {
+	status, _, err := get(ctx, "http://"+v.callers+"/readyz")
+	return err == nil && status == http.StatusOK
+}
+
+// declare commits the records of callers, adapters and targets.
+func (c *cluster) declare(ctx context.Context) error {
+	change := operatorapi.Change{ID: "soak"}
+	add := func(format string, a ...any) {
+		change.Apply = append(change.Apply, json.RawMessage(fmt.Sprintf(format, a...)))
+	}
+	add(`{"schema-version":1,"kind":"caller","name":"soak","token-sha256":%q,"adapters":["*"],"services":["*"]}`, record.HashToken(callerToken))
+	for _, name := range []string{"suhrn", "varovania", "stitky"} {
+		add(`{"schema-version":1,"kind":"adapter","name":%q,"base-model":"zaklad","versions":[{"name":"v1"},{"name":"v2"}]}`, name)
+	}
+	for n, e := range c.engines {
+		p, err := c.proxy(ctx, e.name, c.engineURLs[n][len("http://"):])
+		if err != nil {
+			return err
+		}
+		dialect := "openai"
+		if n == 1 {
+			dialect = "status"
+		}
+		c.toTargets = append(c.toTargets, p)
+		add(`{"schema-version":1,"kind":"target","name":%q,"role":"engine","zone":%q,"url":"http://%s","dialect":%q,`+
+			`"base-model":"zaklad","slots":2,"max-batch":8,"checks-fencing":%t}`, e.name, zoneOf(n), p.address(), dialect, n != 1)
+	}
+	for n, u := range c.appURLs {
+		p, err := c.proxy(ctx, "citaren", u[len("http://"):])
+		if err != nil {
+			return err
+		}
+		c.toTargets = append(c.toTargets, p)
+		add(`{"schema-version":1,"kind":"target","name":"citaren-%d","role":"application","zone":%q,"url":"http://%s","service":%q,"max-batch":32}`,
+			n+1, zoneOf(n), p.address(), serviceName)
+	}
+	client := operatorapi.NewClient("http://"+c.nodes[0].operators, operatorToken, http.DefaultTransport)
+	_, err := client.Commit(ctx, change)
+	return err
+}
+
+// stop ends every process.
+func (c *cluster) stop() {
+	for _, p := range c.all {
+		// A stopped process takes SIGTERM only once it goes on.
+		_ = p.signal(syscall.SIGCONT)
+	}
+	for _, p := range c.all {
+		p.stop(syscall.SIGTERM, drainTimeout+5*time.Second)
+	}
+}
+
+// await polls until a condition holds, at most for startLimit.
+func await(ctx context.Context, what string, condition func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	for !condition() {
+		if err := duty.Sleep(ctx, 50*time.Millisecond); err != nil {
+			return fail("await", "waited for %s: %w", what, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/soak/proxy.go
@@ -0,0 +1,184 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"bamboorail.example/bamboorail/internal/duty"
+)
+
+// linkState is what a proxy does to the bytes of its connections.
+type linkState int
+
+const (
+	linkOpen linkState = iota
+	// linkSilent holds the bytes of both directions back, linkOneWay those of
+	// the answers.
+	linkSilent
+	linkOneWay
+	// linkReset resets connections, new ones too.
+	linkReset
+	// linkSlow delays each read by linkDelay.
+	linkSlow
+)
+
+// linkDelay is well above the round trip between regions, and below the
+// timeouts of all calls.
+const linkDelay = 200 * time.Millisecond
+
+// proxy forwards TCP connections to a target and can disturb them.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mu      sync.Mutex
+	state   linkState
+	changed chan struct{}
+	open    map[*net.TCPConn]struct{}
+}
+
+// newProxy listens on a free port of loopback.
+func newProxy(ctx context.Context, target string) (*proxy, error) {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	return &proxy{listener: l, target: target, changed: make(chan struct{}), open: map[*net.TCPConn]struct{}{}}, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+// set changes what happens to the bytes.
+func (p *proxy) set(s linkState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state = s
+	close(p.changed)
+	p.changed = make(chan struct{})
+	if s != linkReset {
+		return
+	}
+	for c := range p.open {
+		// A reset in place of a regular end.
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+// run accepts connections until ctx ends.
+func (p *proxy) run(ctx context.Context) error {
+	closing := duty.Start(ctx, "close", func(ctx context.Context) error {
+		<-ctx.Done()
+		p.set(linkReset)
+		return p.listener.Close()
+	})
+	var forwards []*duty.Duty
+	defer func() {
+		for _, f := range forwards {
+			f.Join()
+		}
+	}()
+	for {
+		c, err := p.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			closing.Join()
+			return ctx.Err()
+		}
+		if err != nil {
+			return err
+		}
+		forwards = append(forwards, duty.Start(ctx, "forward", func(ctx context.Context) error {
+			p.forward(ctx, c.(*net.TCPConn))
+			return nil
+		}))
+	}
+}
+
+// forward joins a connection to one to the target. It ends with either.
+func (p *proxy) forward(ctx context.Context, in *net.TCPConn) {
+	defer p.leave(in)
+	if !p.enter(in) {
+		return
+	}
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.target)
+	if err != nil {
+		return
+	}
+	out := c.(*net.TCPConn)
+	defer p.leave(out)
+	if !p.enter(out) {
+		return
+	}
+	answers := duty.Start(ctx, "answers", func(ctx context.Context) error {
+		p.pipe(ctx, out, in, true)
+		return nil
+	})
+	p.pipe(ctx, in, out, false)
+	answers.Join()
+}
+
+func (p *proxy) enter(c *net.TCPConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.state == linkReset {
+		_ = c.SetLinger(0)
+		return false
+	}
+	p.open[c] = struct{}{}
+	return true
+}
+
+func (p *proxy) leave(c *net.TCPConn) {
+	p.mu.Lock()
+	delete(p.open, c)
+	p.mu.Unlock()
+	_ = c.Close()
+}
+
+// pipe copies one direction and closes both ends when it ends.
+func (p *proxy) pipe(ctx context.Context, from, to *net.TCPConn, answers bool) {
+	defer func() {
+		// The other direction may have closed them.
+		_ = from.Close()
+		_ = to.Close()
+	}()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if !p.pass(ctx, answers) {
+			return
+		}
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// pass waits until bytes may go on.
+func (p *proxy) pass(ctx context.Context, answers bool) bool {
+	for {
+		p.mu.Lock()
+		state, changed := p.state, p.changed
+		p.mu.Unlock()
+		switch {
+		case state == linkSlow:
+			return duty.Sleep(ctx, linkDelay) == nil
+		case state == linkSilent, state == linkOneWay && answers:
+		default:
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
