--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -23,6 +25,9 @@
 	engineCount   = 3
 	// portCount is enough for the ports of every process.
 	portCount = 40
+	portTries = 1000
+	// firstPort and lastPort are below the range of outgoing connections.
+	firstPort, lastPort = 12000, 32000
 	// drainTimeout bounds the leave of an instance in the soak.
 	drainTimeout = 10 * time.Second
 	// startLimit bounds the start of the whole system on a busy machine.
@@ -72,7 +77,8 @@
 	return c, c.declare(ctx)
 }
 
-// reservePorts finds free ports of loopback.
+// reservePorts finds free ports of loopback, below those that the system gives
+// to outgoing connections: a process that restarts needs its port again.
 func (c *cluster) reservePorts(ctx context.Context) error {
 	held := make([]net.Listener, 0, portCount)
 	defer func() {
@@ -80,15 +86,18 @@
 			_ = l.Close()
 		}
 	}()
-	for range portCount {
-		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	for range portTries {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 		if err != nil {
-			return err
+			continue // taken
 		}
 		held = append(held, l)
-		c.ports = append(c.ports, l.Addr().String())
+		if c.ports = append(c.ports, address); len(c.ports) == portCount {
+			return nil
+		}
 	}
-	return nil
+	return fail("reserve-ports", "fewer than %d free ports between %d and %d", portCount, firstPort, lastPort)
 }
 
 func (c *cluster) port() string {
