internal/lease: a stranger gives a zone its lease back when the zone asks

Change: an instance of the zone says in its questions where it stands; after two seconds of such questions a stranger releases the lease, at most once in 30 s, and leaves it for 8 s. An instance that hears that the holder of its zone is none any more reads the lease at once and claims it.

--- a/internal/lease/elector.go
+++ b/internal/lease/elector.go
@@ -20,6 +20,16 @@
 	// strangerDelay is the time for which a lease of another zone is left to
 	// the instances of that zone.
 	strangerDelay = 3 * time.Second
+	// yieldAfter is the time for which instances of a zone ask a stranger before
+	// it gives their lease back; askedPause ends it.
+	yieldAfter = 2 * time.Second
+	askedPause = time.Second
+	// yieldPause is the least time between two returns of a lease: one that
+	// nobody takes has no holder for strangerDelay and the gap.
+	yieldPause = 30 * time.Second
+	// returnDelay is the time for which a stranger leaves a lease that it gave
+	// back to the zone.
+	returnDelay = 8 * time.Second
 	// renewRetry is the pause after a renewal that failed.
 	renewRetry = 250 * time.Millisecond
 )
@@ -32,6 +42,17 @@
 	Stranger bool
 }
 
+// delay returns the time for which a free lease is left to others.
+func (c *candidate) delay(now time.Duration) time.Duration {
+	switch {
+	case !c.Stranger:
+		return 0
+	case c.yielded > 0 && now-c.yielded < yieldPause:
+		return returnDelay
+	}
+	return strangerDelay
+}
+
 // Elector renews the leases of an instance and claims those that lapsed.
 type Elector struct {
 	kind       string
@@ -48,6 +69,8 @@
 	// freeSince is the time at which the lease was first found claimable, or 0.
 	freeSince time.Duration
 	renewed   time.Duration
+	// yielded is the time at which the lease was last given back, if it was.
+	yielded time.Duration
 }
 
 // NewElector returns an elector of the leases of one kind of object.
@@ -61,7 +84,8 @@
 	return e
 }
 
-// Look asks for a look at the leases before the next one is due.
+// Look asks for a look at the leases before the next one is due, such as after
+// an instance says that it does not hold the own zone's any more.
 func (e *Elector) Look() {
 	select {
 	case e.wake <- struct{}{}:
@@ -103,6 +127,19 @@
 		case <-t.C:
 		case <-e.wake:
 			t.Stop()
+			e.refresh(ctx)
+		}
+	}
+}
+
+// refresh reads the leases of the own zone, of which a list may be old.
+func (e *Elector) refresh(ctx context.Context) {
+	for _, c := range e.candidates {
+		if c.Stranger {
+			continue
+		}
+		if err := c.Lease.refresh(ctx); err != nil {
+			e.log.Debug("lease not read", "key", c.Lease.key, "error", err)
 		}
 	}
 }
@@ -120,6 +157,13 @@
 		}
 	}
 	for _, c := range e.candidates {
+		if c.Stranger && c.Lease.askedFor(yieldAfter, askedPause) && (c.yielded == 0 || e.clock()-c.yielded > yieldPause) {
+			c.yielded = e.clock()
+			e.log.Info("lease given back to its zone", "key", c.Lease.key)
+			if err := c.Lease.Release(ctx); err != nil {
+				e.log.Warn("lease not released", "key", c.Lease.key, "error", err)
+			}
+		}
 		if !c.Lease.Claimable() {
 			c.freeSince = 0
 			continue
@@ -128,7 +172,7 @@
 		if c.freeSince == 0 {
 			c.freeSince = now
 		}
-		if c.Stranger && now-c.freeSince < strangerDelay {
+		if now-c.freeSince < c.delay(now) {
 			continue
 		}
 		if err := duty.Sleep(ctx, rand.N(claimSpread)); err != nil {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -62,6 +62,9 @@
 	fencing  uint64
 	actFrom  time.Duration
 	actUntil time.Duration
+	// askedSince and askedLast are the first and the last of the questions by
+	// instances of the lease's own zone that followed each other closely.
+	askedSince, askedLast time.Duration
 }
 
 // Config configures a lease.
@@ -107,6 +110,27 @@
 	return l.held
 }
 
+// Asked takes in a question by an instance of the lease's own zone, which could
+// hold the lease itself.
+func (l *Lease) Asked() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock()
+	if now-l.askedLast > askedPause {
+		l.askedSince = now
+	}
+	l.askedLast = now
+}
+
+// askedFor reports whether this instance holds the lease, and was asked without
+// a longer pause for a time.
+func (l *Lease) askedFor(d, pause time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock()
+	return l.held && l.askedLast > 0 && now-l.askedLast <= pause && now-l.askedSince >= d
+}
+
 // staleList is the time by which a listed lease may be old, with the time
 // between looks at it.
 const staleList = 4 * time.Second
@@ -148,6 +172,19 @@
 	l.seen, l.revision, l.unchangedSince = r, o.Version, l.clock()
 }
 
+// refresh reads the lease object. A lease that nobody took yet has none.
+func (l *Lease) refresh(ctx context.Context) error {
+	o, err := l.store.Get(ctx, l.key)
+	if bamboorail.KindOf(err) == bamboorail.KindNotFound {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	l.Observe(o)
+	return nil
+}
+
 // Claimable reports whether the lease is free, or was not renewed for the
 // time in which its holder may act.
 func (l *Lease) Claimable() bool {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -5,12 +5,14 @@
 	"errors"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"pgregory.net/rapid"
 
 	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/duty"
 	"bamboorail.example/bamboorail/internal/stand/memory"
 )
 
@@ -200,3 +202,84 @@
 		t.Error("the holder acts after its term")
 	}
 }
+
+// listing lists the leases of a store.
+type listing struct{ *memory.Store }
+
+func (l listing) ListStale(ctx context.Context, prefix string) ([]bamboorail.Object, error) {
+	return l.Store.ListStale(ctx, prefix)
+}
+
+// TestAStrangerGivesALeaseBack: an instance of another zone holds the lease of
+// a zone without instances, and gives it back once one of its own asks.
+func TestAStrangerGivesALeaseBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := memory.NewStore()
+		start := time.Now()
+		clock := func() time.Duration { return time.Second + time.Since(start) }
+		join := func(name string, stranger bool) (*Lease, *Elector, *duty.Duty) {
+			l := New(Config{Key: key, Holder: name, Address: name + ":1", Timing: timing, Store: store, Clock: clock, Log: hclog.NewNullLogger()})
+			e := NewElector("leases", listing{store}, []Candidate{{Lease: l, Stranger: stranger}}, timing, clock, hclog.NewNullLogger())
+			return l, e, duty.Start(ctx, name, e.Run)
+		}
+		stranger, _, first := join("stranger", true)
+		time.Sleep(20 * time.Second)
+		if !stranger.Leading() {
+			t.Fatal("nobody holds the lease of a zone without instances")
+		}
+		native, elector, second := join("native", false)
+		time.Sleep(20 * time.Second)
+		if !stranger.Leading() || native.Leading() {
+			t.Error("the lease changed hands although nobody asked")
+		}
+		// Calls of the native ask the holder that it knows.
+		for range 60 {
+			if stranger.Leading() {
+				stranger.Asked()
+			} else {
+				elector.Look()
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if stranger.Leading() || !native.Leading() {
+			t.Error("the zone did not get its lease back")
+		}
+		time.Sleep(20 * time.Second)
+		if _, acting := native.Tenure(); !acting || stranger.Leading() {
+			t.Error("the zone did not keep its lease")
+		}
+		cancel()
+		first.Join()
+		second.Join()
+	})
+}
+
+// TestALeaseThatNobodyTakesBackIsHeldAgain: an instance that asks and cannot
+// claim does not leave its zone without a holder, nor again and again.
+func TestALeaseThatNobodyTakesBackIsHeldAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := memory.NewStore()
+		start := time.Now()
+		clock := func() time.Duration { return time.Second + time.Since(start) }
+		l := New(Config{Key: key, Holder: "stranger", Address: "s:1", Timing: timing, Store: store, Clock: clock, Log: hclog.NewNullLogger()})
+		e := NewElector("leases", listing{store}, []Candidate{{Lease: l, Stranger: true}}, timing, clock, hclog.NewNullLogger())
+		running := duty.Start(ctx, "stranger", e.Run)
+		time.Sleep(20 * time.Second)
+		led := 0
+		const steps = 600
+		for range steps {
+			l.Asked()
+			time.Sleep(100 * time.Millisecond)
+			if l.Leading() {
+				led++
+			}
+		}
+		if share := float64(led) / steps; share < 0.6 {
+			t.Errorf("the lease was held for %.0f %% of a minute", 100*share)
+		}
+		cancel()
+		running.Join()
+	})
+}
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -66,7 +66,9 @@
 	Fleet    *fleet.Fleet
 	Balancer *balance.Balancer
 	Tracer   trace.Tracer
-	Log      hclog.Logger
+	// Look asks for a look at the lease of the own zone.
+	Look func()
+	Log  hclog.Logger
 }
 
 // Chooser finds targets: engines through the holder of a zone, plain targets
@@ -276,7 +278,7 @@
 		Zone: z.Zone, Instance: c.Instance, Service: a.Service.Name, Model: a.Call.Key.Model, Adapter: a.Call.Key.Adapter,
 		Version: int64(newest), Avoid: a.Avoid, Ended: endedMessages(ended), Loads: int32(loads),
 		CallId: a.Call.ID, WaitedMicros: time.Since(a.Received).Microseconds(), ObjectiveMicros: a.Route.Objective.Microseconds(),
-		Priority: int32(a.Route.Priority),
+		Priority: int32(a.Route.Priority), InstanceZone: c.Zones[0].Zone,
 	})
 	received := time.Now()
 	switch {
@@ -291,6 +293,9 @@
 	case !reply.GetHolder():
 		c.answered(z)
 		c.pause(z)
+		if z.Zone == c.Zones[0].Zone {
+			c.Look()
+		}
 		return relay.Place{}, failRetry(op, bamboorail.KindNotOwner, noEngineRetry, errNotHolder)
 	case reply.GetTarget() == "":
 		c.answered(z)
--- a/internal/placer/chooser_test.go
+++ b/internal/placer/chooser_test.go
@@ -64,7 +64,7 @@
 	peers := &holders{replies: map[string]*wire.PlaceReply{}}
 	c := NewChooser(ChooserConfig{
 		Instance: "self", Zones: zones, Peers: peers, Fleet: f, Balancer: balance.New("a"),
-		Tracer: noop.NewTracerProvider().Tracer(""), Log: hclog.NewNullLogger(),
+		Tracer: noop.NewTracerProvider().Tracer(""), Look: func() {}, Log: hclog.NewNullLogger(),
 	})
 	key := bamboorail.AdapterKey{Model: "m"}
 	for n := 0; key.Adapter == "" || adapters.Home(names, key) != "b"; n++ {
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -20,13 +20,15 @@
 // Server answers other instances for the zones that this one holds.
 type Server struct {
 	Follower
+	// own is the availability zone of this instance.
+	own   string
 	zones map[string]*Holder
 	fleet *fleet.Fleet
 }
 
-// NewServer returns a server for the holders of all zones.
+// NewServer returns a server for the holders of all zones, the own one first.
 func NewServer(zones []ZoneHolder, f *fleet.Fleet, follower Follower) *Server {
-	s := &Server{Follower: follower, zones: map[string]*Holder{}, fleet: f}
+	s := &Server{Follower: follower, own: zones[0].Zone, zones: map[string]*Holder{}, fleet: f}
 	for _, z := range zones {
 		s.zones[z.Zone] = z.Local
 	}
@@ -39,6 +41,9 @@
 	if h == nil || !h.Lease.Leading() {
 		return &wire.PlaceReply{}, nil
 	}
+	if r.GetInstanceZone() == r.GetZone() && r.GetZone() != s.own {
+		h.Lease.Asked()
+	}
 	h.Settle(endsOf(r.GetEnded()))
 	key := bamboorail.AdapterKey{Model: r.GetModel(), Adapter: r.GetAdapter()}
 	newest, released := s.fleet.Newest(key)
