internal/mirror: ask the holder again when the store turns readers away

All instances list every engine from the store at once; it answers 429, and a follower whose holder was not there yet left it out for two seconds and went on asking the store. Change: a 429 has the holder asked again at once.

TestABusyStoreSendsFollowersBack failed before.

--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -155,3 +155,32 @@
 		t.Errorf("%d instances after one is gone", n)
 	}
 }
+
+// busy is a store that turns readers away.
+type busy struct{ counted }
+
+func (b busy) List(ctx context.Context, prefix string) ([]bamboorail.Object, uint64, error) {
+	if _, _, err := b.counted.List(ctx, prefix); err != nil {
+		return nil, 0, err
+	}
+	return nil, 0, &tooMany{bamboorail.Failure{Op: "list", Kind: bamboorail.KindOverloaded, Outcome: bamboorail.OutcomeNotRun}}
+}
+
+type tooMany struct{ bamboorail.Failure }
+
+// TestABusyStoreSendsFollowersBack: all instances start at once, before the
+// holder has read anything. Those that the store turns away ask the holder
+// again at once, not only after its pause.
+func TestABusyStoreSendsFollowersBack(t *testing.T) {
+	holder, follower := pair(t)
+	follower.ObjectStore = busy{counted{follower.objects, follower}}
+	ctx := context.Background()
+	if _, _, err := follower.List(ctx, "k/"); bamboorail.KindOf(err) != bamboorail.KindOverloaded {
+		t.Fatalf("the list of a busy store: %v", err)
+	}
+	holder.read(t)
+	follower.read(t)
+	if follower.asked != 1 {
+		t.Errorf("%d calls of the busy store", follower.asked)
+	}
+}
--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -101,6 +101,13 @@
 	return address
 }
 
+// resume has the holder asked again.
+func (s *Store) resume() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paused = time.Time{}
+}
+
 func (s *Store) pause() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -113,8 +120,13 @@
 		return objectsOf(reply), reply.GetRevision(), nil
 	}
 	objects, revision, err := s.ObjectStore.List(ctx, prefix)
-	if err == nil {
+	switch {
+	case err == nil:
 		s.cache.list(kindOf(prefix), objects, revision)
+	case bamboorail.KindOf(err) == bamboorail.KindOverloaded:
+		// So many read that the store turns some away, as after a restart of
+		// all; the holder may have its list by now.
+		s.resume()
 	}
 	return objects, revision, err
 }
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -25,7 +25,7 @@
 	engineCount   = 3
 	// portCount is enough for the ports of every process.
 	portCount = 40
-	portTries = 1000
+	portTries = 100
 	// firstPort and lastPort are below the range of outgoing connections.
 	firstPort, lastPort = 12000, 32000
 	// drainTimeout bounds the leave of an instance in the soak.
@@ -51,6 +51,7 @@
 	dir, bin string
 	proxies  *duty.Group
 	ports    []string
+	reserved net.Listener
 
 	platform, weights *process
 	nodes             []*node
@@ -62,42 +63,57 @@
 	all       []*process
 }
 
-// newCluster writes the settings and starts every process.
+// newCluster writes the settings and starts every process. A cluster that is
+// returned with an error has processes to stop.
 func newCluster(ctx context.Context, bin, dir string) (*cluster, error) {
 	c := &cluster{dir: dir, bin: bin, proxies: duty.NewGroup(ctx)}
 	if err := c.reservePorts(ctx); err != nil {
 		return nil, err
 	}
 	if err := c.startStands(ctx); err != nil {
-		return nil, err
+		return c, err
 	}
 	if err := c.startNodes(ctx); err != nil {
-		return nil, err
+		return c, err
 	}
 	return c, c.declare(ctx)
 }
 
-// reservePorts finds free ports of loopback, below those that the system gives
-// to outgoing connections: a process that restarts needs its port again.
+// reservePorts finds a block of free ports of loopback, below those that the
+// system gives to outgoing connections: a process that restarts needs its port
+// again. The first port of the block stays taken, so that another run leaves
+// the block alone.
 func (c *cluster) reservePorts(ctx context.Context) error {
-	held := make([]net.Listener, 0, portCount)
-	defer func() {
+	for range portTries {
+		first := firstPort + portCount*rand.IntN((lastPort-firstPort)/portCount)
+		if c.reserveBlock(ctx, first) {
+			return nil
+		}
+	}
+	return fail("reserve-ports", "no %d free ports in a row between %d and %d", portCount, firstPort, lastPort)
+}
+
+func (c *cluster) reserveBlock(ctx context.Context, first int) bool {
+	var held []net.Listener
+	release := func() {
 		for _, l := range held {
 			_ = l.Close()
 		}
-	}()
-	for range portTries {
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
+	}
+	c.ports = nil
+	for n := range portCount {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(first+n))
 		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 		if err != nil {
-			continue // taken
+			release()
+			return false
 		}
 		held = append(held, l)
-		if c.ports = append(c.ports, address); len(c.ports) == portCount {
-			return nil
-		}
+		c.ports = append(c.ports, address)
 	}
-	return fail("reserve-ports", "fewer than %d free ports between %d and %d", portCount, firstPort, lastPort)
+	c.reserved, held, c.ports = held[0], held[1:], c.ports[1:]
+	release()
+	return true
 }
 
 func (c *cluster) port() string {
@@ -271,6 +287,8 @@
 	for _, p := range c.all {
 		p.stop(syscall.SIGTERM, drainTimeout+5*time.Second)
 	}
+	// Nothing was ever accepted there.
+	_ = c.reserved.Close()
 }
 
 // await polls until a condition holds, at most for startLimit.
