internal/mirror: followers leave a busy store to the holder

Change: an instance that the store turned away asks it again only after 250 to 750 ms, the holder at each try.

--- a/internal/lease/elector.go
+++ b/internal/lease/elector.go
@@ -157,13 +157,7 @@
 		}
 	}
 	for _, c := range e.candidates {
-		if c.Stranger && c.Lease.askedFor(yieldAfter, askedPause) && (c.yielded == 0 || e.clock()-c.yielded > yieldPause) {
-			c.yielded = e.clock()
-			e.log.Info("lease given back to its zone", "key", c.Lease.key)
-			if err := c.Lease.Release(ctx); err != nil {
-				e.log.Warn("lease not released", "key", c.Lease.key, "error", err)
-			}
-		}
+		e.yield(ctx, c)
 		if !c.Lease.Claimable() {
 			c.freeSince = 0
 			continue
@@ -184,6 +178,18 @@
 	}
 }
 
+// yield gives a lease of another zone back that the zone asks for.
+func (e *Elector) yield(ctx context.Context, c *candidate) {
+	if !c.Stranger || !c.Lease.askedFor(yieldAfter, askedPause) || (c.yielded > 0 && e.clock()-c.yielded <= yieldPause) {
+		return
+	}
+	c.yielded = e.clock()
+	e.log.Info("lease given back to its zone", "key", c.Lease.key)
+	if err := c.Lease.Release(ctx); err != nil {
+		e.log.Warn("lease not released", "key", c.Lease.key, "error", err)
+	}
+}
+
 // Release gives up the leases that are held.
 func (e *Elector) Release(ctx context.Context) {
 	for _, c := range e.candidates {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -169,14 +169,16 @@
 type tooMany struct{ bamboorail.Failure }
 
 // TestABusyStoreSendsFollowersBack: all instances start at once, before the
-// holder has read anything. Those that the store turns away ask the holder
-// again at once, not only after its pause.
+// holder has read anything. Those that the store turns away leave it to the
+// holder, and ask that again at once, not only after its pause.
 func TestABusyStoreSendsFollowersBack(t *testing.T) {
 	holder, follower := pair(t)
 	follower.ObjectStore = busy{counted{follower.objects, follower}}
 	ctx := context.Background()
-	if _, _, err := follower.List(ctx, "k/"); bamboorail.KindOf(err) != bamboorail.KindOverloaded {
-		t.Fatalf("the list of a busy store: %v", err)
+	for range 3 {
+		if _, _, err := follower.List(ctx, "k/"); bamboorail.KindOf(err) != bamboorail.KindOverloaded {
+			t.Fatalf("the list of a busy store: %v", err)
+		}
 	}
 	holder.read(t)
 	follower.read(t)
--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -19,6 +20,10 @@
 	replySlack = 400 * time.Millisecond
 	// peerPause is the time for which a peer that failed is not asked.
 	peerPause = 2 * time.Second
+	// storePause is the mean time for which followers leave a busy store to the
+	// holder; with the pause of an informer it stays below the 2 s in which a
+	// change must be in force (bound config_apply_ms).
+	storePause = 500 * time.Millisecond
 	// followerExpiry is the time after its last question in which a follower
 	// counts as an instance of the zone.
 	followerExpiry = 5 * time.Second
@@ -50,6 +55,9 @@
 
 	mu     sync.Mutex
 	paused time.Time
+	// refusal is what a busy store answered; it is not asked until refusedUntil.
+	refusal      error
+	refusedUntil time.Time
 	// followers are the instances that asked, and when; instances is the number
 	// that the holder told.
 	followers map[string]time.Time
@@ -101,11 +109,26 @@
 	return address
 }
 
-// resume has the holder asked again.
-func (s *Store) resume() {
+// turnedAway has the holder asked again at once, and the store only later.
+func (s *Store) turnedAway(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.paused = time.Time{}
+	if !s.holder.Leading() {
+		s.refusal, s.refusedUntil = err, time.Now().Add(storePause/2+rand.N(storePause))
+	}
+}
+
+// busy returns the refusal of a store that is left to the holder for a while.
+// The holder is asked again at the next try.
+func (s *Store) busy() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.holder.Leading() || time.Now().After(s.refusedUntil) {
+		return nil
+	}
+	s.paused = time.Time{}
+	return s.refusal
 }
 
 func (s *Store) pause() {
@@ -119,6 +142,9 @@
 	if reply, ok := s.ask(ctx, prefix, 0, 0); ok {
 		return objectsOf(reply), reply.GetRevision(), nil
 	}
+	if err := s.busy(); err != nil {
+		return nil, 0, err
+	}
 	objects, revision, err := s.ObjectStore.List(ctx, prefix)
 	switch {
 	case err == nil:
@@ -126,7 +152,7 @@
 	case bamboorail.KindOf(err) == bamboorail.KindOverloaded:
 		// So many read that the store turns some away, as after a restart of
 		// all; the holder may have its list by now.
-		s.resume()
+		s.turnedAway(err)
 	}
 	return objects, revision, err
 }
