--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -157,9 +157,9 @@
 	return k != bamboorail.KindNotOwner && k != bamboorail.KindNoTarget
 }
 
-// overflow reports whether an engine that refused a request is one among
-// several: another one has not refused it and starts it before its deadline, as
-// far as is known. Such a refusal costs an engine nothing, and no budget.
+// overflow reports whether a request that an engine refused for lack of room may
+// go to another one, which would start it before its deadline as far as is known.
+// Such a refusal costs an engine nothing, so it takes no retry budget.
 func (r *Router) overflow(w *bamboorail.Work, err error, failed map[string]bool) bool {
 	f := bamboorail.FailureOf(err)
 	if f.Kind != bamboorail.KindOverloaded || f.Outcome != bamboorail.OutcomeNotRun || w.Target != "" || w.Service != "" {
