internal/gateway: no constant part of the retry budget in the first window

All 86 instances lost power and were back at 42 s, within the window from 35 s: each new process began an empty window with a full share of the constant part, and took its zone to have eight instances until it was told. Ruled out: a wrong count before the restart (no instance had started since the beginning).

Change: a process has no constant part in its first window.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,8 +120,10 @@
 
 	// reloaded are the settings in force; settings those of the start.
 	reloaded atomic.Pointer[settings.Gateway]
-	table    atomic.Pointer[route.Table]
-	leaving  atomic.Bool
+	// started is the time of the start of this process.
+	started time.Time
+	table   atomic.Pointer[route.Table]
+	leaving atomic.Bool
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
@@ -139,7 +141,7 @@
 // New returns a gateway whose ports are open, but that does not run yet.
 func New(ctx context.Context, s settings.Gateway, a Adapter, logs *logflags.Logs) (*Gateway, error) {
 	g := &Gateway{
-		settings: s, adapter: a, logs: logs, log: logs.Layer("gateway"),
+		settings: s, adapter: a, logs: logs, log: logs.Layer("gateway"), started: time.Now(),
 		fleet: fleet.New(returnGrace), balancer: balance.New(s.Zone), peers: peer.NewClient(nil), gap: informer.NewGap(),
 		metrics: telemetry.NewMetrics(), spans: telemetry.NewSpanStore(s.Instance, traceCapacity), budgets: map[string]*retry.Window{},
 	}
@@ -239,8 +241,12 @@
 }
 
 // retrySlack returns this instance's share of the constant part of the retry
-// budget.
+// budget. There is none in the first window after the start: the instance knows
+// neither what an earlier process spent in it nor how many others there are.
 func (g *Gateway) retrySlack(all float64) float64 {
+	if time.Since(g.started) < g.settings.RetryWindow {
+		return 0
+	}
 	instances := g.mirror.ZoneSize()
 	if instances == 0 {
 		instances = unknownInstances
