cmd/railentry: log each signal that the process receives

Cause: the logs of the incident on coupons (docs/incidents/coupons-inc1.md) have no line for a signal, so that "SIGHUP ended the process" and "the reload ended the drain" look the same.

Change: one line, "signal received", for the signal that begins the shutdown and for each SIGHUP that a handler of the process gets.

--- a/cmd/railentry/cmds/commands.go
+++ b/cmd/railentry/cmds/commands.go
@@ -131,6 +131,9 @@
 	if err != nil {
 		return err
 	}
+	log := logs.Layer("signals")
+	unregister := context.AfterFunc(ctx, func() { log.Info("signal received", "cause", context.Cause(ctx)) })
+	defer unregister()
 	watching, cancel := context.WithCancel(ctx)
 	watched := duty.Start(watching, "settings", func(ctx context.Context) error { return p.watch(ctx, i, logs) })
 	err = i.Run(context.WithoutCancel(ctx), ctx)
@@ -160,7 +163,8 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-hangups:
+		case s := <-hangups:
+			log.Info("signal received", "signal", s.String())
 		case <-ticks.C:
 		}
 		next, err := settings.ReadGateway(path)
@@ -181,6 +185,7 @@
 
 // toggleDebug switches the log level at each SIGHUP.
 func toggleDebug(ctx context.Context, logs *logflags.Logs, configured string) error {
+	log := logs.Layer("signals")
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
@@ -188,7 +193,8 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-hangups:
+		case s := <-hangups:
+			log.Info("signal received", "signal", s.String())
 		}
 		next := "debug"
 		if logs.Level() == "debug" {
