cli: receive signals from the start of a daemon to its end

Change: cli.Serve installs one handler before anything else and never takes it away; railentry gets its hangups and its stop from there. The watch of the settings follows them until the instance has ended: a reload during the drain takes the address of the store, the budget, the memory limit and the log level, and leaves the drain timeout of the shutdown as it is, with a line. The end of the watch for another reason has a line too.

--- a/cmd/railentry/cmds/commands.go
+++ b/cmd/railentry/cmds/commands.go
@@ -7,10 +7,7 @@
 	"fmt"
 	"io"
 	"log"
-	"os"
-	"os/signal"
 	"reflect"
-	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -28,16 +25,17 @@
 
 // Main runs the program and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	return cli.Run(New(stdout, stderr), args, stdout, stderr)
+	return cli.Serve(func(s *cli.Signals) *urfave.Command { return New(s, stdout, stderr) }, args, stdout, stderr)
 }
 
 // New returns the command of railentry.
-func New(stdout, stderr io.Writer) *urfave.Command {
+func New(signals *cli.Signals, stdout, stderr io.Writer) *urfave.Command {
 	return &urfave.Command{
 		Name:    "railentry",
 		Usage:   "serve callers and own targets",
 		Version: bamboorail.Version,
-		Description: "Runs until it gets SIGTERM, then hands over what it owns and waits for the requests in flight.\n" +
+		Description: "Runs until it gets SIGTERM, then hands over what it owns and waits for the requests in flight;\n" +
+			"signals that follow do not cut it short.\n" +
 			"SIGHUP switches the log between its configured level and debug.\n\n" +
 			"Settings with a section [gateway] run an instance on a platform that keeps routes and targets itself;\n" +
 			"it reads changed settings at SIGHUP and every two seconds, and logs to standard output.\n\n" +
@@ -65,7 +63,7 @@
 				_, err := fmt.Fprintln(stdout, "settings are valid")
 				return err
 			}
-			return run(ctx, p)
+			return run(ctx, p, signals)
 		},
 	}
 }
@@ -76,8 +74,8 @@
 	out io.Writer
 	// start opens the ports of an instance.
 	start func(ctx context.Context, logs *logflags.Logs) (instance, error)
-	// watch follows signals and the settings file while i runs.
-	watch func(ctx context.Context, i instance, logs *logflags.Logs) error
+	// watch follows hangups and the settings file while i runs.
+	watch func(ctx context.Context, i instance, hangups <-chan struct{}, logs *logflags.Logs) error
 }
 
 // instance runs until stop ends, then shuts down gracefully.
@@ -91,8 +89,8 @@
 	return program{
 		log: s.Log, out: stderr,
 		start: func(ctx context.Context, logs *logflags.Logs) (instance, error) { return service.New(ctx, s, logs) },
-		watch: func(ctx context.Context, _ instance, logs *logflags.Logs) error {
-			return toggleDebug(ctx, logs, s.Log.Level)
+		watch: func(ctx context.Context, _ instance, hangups <-chan struct{}, logs *logflags.Logs) error {
+			return toggleDebug(ctx, hangups, logs, s.Log.Level)
 		},
 	}, err
 }
@@ -106,15 +104,18 @@
 		start: func(ctx context.Context, logs *logflags.Logs) (instance, error) {
 			return gateway.New(ctx, s, platform.NewAdapter(s.PlatformURL, gateway.Transport()), logs.With("instance", s.Instance))
 		},
-		watch: func(ctx context.Context, i instance, logs *logflags.Logs) error {
-			return reloadSettings(ctx, path, s, i.(*gateway.Gateway), logs)
+		watch: func(ctx context.Context, i instance, hangups <-chan struct{}, logs *logflags.Logs) error {
+			return reloadSettings(ctx, path, s, i.(*gateway.Gateway), hangups, logs)
 		},
 	}, err
 }
 
-func run(ctx context.Context, p program) error {
+func run(ctx context.Context, p program, signals *cli.Signals) error {
 	ring := logflags.NewRing()
-	logging, stopLog := context.WithCancel(context.WithoutCancel(ctx))
+	// The log and the settings are followed until the end of the process, not
+	// only until it is told to end.
+	whole := context.WithoutCancel(ctx)
+	logging, stopLog := context.WithCancel(whole)
 	written := duty.Start(logging, "log", func(ctx context.Context) error { return ring.Run(ctx, p.out) })
 	defer func() {
 		stopLog()
@@ -124,6 +125,7 @@
 	if err != nil {
 		return err
 	}
+	signals.LogTo(logs.Layer("signals"))
 	// Libraries such as net/http write to the standard logger.
 	log.SetFlags(0)
 	log.SetOutput(logs.Layer("library").StandardWriter(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn}))
@@ -131,12 +133,15 @@
 	if err != nil {
 		return err
 	}
-	log := logs.Layer("signals")
-	unregister := context.AfterFunc(ctx, func() { log.Info("signal received", "cause", context.Cause(ctx)) })
-	defer unregister()
-	watching, cancel := context.WithCancel(ctx)
-	watched := duty.Start(watching, "settings", func(ctx context.Context) error { return p.watch(ctx, i, logs) })
-	err = i.Run(context.WithoutCancel(ctx), ctx)
+	watching, cancel := context.WithCancel(whole)
+	watched := duty.Start(watching, "settings", func(ctx context.Context) error {
+		err := p.watch(ctx, i, signals.Hangups(), logs)
+		if ctx.Err() == nil {
+			logs.Layer("settings").Error("settings are not followed any more", "error", err)
+		}
+		return err
+	})
+	err = i.Run(whole, ctx)
 	cancel()
 	watched.Join()
 	if errors.Is(err, context.Canceled) {
@@ -151,11 +156,8 @@
 
 // reloadSettings follows the settings file. Settings with faults are reported
 // and leave those before in force.
-func reloadSettings(ctx context.Context, path string, inForce settings.Gateway, g *gateway.Gateway, logs *logflags.Logs) error {
+func reloadSettings(ctx context.Context, path string, inForce settings.Gateway, g *gateway.Gateway, hangups <-chan struct{}, logs *logflags.Logs) error {
 	log := logs.Layer("settings")
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	ticks := time.NewTicker(settingsInterval)
 	defer ticks.Stop()
 	var faults string
@@ -163,8 +165,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case s := <-hangups:
-			log.Info("signal received", "signal", s.String())
+		case <-hangups:
 		case <-ticks.C:
 		}
 		next, err := settings.ReadGateway(path)
@@ -184,17 +185,12 @@
 }
 
 // toggleDebug switches the log level at each SIGHUP.
-func toggleDebug(ctx context.Context, logs *logflags.Logs, configured string) error {
-	log := logs.Layer("signals")
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func toggleDebug(ctx context.Context, hangups <-chan struct{}, logs *logflags.Logs, configured string) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case s := <-hangups:
-			log.Info("signal received", "signal", s.String())
+		case <-hangups:
 		}
 		next := "debug"
 		if logs.Level() == "debug" {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -1,5 +1,5 @@
 // Package cli holds what the command lines of all programs share: exit codes
-// and the end by signal.
+// and signals.
 package cli
 
 import (
@@ -14,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/duty"
 	"bamboorail.example/bamboorail/internal/settings"
 )
 
@@ -42,6 +43,25 @@
 func Run(command *cli.Command, args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	return execute(ctx, command, args, stdout, stderr)
+}
+
+// Serve runs the command of a daemon, which gets the signals of the process and
+// a context that ends with the first SIGTERM or SIGINT. It returns the exit code.
+func Serve(newCommand func(*Signals) *cli.Command, args []string, stdout, stderr io.Writer) int {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	signals := receiveSignals(stop)
+	receiving, end := context.WithCancel(context.WithoutCancel(ctx))
+	received := duty.Start(receiving, "signals", signals.run)
+	defer func() {
+		end()
+		received.Join()
+	}()
+	return execute(ctx, newCommand(signals), args, stdout, stderr)
+}
+
+func execute(ctx context.Context, command *cli.Command, args []string, stdout, stderr io.Writer) int {
 	command.Writer, command.ErrWriter = stdout, stderr
 	command.ExitErrHandler = func(context.Context, *cli.Command, error) {}
 	command.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -9,7 +9,7 @@
 
 // Reload puts changed settings in force: the address of the platform, the
 // retry budget, the drain timeout, the memory limit and the log level. Other
-// changes wait for a restart.
+// changes wait for a restart, and a leaving instance keeps its drain timeout.
 func (g *Gateway) Reload(s settings.Gateway) {
 	before := *g.reloaded.Load()
 	g.reloaded.Store(&s)
@@ -21,6 +21,9 @@
 		g.budgets = map[string]*retry.Window{}
 		g.mu.Unlock()
 	}
+	if g.leaving.Load() && s.DrainTimeout != before.DrainTimeout {
+		g.log.Warn("drain timeout is not changed while the instance leaves", "drain-timeout", s.DrainTimeout.String())
+	}
 	setMemoryLimit(s)
 	if err := g.logs.SetLevel(s.Log.Level); err != nil {
 		g.log.Error("log level not changed", "error", err)
