gateway: a lost watch delays no kind for longer than a second's watch

Cause: a watch that is sent while the store is silent is never answered. The watch of targets lasted 1 s, those of configuration and releases 10 s, and the client waited 2 s more, so that a change was known up to 12 s late. Only two failed watches of targets in a row, or a gap in the history, woke the others. A silence of 0.3 s is enough if the watch after a change falls into it. Followers took the holder for fresh meanwhile: its watch of targets was answered. Class: knowledge of one kind counts as fresh by the answers for another.

Ruled out: the store drops the watches that wait when it falls silent (those of the holders were answered afterwards); followers alone (after 0.3 s all instances are late, after 2 s those that left a silent holder for the store). Tried first and left: one failed watch has the others watch again. It mends the silence of 2 s, not that of 0.3 s, in which no watch of targets fails.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,10 +44,11 @@
 	configurationPace = 300 * time.Millisecond
 	targetPace        = 900 * time.Millisecond
 	releasePace       = time.Second
-	// targetWait bounds the time to find a gap in the history of the store;
-	// the watch of targets, the busiest, finds it for all kinds.
-	targetWait = time.Second
-	quietWait  = 10 * time.Second
+	// watchWait bounds the time for which a gap in the history of the store, or
+	// the loss of a watch, goes unnoticed. With the time that a client waits for
+	// an answer (1.5 s) it stays below the 3 s after a disturbance of the store in
+	// which a change may still be late (bound contact_ms).
+	watchWait = time.Second
 	// returnGrace is the time in which targets register again after an outage
 	// of the store (page PROTOCOL: about two seconds).
 	returnGrace    = 2 * time.Second
@@ -266,9 +267,9 @@
 	d.Start("readiness", g.ports.readiness.Serve)
 	d.Start("callers", g.ports.caller.Serve)
 	d.Start("metrics", g.ports.metrics.Serve)
-	d.Start("configuration", g.informer(g.adapter.ConfigurationKind, configurationPace, quietWait, &configurationHandler{g}).Run)
-	d.Start("targets", g.informer(g.adapter.TargetKind, targetPace, targetWait, &targetHandler{g}).Run)
-	d.Start("releases", g.informer(g.adapter.ReleaseKind, releasePace, quietWait, &releaseHandler{g}).Run)
+	for name, i := range g.informers() {
+		d.Start(name, i.Run)
+	}
 	d.Start("leases", g.elector.Run)
 	d.Start("settle", g.chooser.Run)
 	d.Start("expiry", func(ctx context.Context) error { return duty.Every(ctx, expireInterval, g.expire) })
@@ -297,9 +298,18 @@
 	return err.Error()
 }
 
-func (g *Gateway) informer(kind string, pace, wait time.Duration, h informer.Handler) *informer.Informer {
+// informers returns what follows the store, by what it follows.
+func (g *Gateway) informers() map[string]*informer.Informer {
+	return map[string]*informer.Informer{
+		"configuration": g.informer(g.adapter.ConfigurationKind, configurationPace, &configurationHandler{g}),
+		"targets":       g.informer(g.adapter.TargetKind, targetPace, &targetHandler{g}),
+		"releases":      g.informer(g.adapter.ReleaseKind, releasePace, &releaseHandler{g}),
+	}
+}
+
+func (g *Gateway) informer(kind string, pace time.Duration, h informer.Handler) *informer.Informer {
 	return informer.New(informer.Config{
-		Store: g.mirror, Kind: kind, Pace: pace, Wait: wait, Gap: g.gap, Handler: h, Log: g.logs.Layer("informer"),
+		Store: g.mirror, Kind: kind, Pace: pace, Wait: watchWait, Gap: g.gap, Handler: h, Log: g.logs.Layer("informer"),
 	})
 }
 
