gateway: a reload of the retry settings keeps what was spent

Cause: a reload with another ratio, constant or window replaced the windows of all services by empty ones, so that an instance could spend its share of the budget twice within one window; a reload of all instances doubles the budget. Class: the age of what was spent counts from the reload.

Change: the windows are configured in place. In a window of another length what was spent counts from the reload on, and the requests before it give no retries.

Red before (go test ./internal/gateway -run TestAReload):

ratio: 5 retries, and 5 more after the reload slack: 5 retries, and 5 more after the reload window: 5 retries, and 5 more after the reload

--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"bamboorail.example/bamboorail/internal/logflags"
 	"bamboorail.example/bamboorail/internal/mirror"
 	"bamboorail.example/bamboorail/internal/retry"
 	"bamboorail.example/bamboorail/internal/settings"
@@ -70,3 +71,55 @@
 		}
 	})
 }
+
+// TestAReloadForgetsNoRetries: a change of the retry settings counts on with
+// what the instance spent before it.
+func TestAReloadForgetsNoRetries(t *testing.T) {
+	const window = 10 * time.Second
+	cases := map[string]func(s *settings.Gateway){
+		"nothing": func(*settings.Gateway) {},
+		"ratio":   func(s *settings.Gateway) { s.RetryRatio = 0.21 },
+		"slack":   func(s *settings.Gateway) { s.RetrySlack = 213 },
+		"window":  func(s *settings.Gateway) { s.RetryWindow = 11 * time.Second },
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := settings.Gateway{RetryRatio: 0.2, RetrySlack: 212, RetryWindow: window, Zones: make([]string, 4), MaxMemory: 1 << 40}
+				s.Log.Level = "error"
+				g := bare()
+				g.settings, g.started, g.budgets, g.logs = s, time.Now(), map[string]*retry.Window{}, logflags.Discard()
+				g.mirror = mirror.NewStore(memory.NewStore(), "i", "z", alone{}, nil, hclog.NewNullLogger())
+				g.reloaded.Store(&s)
+				time.Sleep(2 * window)
+				retries := 0
+				spend := func() {
+					for g.budget("s").Take(time.Now()) {
+						retries++
+					}
+				}
+				spend()
+				if retries == 0 {
+					t.Fatal("no retry is allowed at all")
+				}
+				before := retries
+				changed := s
+				change(&changed)
+				g.Reload(changed)
+				spend()
+				if retries > before+1 {
+					t.Errorf("%d retries, and %d more after the reload", before, retries-before)
+				}
+				time.Sleep(window / 2)
+				spend()
+				if retries > before+1 {
+					t.Errorf("%d retries, and %d more half a window after the reload", before, retries-before)
+				}
+				time.Sleep(window)
+				if spend(); retries < 2*before {
+					t.Errorf("only %d retries after the window", retries-before)
+				}
+			})
+		})
+	}
+}
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -2,8 +2,8 @@
 
 import (
 	"runtime/debug"
+	"time"
 
-	"bamboorail.example/bamboorail/internal/retry"
 	"bamboorail.example/bamboorail/internal/settings"
 )
 
@@ -17,8 +17,11 @@
 		g.adapter.Store.Move(s.PlatformURL)
 	}
 	if s.RetryRatio != before.RetryRatio || s.RetrySlack != before.RetrySlack || s.RetryWindow != before.RetryWindow {
+		slack, now := g.retrySlack(s.RetrySlack), time.Now()
 		g.mu.Lock()
-		g.budgets = map[string]*retry.Window{}
+		for _, w := range g.budgets {
+			w.Configure(s.RetryRatio*retryRatioShare, slack, s.RetryWindow, now)
+		}
 		g.mu.Unlock()
 	}
 	setMemoryLimit(s)
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -11,13 +11,12 @@
 // Window allows retries as a fraction of the requests of a sliding window plus
 // a constant, which is the share of this instance in a budget of all.
 type Window struct {
+	mu    sync.Mutex
 	ratio float64
 	slack float64
 	part  time.Duration
 	// start is kept for its monotonic part: the time of day may jump.
-	start time.Time
-
-	mu       sync.Mutex
+	start    time.Time
 	requests [windowParts]float64
 	retries  [windowParts]float64
 	current  int64
@@ -28,6 +27,24 @@
 	return &Window{ratio: ratio, slack: slack, part: length / windowParts, start: time.Now()}
 }
 
+// Configure changes the budget and keeps what was spent. Retries in a window of
+// another length count from now on, since their times are not known.
+func (w *Window) Configure(ratio, slack float64, length time.Duration, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(now)
+	w.ratio, w.slack = ratio, slack
+	if length/windowParts == w.part {
+		return
+	}
+	spent := 0.0
+	for _, n := range w.retries {
+		spent += n
+	}
+	w.part, w.start, w.current = length/windowParts, now, 0
+	w.requests, w.retries = [windowParts]float64{}, [windowParts]float64{spent}
+}
+
 // SetSlack changes the constant.
 func (w *Window) SetSlack(slack float64) {
 	w.mu.Lock()
