internal/adapters: only adapters that arrived are at hand

The planner noted an adapter as at hand when it placed a call, also if the order was then not accepted (896 of 5,483).

Change: an adapter is at hand after a call with it ran or a report named it. A refusal before the end of a fast load makes it a fetch, which is awaited.

Ruled out: the release of a new version in between (4 of the 227).

TestAnAdapterThatNeverArrivedIsFetched, before: "4 sends were refused before the adapter was loaded" in both cases; now the second send finds it loaded.

--- a/internal/adapters/load_test.go
+++ b/internal/adapters/load_test.go
@@ -329,7 +329,7 @@
 		l.after(reportPause, func() {
 			p.Answered(got.Ticket, l.now)
 			p.End(got.Ticket)
-			p.Arrived(got.Target.ID, c.request.Key)
+			p.Arrived(got.Target.ID, c.request.Key, l.now)
 		})
 	})
 }
--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -239,7 +239,6 @@
 		placement.Version, placement.ReadyAt = held.version, held.readyAt
 		held.running++
 		held.lastUsed = now
-		e.atHand[r.Key] = now
 	} else if at := e.models[r.Key.Model]; at.After(now) {
 		placement.ReadyAt = at
 	}
@@ -302,18 +301,31 @@
 		return true
 	}
 	r.late = true
+	if !r.fetch {
+		// The engine does not have the adapter at hand after all.
+		delete(e.atHand, key)
+		r.fetch = true
+		r.readyAt = r.started.Add(p.fetchTime)
+	}
+	if r.readyAt.After(now) {
+		return true
+	}
 	r.readyAt = now.Add(max(p.tuning.ReloadTime, time.Duration(latePart*float64(now.Sub(r.started)))))
 	return true
 }
 
 // Arrived takes in that a call ran, so that its adapter is loaded.
-func (p *Planner) Arrived(id bamboorail.TargetID, key bamboorail.AdapterKey) {
+func (p *Planner) Arrived(id bamboorail.TargetID, key bamboorail.AdapterKey, now time.Time) {
 	e := p.engine(id)
 	if e == nil {
 		return
 	}
 	r := e.adapters[key]
-	if r == nil || !r.loading {
+	if r == nil {
+		return
+	}
+	e.atHand[key] = now
+	if !r.loading {
 		return
 	}
 	r.loading = false
--- a/internal/adapters/planner_test.go
+++ b/internal/adapters/planner_test.go
@@ -51,7 +51,7 @@
 		t.Fatalf("no place for %v", r.Key)
 	}
 	accept(p, got.Orders, now)
-	p.Arrived(got.Target.ID, r.Key)
+	p.Arrived(got.Target.ID, r.Key, now)
 	return got
 }
 
@@ -89,7 +89,7 @@
 				calls = append(calls[:i], calls[i+1:]...)
 				running[c.id][c.key]--
 				p.End(c.ticket)
-				p.Arrived(c.id, c.key)
+				p.Arrived(c.id, c.key, now)
 				continue
 			}
 			r := ask(rapid.IntRange(0, 20).Draw(t, "adapter"))
@@ -344,6 +344,50 @@
 	}
 }
 
+// TestAnAdapterThatNeverArrivedIsFetched: an engine has at hand what it held,
+// not what it was ordered to load. A call that is refused because of a wrong
+// guess waits for the fetch; asked again every few milliseconds, the engine
+// would refuse it as often as it may be sent.
+func TestAnAdapterThatNeverArrivedIsFetched(t *testing.T) {
+	const mostSends = 4 // as in internal/relay
+	cases := map[string]func(p *Planner, first Placement){
+		"the load was not accepted": func(p *Planner, first Placement) {
+			p.End(first.Ticket)
+			p.LoadFailed(first.Target.ID, ask(1).Key)
+		},
+		"the engine dropped it unseen": func(p *Planner, first Placement) {
+			p.End(first.Ticket)
+			p.Arrived(first.Target.ID, ask(1).Key, start)
+			p.Sync(first.Target.ID, bamboorail.EngineState{Orders: 1, Models: map[string]map[string]int{"m": {}}}, start.Add(time.Second))
+		},
+	}
+	for name, lose := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := planner(1, 21)
+			first, _ := p.Place(ask(1), start)
+			accept(p, first.Orders, start)
+			lose(p, first)
+			now := start.Add(2 * time.Second)
+			loaded := now.Add(tuning().FetchTime)
+			for n := range mostSends {
+				got, ok := p.Place(ask(1), now)
+				if !ok {
+					t.Fatal("no place")
+				}
+				accept(p, got.Orders, now)
+				now = now.Add(max(got.ReadyAt.Sub(now), 0))
+				if !now.Before(loaded) {
+					return
+				}
+				t.Logf("send %d at %v of %v", n+1, now.Sub(start), loaded.Sub(start))
+				p.End(got.Ticket)
+				p.Missing(got.Target.ID, ask(1).Key, now)
+			}
+			t.Errorf("%d sends were refused before the adapter was loaded", mostSends)
+		})
+	}
+}
+
 func TestHomesAreStableAndEven(t *testing.T) {
 	zones := []string{"a", "b", "c"}
 	counts := map[string]int{}
@@ -380,7 +424,7 @@
 			continue
 		}
 		accept(p, got.Orders, now)
-		p.Arrived(got.Target.ID, ask(adapter).Key)
+		p.Arrived(got.Target.ID, ask(adapter).Key, now)
 		p.End(got.Ticket)
 		if n%1000 == 0 {
 			p.Expire(now.Add(-time.Minute), now)
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -415,7 +415,7 @@
 		if o.Unload {
 			h.planner.Ordered(o, time.Now())
 		} else {
-			h.planner.Arrived(o.Target, o.Key)
+			h.planner.Arrived(o.Target, o.Key, time.Now())
 		}
 		return true, nil
 	case bamboorail.OrderConflict:
@@ -446,7 +446,7 @@
 		}
 		switch e.Result {
 		case balance.Answered:
-			h.planner.Arrived(id, key)
+			h.planner.Arrived(id, key, now)
 		case balance.Refused:
 			h.planner.Refused(id, key, now)
 		case balance.Misdirected:
