internal/adapters: a refusal tells of the time of its call

Instances report the ends of calls up to 200 ms later; a refusal from before the end of a load extended it from the time of the report, and half of the excess went into the expected time of all fetches. Calls waited for adapters that were there, and fetches counted as under way for longer than they were.

Change: a placement that ends says when its call was sent; a load is extended from then.

--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -68,12 +68,20 @@
 	id     bamboorail.TargetID
 	key    bamboorail.AdapterKey
 	issued time.Time
-	// ready is the time from which the engine could run the call. queued is set
-	// if its slots were taken then.
-	ready  time.Time
+	// sent is the earliest time at which the call was sent to the engine. queued
+	// is set if all slots of the engine were taken when it was placed.
+	sent   time.Time
 	queued bool
 }
 
+// Ended is a placement that was given back.
+type Ended struct {
+	Target bamboorail.TargetID
+	Key    bamboorail.AdapterKey
+	// Sent is the earliest time at which the call was sent to the engine.
+	Sent time.Time
+}
+
 // NewPlanner returns a planner without engines. Its tickets follow after.
 func NewPlanner(t Tuning, after uint64) *Planner {
 	return &Planner{
@@ -245,7 +253,14 @@
 	e.running++
 	p.next++
 	placement.Ticket = p.next
-	p.tickets[p.next] = ticket{id: e.entry.ID, key: r.Key, issued: now, ready: placement.ReadyAt, queued: queued}
+	p.tickets[p.next] = ticket{id: e.entry.ID, key: r.Key, issued: now, sent: latest(now, placement.ReadyAt), queued: queued}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // callTimeShare is the weight of one call in the observed time of calls: the
@@ -256,26 +271,26 @@
 // slot do not tell how long they took it.
 func (p *Planner) Answered(number uint64, now time.Time) {
 	if t, ok := p.tickets[number]; ok && !t.queued {
-		p.callTime += time.Duration(callTimeShare * float64(now.Sub(t.ready)-p.callTime))
+		p.callTime += time.Duration(callTimeShare * float64(now.Sub(t.sent)-p.callTime))
 	}
 }
 
 // Refused takes in that an engine was full.
-func (p *Planner) Refused(id bamboorail.TargetID, key bamboorail.AdapterKey, now time.Time) {
-	e := p.engine(id)
-	if e == nil || p.late(e, key, now) {
+func (p *Planner) Refused(c Ended, now time.Time) {
+	e := p.engine(c.Target)
+	if e == nil || p.late(e, c, now) {
 		return
 	}
 	e.suspectTo = now.Add(p.tuning.FetchTime)
 }
 
 // Missing takes in that an engine refused a call because it lacks the adapter.
-func (p *Planner) Missing(id bamboorail.TargetID, key bamboorail.AdapterKey, now time.Time) {
-	e := p.engine(id)
-	if e == nil || p.late(e, key, now) {
+func (p *Planner) Missing(c Ended, now time.Time) {
+	e := p.engine(c.Target)
+	if e == nil || p.late(e, c, now) {
 		return
 	}
-	delete(e.adapters, key)
+	delete(e.adapters, c.Key)
 	e.doubt(now)
 }
 
@@ -290,27 +305,28 @@
 	latePart = 0.15
 )
 
-// late extends a load that takes longer than expected. It returns false for
-// an adapter that is not loading.
-func (p *Planner) late(e *engine, key bamboorail.AdapterKey, now time.Time) bool {
-	r := e.adapters[key]
+// late extends a load that takes longer than expected, by a call that the
+// engine refused. The refusal tells of the time at which the call was sent, not
+// of the time at which this planner hears of it. It returns false for an adapter
+// that is not loading.
+func (p *Planner) late(e *engine, c Ended, now time.Time) bool {
+	r := e.adapters[c.Key]
 	if r == nil || !r.loading || now.Sub(r.started) > lateLimit*p.fetchTime {
 		return false
 	}
-	if r.readyAt.After(now) {
+	if r.readyAt.After(c.Sent) {
 		return true
 	}
 	r.late = true
 	if !r.fetch {
 		// The engine does not have the adapter at hand after all.
-		delete(e.atHand, key)
+		delete(e.atHand, c.Key)
 		r.fetch = true
 		r.readyAt = r.started.Add(p.fetchTime)
 	}
-	if r.readyAt.After(now) {
-		return true
+	if !r.readyAt.After(c.Sent) {
+		r.readyAt = c.Sent.Add(max(p.tuning.ReloadTime, time.Duration(latePart*float64(c.Sent.Sub(r.started)))))
 	}
-	r.readyAt = now.Add(max(p.tuning.ReloadTime, time.Duration(latePart*float64(now.Sub(r.started)))))
 	return true
 }
 
@@ -338,12 +354,11 @@
 	}
 }
 
-// End gives a placement back and returns its engine and adapter. It returns
-// false for an unknown ticket.
-func (p *Planner) End(number uint64) (bamboorail.TargetID, bamboorail.AdapterKey, bool) {
+// End gives a placement back. It returns false for an unknown ticket.
+func (p *Planner) End(number uint64) (Ended, bool) {
 	t, ok := p.tickets[number]
 	if !ok {
-		return bamboorail.TargetID{}, bamboorail.AdapterKey{}, false
+		return Ended{}, false
 	}
 	delete(p.tickets, number)
 	if e := p.engine(t.id); e != nil {
@@ -352,7 +367,7 @@
 			r.running = max(r.running-1, 0)
 		}
 	}
-	return t.id, t.key, true
+	return Ended{Target: t.id, Key: t.key, Sent: t.sent}, true
 }
 
 // Expire ends placements that were issued before a time and the demand of
@@ -360,7 +375,7 @@
 func (p *Planner) Expire(before, now time.Time) {
 	for number, t := range p.tickets {
 		if t.issued.Before(before) {
-			_, _, _ = p.End(number)
+			_, _ = p.End(number)
 		}
 	}
 	for key, d := range p.demand {
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -230,7 +230,7 @@
 	ordered := time.Now()
 	if err := h.execute(context.WithoutCancel(ctx), p.Orders); err != nil {
 		h.mu.Lock()
-		_, _, _ = h.planner.End(p.Ticket)
+		_, _ = h.planner.End(p.Ticket)
 		h.mu.Unlock()
 		h.Log.Info("load not accepted", "zone", h.Zone, "engine", p.Target.ID.Name, "adapter", r.Key.Adapter, "error", err)
 		return adapters.Placement{}, err
@@ -440,19 +440,19 @@
 		if e.Result == balance.Answered {
 			h.planner.Answered(e.Ticket, now)
 		}
-		id, key, ok := h.planner.End(e.Ticket)
+		c, ok := h.planner.End(e.Ticket)
 		if !ok {
 			continue
 		}
 		switch e.Result {
 		case balance.Answered:
-			h.planner.Arrived(id, key, now)
+			h.planner.Arrived(c.Target, c.Key, now)
 		case balance.Refused:
-			h.planner.Refused(id, key, now)
+			h.planner.Refused(c, now)
 		case balance.Misdirected:
-			h.planner.Missing(id, key, now)
+			h.planner.Missing(c, now)
 		case balance.Unreachable:
-			h.planner.Suspect(id.Name, now)
+			h.planner.Suspect(c.Target.Name, now)
 		case balance.Failed, balance.Abandoned:
 		}
 	}
