--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -31,6 +31,9 @@
 	LoadsPerEngine int
 	// CallCost is the delay that a running call causes to the next one.
 	CallCost time.Duration
+	// CallTime is the time that a call takes a slot of its engine which is
+	// assumed at first.
+	CallTime time.Duration
 	// RankCost is added for each place behind the first in an adapter's order
 	// of engines.
 	RankCost time.Duration
@@ -56,8 +59,8 @@
 	tickets map[uint64]ticket
 	next    uint64
 	waiting waitlist
-	// fetchTime follows the observed time of fetches.
-	fetchTime time.Duration
+	// fetchTime and callTime follow the observed times of fetches and calls.
+	fetchTime, callTime time.Duration
 }
 
 // ticket is a call that was placed and has not ended.
@@ -65,13 +68,25 @@
 	id     bamboorail.TargetID
 	key    bamboorail.AdapterKey
 	issued time.Time
+	// sent is the earliest time at which the call was sent to the engine. queued
+	// is set if all slots of the engine were taken when it was placed.
+	sent   time.Time
+	queued bool
+}
+
+// Ended is a placement that was given back.
+type Ended struct {
+	Target bamboorail.TargetID
+	Key    bamboorail.AdapterKey
+	// Sent is the earliest time at which the call was sent to the engine.
+	Sent time.Time
 }
 
 // NewPlanner returns a planner without engines. Its tickets follow after.
 func NewPlanner(t Tuning, after uint64) *Planner {
 	return &Planner{
 		tuning: t, next: after, engines: map[string]*engine{}, demand: map[bamboorail.AdapterKey]*demand{}, tickets: map[uint64]ticket{},
-		waiting: waitlist{}, fetchTime: t.FetchTime,
+		waiting: waitlist{}, fetchTime: t.FetchTime, callTime: t.CallTime,
 	}
 }
 
@@ -178,14 +193,13 @@
 // Place chooses an engine. It returns false if none can take the call now; the
 // call then waits for as long as it is placed again and again.
 func (p *Planner) Place(r Request, now time.Time) (Placement, bool) {
-	if r.Key.Adapter != "" && r.Loads == LoadFreely {
+	if p.mayWait(r, now) {
 		p.waiting.add(r, p.fetchTime, now)
 	}
 	best, old := p.best(r, now)
 	if best == nil && old == nil {
 		return Placement{}, false
 	}
-	p.waiting.leave(r)
 	p.count(r.Key, now)
 	placement := Placement{ReadyAt: now}
 	var orders []bamboorail.AdapterOrder
@@ -201,45 +215,82 @@
 	} else {
 		placement.Orders = orders
 	}
+	if !p.engines[best.name].full() {
+		// A call behind others at a full engine goes on to count for a while:
+		// another engine with its adapter would serve those that follow sooner.
+		p.waiting.leave(r)
+	}
 	p.take(&placement, best.name, r, now)
 	return placement, true
 }
 
+// mayWait reports whether a fetch may be started for a call, so that the call
+// counts among those that wait for one.
+func (p *Planner) mayWait(r Request, now time.Time) bool {
+	switch r.Loads {
+	case LoadNever:
+		return false
+	case LoadIfWanted:
+		return r.Key.Adapter != "" && p.demandOf(r.Key, now) >= p.tuning.ReplicaDemand
+	case LoadFreely:
+	}
+	return r.Key.Adapter != ""
+}
+
 // take enters a call at an engine.
 func (p *Planner) take(placement *Placement, name string, r Request, now time.Time) {
 	e := p.engines[name]
+	queued := e.full()
 	placement.Target = e.entry
 	if r.Key.Adapter != "" {
 		held := e.adapters[r.Key]
 		placement.Version, placement.ReadyAt = held.version, held.readyAt
 		held.running++
 		held.lastUsed = now
-		e.atHand[r.Key] = now
 	} else if at := e.models[r.Key.Model]; at.After(now) {
 		placement.ReadyAt = at
 	}
 	e.running++
 	p.next++
 	placement.Ticket = p.next
-	p.tickets[p.next] = ticket{id: e.entry.ID, key: r.Key, issued: now}
+	p.tickets[p.next] = ticket{id: e.entry.ID, key: r.Key, issued: now, sent: latest(now, placement.ReadyAt), queued: queued}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// callTimeShare is the weight of one call in the observed time of calls: the
+// last hundred count most.
+const callTimeShare = 0.01
+
+// Answered takes in that a call ended with an answer. Calls that waited for a
+// slot do not tell how long they took it.
+func (p *Planner) Answered(number uint64, now time.Time) {
+	if t, ok := p.tickets[number]; ok && !t.queued {
+		p.callTime += time.Duration(callTimeShare * float64(now.Sub(t.sent)-p.callTime))
+	}
 }
 
 // Refused takes in that an engine was full.
-func (p *Planner) Refused(id bamboorail.TargetID, key bamboorail.AdapterKey, now time.Time) {
-	e := p.engine(id)
-	if e == nil || p.late(e, key, now) {
+func (p *Planner) Refused(c Ended, now time.Time) {
+	e := p.engine(c.Target)
+	if e == nil || p.late(e, c, now) {
 		return
 	}
 	e.suspectTo = now.Add(p.tuning.FetchTime)
 }
 
 // Missing takes in that an engine refused a call because it lacks the adapter.
-func (p *Planner) Missing(id bamboorail.TargetID, key bamboorail.AdapterKey, now time.Time) {
-	e := p.engine(id)
-	if e == nil || p.late(e, key, now) {
+func (p *Planner) Missing(c Ended, now time.Time) {
+	e := p.engine(c.Target)
+	if e == nil || p.late(e, c, now) {
 		return
 	}
-	delete(e.adapters, key)
+	delete(e.adapters, c.Key)
 	e.doubt(now)
 }
 
@@ -254,29 +305,43 @@
 	latePart = 0.15
 )
 
-// late extends a load that takes longer than expected. It returns false for
-// an adapter that is not loading.
-func (p *Planner) late(e *engine, key bamboorail.AdapterKey, now time.Time) bool {
-	r := e.adapters[key]
+// late extends a load that takes longer than expected, by a call that the
+// engine refused. The refusal tells of the time at which the call was sent, not
+// of the time at which this planner hears of it. It returns false for an adapter
+// that is not loading.
+func (p *Planner) late(e *engine, c Ended, now time.Time) bool {
+	r := e.adapters[c.Key]
 	if r == nil || !r.loading || now.Sub(r.started) > lateLimit*p.fetchTime {
 		return false
 	}
-	if r.readyAt.After(now) {
+	if r.readyAt.After(c.Sent) {
 		return true
 	}
 	r.late = true
-	r.readyAt = now.Add(max(p.tuning.ReloadTime, time.Duration(latePart*float64(now.Sub(r.started)))))
+	if !r.fetch {
+		// The engine does not have the adapter at hand after all.
+		delete(e.atHand, c.Key)
+		r.fetch = true
+		r.readyAt = r.started.Add(p.fetchTime)
+	}
+	if !r.readyAt.After(c.Sent) {
+		r.readyAt = c.Sent.Add(max(p.tuning.ReloadTime, time.Duration(latePart*float64(c.Sent.Sub(r.started)))))
+	}
 	return true
 }
 
 // Arrived takes in that a call ran, so that its adapter is loaded.
-func (p *Planner) Arrived(id bamboorail.TargetID, key bamboorail.AdapterKey) {
+func (p *Planner) Arrived(id bamboorail.TargetID, key bamboorail.AdapterKey, now time.Time) {
 	e := p.engine(id)
 	if e == nil {
 		return
 	}
 	r := e.adapters[key]
-	if r == nil || !r.loading {
+	if r == nil {
+		return
+	}
+	e.atHand[key] = now
+	if !r.loading {
 		return
 	}
 	r.loading = false
@@ -289,12 +354,11 @@
 	}
 }
 
-// End gives a placement back and returns its engine and adapter. It returns
-// false for an unknown ticket.
-func (p *Planner) End(number uint64) (bamboorail.TargetID, bamboorail.AdapterKey, bool) {
+// End gives a placement back. It returns false for an unknown ticket.
+func (p *Planner) End(number uint64) (Ended, bool) {
 	t, ok := p.tickets[number]
 	if !ok {
-		return bamboorail.TargetID{}, bamboorail.AdapterKey{}, false
+		return Ended{}, false
 	}
 	delete(p.tickets, number)
 	if e := p.engine(t.id); e != nil {
@@ -303,7 +367,7 @@
 			r.running = max(r.running-1, 0)
 		}
 	}
-	return t.id, t.key, true
+	return Ended{Target: t.id, Key: t.key, Sent: t.sent}, true
 }
 
 // Expire ends placements that were issued before a time and the demand of
@@ -311,7 +375,7 @@
 func (p *Planner) Expire(before, now time.Time) {
 	for number, t := range p.tickets {
 		if t.issued.Before(before) {
-			_, _, _ = p.End(number)
+			_, _ = p.End(number)
 		}
 	}
 	for key, d := range p.demand {
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -234,7 +234,7 @@
 	ordered := time.Now()
 	if err := h.execute(context.WithoutCancel(ctx), p.Orders); err != nil {
 		h.mu.Lock()
-		_, _, _ = h.planner.End(p.Ticket)
+		_, _ = h.planner.End(p.Ticket)
 		h.mu.Unlock()
 		h.Log.Info("load not accepted", "zone", h.Zone, "engine", p.Target.ID.Name, "adapter", r.Key.Adapter, "error", err)
 		return adapters.Placement{}, err
@@ -419,7 +419,7 @@
 		if o.Unload {
 			h.planner.Ordered(o, time.Now())
 		} else {
-			h.planner.Arrived(o.Target, o.Key)
+			h.planner.Arrived(o.Target, o.Key, time.Now())
 		}
 		return true, nil
 	case bamboorail.OrderConflict:
@@ -441,19 +441,22 @@
 	defer h.mu.Unlock()
 	now := time.Now()
 	for _, e := range list {
-		id, key, ok := h.planner.End(e.Ticket)
+		if e.Result == balance.Answered {
+			h.planner.Answered(e.Ticket, now)
+		}
+		c, ok := h.planner.End(e.Ticket)
 		if !ok {
 			continue
 		}
 		switch e.Result {
 		case balance.Answered:
-			h.planner.Arrived(id, key)
+			h.planner.Arrived(c.Target, c.Key, now)
 		case balance.Refused:
-			h.planner.Refused(id, key, now)
+			h.planner.Refused(c, now)
 		case balance.Misdirected:
-			h.planner.Missing(id, key, now)
+			h.planner.Missing(c, now)
 		case balance.Unreachable:
-			h.planner.Suspect(id.Name, now)
+			h.planner.Suspect(c.Target.Name, now)
 		case balance.Failed, balance.Abandoned:
 		}
 	}
