cmd/railstand: go on after SIGHUP

Cause: the stand-ins received SIGTERM and SIGINT only; SIGHUP ended them by its default action, with the answers under way.

Change: railstand takes its signals from cli.Serve, like railentry.

Measured: TestHangupDoesNotEndAStandIn was red (no line "signal=hangup": signal: hangup) and passes.

--- a/cmd/railstand/cmds/commands.go
+++ b/cmd/railstand/cmds/commands.go
@@ -31,11 +31,11 @@
 
 // Main runs the program and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	return cli.Run(New(stderr), args, stdout, stderr)
+	return cli.Serve(func(s *cli.Signals) *urfave.Command { return New(s, stderr) }, args, stdout, stderr)
 }
 
 // New returns the command of railstand.
-func New(stderr io.Writer) *urfave.Command {
+func New(signals *cli.Signals, stderr io.Writer) *urfave.Command {
 	root := &urfave.Command{
 		Name:    "railstand",
 		Usage:   "run a stand-in for an outside system",
@@ -62,7 +62,7 @@
 				if err != nil || c.Bool("check-settings") {
 					return err
 				}
-				return run(ctx, k.name, s, stderr)
+				return run(ctx, k.name, s, signals, stderr)
 			},
 		})
 	}
@@ -76,11 +76,12 @@
 	duty    duty.Func
 }
 
-func run(ctx context.Context, kind string, s settings.Stand, stderr io.Writer) error {
+func run(ctx context.Context, kind string, s settings.Stand, signals *cli.Signals, stderr io.Writer) error {
 	logs, err := logflags.New(stderr, "railstand", s.Log.Level, s.Log.JSON)
 	if err != nil {
 		return err
 	}
+	signals.LogTo(logs.Layer("signals"))
 	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Address)
 	if err != nil {
 		return err
