railentry: a log that nobody reads neither cuts answers nor holds the end

Cause: the default action of SIGPIPE ends a Go process that writes to a standard stream whose reader has gone, with all answers under way. Where the write failed without a signal, the log duty ended with the error, and nobody saw it. And a reader that stands still kept the process from ending: it waited for the last lines.

Change: daemons ignore SIGPIPE (cli.Serve), so that the write fails; the ring drops and counts such a line and goes on, as the reader may come back; at the end the log gets 200 ms.

TestRingOutlivesItsOutput was red (Run returned "broken pipe"). All pass, with the race detector.

--- a/cmd/railentry/cmds/commands.go
+++ b/cmd/railentry/cmds/commands.go
@@ -110,6 +110,10 @@
 	}, err
 }
 
+// logPatience bounds the writing of the last log lines, which an output that
+// nobody reads does not take; the gateway leaves 400 ms for its end.
+const logPatience = 200 * time.Millisecond
+
 func run(ctx context.Context, p program, signals *cli.Signals) error {
 	ring := logflags.NewRing()
 	// The log and the settings are followed until the end of the process, not
@@ -119,7 +123,10 @@
 	written := duty.Start(logging, "log", func(ctx context.Context) error { return ring.Run(ctx, p.out) })
 	defer func() {
 		stopLog()
-		written.Join()
+		joined, release := context.WithTimeout(whole, logPatience)
+		defer release()
+		// A log that nobody reads cannot tell that it was not read.
+		_ = written.JoinWithin(joined)
 	}()
 	logs, err := logflags.New(ring, "railentry", p.log.Level, p.log.JSON)
 	if err != nil {
--- a/internal/cli/signals.go
+++ b/internal/cli/signals.go
@@ -33,6 +33,8 @@
 func receiveSignals(stop context.CancelFunc) *Signals {
 	s := &Signals{arrived: make(chan os.Signal, signalRing), hangups: make(chan struct{}, 1), stop: stop}
 	signal.Notify(s.arrived, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM)
+	// A write to a standard stream that nobody reads fails instead.
+	signal.Ignore(syscall.SIGPIPE)
 	return s
 }
 
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -40,6 +40,16 @@
 	}
 }
 
+// JoinWithin waits for the end of the duty or of ctx, and returns its error.
+func (d *Duty) JoinWithin(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case err := <-d.done:
+		return err
+	}
+}
+
 // Group owns several duties that end together.
 type Group struct {
 	ctx    context.Context
--- a/internal/logflags/ring.go
+++ b/internal/logflags/ring.go
@@ -64,45 +64,49 @@
 	return true
 }
 
-// Run writes the lines to w until ctx ends, and then those that wait.
+// Run writes the lines to w until ctx ends, and then those that wait. A line
+// that w does not take is dropped and counted: its reader may come back.
 func (r *Ring) Run(ctx context.Context, w io.Writer) error {
 	notice := time.NewTicker(dropNotice)
 	defer notice.Stop()
 	for {
 		select {
 		case line := <-r.lines:
-			if _, err := w.Write(line); err != nil {
-				return err
-			}
+			r.put(w, line)
 		case <-notice.C:
-			if err := r.report(w); err != nil {
-				return err
-			}
+			r.report(w)
 		case <-ctx.Done():
-			return r.flush(w)
+			r.flush(w)
+			return nil
 		}
 	}
 }
 
-func (r *Ring) flush(w io.Writer) error {
+func (r *Ring) flush(w io.Writer) {
 	for {
 		select {
 		case line := <-r.lines:
-			if _, err := w.Write(line); err != nil {
-				return err
-			}
+			r.put(w, line)
 		default:
-			return r.report(w)
+			r.report(w)
+			return
 		}
 	}
 }
 
+func (r *Ring) put(w io.Writer, line []byte) {
+	if _, err := w.Write(line); err != nil {
+		r.dropped.Add(1)
+	}
+}
+
 // report writes the number of lines dropped since the last report.
-func (r *Ring) report(w io.Writer) error {
+func (r *Ring) report(w io.Writer) {
 	n := r.dropped.Swap(0)
 	if n == 0 {
-		return nil
+		return
+	}
+	if _, err := fmt.Fprintf(w, `{"@level":"warn","@message":"log lines dropped","count":%d}`+"\n", n); err != nil {
+		r.dropped.Add(n)
 	}
-	_, err := fmt.Fprintf(w, `{"@level":"warn","@message":"log lines dropped","count":%d}`+"\n", n)
-	return err
 }
--- a/internal/logflags/ring_test.go
+++ b/internal/logflags/ring_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -54,3 +55,36 @@
 		t.Error("nothing was dropped")
 	}
 }
+
+// brokenOutput fails until it is mended.
+type brokenOutput struct {
+	bytes.Buffer
+	mended bool
+}
+
+func (b *brokenOutput) Write(p []byte) (int, error) {
+	if !b.mended {
+		return 0, syscall.EPIPE
+	}
+	return b.Buffer.Write(p)
+}
+
+// TestRingOutlivesItsOutput: lines that the output does not take are counted,
+// and those after them are written.
+func TestRingOutlivesItsOutput(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	r, out := NewRing(), &brokenOutput{}
+	for _, line := range []string{"lost\n", "kept\n"} {
+		if _, err := r.Write([]byte(line)); err != nil {
+			t.Fatal(err)
+		}
+		if err := r.Run(ctx, out); err != nil {
+			t.Error(err)
+		}
+		out.mended = true
+	}
+	if text := out.String(); !strings.HasPrefix(text, "kept\n") || !strings.Contains(text, `"count":1}`) {
+		t.Errorf("output %q", text)
+	}
+}
