lease: a leaving holder claims nothing any more

Cause: Release told the elector nothing. A release that met a renewal under way, or a store that did not answer, was lost as well: it was tried once, at the start of the shutdown.

Change: Release is for good: the elector reads the leases on, which chooser and mirror of the leaving instance need to find the next holder, and claims none; a claim that was under way is given back. A release that the store has not taken is sent again at each renewal tick until the instance has ended. The lease as known here is released at once.

TestOneHolderAtATime and the others of the package pass with the race detector.

--- a/internal/lease/elector.go
+++ b/internal/lease/elector.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -62,6 +63,8 @@
 	clock      Clock
 	log        hclog.Logger
 	wake       chan struct{}
+	// leaving is set once all leases are given up for good.
+	leaving atomic.Bool
 }
 
 type candidate struct {
@@ -101,9 +104,13 @@
 	return g.Wait()
 }
 
-// renew extends the leases that are held and due.
+// renew extends the leases that are held and due, and records releases that
+// the store has not taken yet.
 func (e *Elector) renew(ctx context.Context) {
 	for _, c := range e.candidates {
+		if c.Lease.owesRelease() {
+			e.release(ctx, c)
+		}
 		if !c.Lease.Leading() || e.clock()-c.renewed < e.timing.Renew {
 			continue
 		}
@@ -144,7 +151,8 @@
 	}
 }
 
-// look reads all leases and claims those that are free.
+// look reads all leases and claims those that are free. A leaving instance only
+// reads, as its own calls need the holder.
 func (e *Elector) look(ctx context.Context) {
 	objects, err := e.store.ListStale(ctx, e.kind)
 	if err != nil {
@@ -156,6 +164,9 @@
 			c.Lease.Observe(o)
 		}
 	}
+	if e.leaving.Load() {
+		return
+	}
 	for _, c := range e.candidates {
 		e.yield(ctx, c)
 		if !c.Lease.Claimable() {
@@ -172,9 +183,21 @@
 		if err := duty.Sleep(ctx, rand.N(claimSpread)); err != nil {
 			return
 		}
-		if err := c.Lease.Claim(ctx); err != nil {
-			e.log.Debug("lease not taken", "key", c.Lease.key, "error", err)
-		}
+		e.claim(ctx, c)
+	}
+}
+
+// claim takes a lease, unless the instance began to leave meanwhile.
+func (e *Elector) claim(ctx context.Context, c *candidate) {
+	if e.leaving.Load() {
+		return
+	}
+	if err := c.Lease.Claim(ctx); err != nil {
+		e.log.Debug("lease not taken", "key", c.Lease.key, "error", err)
+		return
+	}
+	if e.leaving.Load() {
+		e.release(ctx, c)
 	}
 }
 
@@ -185,16 +208,20 @@
 	}
 	c.yielded = e.clock()
 	e.log.Info("lease given back to its zone", "key", c.Lease.key)
-	if err := c.Lease.Release(ctx); err != nil {
-		e.log.Warn("lease not released", "key", c.Lease.key, "error", err)
-	}
+	e.release(ctx, c)
 }
 
-// Release gives up the leases that are held.
+// Release gives up the leases that are held; none is claimed afterwards. While
+// Run goes on, it records what the store does not take now.
 func (e *Elector) Release(ctx context.Context) {
+	e.leaving.Store(true)
 	for _, c := range e.candidates {
-		if err := c.Lease.Release(ctx); err != nil {
-			e.log.Warn("lease not released", "key", c.Lease.key, "error", err)
-		}
+		e.release(ctx, c)
+	}
+}
+
+func (e *Elector) release(ctx context.Context, c *candidate) {
+	if err := c.Lease.Release(ctx); err != nil {
+		e.log.Warn("lease not released", "key", c.Lease.key, "error", err)
 	}
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -62,6 +62,9 @@
 	fencing  uint64
 	actFrom  time.Duration
 	actUntil time.Duration
+	// owed is set while the end of a tenure is not recorded yet; acted tells
+	// whether this instance could act in it.
+	owed, acted bool
 	// askedSince and askedLast are the first and the last of the questions by
 	// instances of the lease's own zone that followed each other closely.
 	askedSince, askedLast time.Duration
@@ -169,6 +172,9 @@
 		l.log.Info("lease lost", "key", l.key, "to", r.Holder, "revision", o.Version)
 		l.held = false
 	}
+	if r.Released || r.Holder != l.self || r.Address != l.address {
+		l.owed = false
+	}
 	l.seen, l.revision, l.unchangedSince = r, o.Version, l.clock()
 }
 
@@ -214,7 +220,7 @@
 	defer l.mu.Unlock()
 	now := l.clock()
 	l.seen, l.revision, l.unchangedSince = next, won, now
-	l.held, l.fencing, l.actUntil = true, won, sent+l.timing.Term
+	l.held, l.owed, l.fencing, l.actUntil = true, false, won, sent+l.timing.Term
 	l.actFrom = l.firstAct(previous, since, now, revision)
 	l.log.Info("lease taken", "key", l.key, "from", previous.Holder, "fencing", won, "acts-in", (l.actFrom - now).String())
 	return nil
@@ -259,19 +265,38 @@
 	return nil
 }
 
-// Release gives an own tenure up; this instance does not act afterwards.
+// Release gives an own tenure up; this instance does not act afterwards. After
+// an error the release is still owed.
 func (l *Lease) Release(ctx context.Context) error {
 	l.mu.Lock()
-	held, next, revision := l.held, l.seen, l.revision
-	next.Acting = next.Acting || l.clock() >= l.actFrom
-	l.held = false
+	if l.held {
+		l.held, l.owed, l.acted = false, true, l.seen.Acting || l.clock() >= l.actFrom
+	}
+	owed, next, revision := l.owed, l.seen, l.revision
+	next.Acting, next.Released = l.acted, true
 	l.mu.Unlock()
-	if !held {
+	if !owed {
+		return nil
+	}
+	won, err := l.write(ctx, next, revision)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case !l.owed:
+		// The store has the release, or another holder, by now.
 		return nil
+	case err != nil:
+		return err
 	}
-	next.Released = true
-	_, err := l.write(ctx, next, revision)
-	return err
+	l.owed, l.seen, l.revision, l.unchangedSince = false, next, won, l.clock()
+	return nil
+}
+
+// owesRelease reports whether a release is not recorded yet.
+func (l *Lease) owesRelease() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.owed
 }
 
 // write stores a record and takes in the object of a conflicting writer.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -283,3 +283,103 @@
 		running.Join()
 	})
 }
+
+// TestAReleasedLeaseGoesToAnother: an elector that was told to release claims
+// nothing any more, whatever became of the release at first, and another
+// instance of the zone takes the lease.
+func TestAReleasedLeaseGoesToAnother(t *testing.T) {
+	const (
+		writeTime = 50 * time.Millisecond
+		outage    = 2 * time.Second
+		// looks is the longest time until the other instance has seen the
+		// release, by its polls, and has claimed.
+		looks = 3*pollInterval/2 + claimSpread + 2*writeTime
+		asked = 2*claimSpread + 3*writeTime
+	)
+	cases := map[string]struct {
+		prepare func(s *memory.Store, l *Lease)
+		// asks is set if calls of the other instance ask the former holder.
+		asks  bool
+		bound time.Duration
+	}{
+		"nobody asks": {bound: looks},
+		"calls ask":   {asks: true, bound: asked},
+		"renewal under way": {prepare: func(_ *memory.Store, l *Lease) {
+			go func() { _ = l.Renew(context.Background()) }()
+			time.Sleep(writeTime / 5)
+		}, bound: looks + renewRetry + writeTime},
+		"answer to the release is lost": {prepare: func(s *memory.Store, _ *Lease) {
+			lost := false
+			s.SetHook(func(op, _ string) error {
+				if op != "put-object" || lost {
+					return nil
+				}
+				lost = true
+				return memory.ErrLostAnswer
+			})
+		}, bound: looks + renewRetry},
+		"store is away": {prepare: func(s *memory.Store, _ *Lease) {
+			back := time.Now().Add(outage)
+			s.SetHook(func(string, string) error {
+				if time.Now().Before(back) {
+					return errors.New("away")
+				}
+				return nil
+			})
+		}, bound: outage + renewRetry + looks},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				store := memory.NewStore()
+				store.SetHook(func(op, _ string) error {
+					if op == "put-object" {
+						time.Sleep(writeTime)
+					}
+					return nil
+				})
+				start := time.Now()
+				clock := func() time.Duration { return time.Second + time.Since(start) }
+				join := func(name string) (*Lease, *Elector, *duty.Duty) {
+					l := New(Config{Key: key, Holder: name, Address: name + ":1", Timing: timing, Store: store, Clock: clock, Log: hclog.NewNullLogger()})
+					e := NewElector("leases", listing{store}, []Candidate{{Lease: l}}, timing, clock, hclog.NewNullLogger())
+					return l, e, duty.Start(ctx, name, e.Run)
+				}
+				holder, leaving, first := join("holder")
+				time.Sleep(10 * time.Second)
+				other, elector, second := join("other")
+				time.Sleep(10 * time.Second)
+				if c.prepare != nil {
+					c.prepare(store, holder)
+				}
+				released := time.Now()
+				leaving.Release(ctx)
+				var taken time.Duration
+				for time.Since(released) < time.Minute {
+					// Calls of the former holder ask for a look as well.
+					leaving.Look()
+					if c.asks {
+						elector.Look()
+					}
+					time.Sleep(10 * time.Millisecond)
+					if holder.Leading() {
+						t.Fatalf("the former holder leads again after %v", time.Since(released))
+					}
+					if taken == 0 && other.Leading() {
+						taken = time.Since(released)
+					}
+				}
+				if taken == 0 || taken > c.bound {
+					t.Errorf("the other instance took the lease after %v, want %v", taken, c.bound)
+				}
+				if name, _ := holder.Holder(); name != "other" {
+					t.Errorf("the former holder knows %q as the holder", name)
+				}
+				cancel()
+				first.Join()
+				second.Join()
+			})
+		})
+	}
+}
