--- a/cmd/railctl/cmds/change.go
+++ b/cmd/railctl/cmds/change.go
@@ -15,6 +15,7 @@
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/cli"
+	"bamboorail.example/bamboorail/internal/duty"
 	"bamboorail.example/bamboorail/pkg/operatorapi"
 	"bamboorail.example/bamboorail/pkg/record"
 )
@@ -53,7 +54,7 @@
 
 // apply commits the records of a file as one change.
 func (a *app) apply(ctx context.Context, c *urfave.Command) error {
-	records, err := a.readRecords(c.String("file"))
+	records, err := a.readRecords(ctx, c.String("file"))
 	if err != nil {
 		return err
 	}
@@ -61,8 +62,11 @@
 }
 
 // readRecords reads a JSON record, an array of them, or several in a row.
-func (a *app) readRecords(path string) ([]json.RawMessage, error) {
-	data, err := a.readFile(path)
+func (a *app) readRecords(ctx context.Context, path string) ([]json.RawMessage, error) {
+	data, err := a.readFile(ctx, path)
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
 	if err != nil {
 		return nil, cli.Usagef("%v", err)
 	}
@@ -86,11 +90,22 @@
 	}
 }
 
-func (a *app) readFile(path string) ([]byte, error) {
-	if path == "-" {
-		return io.ReadAll(a.stdin)
+// readFile returns the content of a file, or of the standard input. A read of
+// that cannot be broken off: it is left alone when ctx ends.
+func (a *app) readFile(ctx context.Context, path string) ([]byte, error) {
+	if path != "-" {
+		return os.ReadFile(path)
+	}
+	var data []byte
+	reading := duty.Start(ctx, "standard input", func(context.Context) error {
+		var err error
+		data, err = io.ReadAll(a.stdin)
+		return err
+	})
+	if err := reading.JoinWithin(ctx); err != nil {
+		return nil, err
 	}
-	return os.ReadFile(path)
+	return data, nil
 }
 
 // checkRecords reports every faulty record of a file, so that nothing of it
