gateway, service: a drain shorter than its notice ends as told

Cause: the shutdown was broken off if the drain timeout passed while the balancer was still told: exit code 1, the session not withdrawn, the leases not released.

Change: it goes on with the steps that are left, which have their own bounds, with a line.

Measured: TestADrainShorterThanItsNotice was red in both ways of running (exit status 1, no "instance left") and passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -344,7 +344,7 @@
 	draining, cancel := context.WithTimeout(ctx, timeout-exitMargin)
 	defer cancel()
 	if err := duty.Sleep(draining, balancerNotice); err != nil {
-		return err
+		g.log.Warn("drain timeout is shorter than the notice to the balancer", "notice", balancerNotice.String())
 	}
 	if err := g.ports.caller.Drain(draining); err != nil {
 		g.log.Warn("calls still run at the drain timeout", "error", err)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -183,7 +183,7 @@
 	}
 	i.beats.now()
 	if err := duty.Sleep(ctx, i.settings.ReadinessDelay); err != nil {
-		return err
+		i.log.Warn("drain timeout is shorter than the readiness delay", "readiness-delay", i.settings.ReadinessDelay.String())
 	}
 	if err := i.manager.Leave(ctx); err != nil {
 		i.log.Error("requests still run at the drain timeout", "error", err)
