--- a/internal/lease/elector.go
+++ b/internal/lease/elector.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -62,6 +63,8 @@
 	clock      Clock
 	log        hclog.Logger
 	wake       chan struct{}
+	// leaving is set once no lease is claimed any more.
+	leaving atomic.Bool
 }
 
 type candidate struct {
@@ -101,9 +104,13 @@
 	return g.Wait()
 }
 
-// renew extends the leases that are held and due.
+// renew extends the leases that are held and due, and records releases that
+// the store has not taken yet.
 func (e *Elector) renew(ctx context.Context) {
 	for _, c := range e.candidates {
+		if c.Lease.owesRelease() {
+			e.release(ctx, c)
+		}
 		if !c.Lease.Leading() || e.clock()-c.renewed < e.timing.Renew {
 			continue
 		}
@@ -172,9 +179,23 @@
 		if err := duty.Sleep(ctx, rand.N(claimSpread)); err != nil {
 			return
 		}
-		if err := c.Lease.Claim(ctx); err != nil {
-			e.log.Debug("lease not taken", "key", c.Lease.key, "error", err)
-		}
+		e.claim(ctx, c)
+	}
+}
+
+// claim takes a lease, unless the instance leaves or began to meanwhile. The
+// calls of a leaving instance still need the looks, to find the next holder.
+func (e *Elector) claim(ctx context.Context, c *candidate) {
+	if e.leaving.Load() {
+		return
+	}
+	if err := c.Lease.Claim(ctx); err != nil {
+		e.log.Debug("lease not taken", "key", c.Lease.key, "error", err)
+		return
+	}
+	if e.leaving.Load() {
+		// Release may have passed this lease already.
+		e.release(ctx, c)
 	}
 }
 
@@ -185,16 +206,23 @@
 	}
 	c.yielded = e.clock()
 	e.log.Info("lease given back to its zone", "key", c.Lease.key)
-	if err := c.Lease.Release(ctx); err != nil {
-		e.log.Warn("lease not released", "key", c.Lease.key, "error", err)
-	}
+	e.release(ctx, c)
 }
 
-// Release gives up the leases that are held.
+// Leave keeps the leases that are held and claims no other any more.
+func (e *Elector) Leave() { e.leaving.Store(true) }
+
+// Release gives up the leases that are held; none is claimed afterwards. While
+// Run goes on, it records what the store does not take now.
 func (e *Elector) Release(ctx context.Context) {
+	e.Leave()
 	for _, c := range e.candidates {
-		if err := c.Lease.Release(ctx); err != nil {
-			e.log.Warn("lease not released", "key", c.Lease.key, "error", err)
-		}
+		e.release(ctx, c)
+	}
+}
+
+func (e *Elector) release(ctx context.Context, c *candidate) {
+	if err := c.Lease.Release(ctx); err != nil {
+		e.log.Warn("lease not released", "key", c.Lease.key, "error", err)
 	}
 }
