placer: no adapter version is chosen before the releases were read

Cause: an instance that had just started took "no release read yet" for "no release": a call asked for any version, and if the holder had started too, an engine with a replaced version got it. Readiness asks for a configuration only, and the platform sends connections to instances that are not ready if most of a zone are not. Class: what a process has not read since its start counts as not there.

Change: the fleet knows whether the releases were listed. A call for an adapter waits for that as for an engine, at most until the time by which it must start, and is refused as not run then. Calls for base models and plain services do not wait. The bed of the chooser's tests lists the releases, as an instance does.

Red before (go test ./internal/placer -run TestNoVersion):

releases_test.go:118: placed on version 1

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,6 +17,7 @@
 	mu       sync.RWMutex
 	targets  map[string]*known
 	releases map[bamboorail.AdapterKey]bamboorail.ReleaseHistory
+	listed   bool
 	changed  chan struct{}
 }
 
@@ -167,6 +168,21 @@
 	f.notify()
 }
 
+// ReleasesListed takes in that all releases were read.
+func (f *Fleet) ReleasesListed() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = true
+}
+
+// KnowsReleases reports whether the releases were read. Before that, an adapter
+// without a known release may have some.
+func (f *Fleet) KnowsReleases() bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.listed
+}
+
 // Releases returns the known releases of an adapter.
 func (f *Fleet) Releases(key bamboorail.AdapterKey) bamboorail.ReleaseHistory {
 	f.mu.RLock()
--- a/internal/gateway/records_test.go
+++ b/internal/gateway/records_test.go
@@ -77,6 +77,21 @@
 	}
 }
 
+// TestReleasesAreKnownOnceListed: a change that is heard says nothing of the
+// other adapters.
+func TestReleasesAreKnownOnceListed(t *testing.T) {
+	g := bare()
+	h := &releaseHandler{g}
+	h.Update(object("r/a", "2"))
+	if g.fleet.KnowsReleases() {
+		t.Error("known after one change")
+	}
+	h.Replace(nil, false)
+	if !g.fleet.KnowsReleases() {
+		t.Error("not known after a list, which was empty")
+	}
+}
+
 func TestConfigurationsNeverGoBack(t *testing.T) {
 	g := bare()
 	h := &configurationHandler{g}
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -113,6 +113,9 @@
 }
 
 func (c *Chooser) chooseEngine(ctx context.Context, a relay.Ask) (relay.Place, error) {
+	if a.Call.Key.Adapter != "" && !c.Fleet.KnowsReleases() {
+		return relay.Place{}, failRetry("choose-engine", bamboorail.KindOverloaded, noPlaceRetry, errNoReleases)
+	}
 	var failure error
 	a.Avoid = c.avoid(a)
 	for _, q := range c.questions(a.Call.Key) {
--- a/internal/placer/chooser_test.go
+++ b/internal/placer/chooser_test.go
@@ -60,6 +60,7 @@
 		zones = append(zones, ZoneHolder{Zone: name, Lease: l})
 	}
 	f := fleet.New(time.Second)
+	f.ReleasesListed()
 	f.Update(bamboorail.TargetEntry{ID: bamboorail.TargetID{Name: "e"}, Service: "s", Zone: "c"})
 	peers := &holders{replies: map[string]*wire.PlaceReply{}}
 	c := NewChooser(ChooserConfig{
--- a/internal/placer/errors.go
+++ b/internal/placer/errors.go
@@ -23,6 +23,7 @@
 	errNoPlace    = errors.New("no engine can take the call now")
 	errNoEngine   = errors.New("no engine is known")
 	errNoHolder   = errors.New("no holder of the zone is known")
+	errNoReleases = errors.New("the releases of adapters are not known yet")
 	errTenure     = errors.New("the lease does not allow orders now")
 	errDoubt      = errors.New("the state of the engine is in doubt")
 	errVictimBusy = errors.New("the evicted adapter still serves")
--- a/internal/placer/releases_test.go
+++ b/internal/placer/releases_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/adapters"
+	"bamboorail.example/bamboorail/internal/duty"
 	"bamboorail.example/bamboorail/internal/fleet"
 	"bamboorail.example/bamboorail/internal/peer/wire"
 )
@@ -97,3 +99,42 @@
 		})
 	}
 }
+
+// TestNoVersionIsChosenBeforeTheReleasesAreKnown: an instance that has just
+// started and has not read the releases must not take that for there being none.
+func TestNoVersionIsChosenBeforeTheReleasesAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		chooser, peers, ask := site(t)
+		fresh := fleet.New(time.Second)
+		fresh.Update(bamboorail.TargetEntry{
+			ID: bamboorail.TargetID{Name: "e"}, Service: "s", Zone: "c", Models: map[string]map[string]int{"m": {ask.Call.Key.Adapter: 1}},
+		})
+		chooser.Fleet = fresh
+		// The holder has just started too.
+		peers.replies["a"] = &wire.PlaceReply{Holder: true, Target: "e", Version: 1}
+		ask.StartBy = time.Now().Add(time.Second)
+		place, err := chooser.Choose(t.Context(), ask)
+		if err == nil {
+			t.Fatalf("placed on version %d", place.Version)
+		}
+		if !bamboorail.NotRun(err) {
+			t.Error("a call without a place may have run")
+		}
+		listed := duty.Start(t.Context(), "list", func(ctx context.Context) error {
+			err := duty.Sleep(ctx, 300*time.Millisecond)
+			fresh.ReleasesListed()
+			return err
+		})
+		ask.StartBy = time.Now().Add(time.Second)
+		if _, err := chooser.Choose(t.Context(), ask); err != nil {
+			t.Errorf("a call that could wait for the releases: %v", err)
+		}
+		listed.Join()
+		base := ask
+		base.Call = &bamboorail.Call{ID: "b", Key: bamboorail.AdapterKey{Model: "m"}}
+		chooser.Fleet = fleet.New(time.Second)
+		if _, err := chooser.Choose(t.Context(), base); err != nil {
+			t.Errorf("a call for a base model, which has no releases: %v", err)
+		}
+	})
+}
