informer: a list that a full store refuses wakes no other informer

Cause: an informer whose list failed once and then succeeded took the store for regained and had the others list again, also if the store had only turned the call away. Each of their lists could be refused once, and woke the first one again.

Change: only a call without an answer has the others list again. What a list tells its handler is unchanged.

Red before (go test ./internal/informer -run TestARefused):

targets/ was listed 171 times in 10 s releases/ was listed 182 times in 10 s config/ was listed 177 times in 10 s

--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -81,31 +81,54 @@
 
 // Run follows the kind until ctx ends.
 func (i *Informer) Run(ctx context.Context) error {
-	outage := false
+	seen := present
 	for {
-		revision, err := i.list(ctx, outage)
+		revision, err := i.list(ctx, seen)
 		if err != nil {
 			return err
 		}
-		if outage, err = i.watch(ctx, revision); err != nil {
+		if seen, err = i.watch(ctx, revision); err != nil {
 			return err
 		}
 	}
 }
 
+// presence is how the store answered the last calls.
+type presence int
+
+const (
+	// present means that it answered.
+	present presence = iota
+	// full means that it turned calls away. It answers the watches that wait.
+	full
+	// away means that it did not answer. The watches that waited at its loss may
+	// never be answered.
+	away
+)
+
+// after returns the presence after one more call that failed.
+func (p presence) after(err error) presence {
+	if bamboorail.KindOf(err) == bamboorail.KindOverloaded {
+		return max(p, full)
+	}
+	return away
+}
+
 // list reads the whole kind, however long the store is away.
-func (i *Informer) list(ctx context.Context, outage bool) (uint64, error) {
+func (i *Informer) list(ctx context.Context, seen presence) (uint64, error) {
 	for attempt := 0; ; attempt++ {
 		objects, revision, err := i.Store.List(ctx, i.Kind)
 		if err == nil {
-			if outage || attempt > 0 {
-				// The watches that waited at its loss may never be answered.
+			if seen == away {
 				i.Gap.found()
+			}
+			if seen != present {
 				i.Log.Info("store regained", "kind", i.Kind, "revision", revision, "objects", len(objects))
 			}
-			i.Handler.Replace(objects, outage || attempt > 0)
+			i.Handler.Replace(objects, seen != present)
 			return revision, nil
 		}
+		seen = seen.after(err)
 		if attempt == 0 {
 			i.Log.Warn("store lost", "kind", i.Kind, "error", err)
 		}
@@ -115,32 +138,33 @@
 	}
 }
 
-// watch follows changes until the history is gone or the store is away for
-// two calls. It reports whether the store was away.
-func (i *Informer) watch(ctx context.Context, revision uint64) (bool, error) {
-	failures := 0
+// watch follows changes until the history is gone or two calls in a row fail.
+// It returns how the store was seen then.
+func (i *Informer) watch(ctx context.Context, revision uint64) (presence, error) {
+	failures, seen := 0, present
 	for ctx.Err() == nil {
 		events, gap, err := i.wait(ctx, revision)
 		switch {
 		case gap:
-			return false, nil
+			return present, nil
 		case err != nil:
 			failures++
+			seen = seen.after(err)
 			i.Log.Debug("watch failed", "kind", i.Kind, "revision", revision, "error", err)
 			if err := duty.Sleep(ctx, retry.Backoff(failures, firstBackoff, lastBackoff)); err != nil {
-				return false, err
+				return seen, err
 			}
 			if failures > 1 {
-				return true, nil
+				return seen, nil
 			}
 			continue
 		case events.Reset:
 			// The list that follows is complete: what it lacks is gone.
 			i.Log.Info("history of the store is gone", "kind", i.Kind, "revision", revision)
 			i.Gap.found()
-			return false, nil
+			return present, nil
 		}
-		failures = 0
+		failures, seen = 0, present
 		for _, o := range events.Objects {
 			i.Handler.Update(o)
 		}
@@ -151,11 +175,11 @@
 				pace = min(pace, mirroredPace)
 			}
 			if err := duty.Sleep(ctx, pace); err != nil {
-				return false, err
+				return seen, err
 			}
 		}
 	}
-	return false, ctx.Err()
+	return seen, ctx.Err()
 }
 
 // wait makes one watch call. It reports true if another informer found a gap
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -156,3 +158,55 @@
 		t.Error("the quiet kind was not listed again")
 	}
 }
+
+// fullStore turns every other list of a kind away; its watches wait.
+type fullStore struct {
+	*memory.Store
+	mu    sync.Mutex
+	lists map[string]int
+}
+
+type refusal struct{ bamboorail.Failure }
+
+func (s *fullStore) List(ctx context.Context, kind string) ([]bamboorail.Object, uint64, error) {
+	s.mu.Lock()
+	s.lists[kind]++
+	refused := s.lists[kind]%2 == 1
+	s.mu.Unlock()
+	if refused {
+		return nil, 0, &refusal{bamboorail.Failure{Op: "list", Kind: bamboorail.KindOverloaded}}
+	}
+	return s.Store.List(ctx, kind)
+}
+
+// TestARefusedListWakesNobody: a store that turns some calls away answers the
+// watches that wait. If each list that is refused once wakes the others, their
+// refused lists wake the first one again. Found by a trial on the coupons: an
+// instance listed 60 times a second.
+func TestARefusedListWakesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, gap := &fullStore{Store: memory.NewStore(), lists: map[string]int{}}, NewGap()
+		for _, kind := range []string{"config/", "targets/", "releases/"} {
+			r := start(t, store, kind, gap)
+			read := duty.Start(t.Context(), "read", func(ctx context.Context) error {
+				for {
+					select {
+					case <-r.replaced:
+					case <-ctx.Done():
+						return ctx.Err()
+					}
+				}
+			})
+			t.Cleanup(read.Join)
+		}
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		for kind, n := range store.lists {
+			if n > 2 {
+				t.Errorf("%s was listed %d times in 10 s", kind, n)
+			}
+		}
+	})
+}
