membership: a heartbeat confirms the states that it leaves out

Cause: heartbeats carry only the states that changed, and a state kept the time of its last change. Routers count the requests that they sent since a state was announced as waiting at the target; for a target whose state stays the same they counted all since its last change. Class: an age counted from the last change in place of the last confirmation.

Change: what a heartbeat leaves out, and the peer still owns, holds as of the heartbeat.

Red before (go test ./internal/membership):

announced at 2026-01-01 00:00:00, want 2026-01-01 00:00:02

After: green with the race detector, with internal/entry and internal/service.

--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -186,7 +186,7 @@
 	for _, t := range state.GetTargets() {
 		m.targets[t.GetTarget()] = d.targetOf(m.session, t, now)
 	}
-	m.retain(state.GetOwned())
+	m.confirm(state.GetOwned(), now)
 	return !known && !state.GetFull()
 }
 
@@ -197,12 +197,16 @@
 	}
 }
 
-// retain drops the targets that the peer no longer owns.
-func (m *member) retain(owned []string) {
-	for name := range m.targets {
+// confirm drops the targets that the peer no longer owns. The states of the
+// others, if left out, have not changed.
+func (m *member) confirm(owned []string, now time.Time) {
+	for name, t := range m.targets {
 		if !slices.Contains(owned, name) {
 			delete(m.targets, name)
+			continue
 		}
+		t.At = now
+		m.targets[name] = t
 	}
 }
 
--- a/internal/membership/directory_test.go
+++ b/internal/membership/directory_test.go
@@ -88,3 +88,25 @@
 		})
 	}
 }
+
+// TestAHeartbeatConfirmsWhatItLeavesOut: heartbeats carry only states that
+// changed. A state that is left out holds as of the heartbeat, not as of its
+// last change, or routers count all requests since then as waiting.
+func TestAHeartbeatConfirmsWhatItLeavesOut(t *testing.T) {
+	d := membership.NewDirectory(session("self", "a1", "z"))
+	beat := func(full bool, owned []string, changed ...*wire.TargetState) *wire.InstanceState {
+		return &wire.InstanceState{Session: "other", Instance: "b1", Zone: "z", Region: "r", Peer: "b1:1", Full: full, Owned: owned, Targets: changed}
+	}
+	first := &wire.TargetState{Target: "e1", Term: 3, Running: 2}
+	d.Heard(beat(true, []string{"e1", "e2"}, first, &wire.TargetState{Target: "e2", Term: 1}), start)
+	now := start.Add(2 * time.Second)
+	d.Heard(beat(false, []string{"e1"}), now)
+	targets := d.Targets(now)
+	got := targets[membership.TargetKey{Zone: "z", Name: "e1"}]
+	if !got.At.Equal(now) || got.State.GetRunning() != 2 || got.Term != 3 {
+		t.Errorf("announced at %v, want %v: %+v", got.At, now, got)
+	}
+	if _, ok := targets[membership.TargetKey{Zone: "z", Name: "e2"}]; ok {
+		t.Error("a target that is no longer owned is kept")
+	}
+}
