mirror: an answer of the store for one kind vouches for no other

Cause: the holder passed a kind on as fresh if the store had answered anything within 1.5 s. Where the store lost or refused its calls for one kind, as one that turns many of a machine's calls away may, its followers in touch kept an old configuration or old releases and did not ask the store themselves. Class: knowledge of one kind counts as fresh by the answers for another.

Change: besides, the store must have told of the kind within 2.5 s; a watch of each kind ends within a second, and the next one follows a change by a second.

Red before (go test ./internal/mirror):

mirror_test.go:207: 0 calls of the store for a kind that the holder has not heard of for 3 s

--- a/internal/mirror/cache.go
+++ b/internal/mirror/cache.go
@@ -16,8 +16,11 @@
 	// keptEvents is the number of changes of a kind that a peer may lag behind.
 	keptEvents = 2048
 	// freshness is the time after the last answer of the store in which the
-	// cache may be passed on; a watch of targets answers once a second.
+	// cache may be passed on; a watch of each kind answers once a second.
 	freshness = 1500 * time.Millisecond
+	// kindFreshness is the same for the last answer about a kind, whose next
+	// watch may be sent a second after a change.
+	kindFreshness = 2500 * time.Millisecond
 )
 
 // cache holds what an instance read of the store.
@@ -36,6 +39,7 @@
 	since    uint64
 	events   []bamboorail.Object
 	changed  chan struct{}
+	contact  time.Time
 }
 
 func newCache() *cache { return &cache{kinds: map[string]*kindCache{}, now: time.Now} }
@@ -49,6 +53,15 @@
 	return k
 }
 
+// heard returns a kind of which the store has just told. The caller holds the
+// lock.
+func (c *cache) heard(name string) *kindCache {
+	k := c.kind(name)
+	c.contact = c.now()
+	k.contact = c.contact
+	return k
+}
+
 // notify wakes the peers that wait. The caller holds the lock.
 func (k *kindCache) notify() {
 	close(k.changed)
@@ -59,8 +72,7 @@
 func (c *cache) list(name string, objects []bamboorail.Object, revision uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.contact = c.now()
-	k := c.kind(name)
+	k := c.heard(name)
 	k.objects = make(map[string]bamboorail.Object, len(objects))
 	for _, o := range objects {
 		k.objects[o.Key] = o
@@ -73,8 +85,7 @@
 func (c *cache) apply(name string, e bamboorail.Events) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.contact = c.now()
-	k := c.kind(name)
+	k := c.heard(name)
 	if e.Reset || k.objects == nil {
 		// The objects are listed again.
 		k.objects = nil
@@ -112,7 +123,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.kind(name)
-	if k.objects == nil || c.now().Sub(c.contact) > freshness {
+	now := c.now()
+	if k.objects == nil || now.Sub(c.contact) > freshness || now.Sub(k.contact) > kindFreshness {
 		return answer{}, k.changed
 	}
 	a := answer{fresh: true, events: bamboorail.Events{Revision: k.revision}}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -186,3 +186,24 @@
 		t.Errorf("%d calls of the busy store", follower.asked)
 	}
 }
+
+// TestAnAnswerForOneKindVouchesForNoOther: the store may turn the holder's
+// watches of one kind away, or lose them, while it answers those of another.
+func TestAnAnswerForOneKindVouchesForNoOther(t *testing.T) {
+	holder, follower := pair(t)
+	now := time.Now()
+	holder.cache.now = func() time.Time { return now }
+	revision := holder.read(t)
+	holder.cache.list("busy", nil, revision)
+	for range 6 {
+		now = now.Add(500 * time.Millisecond)
+		holder.cache.apply("busy", bamboorail.Events{Revision: revision})
+	}
+	if _, _, err := follower.List(context.Background(), "busy/"); err != nil || follower.asked != 0 {
+		t.Fatalf("%v, after %d calls of the store for a kind that the holder follows", err, follower.asked)
+	}
+	follower.read(t)
+	if follower.asked != 1 {
+		t.Errorf("%d calls of the store for a kind that the holder has not heard of for 3 s", follower.asked)
+	}
+}
