internal/adapters: one slow fetch does not change what all are expected to take

Half of the excess of each late fetch was added, and one behind a silent engine or a lost order has an excess of seconds; 150 fetches on time made up for 30% of it. Fetches then counted as under way for half as long again, so that a zone started fewer than the weight store carries.

Change: a late fetch adds at most 5% of the expected time, which 25 on time make up for; a lasting change of pace is followed as before.

--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -296,9 +296,12 @@
 
 const (
 	// earlyFactor shortens the expected time of a fetch with each one that was
-	// on time; lateShare of the excess of a late one is added.
+	// on time; lateShare of the excess of a late one is added, at most lateStep
+	// of the expected time, which 25 fetches on time make up for: one that met
+	// a silent engine says nothing of the others.
 	earlyFactor = 0.998
 	lateShare   = 0.5
+	lateStep    = 0.05
 	// lateLimit times the expected time is the longest wait for a load.
 	lateLimit = 4
 	// latePart of the time since its start is added to a load that is late.
@@ -348,7 +351,8 @@
 	switch {
 	case !r.fetch:
 	case r.late:
-		p.fetchTime += time.Duration(lateShare * float64(r.readyAt.Sub(r.started)-p.fetchTime))
+		excess := r.readyAt.Sub(r.started) - p.fetchTime
+		p.fetchTime += time.Duration(min(lateShare*float64(excess), lateStep*float64(p.fetchTime)))
 	default:
 		p.fetchTime = max(time.Duration(float64(p.fetchTime)*earlyFactor), p.tuning.FetchTime/4)
 	}
--- a/internal/adapters/planner_test.go
+++ b/internal/adapters/planner_test.go
@@ -413,6 +413,56 @@
 	}
 }
 
+// TestTheExpectedTimeOfAFetch follows what most fetches take, whatever the few
+// take whose engine was silent for a while.
+func TestTheExpectedTimeOfAFetch(t *testing.T) {
+	const usual, silent, fetches = 290 * time.Millisecond, 900 * time.Millisecond, 400
+	cases := map[string]struct {
+		silentEach int // one of so many fetches
+		took       time.Duration
+	}{
+		"all alike":           {fetches + 1, usual},
+		"one in fifty silent": {50, usual},
+		"all slow":            {fetches + 1, 2 * usual},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := planner(4, 400)
+			now := start
+			for n := range fetches {
+				took := c.took
+				if n%c.silentEach == c.silentEach-1 {
+					took = silent
+				}
+				fetchFor(p, ask(n), now, took)
+				now = now.Add(2 * time.Second)
+			}
+			if p.fetchTime < c.took*8/10 || p.fetchTime > c.took*12/10 {
+				t.Errorf("fetches of %v are expected to take %v", c.took, p.fetchTime)
+			}
+		})
+	}
+}
+
+// fetchFor has a call refused until its adapter is there, and then run.
+func fetchFor(p *Planner, r Request, now time.Time, took time.Duration) {
+	loaded := now.Add(took)
+	for {
+		got, ok := p.Place(r, now)
+		if !ok {
+			return
+		}
+		accept(p, got.Orders, now)
+		now = latest(now, got.ReadyAt)
+		ended, _ := p.End(got.Ticket)
+		if !now.Before(loaded) {
+			p.Arrived(ended.Target, ended.Key, now)
+			return
+		}
+		p.Missing(ended, now)
+	}
+}
+
 func TestHomesAreStableAndEven(t *testing.T) {
 	zones := []string{"a", "b", "c"}
 	counts := map[string]int{}
