internal/adapters: an engine without its base model takes no calls

An engine that started again and is not known as such runs nothing, and was the cheapest choice for the same call again and again until its state was read.

Change: a refusal of a call that asks for no adapter takes the base model from what the engine is known to hold.

TestAnEngineWithoutItsModelIsNotAskedAgain, before: "placed at {e0 1} after {e0 1} refused it".

--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -284,12 +284,16 @@
 	e.suspectTo = now.Add(p.tuning.FetchTime)
 }
 
-// Missing takes in that an engine refused a call because it lacks the adapter.
+// Missing takes in that an engine refused a call because it lacks the adapter
+// or, if the call asks for none, the base model.
 func (p *Planner) Missing(c Ended, now time.Time) {
 	e := p.engine(c.Target)
 	if e == nil || p.late(e, c, now) {
 		return
 	}
+	if c.Key.Adapter == "" {
+		delete(e.models, c.Key.Model)
+	}
 	delete(e.adapters, c.Key)
 	e.doubt(now)
 }
--- a/internal/adapters/planner_test.go
+++ b/internal/adapters/planner_test.go
@@ -463,6 +463,28 @@
 	}
 }
 
+// TestAnEngineWithoutItsModelIsNotAskedAgain: an engine that started again and
+// is not known as such runs nothing, and would be the cheapest for each call of
+// the base model until its state is read.
+func TestAnEngineWithoutItsModelIsNotAskedAgain(t *testing.T) {
+	p := planner(2, 21)
+	r := Request{Key: bamboorail.AdapterKey{Model: "m"}, Service: "s", CallID: "c"}
+	first, _ := p.Place(r, start)
+	ended, _ := p.End(first.Ticket)
+	p.Missing(ended, start)
+	again, ok := p.Place(r, start)
+	if !ok || again.Target.ID == first.Target.ID {
+		t.Errorf("placed at %v after %v refused it, %t", again.Target.ID, first.Target.ID, ok)
+	}
+	p.Sync(first.Target.ID, bamboorail.EngineState{Models: map[string]map[string]int{"m": {}}}, start.Add(time.Second))
+	for range 2 {
+		if again, _ = p.Place(r, start.Add(time.Second)); again.Target.ID == first.Target.ID {
+			return
+		}
+	}
+	t.Errorf("%v gets no calls after its report", first.Target.ID)
+}
+
 func TestHomesAreStableAndEven(t *testing.T) {
 	zones := []string{"a", "b", "c"}
 	counts := map[string]int{}
