internal/placer: say why no engine could take a call

An instance that asked its own zone first passes on what the adapter's home answers.

Logs only; no decision changes.

--- a/internal/adapters/cost.go
+++ b/internal/adapters/cost.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"sync"
@@ -147,6 +148,41 @@
 	return q.mayFetch()
 }
 
+// Obstacles tells why no engine could take a call.
+type Obstacles struct {
+	// Engines run the base model; of them, InDoubt may not be ordered to load,
+	// Busy load as many adapters as they may, and NoRoom hold none that could
+	// make way.
+	Engines, InDoubt, Busy, NoRoom int
+	// Fetching of Share fetches are under way; Ahead adapters come first.
+	Fetching, Share, Ahead int
+}
+
+// String returns the obstacles in one line.
+func (o Obstacles) String() string {
+	return fmt.Sprintf("%d engines, %d in doubt, %d busy with loads, %d without room; %d of %d fetches under way, %d adapters come first",
+		o.Engines, o.InDoubt, o.Busy, o.NoRoom, o.Fetching, o.Share, o.Ahead)
+}
+
+// Obstacles returns why a call was not placed.
+func (p *Planner) Obstacles(r Request, now time.Time) Obstacles {
+	o := Obstacles{Fetching: p.fetching(now), Share: p.fetchLimit(), Ahead: p.waiting.ahead(r.Key, now)}
+	for _, e := range p.engines {
+		switch {
+		case !e.usable(r):
+			continue
+		case !e.synced:
+			o.InDoubt++
+		case e.loading(now) >= p.tuning.LoadsPerEngine:
+			o.Busy++
+		case len(e.adapters) >= e.slots && !e.hasVictim(p.tuning.KeepIdle, now):
+			o.NoRoom++
+		}
+		o.Engines++
+	}
+	return o
+}
+
 // fetchLimit returns the number of fetches of this zone that may be under way.
 func (p *Planner) fetchLimit() int {
 	return max(p.tuning.FetchesAtOnce, int(p.tuning.FetchesPerEngine*float64(len(p.engines))))
--- a/internal/adapters/planner_test.go
+++ b/internal/adapters/planner_test.go
@@ -485,6 +485,46 @@
 	t.Errorf("%v gets no calls after its report", first.Target.ID)
 }
 
+func TestObstaclesOfACall(t *testing.T) {
+	cases := map[string]struct {
+		prepare func(p *Planner)
+		want    Obstacles
+	}{
+		"fetches are under way": {
+			func(p *Planner) {
+				for n := range tuning().FetchesAtOnce {
+					serveLoading(t, p, ask(n))
+				}
+			},
+			Obstacles{Engines: 2, Fetching: 3, Share: 3},
+		},
+		"all adapters serve": {
+			func(p *Planner) {
+				for n := range 2 * roomyEngine {
+					serve(t, p, ask(n), start.Add(time.Duration(n-2*roomyEngine)*time.Second))
+				}
+			},
+			Obstacles{Engines: 2, NoRoom: 2, Share: 3},
+		},
+		"an engine is in doubt": {
+			func(p *Planner) { p.Desync(engineID(0), start) },
+			Obstacles{Engines: 2, InDoubt: 1, Share: 3},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := planner(2, roomyEngine)
+			c.prepare(p)
+			if got := p.Obstacles(ask(99), start); got != c.want {
+				t.Errorf("%+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
+
+// roomyEngine is the number of adapters that the engines of a case hold.
+const roomyEngine = 4
+
 func TestHomesAreStableAndEven(t *testing.T) {
 	zones := []string{"a", "b", "c"}
 	counts := map[string]int{}
--- a/internal/adapters/waiting.go
+++ b/internal/adapters/waiting.go
@@ -69,6 +69,11 @@
 // mayStart reports whether an adapter is among the free best of those that
 // wait.
 func (w waitlist) mayStart(key bamboorail.AdapterKey, free int, now time.Time) bool {
+	return w.ahead(key, now) < free
+}
+
+// ahead returns the number of adapters that come before one.
+func (w waitlist) ahead(key bamboorail.AdapterKey, now time.Time) int {
 	own := w.score(key, now)
 	ahead := 0
 	for other := range w {
@@ -76,7 +81,7 @@
 			ahead++
 		}
 	}
-	return ahead < free
+	return ahead
 }
 
 // prune forgets calls that left.
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -114,6 +114,7 @@
 
 func (c *Chooser) chooseEngine(ctx context.Context, a relay.Ask) (relay.Place, error) {
 	var failure error
+	asked := adapters.LoadFreely
 	a.Avoid = c.avoid(a)
 	for _, q := range c.questions(a.Call.Key) {
 		if c.isPaused(q.zone) {
@@ -126,7 +127,11 @@
 		if ctx.Err() != nil {
 			return relay.Place{}, fail("choose-engine", bamboorail.KindDeadlineExceeded, ctx.Err())
 		}
-		failure = keepRefusal(failure, err)
+		if asked == adapters.LoadIfWanted && bamboorail.KindOf(err) == bamboorail.KindOverloaded {
+			// The adapter's home knows why it is not loaded.
+			failure = err
+		}
+		failure, asked = keepRefusal(failure, err), q.loads
 	}
 	if place, ok := c.chooseLoaded(a); ok {
 		return place, nil
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -266,9 +267,15 @@
 		if ok {
 			return p, nil
 		}
-		if r.Loads != adapters.LoadFreely || now.Sub(start) > maxPlaceWait {
+		if r.Loads != adapters.LoadFreely {
 			return adapters.Placement{}, failRetry(op, bamboorail.KindOverloaded, noPlaceRetry, errNoPlace)
 		}
+		if now.Sub(start) > maxPlaceWait {
+			h.mu.Lock()
+			obstacles := h.planner.Obstacles(r, now)
+			h.mu.Unlock()
+			return adapters.Placement{}, failRetry(op, bamboorail.KindOverloaded, noPlaceRetry, fmt.Errorf("%w: %v", errNoPlace, obstacles))
+		}
 		if err := duty.Sleep(ctx, placeInterval); err != nil {
 			return adapters.Placement{}, fail(op, bamboorail.KindCancelled, err)
 		}
