--- a/internal/adapters/planner_test.go
+++ b/internal/adapters/planner_test.go
@@ -414,6 +414,118 @@
 	}
 }
 
+// TestTheExpectedTimeOfAFetch follows what most fetches take, whatever the few
+// take whose engine was silent for a while.
+func TestTheExpectedTimeOfAFetch(t *testing.T) {
+	const usual, silent, fetches = 290 * time.Millisecond, 900 * time.Millisecond, 400
+	cases := map[string]struct {
+		silentEach int // one of so many fetches
+		took       time.Duration
+	}{
+		"all alike":           {fetches + 1, usual},
+		"one in fifty silent": {50, usual},
+		"all slow":            {fetches + 1, 2 * usual},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := planner(4, 400)
+			now := start
+			for n := range fetches {
+				took := c.took
+				if n%c.silentEach == c.silentEach-1 {
+					took = silent
+				}
+				fetchFor(p, ask(n), now, took)
+				now = now.Add(2 * time.Second)
+			}
+			if p.fetchTime < c.took*8/10 || p.fetchTime > c.took*12/10 {
+				t.Errorf("fetches of %v are expected to take %v", c.took, p.fetchTime)
+			}
+		})
+	}
+}
+
+// fetchFor has a call refused until its adapter is there, and then run.
+func fetchFor(p *Planner, r Request, now time.Time, took time.Duration) {
+	loaded := now.Add(took)
+	for {
+		got, ok := p.Place(r, now)
+		if !ok {
+			return
+		}
+		accept(p, got.Orders, now)
+		now = latest(now, got.ReadyAt)
+		ended, _ := p.End(got.Ticket)
+		if !now.Before(loaded) {
+			p.Arrived(ended.Target, ended.Key, now)
+			return
+		}
+		p.Missing(ended, now)
+	}
+}
+
+// TestAnEngineWithoutItsModelIsNotAskedAgain: an engine that started again and
+// is not known as such runs nothing, and would be the cheapest for each call of
+// the base model until its state is read.
+func TestAnEngineWithoutItsModelIsNotAskedAgain(t *testing.T) {
+	p := planner(2, 21)
+	r := Request{Key: bamboorail.AdapterKey{Model: "m"}, Service: "s", CallID: "c"}
+	first, _ := p.Place(r, start)
+	ended, _ := p.End(first.Ticket)
+	p.Missing(ended, start)
+	again, ok := p.Place(r, start)
+	if !ok || again.Target.ID == first.Target.ID {
+		t.Errorf("placed at %v after %v refused it, %t", again.Target.ID, first.Target.ID, ok)
+	}
+	p.Sync(first.Target.ID, bamboorail.EngineState{Models: map[string]map[string]int{"m": {}}}, start.Add(time.Second))
+	for range 2 {
+		if again, _ = p.Place(r, start.Add(time.Second)); again.Target.ID == first.Target.ID {
+			return
+		}
+	}
+	t.Errorf("%v gets no calls after its report", first.Target.ID)
+}
+
+func TestObstaclesOfACall(t *testing.T) {
+	cases := map[string]struct {
+		prepare func(p *Planner)
+		want    Obstacles
+	}{
+		"fetches are under way": {
+			func(p *Planner) {
+				for n := range tuning().FetchesAtOnce {
+					serveLoading(t, p, ask(n))
+				}
+			},
+			Obstacles{Engines: 2, Fetching: 3, Share: 3},
+		},
+		"all adapters serve": {
+			func(p *Planner) {
+				for n := range 2 * roomyEngine {
+					serve(t, p, ask(n), start.Add(time.Duration(n-2*roomyEngine)*time.Second))
+				}
+			},
+			Obstacles{Engines: 2, NoRoom: 2, Share: 3},
+		},
+		"an engine is in doubt": {
+			func(p *Planner) { p.Desync(engineID(0), start) },
+			Obstacles{Engines: 2, InDoubt: 1, Share: 3},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := planner(2, roomyEngine)
+			c.prepare(p)
+			if got := p.Obstacles(ask(99), start); got != c.want {
+				t.Errorf("%+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
+
+// roomyEngine is the number of adapters that the engines of a case hold.
+const roomyEngine = 4
+
 func TestHomesAreStableAndEven(t *testing.T) {
 	zones := []string{"a", "b", "c"}
 	counts := map[string]int{}
