owner: the end of an ownership does not wait for its own duties

Cause: ask and post of an engine's owner give up when `ended` is closed, which happened after all duties had returned. A duty that asked the decision loop after that had ended (report at a tick, load with a late permit) waited for the end of which it was itself a part. ownership.Manager joins an owner under its lock, so the whole instance stood still: no plan, no heartbeat, no request.

Change: the decision loop closes `ended` itself when it takes no more events.

--- a/internal/owner/engine.go
+++ b/internal/owner/engine.go
@@ -73,7 +73,9 @@
 	orders  chan order
 	wanted  chan float64
 	reports chan struct{}
-	ended   chan struct{}
+	// ended is closed when the decision loop takes no more events. The other
+	// duties may still wait for it then.
+	ended chan struct{}
 	// The fields below belong to the decision loop.
 	table   *placement.Table
 	waiting bool // a load is wanted or under way
@@ -100,7 +102,6 @@
 
 // Run carries out the duties of the owner until ctx ends.
 func (e *Engine) Run(ctx context.Context) error {
-	defer close(e.ended)
 	g := duty.NewGroup(ctx)
 	g.Start("decide", e.decide)
 	g.Start("load", e.load)
@@ -111,6 +112,7 @@
 
 // decide applies events and carries out the decisions that follow.
 func (e *Engine) decide(ctx context.Context) error {
+	defer close(e.ended)
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	for {
