--- a/internal/adapters/planner_test.go
+++ b/internal/adapters/planner_test.go
@@ -349,41 +349,44 @@
 // guess waits for the fetch; asked again every few milliseconds, the engine
 // would refuse it as often as it may be sent.
 func TestAnAdapterThatNeverArrivedIsFetched(t *testing.T) {
-	const mostSends = 4 // as in internal/relay
-	cases := map[string]func(p *Planner, first Placement){
-		"the load was not accepted": func(p *Planner, first Placement) {
+	cases := map[string]struct {
+		lose    func(p *Planner, first Placement)
+		refused int
+	}{
+		"the load was not accepted": {func(p *Planner, first Placement) {
 			p.End(first.Ticket)
 			p.LoadFailed(first.Target.ID, ask(1).Key)
-		},
-		"the engine dropped it unseen": func(p *Planner, first Placement) {
+		}, 0},
+		"the engine dropped it unseen": {func(p *Planner, first Placement) {
 			p.End(first.Ticket)
 			p.Arrived(first.Target.ID, ask(1).Key, start)
 			p.Sync(first.Target.ID, bamboorail.EngineState{Orders: 1, Models: map[string]map[string]int{"m": {}}}, start.Add(time.Second))
-		},
+		}, 1},
 	}
-	for name, lose := range cases {
+	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			p := planner(1, 21)
 			first, _ := p.Place(ask(1), start)
 			accept(p, first.Orders, start)
-			lose(p, first)
+			c.lose(p, first)
 			now := start.Add(2 * time.Second)
-			loaded := now.Add(tuning().FetchTime)
-			for n := range mostSends {
+			loaded := now.Add(p.fetchTime)
+			for refused := 0; ; refused++ {
 				got, ok := p.Place(ask(1), now)
 				if !ok {
 					t.Fatal("no place")
 				}
 				accept(p, got.Orders, now)
-				now = now.Add(max(got.ReadyAt.Sub(now), 0))
+				now = latest(now, got.ReadyAt)
 				if !now.Before(loaded) {
-					return
+					break
+				}
+				if refused == c.refused {
+					t.Fatalf("the call is refused %d times before the adapter is loaded", refused+1)
 				}
-				t.Logf("send %d at %v of %v", n+1, now.Sub(start), loaded.Sub(start))
 				ended, _ := p.End(got.Ticket)
 				p.Missing(ended, now)
 			}
-			t.Errorf("%d sends were refused before the adapter was loaded", mostSends)
 		})
 	}
 }
