--- a/internal/adapters/planner_test.go
+++ b/internal/adapters/planner_test.go
@@ -350,41 +350,44 @@
 // guess waits for the fetch; asked again every few milliseconds, the engine
 // would refuse it as often as it may be sent.
 func TestAnAdapterThatNeverArrivedIsFetched(t *testing.T) {
-	const mostSends = 4 // as in internal/relay
-	cases := map[string]func(p *Planner, first Placement){
-		"the load was not accepted": func(p *Planner, first Placement) {
+	cases := map[string]struct {
+		lose    func(p *Planner, first Placement)
+		refused int
+	}{
+		"the load was not accepted": {func(p *Planner, first Placement) {
 			p.End(first.Ticket)
 			p.LoadFailed(first.Target.ID, ask(1).Key)
-		},
-		"the engine dropped it unseen": func(p *Planner, first Placement) {
+		}, 0},
+		"the engine dropped it unseen": {func(p *Planner, first Placement) {
 			p.End(first.Ticket)
 			p.Arrived(first.Target.ID, ask(1).Key, start)
 			p.Sync(first.Target.ID, bamboorail.EngineState{Orders: 1, Models: map[string]map[string]int{"m": {}}}, start.Add(time.Second))
-		},
+		}, 1},
 	}
-	for name, lose := range cases {
+	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			p := planner(1, 21)
 			first, _ := p.Place(ask(1), start)
 			accept(p, first.Orders, start)
-			lose(p, first)
+			c.lose(p, first)
 			now := start.Add(2 * time.Second)
-			loaded := now.Add(tuning().FetchTime)
-			for n := range mostSends {
+			loaded := now.Add(p.fetchTime)
+			for refused := 0; ; refused++ {
 				got, ok := p.Place(ask(1), now)
 				if !ok {
 					t.Fatal("no place")
 				}
 				accept(p, got.Orders, now)
-				now = now.Add(max(got.ReadyAt.Sub(now), 0))
+				now = latest(now, got.ReadyAt)
 				if !now.Before(loaded) {
-					return
+					break
+				}
+				if refused == c.refused {
+					t.Fatalf("the call is refused %d times before the adapter is loaded", refused+1)
 				}
-				t.Logf("send %d at %v of %v", n+1, now.Sub(start), loaded.Sub(start))
 				ended, _ := p.End(got.Ticket)
 				p.Missing(ended, now)
 			}
-			t.Errorf("%d sends were refused before the adapter was loaded", mostSends)
 		})
 	}
 }
@@ -526,6 +529,57 @@
 // roomyEngine is the number of adapters that the engines of a case hold.
 const roomyEngine = 4
 
+// TestAZoneThatMayNotOrderTurnsCallsAway: without loads, calls for a hot adapter
+// meet at the engines that hold it, while another zone could load it.
+func TestAZoneThatMayNotOrderTurnsCallsAway(t *testing.T) {
+	cases := map[string]struct {
+		rule    LoadRule
+		running int
+		want    bool
+	}{
+		"a slot is free":          {LoadNever, 63, true},
+		"the engine is full":      {LoadNever, 64, false},
+		"full, but the zone acts": {LoadFreely, 64, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := planner(1, 21)
+			for range c.running {
+				serve(t, p, ask(1), start)
+			}
+			r := ask(1)
+			r.Loads = c.rule
+			if _, ok := p.Place(r, start.Add(time.Second)); ok != c.want {
+				t.Errorf("placed %t, want %t", ok, c.want)
+			}
+		})
+	}
+}
+
+// TestANewHolderSeesTheCallsThatRun: calls that an earlier holder placed take
+// slots until they end.
+func TestANewHolderSeesTheCallsThatRun(t *testing.T) {
+	const slots = 64
+	held := map[string]map[string]int{"m": {"a1": 1}}
+	p := NewPlanner(tuning(), 0)
+	var entries []bamboorail.TargetEntry
+	for n := range 2 {
+		entries = append(entries, bamboorail.TargetEntry{ID: engineID(n), Service: "s", Address: "a", Slots: slots})
+	}
+	p.SetEngines(entries, func(string) int { return 21 }, start)
+	p.Sync(engineID(0), bamboorail.EngineState{Models: held, Active: slots, Queued: 8}, start)
+	p.Sync(engineID(1), bamboorail.EngineState{Models: held}, start)
+	for range slots / 2 {
+		if got, ok := p.Place(ask(1), start); !ok || got.Target.ID != engineID(1) {
+			t.Fatalf("placed at %v, %t", got.Target.ID, ok)
+		}
+	}
+	later := start.Add(3 * tuning().CallTime)
+	if got, ok := p.Place(ask(1), later); !ok || got.Target.ID != engineID(0) {
+		t.Errorf("placed at %v, %t after the calls must have ended", got.Target.ID, ok)
+	}
+}
+
 func TestHomesAreStableAndEven(t *testing.T) {
 	zones := []string{"a", "b", "c"}
 	counts := map[string]int{}
