A request waits as long as the takeover of a killed owner may take

Seven tries end after 1.3 to 2.6 s; the settle time of 3 s never counted. A takeover took up to 3.3 s on an idle machine: a heartbeat that breaks off and one that is refused (2 x 1.1 s), then up to 1.1 s until the new owner, which knew of its target at once, announced it even to its own router with its next heartbeat.

Traced: kill after kill of the owner of jazykovy-stroj-2, the other instance of the zone asked at once, 20 times beside load 25: 3 answers of 503. One timeline: killed and refused 08.26, noticed by the next owner 08.993, owned 08.994, last try and 503 at 10.075, its announcement was due at about 10.1. The others: owned 0.69 and 0.94 s before the refusal.

Change: - membership.TakeoverTime adds up the stages, the claim that the store does not answer included, and grows with the region as heartbeats do; the router waits for it and its longest pause. Tries count only where no takeover is under way: a silent owner, a drained target or a keeper without targets is still refused within the former time. - A request whose connection is refused is proof like a heartbeat's. It counts neither as an attempt of the route (max-attempts 1 was answered at once with a failure) nor against the retry budget. - A new owner is announced at once. - A round of heartbeats does not wait for a silent peer (2 s); that delayed notice and announcement to all others. - platform.CallTimeout is exported as a stage of the sum.

Not in the sum: a step of the ownership manager that already waits for a store that hangs (up to two calls of 3 s), and watch events that are lost (5 s).

--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -17,6 +17,7 @@
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/duty"
 	"bamboorail.example/bamboorail/internal/membership"
+	"bamboorail.example/bamboorail/internal/peer"
 	"bamboorail.example/bamboorail/internal/placement"
 	"bamboorail.example/bamboorail/internal/platform"
 	"bamboorail.example/bamboorail/internal/retry"
@@ -36,12 +37,9 @@
 	maxAttempts = 6
 	// maxOverflows bounds the engines that are asked after one was full, so
 	// that a region without room is not asked by every request in turn.
-	maxOverflows = 2
-	firstBackoff = 50 * time.Millisecond
-	maxBackoff   = time.Second
-	// settleTime is the time for which a request waits for an owner to
-	// appear after the former one is gone.
-	settleTime      = 3 * time.Second
+	maxOverflows    = 2
+	firstBackoff    = 50 * time.Millisecond
+	maxBackoff      = time.Second
 	retryRatio      = 0.2
 	retryBurst      = 50
 	noTargetRetry   = 2 * time.Second
@@ -72,7 +70,9 @@
 	View      func() *platform.View
 	Owners    Owners
 	Peers     Peers
-	Tracer    trace.Tracer
+	// Gone is told of a session whose address refuses connections.
+	Gone   func(platform.Session)
+	Tracer trace.Tracer
 }
 
 // Router sends each request to the target where it should start first.
@@ -104,7 +104,7 @@
 // provably was not run, or may be repeated and has not begun to answer.
 func (r *Router) Dispatch(ctx context.Context, w *bamboorail.Work, s bamboorail.Sink) error {
 	sink := &onceSink{Sink: s}
-	started := time.Now()
+	limit := patience{started: time.Now()}
 	failed := map[string]bool{}
 	reached, overflows := 0, 0
 	for attempt := 0; ; attempt++ {
@@ -127,7 +127,7 @@
 			sink.reset()
 			continue
 		}
-		if !r.mayRetry(ctx, w, sink, err, attempt, started) {
+		if !r.goesOn(&limit, w, target, err) || !r.mayRetry(ctx, w, sink, err) {
 			return finalError(err)
 		}
 		sink.reset()
@@ -152,9 +152,56 @@
 
 // reachedTarget reports whether a failed attempt counts against the limit of
 // the route. A change of owner costs no target anything.
-func reachedTarget(err error) bool {
+func reachedTarget(err error) bool { return !ownerChanges(err) }
+
+// ownerChanges reports whether an attempt found no owner that takes requests.
+func ownerChanges(err error) bool {
 	k := bamboorail.KindOf(err)
-	return k != bamboorail.KindNotOwner && k != bamboorail.KindNoTarget
+	return k == bamboorail.KindNotOwner || k == bamboorail.KindNoTarget
+}
+
+// patience is what a request has used of its limits.
+type patience struct {
+	started time.Time
+	// tries counts the attempts that did not just meet a change of owner.
+	tries int
+}
+
+// goesOn counts a failed attempt and reports whether the limits leave another.
+func (r *Router) goesOn(p *patience, w *bamboorail.Work, target string, err error) bool {
+	changes := ownerChanges(err)
+	if !changes || !r.expectsOwner(w, target, err) {
+		p.tries++
+	}
+	settled := changes && time.Since(p.started) >= r.settleTime()
+	return p.tries <= maxAttempts && !settled
+}
+
+// settleTime is the time for which a request waits for an owner to appear after
+// the former one is gone. It ends with a last try after the longest pause.
+func (r *Router) settleTime() time.Duration {
+	return membership.TakeoverTime(len(r.config.Directory.Peers(time.Now()))) + maxBackoff
+}
+
+// expectsOwner reports whether a target that was tried, or without one any that
+// may run the request, has no owner but gets the next one without the end of a
+// lease.
+func (r *Router) expectsOwner(w *bamboorail.Work, target string, err error) bool {
+	now := time.Now()
+	if target != "" {
+		return bamboorail.KindOf(err) == bamboorail.KindNotOwner && !r.config.Directory.HeldBySilent(r.targetKey(target), now)
+	}
+	view := r.config.View()
+	adapter, ok := view.Adapter(w.Model.Adapter())
+	if !ok {
+		return false
+	}
+	announced := r.config.Directory.Targets(now)
+	return slices.ContainsFunc(view.Targets(), func(t record.Target) bool {
+		key := membership.TargetKey{Zone: t.Zone(), Name: t.Name()}
+		_, owned := announced[key]
+		return !owned && adapter.MayRunOn(t) && r.takesWork(t) && !r.config.Directory.HeldBySilent(key, now)
+	})
 }
 
 // overflow reports whether a request that an engine refused for lack of room may
@@ -178,16 +225,16 @@
 }
 
 // mayRetry reports whether a failed request should be sent again.
-func (r *Router) mayRetry(ctx context.Context, w *bamboorail.Work, s *onceSink, err error, attempt int, started time.Time) bool {
+func (r *Router) mayRetry(ctx context.Context, w *bamboorail.Work, s *onceSink, err error) bool {
 	f := bamboorail.FailureOf(err)
 	safe := f.Outcome == bamboorail.OutcomeNotRun || (w.Repeatable && !s.delivered())
-	if !safe || attempt >= maxAttempts || ctx.Err() != nil {
+	if !safe || ctx.Err() != nil {
 		return false
 	}
 	switch f.Kind {
 	case bamboorail.KindNotOwner, bamboorail.KindNoTarget:
 		// The owner is changing: this costs no target anything.
-		return time.Since(started) < settleTime
+		return true
 	case bamboorail.KindUnavailable, bamboorail.KindStaleHandle, bamboorail.KindTruncated, bamboorail.KindTargetFailed:
 		return r.budget.Take()
 	}
@@ -325,20 +372,37 @@
 	if d, ok := r.config.Owners.Dispatcher(target); ok {
 		return d.Dispatch(ctx, &directed, s)
 	}
-	// A keeper is no declared target; this zone's own one is meant.
-	key := membership.TargetKey{Zone: r.zone(), Name: target}
-	if t, ok := r.config.View().Target(target); ok {
-		key.Zone = t.Zone()
-	}
-	a, ok := r.config.Directory.Targets(time.Now())[key]
+	a, ok := r.config.Directory.Targets(time.Now())[r.targetKey(target)]
 	if !ok || a.Session == r.config.Directory.Self().ID {
 		return notRun("find-owner", bamboorail.KindNotOwner, noTargetRetry, fmt.Errorf("target %q has no owner now", target))
 	}
 	directed.Term = a.Term
-	return r.toPeer(ctx, a.Peer, "owner", &directed, s)
+	owner := platform.Session{ID: a.Session, Instance: a.Instance, Zone: a.Zone, Peer: a.Peer}
+	err := r.toPeer(ctx, owner, "owner", &directed, s)
+	if peer.Refused(err) {
+		return notRun("find-owner", bamboorail.KindNotOwner, noTargetRetry, err)
+	}
+	return err
+}
+
+func (r *Router) targetKey(target string) membership.TargetKey {
+	if t, ok := r.config.View().Target(target); ok {
+		return membership.TargetKey{Zone: t.Zone(), Name: target}
+	}
+	// A keeper is no declared target; this zone's own one is meant.
+	return membership.TargetKey{Zone: r.zone(), Name: target}
+}
+
+// toPeer passes a request to the process of a session.
+func (r *Router) toPeer(ctx context.Context, to platform.Session, role string, w *bamboorail.Work, s *onceSink) error {
+	err := r.callPeer(ctx, to.Peer, role, w, s)
+	if peer.Refused(err) {
+		r.config.Gone(to)
+	}
+	return err
 }
 
-func (r *Router) toPeer(ctx context.Context, address, role string, w *bamboorail.Work, s *onceSink) error {
+func (r *Router) callPeer(ctx context.Context, address, role string, w *bamboorail.Work, s *onceSink) error {
 	ctx, span := r.config.Tracer.Start(ctx, "peer "+role, trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("peer", address), attribute.String("target", w.Target)))
 	defer span.End()
@@ -401,7 +465,7 @@
 		if m.Session.Zone != zone || m.State == membership.StateGone || m.State == membership.StateExpired {
 			continue
 		}
-		err := r.toPeer(ctx, m.Session.Peer, "zone", &directed, s)
+		err := r.toPeer(ctx, m.Session, "zone", &directed, s)
 		if err == nil || !bamboorail.NotRun(err) || bamboorail.KindOf(err) != bamboorail.KindUnavailable {
 			return err
 		}
--- a/internal/entry/router_test.go
+++ b/internal/entry/router_test.go
@@ -138,7 +138,8 @@
 	}
 	d := membership.NewDirectory(platform.Session{ID: "s", Instance: "i", Zone: "z", Region: "r"})
 	g.router = NewRouter(Config{
-		Directory: d, View: reader.Current, Owners: g, Peers: noPeers{}, Tracer: noop.NewTracerProvider().Tracer(""),
+		Directory: d, View: reader.Current, Owners: g, Peers: noPeers{}, Gone: func(s platform.Session) { d.MarkGone(s.ID) },
+		Tracer: noop.NewTracerProvider().Tracer(""),
 	})
 	announce := func() {
 		var states []*wire.TargetState
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -216,14 +216,18 @@
 	m.revision = max(m.revision, revision)
 }
 
-// MarkGone records proof that the process of a session is gone.
-func (d *Directory) MarkGone(session string) {
+// MarkGone records proof that the process of a session is gone. It reports
+// whether that is new.
+func (d *Directory) MarkGone(session string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if m, ok := d.members[session]; ok {
-		m.gone = true
-		clear(m.targets)
+	m, ok := d.members[session]
+	if !ok || m.gone {
+		return false
 	}
+	m.gone = true
+	clear(m.targets)
+	return true
 }
 
 // MarkSilent withdraws the targets of a session that does not answer from
@@ -333,6 +337,28 @@
 	return list
 }
 
+// Peers returns the sessions of the own region whose processes may live, other
+// than the own one.
+func (d *Directory) Peers(now time.Time) []Member {
+	return slices.DeleteFunc(d.Members(now), func(m Member) bool {
+		return m.Session.Region != d.self.Region || m.State == StateGone
+	})
+}
+
+// HeldBySilent reports whether the last known owner of a target does not answer
+// without being gone: nobody takes over from it before its lease ends.
+func (d *Directory) HeldBySilent(key TargetKey, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, m := range d.members {
+		_, holds := m.targets[key.Name]
+		if holds && m.session.Zone == key.Zone && !m.gone && now.Sub(m.contact) > contactLease {
+			return true
+		}
+	}
+	return false
+}
+
 // SetOwn replaces the states of the targets that this instance owns.
 func (d *Directory) SetOwn(states []*wire.TargetState, now time.Time) {
 	d.mu.Lock()
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -72,7 +72,9 @@
 	Store     bamboorail.ObjectStore
 	Directory *membership.Directory
 	Factory   Factory
-	Log       hclog.Logger
+	// Changed is told when the owned targets changed.
+	Changed func()
+	Log     hclog.Logger
 }
 
 // Manager claims, runs and hands over the targets of one instance.
@@ -163,7 +165,9 @@
 		return
 	}
 	m.planOnce(ctx, now)
-	m.reconcile(ctx)
+	if m.reconcile(ctx) {
+		m.config.Changed()
+	}
 }
 
 // ApplyEvent takes in a watched ledger object.
--- a/internal/ownership/reconcile.go
+++ b/internal/ownership/reconcile.go
@@ -11,24 +11,28 @@
 	"bamboorail.example/bamboorail/internal/platform"
 )
 
-// reconcile starts owners for claimed targets and ends those of lost ones.
-func (m *Manager) reconcile(ctx context.Context) {
+// reconcile starts owners for claimed targets and ends those of lost ones. It
+// reports whether there were any.
+func (m *Manager) reconcile(ctx context.Context) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	changed := false
 	self := m.config.Directory.Self().ID
 	for target, o := range m.current {
 		l := m.ledger.Targets[target].Current
 		if l.Session != self || l.Term != o.evidence.Term {
 			m.retire(target, o)
+			changed = true
 		}
 	}
 	for _, target := range m.config.Factory.Targets() {
 		o, ok := m.ledger.Targets[target]
 		if ok && o.Current.Session == self && m.closed[target] != o.Current.Term {
-			m.ensure(ctx, target, o)
+			changed = m.ensure(ctx, target, o) || changed
 		}
 	}
 	m.finishDrained()
+	return changed
 }
 
 var errMoved = errors.New("the target has another owner now")
@@ -87,22 +91,24 @@
 	return e
 }
 
-// ensure starts the owner of a claimed target or updates its evidence.
-func (m *Manager) ensure(ctx context.Context, target string, o platform.Ownership) {
+// ensure starts the owner of a claimed target or updates its evidence. It
+// reports whether it started one.
+func (m *Manager) ensure(ctx context.Context, target string, o platform.Ownership) bool {
 	e := evidenceOf(o)
 	if running, ok := m.current[target]; ok {
 		if !running.evidence.Equal(e) {
 			running.evidence = e
 			running.owner.SetEvidence(e)
 		}
-		return
+		return false
 	}
 	owner, err := m.config.Factory.New(target, e, o.Began)
 	if err != nil {
 		m.config.Log.Error("target cannot be owned", "target", target, "error", err)
-		return
+		return false
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	m.current[target] = &owned{owner: owner, evidence: e, cancel: cancel, end: duty.Start(ctx, target, owner.Run)}
 	m.config.Log.Info("target owned", "target", target, "term", e.Term)
+	return true
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -22,7 +22,8 @@
 	// MaxValueBytes is the largest value that the object API accepts.
 	MaxValueBytes = 1 << 20
 
-	callTimeout        = 3 * time.Second
+	// CallTimeout bounds a call to the platform that is not a watch.
+	CallTimeout        = 3 * time.Second
 	maxCallsInFlight   = 8
 	maxResponseBytes   = 64 << 20
 	overloadRetryAfter = time.Second
@@ -117,7 +118,7 @@
 		"after":  {strconv.FormatUint(revision, 10)},
 		"wait":   {wait.String()},
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+CallTimeout)
 	defer cancel()
 	resp, err := c.exchange(ctx, op, http.MethodGet, "/v1/watch?"+q.Encode(), nil, nil)
 	if err != nil {
@@ -167,7 +168,7 @@
 		return response{}, failRetry(op, bamboorail.KindOverloaded, overloadRetryAfter,
 			fmt.Errorf("%d calls in flight", maxCallsInFlight))
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
 	return c.exchange(ctx, op, method, path, body, header)
 }
--- a/internal/service/members.go
+++ b/internal/service/members.go
@@ -21,11 +21,6 @@
 	// listAllEvery is the number of listings of the own zone for one of all
 	// zones.
 	listAllEvery = 6
-	// minBeatInterval is the time between heartbeats in a small zone. In a
-	// large one it grows so that a node's traffic stays bounded.
-	minBeatInterval  = time.Second
-	beatSpacePerPeer = 75 * time.Millisecond
-	beatTick         = 100 * time.Millisecond
 )
 
 // keepSession renews the session of this process.
@@ -67,10 +62,23 @@
 	return slices.ContainsFunc(i.config.View().Targets(), func(t record.Target) bool { return !reachable[t.Zone()] })
 }
 
+// peerGone takes in the proof that the process of a session is gone.
+func (i *Instance) peerGone(s platform.Session) {
+	if i.directory.MarkGone(s.ID) {
+		i.log.Warn("peer is gone", "instance", s.Instance, "session", s.ID)
+		i.manager.Kick()
+	}
+}
+
 // heartbeats sends the state of this instance to the peers of its region.
 type heartbeats struct {
 	instance *Instance
+	peers    beatPeers
 	kicks    chan struct{}
+	// results carry the ends of the heartbeats under way, of which there is at
+	// most one to a session or seed.
+	results  chan beatResult
+	underway map[beatKey]bool
 	// sent holds, for each peer session, the targets as last sent to it.
 	sent map[string]map[string]*wire.TargetState
 	next map[string]time.Time
@@ -78,13 +86,30 @@
 	misses map[string]int
 }
 
+// beatPeers sends heartbeats.
+type beatPeers interface {
+	Heartbeat(ctx context.Context, address string, state *wire.InstanceState) (*wire.HeartbeatReply, error)
+}
+
+// beatKey names the receiver of a heartbeat. A seed has only an address.
+type beatKey struct{ session, address string }
+
+func beatKeyOf(s platform.Session) beatKey { return beatKey{s.ID, s.Peer} }
+
+// beatResult is the end of a heartbeat that carried some states.
+type beatResult struct {
+	to     platform.Session
+	states []*wire.TargetState
+	err    error
+}
+
 // silentMisses is the number of missed heartbeats after which a peer counts as
 // silent: requests go elsewhere, but its ownership stands.
 const silentMisses = 2
 
-func newHeartbeats(i *Instance) *heartbeats {
+func newHeartbeats(i *Instance, p beatPeers) *heartbeats {
 	return &heartbeats{
-		instance: i, kicks: make(chan struct{}, 1),
+		instance: i, peers: p, kicks: make(chan struct{}, 1), results: make(chan beatResult), underway: map[beatKey]bool{},
 		sent: map[string]map[string]*wire.TargetState{}, next: map[string]time.Time{}, misses: map[string]int{},
 	}
 }
@@ -98,45 +123,65 @@
 }
 
 func (b *heartbeats) run(ctx context.Context) error {
-	t := time.NewTicker(beatTick)
+	t := time.NewTicker(membership.BeatTick)
 	defer t.Stop()
+	defer b.drain()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case r := <-b.results:
+			b.ended(r)
 		case <-t.C:
+			b.beat(ctx, b.due(time.Now()))
 		case <-b.kicks:
 			clear(b.next)
+			b.setOwn()
+			b.beat(ctx, b.due(time.Now()))
 		}
-		b.beat(ctx, time.Now())
 	}
 }
 
+// drain waits for the heartbeats under way, which end with their context.
+func (b *heartbeats) drain() {
+	for len(b.underway) > 0 {
+		delete(b.underway, beatKeyOf((<-b.results).to))
+	}
+}
+
+// setOwn takes the states of the own targets into the directory.
+func (b *heartbeats) setOwn() []*wire.TargetState {
+	states := b.instance.manager.States()
+	b.instance.directory.SetOwn(states, time.Now())
+	return states
+}
+
 // beat sends the heartbeats that are due, each in a goroutine of its own, so
 // that a silent peer delays no other.
-func (b *heartbeats) beat(ctx context.Context, now time.Time) {
-	due := b.due(now)
+func (b *heartbeats) beat(ctx context.Context, due []platform.Session) {
 	if len(due) == 0 {
 		return
 	}
-	states := b.instance.manager.States()
-	b.instance.directory.SetOwn(states, now)
-	duties := make([]*duty.Duty, 0, len(due))
+	states := b.setOwn()
 	for _, s := range due {
-		message := b.message(s.ID, states)
-		duties = append(duties, duty.Start(ctx, "heartbeat", func(ctx context.Context) error {
-			return b.send(ctx, s, message)
-		}))
-	}
-	for n, d := range duties {
-		err := <-d.Done()
-		b.count(due[n], err)
-		if err != nil {
-			delete(b.sent, due[n].ID)
+		if b.underway[beatKeyOf(s)] {
 			continue
 		}
-		b.sent[due[n].ID] = byName(states)
+		message := b.message(s.ID, states)
+		b.underway[beatKeyOf(s)] = true
+		go func() { b.results <- beatResult{s, states, b.send(ctx, s, message)} }()
+	}
+}
+
+// ended draws the conclusions from the end of a heartbeat.
+func (b *heartbeats) ended(r beatResult) {
+	delete(b.underway, beatKeyOf(r.to))
+	b.count(r.to, r.err)
+	if r.err != nil {
+		delete(b.sent, r.to.ID)
+		return
 	}
+	b.sent[r.to.ID] = byName(r.states)
 }
 
 // count counts missed heartbeats and draws the conclusion from too many.
@@ -166,13 +211,10 @@
 // due returns the peers of the region whose heartbeat is due.
 func (b *heartbeats) due(now time.Time) []platform.Session {
 	var due []platform.Session
-	members := b.instance.directory.Members(now)
-	region := slices.DeleteFunc(members, func(m membership.Member) bool {
-		return m.Session.Region != b.instance.settings.Region || m.State == membership.StateGone
-	})
-	interval := max(minBeatInterval, time.Duration(len(region))*beatSpacePerPeer)
+	region := b.instance.directory.Peers(now)
+	interval := membership.BeatInterval(len(region))
 	for _, m := range region {
-		if now.Before(b.next[m.Session.ID]) {
+		if now.Before(b.next[m.Session.ID]) || b.underway[beatKeyOf(m.Session)] {
 			continue
 		}
 		b.next[m.Session.ID] = now.Add(interval)
@@ -182,7 +224,7 @@
 		// Alone in the region: the own states still need their round, and the
 		// seeds may know others.
 		b.next[""] = now.Add(interval)
-		b.instance.directory.SetOwn(b.instance.manager.States(), now)
+		b.setOwn()
 		for _, address := range b.instance.settings.Seeds {
 			due = append(due, platform.Session{Peer: address})
 		}
@@ -211,12 +253,10 @@
 
 // send sends one heartbeat and draws conclusions from its result.
 func (b *heartbeats) send(ctx context.Context, s platform.Session, m *wire.InstanceState) error {
-	reply, err := b.instance.peers.Heartbeat(ctx, s.Peer, m)
+	reply, err := b.peers.Heartbeat(ctx, s.Peer, m)
 	if err != nil {
 		if peer.Refused(err) && s.ID != "" {
-			b.instance.log.Warn("peer is gone", "instance", s.Instance, "session", s.ID)
-			b.instance.directory.MarkGone(s.ID)
-			b.instance.manager.Kick()
+			b.instance.peerGone(s)
 		}
 		return err
 	}
@@ -225,8 +265,7 @@
 		s = platform.Session{ID: reply.GetSession(), Instance: reply.GetInstance(), Zone: reply.GetZone(), Region: reply.GetRegion(), Peer: s.Peer}
 	}
 	if reply.GetSession() != s.ID {
-		b.instance.directory.MarkGone(s.ID)
-		b.instance.manager.Kick()
+		b.instance.peerGone(s)
 		return nil
 	}
 	b.instance.directory.Answered(s, reply.GetRevision(), time.Now())
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -82,21 +82,32 @@
 	if err := i.connect(self); err != nil {
 		return nil, err
 	}
-	i.directory = membership.NewDirectory(self)
 	i.holder = weightstore.NewHolder(s.LoadsAtOnce)
 	i.metrics = telemetry.NewMetrics()
 	i.spans = telemetry.NewSpanStore(s.Instance, s.TraceCapacity)
 	i.tracer = telemetry.NewTracer(i.spans)
 	i.config = newConfiguration(i)
-	i.beats = newHeartbeats(i)
+	i.assemble(self, &factory{i}, i.peers)
+	i.handle()
+	return i, nil
+}
+
+// peers calls other instances.
+type peers interface {
+	entry.Peers
+	beatPeers
+}
+
+// assemble connects membership, ownership and routing.
+func (i *Instance) assemble(self platform.Session, f ownership.Factory, p peers) {
+	i.directory = membership.NewDirectory(self)
+	i.beats = newHeartbeats(i, p)
 	i.manager = ownership.NewManager(ownership.Config{
-		Store: i.store, Directory: i.directory, Factory: &factory{i}, Log: logs.Layer("ownership"),
+		Store: i.store, Directory: i.directory, Factory: f, Changed: i.beats.now, Log: i.logs.Layer("ownership"),
 	})
 	i.router = entry.NewRouter(entry.Config{
-		Directory: i.directory, View: i.config.View, Owners: &owners{i}, Peers: i.peers, Tracer: i.tracer,
+		Directory: i.directory, View: i.config.View, Owners: &owners{i}, Peers: p, Gone: i.peerGone, Tracer: i.tracer,
 	})
-	i.handle()
-	return i, nil
 }
 
 // connect builds the clients of the platform, of peers and of targets.
