entry: choose an engine and count the request in one step

Cause: concurrent requests compared the engines before any of them was counted as sent, so several took the same place.

Change: a lock makes the choice and its count one step.

Its cost on the data path was not measured.

--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -80,6 +80,9 @@
 	config Config
 	budget *retry.Budget
 
+	// choosing makes a choice and its count one step.
+	choosing sync.Mutex
+
 	mu   sync.Mutex
 	sent map[string]*sentSince
 	// flights are the repeatable requests at peers, by address.
@@ -258,13 +261,25 @@
 func (r *Router) zone() string { return r.config.Directory.Self().Zone }
 
 func (r *Router) attemptEngine(ctx context.Context, w *bamboorail.Work, s *onceSink, failed map[string]bool) (string, error) {
+	best, ok := r.choose(w, failed)
+	if !ok {
+		return "", r.elsewhere(ctx, w, s, fmt.Errorf("no engine that can be reached from zone %q serves model %s now", r.zone(), w.Model))
+	}
+	return best.Target, r.send(ctx, w, s, best.Target)
+}
+
+// choose picks an engine and counts the request there before the next one
+// compares the engines.
+func (r *Router) choose(w *bamboorail.Work, failed map[string]bool) (placement.Option, bool) {
+	r.choosing.Lock()
+	defer r.choosing.Unlock()
 	options := r.options(w, time.Now(), failed)
 	if len(options) == 0 {
-		return "", r.elsewhere(ctx, w, s, fmt.Errorf("no engine that can be reached from zone %q serves model %s now", r.zone(), w.Model))
+		return placement.Option{}, false
 	}
 	best := placement.Route(w.Model, options)[0]
 	r.countSent(best.Target, w.Model)
-	return best.Target, r.send(ctx, w, s, best.Target)
+	return best, true
 }
 
 func (r *Router) attemptService(ctx context.Context, w *bamboorail.Work, s *onceSink) (string, error) {
