stand/engine: count starts by request id, say what an eviction hit

The soak needs to know whether a request that was cut off reached an engine, and an eviction under requests could not be traced: the record had neither a time nor the order that did it.

--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -79,10 +80,13 @@
 	err      error
 }
 
-// Evicted describes a handle that was unloaded while a request ran on it.
+// Evicted describes a handle that was unloaded while requests ran on it.
 type Evicted struct {
-	Handle  string `json:"handle"`
-	Running int    `json:"running"`
+	Handle   string    `json:"handle"`
+	Running  int       `json:"running"`
+	Requests []string  `json:"requests"`
+	Fencing  uint64    `json:"fencing"`
+	At       time.Time `json:"at"`
 }
 
 // Engine is the state behind both dialects.
@@ -103,15 +107,17 @@
 	violations  []Evicted
 	leaving     bool
 	started     int
-	canceled    int
-	history     []snapshot
-	steps       uint64
-	stepTokens  uint64
+	// starts counts the runs by request id, over restarts.
+	starts     map[string]int
+	canceled   int
+	history    []snapshot
+	steps      uint64
+	stepTokens uint64
 }
 
 // New returns an engine that fetches weights through client.
 func New(o Options, client *http.Client) *Engine {
-	e := &Engine{options: o, client: client}
+	e := &Engine{options: o, client: client, starts: map[string]int{}}
 	e.Restart()
 	return e
 }
@@ -320,12 +326,14 @@
 	if l.running == 0 {
 		return nil
 	}
-	e.violations = append(e.violations, Evicted{Handle: handle, Running: l.running})
+	evicted := Evicted{Handle: handle, Running: l.running, Fencing: fencing, At: time.Now()}
 	for _, r := range e.runs {
 		if r.handle == handle && !r.finished {
+			evicted.Requests = append(evicted.Requests, r.id)
 			r.fail(errors.New("adapter was unloaded"))
 		}
 	}
+	e.violations = append(e.violations, evicted)
 	return nil
 }
 
@@ -356,6 +364,7 @@
 	}
 	l.running++
 	e.started++
+	e.starts[id]++
 	e.runs[id] = r
 	e.queue = append(e.queue, r)
 	return r, nil
@@ -388,6 +397,13 @@
 	return e.started
 }
 
+// Starts returns how often each request id began to run.
+func (e *Engine) Starts() map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.starts)
+}
+
 // Canceled returns the number of runs that were canceled.
 func (e *Engine) Canceled() int {
 	e.mu.Lock()
--- a/internal/stand/engine/openai.go
+++ b/internal/stand/engine/openai.go
@@ -55,6 +55,7 @@
 	mux.HandleFunc("POST /v1/role", e.serveRole)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /violations", e.serveViolations)
+	mux.HandleFunc("GET /starts", e.serveStarts)
 	return mux
 }
 
@@ -62,6 +63,10 @@
 	_ = json.NewEncoder(w).Encode(e.Violations())
 }
 
+func (e *Engine) serveStarts(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(e.Starts())
+}
+
 type loraOrder struct {
 	Name    string `json:"lora_name"`
 	Path    string `json:"lora_path"`
--- a/internal/stand/engine/status.go
+++ b/internal/stand/engine/status.go
@@ -21,6 +21,7 @@
 		respond(w, e.Cancel(r.PathValue("id")))
 	})
 	mux.HandleFunc("GET /violations", e.serveViolations)
+	mux.HandleFunc("GET /starts", e.serveStarts)
 	return mux
 }
 
