placement: a handle that a later term may use is not unloaded under it

Cause: the evidence for an unload was that of the term that named the handle, not of all whose owners may use it. The model check has two owners, so that no third term met it.

Change: the terms after that of the handle that have not drained count as well; one that is gone is cleared only after a report without its runs.

Red before (go test ./internal/placement -run Handles): may unload: true, want false (open, released, gone but not verified); with 3 requests running, cleared: true.

--- a/internal/placement/handle.go
+++ b/internal/placement/handle.go
@@ -110,14 +110,33 @@
 
 // MayUnload reports whether an idle handle may be unloaded. Requests are not
 // fenced: an earlier owner that still runs could send one at any time, or wait
-// for one. verifiedIdle is set by a report that shows nothing running and was
-// made after the owner was known to be gone.
+// for one, also to a handle of a term before its own. verifiedIdle is set by a
+// report that shows nothing running and was made after the owner was known to be
+// gone.
 func (e Evidence) MayUnload(h bamboorail.Handle, verifiedIdle bool) bool {
-	switch e.StateOf(h) {
-	case TermOwn, TermDrained:
-		return true
-	case TermGone, TermReleasedGone:
-		return verifiedIdle
+	for _, s := range append(e.laterUsers(h), e.StateOf(h)) {
+		switch s {
+		case TermOwn, TermDrained:
+		case TermGone, TermReleasedGone:
+			if !verifiedIdle {
+				return false
+			}
+		default:
+			return false
+		}
 	}
-	return false
+	return true
+}
+
+// laterUsers returns the states of the earlier terms that followed that of a
+// handle. Their owners may have sent requests to it.
+func (e Evidence) laterUsers(h bamboorail.Handle) []TermState {
+	term, _ := TermOf(h)
+	var users []TermState
+	for _, t := range e.Earlier {
+		if t.Term > term {
+			users = append(users, t.State)
+		}
+	}
+	return users
 }
--- a/internal/placement/summary.go
+++ b/internal/placement/summary.go
@@ -84,14 +84,17 @@
 }
 
 // EarlierCleared reports whether the engine, asked after the newest evidence,
-// holds no handle of an owner that is gone.
+// holds no handle of an owner that is gone, and runs nothing on those that such
+// an owner may have used.
 func (t *Table) EarlierCleared() bool {
 	if t.passed < t.evidenceBarrier || t.incarnation == "" {
 		return false
 	}
 	for _, s := range t.slots {
 		state := t.evidence.StateOf(s.handle)
-		if state == TermGone || (state == TermReleasedGone && !s.verifiedIdle) {
+		users := append(t.evidence.laterUsers(s.handle), state)
+		used := slices.Contains(users, TermGone) || slices.Contains(users, TermReleasedGone)
+		if state == TermGone || (used && !s.verifiedIdle) {
 			return false
 		}
 	}
--- a/internal/placement/table_test.go
+++ b/internal/placement/table_test.go
@@ -348,3 +348,58 @@
 		},
 	})
 }
+
+// TestHandlesOfDrainedTermsServeLaterTerms: the owner of term 2 sent requests to
+// a handle of term 1, which has drained, and has released the engine since. The
+// owner of term 3 must not unload it under them.
+func TestHandlesOfDrainedTermsServeLaterTerms(t *testing.T) {
+	first := NewHandle(ref("x"), 1, 1)
+	if !(Evidence{Term: 2}).MayDispatch(first, true) {
+		t.Fatal("the owner of term 2 does not use the handle")
+	}
+	cases := map[string]struct {
+		second         TermState
+		idle, unloaded bool
+	}{
+		"open":                        {TermOpen, true, false},
+		"released":                    {TermReleased, true, false},
+		"gone, not verified":          {TermGone, false, false},
+		"gone, idle":                  {TermGone, true, true},
+		"released and gone, verified": {TermReleasedGone, true, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := Evidence{Term: 3, Earlier: []Earlier{{Term: 2, State: c.second}}}
+			if got := e.MayUnload(first, c.idle); got != c.unloaded {
+				t.Errorf("may unload: %t, want %t", got, c.unloaded)
+			}
+			if own := NewHandle(ref("x"), 3, 1); !e.MayUnload(own, false) {
+				t.Error("an own handle may not be unloaded")
+			}
+		})
+	}
+}
+
+// TestHandlesUsedByAnOwnerThatIsGoneAreVerified: a handle of a drained term may
+// still run what the owner of a later term sent before it ended.
+func TestHandlesUsedByAnOwnerThatIsGoneAreVerified(t *testing.T) {
+	first := NewHandle(ref("x"), 1, 1)
+	for name, state := range map[string]TermState{"gone": TermGone, "released and gone": TermReleasedGone} {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable(Limits{Slots: 1, MaxBatch: 4}, DefaultSettings(), Weighted{}, Evidence{
+				Term: 3, Earlier: []Earlier{{Term: 2, State: state}},
+			})
+			report := bamboorail.EngineReport{Incarnation: "i", BaseModel: "b"}
+			if n, ok := table.Barrier(); ok {
+				report.LastOrder = BarrierID(3, n)
+			}
+			for _, running := range []int{3, 0} {
+				report.Handles = []bamboorail.HandleState{{Handle: first, Model: ref("x"), Running: running}}
+				table.Observe(modelNow, report)
+				if got := table.EarlierCleared(); got != (running == 0) {
+					t.Errorf("with %d requests running, cleared: %t", running, got)
+				}
+			}
+		})
+	}
+}
