ownership: holders that nobody met are asked; a leave waits for its claims

Now the directory takes in the holders that the ledger names, so that the heartbeat asks at their address: a refused connection or another session there is the proof. 2.

--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -52,8 +52,9 @@
 type member struct {
 	session platform.Session
 	// listed is the last time at which a listing showed a renewal, contact
-	// that of the last heartbeat in either direction.
-	listed, contact time.Time
+	// that of the last heartbeat in either direction, named that at which the
+	// ledger of the zone named the session.
+	listed, contact, named time.Time
 	gone            bool
 	leaving         bool
 	revision        uint64
@@ -109,6 +110,16 @@
 	d.forget(now)
 }
 
+// Named takes in a session that the ledger of the own zone names as a holder.
+// One that was never met can only be asked at its address.
+func (d *Directory) Named(s platform.Session, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s.ID != d.self.ID {
+		d.member(s).named = now
+	}
+}
+
 // supersede marks the earlier listed sessions of an instance as gone: it
 // announces a new session only from a new process at the same address.
 func (d *Directory) supersede(o platform.Observed) {
@@ -125,7 +136,7 @@
 
 func (d *Directory) forget(now time.Time) {
 	for id, m := range d.members {
-		if now.Sub(m.listed) > memberMemory && now.Sub(m.contact) > memberMemory {
+		if now.Sub(m.listed) > memberMemory && now.Sub(m.contact) > memberMemory && now.Sub(m.named) > memberMemory {
 			delete(d.members, id)
 		}
 	}
--- a/internal/ownership/leave.go
+++ b/internal/ownership/leave.go
@@ -34,7 +34,8 @@
 	return nil
 }
 
-// released reports whether the ledger names this session nowhere.
+// released reports whether the ledger names this session nowhere, and no claim
+// is under way.
 func (m *Manager) released() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -46,7 +47,7 @@
 			}
 		}
 	}
-	return !m.dirty
+	return m.left && !m.dirty
 }
 
 // closeAll refuses new work before the release is announced.
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -97,6 +98,9 @@
 	read    time.Time
 	moved   time.Time
 	leaving bool
+	// left is set after a step that knew that this instance leaves: no claim
+	// is under way any more.
+	left bool
 	// synced is set after the first ledger was read or taken from a peer.
 	synced bool
 }
@@ -157,6 +161,7 @@
 
 // step brings ledger and owners up to date once.
 func (m *Manager) step(ctx context.Context) {
+	defer m.stepped(m.isLeaving())
 	now := time.Now()
 	if now.Sub(m.read) >= ledgerPoll || !m.Synced() {
 		m.refresh(ctx, now)
@@ -164,12 +169,41 @@
 	if !m.Synced() {
 		return
 	}
+	m.meetHolders(now)
 	m.planOnce(ctx, now)
 	if m.reconcile(ctx) {
 		m.config.Changed()
 	}
 }
 
+func (m *Manager) isLeaving() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leaving
+}
+
+func (m *Manager) stepped(leaving bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.left = leaving
+}
+
+// meetHolders names the sessions of the ledger to the directory, so that those
+// that it never met are asked whether they live.
+func (m *Manager) meetHolders(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	self := m.config.Directory.Self()
+	for _, o := range m.ledger.Targets {
+		for _, h := range append(slices.Clone(o.Earlier), o.Current) {
+			if h.Session != "" && h.Peer != "" {
+				s := platform.Session{ID: h.Session, Instance: h.Instance, Zone: self.Zone, Region: self.Region, Peer: h.Peer}
+				m.config.Directory.Named(s, now)
+			}
+		}
+	}
+}
+
 // ApplyEvent takes in a watched ledger object.
 func (m *Manager) ApplyEvent(o bamboorail.Object) {
 	if o.Key != platform.LedgerKey(m.zone()) || o.Deleted {
--- a/internal/ownership/reconcile.go
+++ b/internal/ownership/reconcile.go
@@ -31,6 +31,13 @@
 			changed = m.ensure(ctx, target, o) || changed
 		}
 	}
+	if m.leaving && len(m.current) > 0 {
+		// A claim that was under way when the leave began has taken effect.
+		for target, o := range m.current {
+			m.retire(target, o)
+		}
+		m.Kick()
+	}
 	m.finishDrained()
 	return changed
 }
