soak: planned work in series, open connections to the end, changes of records

It sent no SIGHUP at all; a process that it had told to leave was reserved for that fault and got nothing more until it had ended; its clients used an instance at random every 20 ms with 24-token streams and counted each cut as a failure, never as a broken promise; an exit code after SIGTERM was not looked at; records never changed; proxies accepted for processes that were gone, so that no peer saw a refused connection.

Change: - Each run begins with a rolling restart in which every instance gets SIGTERM and SIGHUP again while it drains and SIGHUP while it starts, with a release in it. Series of signals, rolling restarts, releases and drained targets beside kills are drawn with the old faults, and overlap. - Callers stay at an instance, with long streams, until its process is gone, also when all leave at the end. A request that was wholly sent gets an answer or a refusal.

--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -14,7 +13,6 @@
 	"time"
 
 	"bamboorail.example/bamboorail/internal/duty"
-	"bamboorail.example/bamboorail/pkg/operatorapi"
 	"bamboorail.example/bamboorail/pkg/record"
 )
 
@@ -22,14 +20,22 @@
 	operatorToken = "soak-operator"
 	callerToken   = "soak-caller"
 	serviceName   = "citaren"
-	engineCount   = 3
-	// portCount is enough for the ports of every process.
-	portCount = 40
-	portTries = 100
+	// instancesPerEngine, zonesPerRegion and portsPerProcess shape clusters.
+	instancesPerEngine = 2
+	minEngines         = 3
+	zonesPerRegion     = 2
+	portsPerProcess    = 6
+	// pollInterval is the time between looks at what is awaited.
+	pollInterval = 5 * time.Millisecond
+	portTries    = 100
 	// firstPort and lastPort are below the range of outgoing connections.
 	firstPort, lastPort = 12000, 32000
-	// drainTimeout bounds the leave of an instance in the soak.
-	drainTimeout = 10 * time.Second
+	// drainTimeout bounds the leave of an instance. It exceeds what a leave takes
+	// if nothing disturbs it: the notice, the requests of the owners, the record
+	// of the release (2 s) and the last requests of callers.
+	drainTimeout = readinessDelay + 2*requestDeadline + 4*time.Second
+	// readinessDelay is the notice of an instance that leaves.
+	readinessDelay = 300 * time.Millisecond
 	// startLimit bounds the start of the whole system on a busy machine.
 	startLimit = time.Minute
 )
@@ -45,13 +51,16 @@
 	toPlatform, toPeers *proxy
 }
 
-// cluster is the system under test: four instances in two zones before three
-// engines and two applications.
+// cluster is the system under test: instances in zones before engines, and an
+// application in each zone.
 type cluster struct {
-	dir, bin string
-	proxies  *duty.Group
-	ports    []string
-	reserved net.Listener
+	dir, bin         string
+	instances, zones int
+	ledger           *ledger
+	changes          changes
+	proxies          *duty.Group
+	ports            []string
+	reserved         net.Listener
 
 	platform, weights *process
 	nodes             []*node
@@ -60,13 +69,17 @@
 	appURLs           []string
 	// toTargets disturb the links to engines and applications.
 	toTargets []*proxy
-	all       []*process
+	// records declare the engines; their state is left out.
+	records []string
+	all     []*process
 }
 
 // newCluster writes the settings and starts every process. A cluster that is
 // returned with an error has processes to stop.
-func newCluster(ctx context.Context, bin, dir string) (*cluster, error) {
-	c := &cluster{dir: dir, bin: bin, proxies: duty.NewGroup(ctx)}
+func newCluster(ctx context.Context, o Options, l *ledger) (*cluster, error) {
+	c := &cluster{
+		dir: o.Dir, bin: o.Bin, instances: o.Instances, zones: o.Zones, ledger: l, proxies: duty.NewGroup(ctx),
+	}
 	if err := c.reservePorts(ctx); err != nil {
 		return nil, err
 	}
@@ -84,16 +97,17 @@
 // again. The first port of the block stays taken, so that another run leaves
 // the block alone.
 func (c *cluster) reservePorts(ctx context.Context) error {
+	portCount := portsPerProcess * (c.instances + c.engineCount() + c.zones + 2)
 	for range portTries {
 		first := firstPort + portCount*rand.IntN((lastPort-firstPort)/portCount)
-		if c.reserveBlock(ctx, first) {
+		if c.reserveBlock(ctx, first, portCount) {
 			return nil
 		}
 	}
 	return fail("reserve-ports", "no %d free ports in a row between %d and %d", portCount, firstPort, lastPort)
 }
 
-func (c *cluster) reserveBlock(ctx context.Context, first int) bool {
+func (c *cluster) reserveBlock(ctx context.Context, first, count int) bool {
 	var held []net.Listener
 	release := func() {
 		for _, l := range held {
@@ -101,7 +115,7 @@
 		}
 	}
 	c.ports = nil
-	for n := range portCount {
+	for n := range count {
 		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(first+n))
 		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 		if err != nil {
@@ -124,7 +138,7 @@
 
 // proxy starts a proxy to a target.
 func (c *cluster) proxy(ctx context.Context, name, target string) (*proxy, error) {
-	p, err := newProxy(ctx, target)
+	p, err := newProxy(ctx, c.port(), target)
 	if err != nil {
 		return nil, err
 	}
@@ -133,42 +147,39 @@
 }
 
 // launch writes settings and starts a program with them.
-func (c *cluster) launch(name, program string, args []string, settings string) (*process, error) {
+func (c *cluster) launch(ctx context.Context, name, program string, args []string, settings string) (*process, error) {
 	path := filepath.Join(c.dir, name+".ini")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
 	p := &process{name: name, binary: filepath.Join(c.bin, program), args: append(args, "--settings", path), dir: c.dir}
 	c.all = append(c.all, p)
-	return p, p.start()
+	return p, p.start(ctx)
 }
 
 func (c *cluster) startStands(ctx context.Context) error {
 	weights := c.port()
 	var err error
-	c.weights, err = c.launch("weight-store", "railstand", []string{"weight-store"}, fmt.Sprintf("[weight-store]\naddress = %s\nload-time = 100ms\n", weights))
+	settings := fmt.Sprintf("[weight-store]\naddress = %s\nload-time = 100ms\n", weights)
+	c.weights, err = c.launch(ctx, "weight-store", "railstand", []string{"weight-store"}, settings)
 	if err != nil {
 		return err
 	}
-	for n := range engineCount {
-		dialect := "openai"
-		if n == 1 {
-			dialect = "status"
-		}
+	for n := range c.engineCount() {
 		name, address := fmt.Sprintf("stroj-%d", n+1), c.port()
-		e, err := c.launch(name, "railstand", []string{"engine"}, fmt.Sprintf(
+		e, err := c.launch(ctx, name, "railstand", []string{"engine"}, fmt.Sprintf(
 			"[engine]\naddress = %s\nname = %s\ndialect = %s\nbase-model = zaklad\nslots = 2\nmax-batch = 8\n"+
 				"step = 5ms\nprefill = 10ms\ncold-start = 300ms\nweight-store = http://%s\n",
-			address, name, dialect, weights))
+			address, name, dialectOf(n), weights))
 		if err != nil {
 			return err
 		}
 		c.engines, c.engineURLs = append(c.engines, e), append(c.engineURLs, "http://"+address)
 	}
-	for n := range 2 {
+	for n := range c.zones {
 		name, address := fmt.Sprintf("citaren-%d", n+1), c.port()
 		settings := fmt.Sprintf("[application]\naddress = %s\nname = %s\nrun-time = 5ms\n", address, name)
-		if _, err := c.launch(name, "railstand", []string{"application"}, settings); err != nil {
+		if _, err := c.launch(ctx, name, "railstand", []string{"application"}, settings); err != nil {
 			return err
 		}
 		c.appURLs = append(c.appURLs, "http://"+address)
@@ -189,22 +200,35 @@
 	return c.Close() == nil
 }
 
-func zoneOf(n int) string { return []string{"sala-a", "sala-b"}[n%2] }
+// dialectOf lets one engine in minEngines speak the other dialect.
+func dialectOf(n int) string {
+	if n%minEngines == 1 {
+		return "status"
+	}
+	return "openai"
+}
+
+// engineCount returns the number of engines, at least one a zone.
+func (c *cluster) engineCount() int { return max(minEngines, c.instances/instancesPerEngine, c.zones) }
+
+func (c *cluster) zoneOf(n int) string { return fmt.Sprintf("sala-%d", n%c.zones+1) }
+
+func (c *cluster) regionOf(n int) string { return fmt.Sprintf("kosice-%d", n%c.zones/zonesPerRegion+1) }
 
 func (c *cluster) startNodes(ctx context.Context) error {
 	address := c.port()
 	settings := fmt.Sprintf("[platform]\naddress = %s\nwrites-per-second = 300\ninstance-lag = 2s\n", address)
-	for n := range 4 {
-		settings += fmt.Sprintf("\n[instance vstup-%d]\navailability-zone = %s\n", n+1, zoneOf(n))
+	for n := range c.instances {
+		settings += fmt.Sprintf("\n[instance vstup-%d]\navailability-zone = %s\n", n+1, c.zoneOf(n))
 	}
 	var err error
-	if c.platform, err = c.launch("platform", "railstand", []string{"platform"}, settings); err != nil {
+	if c.platform, err = c.launch(ctx, "platform", "railstand", []string{"platform"}, settings); err != nil {
 		return err
 	}
 	if err := await(ctx, "the platform to listen", func() bool { return listens(ctx, address) }); err != nil {
 		return err
 	}
-	for n := range 4 {
+	for n := range c.instances {
 		if err := c.startNode(ctx, n, address); err != nil {
 			return err
 		}
@@ -227,13 +251,21 @@
 	if v.toPeers, err = c.proxy(ctx, "peers to "+name, peers); err != nil {
 		return err
 	}
-	v.process, err = c.launch(name, "railentry", nil, fmt.Sprintf(
-		"[instance]\nname = %s\navailability-zone = %s\nregion = kosice\nreadiness-delay = 300ms\ndrain-timeout = %s\n\n"+
+	v.process, err = c.launch(ctx, name, "railentry", nil, fmt.Sprintf(
+		"[instance]\nname = %s\navailability-zone = %s\nregion = %s\nreadiness-delay = %s\ndrain-timeout = %s\n\n"+
 			"[callers]\naddress = %s\n\n[peers]\naddress = %s\nannounce = %s\n\n[operators]\naddress = %s\ntoken-sha256 = %s\n\n"+
 			"[metrics]\naddress = %s\n\n[platform]\nurl = http://%s\n\n[log]\nlevel = info\n",
-		name, zoneOf(n), drainTimeout, v.callers, peers, v.toPeers.address(), v.operators, record.HashToken(operatorToken), c.port(), v.toPlatform.address()))
+		name, c.zoneOf(n), c.regionOf(n), readinessDelay, drainTimeout, v.callers, peers, v.toPeers.address(),
+		v.operators, record.HashToken(operatorToken), c.port(), v.toPlatform.address()))
+	if err != nil {
+		return err
+	}
+	// Peers of a process that is gone are refused, as at its own port.
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.began, v.gone = v.toPeers.attach, v.toPeers.detach
 	c.nodes = append(c.nodes, v)
-	return err
+	return nil
 }
 
 func (v *node) ready(ctx context.Context) bool {
@@ -243,12 +275,10 @@
 
 // declare commits the records of callers, adapters and targets.
 func (c *cluster) declare(ctx context.Context) error {
-	change := operatorapi.Change{ID: "soak"}
-	add := func(format string, a ...any) {
-		change.Apply = append(change.Apply, json.RawMessage(fmt.Sprintf(format, a...)))
-	}
+	var list []string
+	add := func(format string, a ...any) { list = append(list, fmt.Sprintf(format, a...)) }
 	add(`{"schema-version":1,"kind":"caller","name":"soak","token-sha256":%q,"adapters":["*"],"services":["*"]}`, record.HashToken(callerToken))
-	for _, name := range []string{"suhrn", "varovania", "stitky"} {
+	for _, name := range adapters {
 		add(`{"schema-version":1,"kind":"adapter","name":%q,"base-model":"zaklad","versions":[{"name":"v1"},{"name":"v2"}]}`, name)
 	}
 	for n, e := range c.engines {
@@ -256,13 +286,10 @@
 		if err != nil {
 			return err
 		}
-		dialect := "openai"
-		if n == 1 {
-			dialect = "status"
-		}
 		c.toTargets = append(c.toTargets, p)
-		add(`{"schema-version":1,"kind":"target","name":%q,"role":"engine","zone":%q,"url":"http://%s","dialect":%q,`+
-			`"base-model":"zaklad","slots":2,"max-batch":8,"checks-fencing":%t}`, e.name, zoneOf(n), p.address(), dialect, n != 1)
+		c.records = append(c.records, fmt.Sprintf(`{"schema-version":1,"kind":"target","name":%q,"role":"engine","zone":%q,"url":"http://%s","dialect":%q,`+
+			`"base-model":"zaklad","slots":2,"max-batch":8,"checks-fencing":%t,"state":%%q}`, e.name, c.zoneOf(n), p.address(), dialectOf(n), n%minEngines != 1))
+		add(c.records[n], "active")
 	}
 	for n, u := range c.appURLs {
 		p, err := c.proxy(ctx, "citaren", u[len("http://"):])
@@ -271,21 +298,54 @@
 		}
 		c.toTargets = append(c.toTargets, p)
 		add(`{"schema-version":1,"kind":"target","name":"citaren-%d","role":"application","zone":%q,"url":"http://%s","service":%q,"max-batch":32}`,
-			n+1, zoneOf(n), p.address(), serviceName)
+			n+1, c.zoneOf(n), p.address(), serviceName)
+	}
+	return c.commit(ctx, "soak", list...)
+}
+
+// leave tells every instance to leave at once, as planned work, while callers
+// go on, and waits for the ends.
+func (c *cluster) leave(ctx context.Context) {
+	leaving := make([]*duty.Duty, 0, len(c.nodes))
+	for _, v := range c.nodes {
+		leaving = append(leaving, duty.Start(ctx, v.name, func(context.Context) error {
+			if !v.stop(v.current(), syscall.SIGTERM, endLimit) {
+				c.ledger.violate("%s did not end within %s of SIGTERM at the end of the run", v.name, endLimit)
+			}
+			return nil
+		}))
+	}
+	for _, d := range leaving {
+		d.Join()
+	}
+}
+
+// judgeLeaves looks for instances that got nothing but planned signals, at a
+// time when nothing was disturbed, and took the whole drain timeout to leave.
+func (c *cluster) judgeLeaves() {
+	for _, v := range c.nodes {
+		v.mu.Lock()
+		for _, l := range v.lives {
+			planned := !l.killed && !l.paused && !l.left.IsZero() && !l.ended.IsZero()
+			if planned && l.ended.Sub(l.left) >= drainTimeout && c.ledger.undisturbed(l.left, l.ended) {
+				c.ledger.violate("%s took %s to leave, got %s", v.name, l.ended.Sub(l.left), l.signals)
+			}
+		}
+		v.mu.Unlock()
 	}
-	client := operatorapi.NewClient("http://"+c.nodes[0].operators, operatorToken, http.DefaultTransport)
-	_, err := client.Commit(ctx, change)
-	return err
 }
 
-// stop ends every process.
+// stop ends every process that still runs.
 func (c *cluster) stop() {
 	for _, p := range c.all {
-		// A stopped process takes SIGTERM only once it goes on.
-		_ = p.signal(syscall.SIGCONT)
+		l := p.current()
+		// A stopped process takes SIGTERM only once it goes on. Both signals may
+		// come after its end.
+		_ = p.signal(l, syscall.SIGCONT)
+		_ = p.signal(l, syscall.SIGTERM)
 	}
 	for _, p := range c.all {
-		p.stop(syscall.SIGTERM, drainTimeout+5*time.Second)
+		p.waitFor(p.current(), endLimit)
 	}
 	// Nothing was ever accepted there.
 	_ = c.reserved.Close()
@@ -296,7 +356,7 @@
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
 	for !condition() {
-		if err := duty.Sleep(ctx, 50*time.Millisecond); err != nil {
+		if err := duty.Sleep(ctx, pollInterval); err != nil {
 			return fail("await", "waited for %s: %w", what, err)
 		}
 	}
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -1,6 +1,7 @@
-// Package soak runs the programs as separate processes on one machine, injects
-// faults from outside them, and checks what callers and targets see: exact
-// answers, calls that run at most once, true outcomes, and recovery.
+// Package soak runs the programs as separate processes on one machine, does
+// planned work to them and injects faults from outside, and checks what callers
+// and targets see: exact answers, calls that run at most once, true outcomes,
+// nothing cut off by planned work, and recovery.
 package soak
 
 import (
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -29,27 +29,69 @@
 // timeouts of all calls.
 const linkDelay = 200 * time.Millisecond
 
+// attachTime bounds the wait for a port that another run looks at.
+const attachTime = 2 * time.Second
+
 // proxy forwards TCP connections to a target and can disturb them.
 type proxy struct {
+	listening string
+	target    string
+
+	mu       sync.Mutex
 	listener net.Listener
-	target   string
+	state    linkState
+	changed  chan struct{}
+	open     map[*net.TCPConn]struct{}
+}
 
-	mu      sync.Mutex
-	state   linkState
-	changed chan struct{}
-	open    map[*net.TCPConn]struct{}
+// newProxy listens on an address of loopback.
+func newProxy(ctx context.Context, address, target string) (*proxy, error) {
+	p := &proxy{listening: address, target: target, changed: make(chan struct{}), open: map[*net.TCPConn]struct{}{}}
+	return p, p.attach(ctx)
 }
 
-// newProxy listens on a free port of loopback.
-func newProxy(ctx context.Context, target string) (*proxy, error) {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+func (p *proxy) address() string { return p.listening }
+
+// attach listens for a target that has started.
+func (p *proxy) attach(ctx context.Context) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		return nil
+	}
+	// Another run that looks for free ports may hold this one for a moment.
+	ctx, cancel := context.WithTimeout(ctx, attachTime)
+	defer cancel()
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", p.listening)
+	for err != nil && duty.Sleep(ctx, pollInterval) == nil {
+		l, err = (&net.ListenConfig{}).Listen(ctx, "tcp", p.listening)
+	}
 	if err != nil {
-		return nil, err
+		return err
+	}
+	p.listener = l
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return nil
+}
+
+// detach refuses connections, as the port of a target that has ended does.
+func (p *proxy) detach() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
 	}
-	return &proxy{listener: l, target: target, changed: make(chan struct{}), open: map[*net.TCPConn]struct{}{}}, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+// attached returns the listener, and a channel that is closed at the next
+// change if there is none.
+func (p *proxy) attached() (net.Listener, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listener, p.changed
+}
 
 // set changes what happens to the bytes.
 func (p *proxy) set(s linkState) {
@@ -73,19 +115,28 @@
 	closing := duty.Start(ctx, "close", func(ctx context.Context) error {
 		<-ctx.Done()
 		p.set(linkReset)
-		return p.listener.Close()
+		p.detach()
+		return ctx.Err()
 	})
+	defer closing.Join()
 	var forwards []*duty.Duty
 	defer func() {
 		for _, f := range forwards {
 			f.Join()
 		}
 	}()
-	for {
-		c, err := p.listener.Accept()
+	for ctx.Err() == nil {
+		l, changed := p.attached()
+		if l == nil {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		c, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
-			closing.Join()
-			return ctx.Err()
+			continue
 		}
 		if err != nil {
 			return err
@@ -95,6 +146,7 @@
 			return nil
 		}))
 	}
+	return ctx.Err()
 }
 
 // forward joins a connection to one to the target. It ends with either.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -13,8 +13,11 @@
 )
 
 const (
-	loaders   = 6
-	repeaters = 2
+	// loaders and repeaters are the callers of a small cluster; a large one has
+	// a loader for each instance, up to maxLoaders.
+	loaders    = 6
+	maxLoaders = 60
+	repeaters  = 2
 	// faultStream is the random stream of the faults; the callers have the lower
 	// ones.
 	faultStream = 1000
@@ -25,6 +28,8 @@
 	// Bin is the directory of the programs, Dir the one of settings and logs.
 	Bin, Dir string
 	Seed     uint64
+	// Instances is at least 4; they are spread over Zones.
+	Instances, Zones int
 	// Duration is the time in which faults begin.
 	Duration time.Duration
 	// Out gets a line for each fault.
@@ -33,114 +38,141 @@
 
 // Report is the result of a run.
 type Report struct {
-	Seed uint64
+	Seed      uint64
+	Processes int
 	// Answers, Refusals and Failures count requests that were answered, refused,
-	// and cut off.
-	Answers, Refusals, Failures int
-	Calls                       int
+	// and cut off; Crossings those of the last that met the close of an idle
+	// connection.
+	Answers, Refusals, Failures, Crossings int
+	Calls                                  int
+	// Takeover is the time from the kill of an owner to the next one, Served that
+	// to an answer of every model at another instance of its zone.
+	Takeover, Served time.Duration
 	// Violations are the promises that were broken.
 	Violations []string
 }
 
 // Run plays one seed. Its error means that the run itself failed.
 func Run(ctx context.Context, o Options) (Report, error) {
+	if o.Instances < baseInstances || o.Zones < 1 || o.Zones > o.Instances/2 {
+		return Report{}, fail("run", "%d instances in %d zones: want at least %d instances, and 2 in each zone", o.Instances, o.Zones, baseInstances)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c, err := newCluster(ctx, o.Bin, o.Dir)
+	l := newLedger()
+	c, err := newCluster(ctx, o, l)
 	if c != nil {
 		defer c.stop()
 	}
 	if err != nil {
 		return Report{}, err
 	}
-	l := &ledger{calls: map[string]*callFate{}}
-	if err := c.recovered(ctx, l); err != nil {
+	if err := c.recovered(ctx, "start"); err != nil {
 		return Report{}, err
 	}
-	callers := duty.NewGroup(ctx)
-	for n := range uint64(loaders) {
+	calling, hangUp := context.WithCancel(ctx)
+	defer hangUp()
+	callers := duty.NewGroup(calling)
+	callers.Start("stalls", l.watchStalls)
+	count := uint64(max(loaders, min(maxLoaders, o.Instances)))
+	for n := range count {
 		callers.Start("load", l.load(c.nodes, o.Seed, n))
 	}
 	for n := range uint64(repeaters) {
-		callers.Start("repeat", l.repeat(c.nodes, o.Seed, loaders+n))
+		callers.Start("repeat", l.repeat(c.nodes, o.Seed, count+n))
 	}
 	faults := c.schedule(rand.New(rand.NewPCG(o.Seed, faultStream)), o.Duration)
 	report := func(format string, a ...any) {
 		// The report of a fault is not worth the end of a run.
 		_, _ = fmt.Fprintf(o.Out, format+"\n", a...)
 	}
-	if err := c.inject(ctx, faults, report); err != nil {
+	if err := c.inject(ctx, l, faults, report); err != nil {
 		l.violate("%v", err)
 	}
-	if err := c.recovered(ctx, l); err != nil {
+	var takeover, served time.Duration
+	if err := c.recovered(ctx, "faults"); err != nil {
+		l.violate("no recovery after the faults: %v", err)
+	} else if err := c.owned(ctx); err != nil {
 		l.violate("no recovery after the faults: %v", err)
+	} else {
+		takeover, served = c.killOwner(ctx, report)
 	}
-	cancel()
+	report("%s every instance leaves", time.Now().Format("15:04:05.000"))
+	c.leave(ctx)
+	hangUp()
 	_ = callers.Wait() // the callers end with their context
-	c.check(context.WithoutCancel(ctx), l)
-	return l.report(o.Seed), nil
+	c.check(ctx)
+	c.judgeLeaves()
+	c.stop()
+	for _, p := range c.all {
+		if how := p.ends(); how != "" {
+			l.violate("%s %s", p.name, how)
+		}
+	}
+	r := l.report(o.Seed)
+	r.Processes, r.Takeover, r.Served = len(c.all), takeover, served
+	return r, nil
 }
 
-// recovered waits until every instance serves every model and calls.
-func (c *cluster) recovered(ctx context.Context, l *ledger) error {
-	client := newClient()
+// recovered waits until every instance serves every model, those released
+// during the run too.
+func (c *cluster) recovered(ctx context.Context, after string) error {
+	waiting := make([]*duty.Duty, 0, len(c.nodes))
 	for _, v := range c.nodes {
-		for n, model := range models {
-			what := v.name + " to serve " + model
-			err := await(ctx, what, func() bool { return l.complete(ctx, client, v, model, fmt.Sprint("recovery", n), n%2 == 0) })
-			if err != nil {
-				return err
-			}
+		waiting = append(waiting, duty.Start(ctx, v.name, func(ctx context.Context) error {
+			return c.serves(ctx, v, after)
+		}))
+	}
+	var failure error
+	for _, d := range waiting {
+		if err := <-d.Done(); err != nil && failure == nil {
+			failure = err
 		}
 	}
-	return nil
+	return failure
 }
 
-// check compares what targets saw with what callers were told.
-func (c *cluster) check(ctx context.Context, l *ledger) {
-	for _, p := range c.all {
-		if how := p.ended(); how != "" {
-			l.violate("%s %s", p.name, how)
+// serves waits until an instance serves every model.
+func (c *cluster) serves(ctx context.Context, v *node, after string) error {
+	client := newClient()
+	for n, m := range c.ledger.active() {
+		tries := 0
+		err := await(ctx, v.name+" to serve "+m.name, func() bool {
+			tries++
+			return c.ledger.complete(ctx, client, v, m, fmt.Sprintf("%s-%s-%d-%d", after, v.name, n, tries), tokens, n%2 == 0)
+		})
+		if err != nil {
+			return err
 		}
 	}
+	return nil
+}
+
+// check compares what targets saw with what callers were told.
+func (c *cluster) check(ctx context.Context) {
+	l := c.ledger
 	for n, u := range c.engineURLs {
 		var evicted []json.RawMessage
 		if err := getJSON(ctx, u+"/violations", &evicted); err != nil || len(evicted) > 0 {
 			l.violate("engine %d evicted adapters under requests: %s (%v)", n+1, evicted, err)
 		}
 	}
-	l.compare(c.runs(ctx, l))
+	l.compare(c.counts(ctx, c.appURLs, "/runs"), c.counts(ctx, c.engineURLs, "/starts"))
 }
 
-// runs returns how often each request id ran.
-func (c *cluster) runs(ctx context.Context, l *ledger) map[string]int {
-	runs := map[string]int{}
-	for _, u := range c.appURLs {
+// counts sums up how often targets ran each request id.
+func (c *cluster) counts(ctx context.Context, urls []string, path string) map[string]int {
+	sum := map[string]int{}
+	for _, u := range urls {
 		var counts map[string]int
-		if err := getJSON(ctx, u+"/runs", &counts); err != nil {
-			l.violate("runs of an application: %v", err)
+		if err := getJSON(ctx, u+path, &counts); err != nil {
+			c.ledger.violate("counts of a target: %v", err)
 		}
 		for id, n := range counts {
-			runs[id] += n
-		}
-	}
-	return runs
-}
-
-// compare compares the runs of calls with what callers were told.
-func (l *ledger) compare(runs map[string]int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for id, f := range l.calls {
-		switch n := runs[id]; {
-		case n > 1:
-			l.violations = append(l.violations, fmt.Sprintf("call %s ran %d times: %q", id, n, f.trail))
-		case n == 1 && !f.answered && !f.unclear:
-			l.violations = append(l.violations, fmt.Sprintf("call %s ran, and every answer says that it did not", id))
-		case n == 0 && f.answered:
-			l.violations = append(l.violations, fmt.Sprintf("call %s was answered and never ran", id))
+			sum[id] += n
 		}
 	}
+	return sum
 }
 
 // get reads a document of a process.
@@ -167,11 +199,3 @@
 	}
 	return json.Unmarshal(data, v)
 }
-
-func (l *ledger) report(seed uint64) Report {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return Report{
-		Seed: seed, Answers: l.answers, Refusals: l.refusals, Failures: l.failures, Calls: len(l.calls), Violations: l.violations,
-	}
-}
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -27,6 +27,8 @@
 			&urfave.StringFlag{Name: "bin", Usage: "take the programs from `DIR`", Value: "bin"},
 			&urfave.Uint64Flag{Name: "seed", Usage: "play from `SEED` on; the time if 0"},
 			&urfave.IntFlag{Name: "seeds", Usage: "play `N` seeds", Value: 1},
+			&urfave.IntFlag{Name: "instances", Usage: "run `N` instances, and half as many engines", Value: 4},
+			&urfave.IntFlag{Name: "zones", Usage: "spread them over `N` zones, two to a region", Value: 2},
 			&urfave.DurationFlag{Name: "duration", Usage: "inject faults for `TIME` a seed", Value: 20 * time.Second},
 		},
 		Action: play,
@@ -48,15 +50,19 @@
 		if err != nil {
 			return err
 		}
-		r, err := soak.Run(ctx, soak.Options{Bin: c.String("bin"), Dir: dir, Seed: seed, Duration: c.Duration("duration"), Out: log})
+		r, err := soak.Run(ctx, soak.Options{
+			Bin: c.String("bin"), Dir: dir, Seed: seed, Instances: c.Int("instances"), Zones: c.Int("zones"),
+			Duration: c.Duration("duration"), Out: log,
+		})
 		if err != nil {
 			return fmt.Errorf("seed %d, logs in %s: %w", seed, dir, err)
 		}
 		if err := log.Close(); err != nil {
 			return err
 		}
-		fmt.Printf("seed %d: %d answered, %d refused, %d cut off, %d calls, %d broken promises\n",
-			r.Seed, r.Answers, r.Refusals, r.Failures, r.Calls, len(r.Violations))
+		fmt.Printf("seed %d, %d processes: %d answered, %d refused, %d cut off (%d crossed a close), %d calls, takeover %s, served %s, %d broken promises\n",
+			r.Seed, r.Processes, r.Answers, r.Refusals, r.Failures, r.Crossings, r.Calls,
+			r.Takeover.Round(time.Millisecond), r.Served.Round(time.Millisecond), len(r.Violations))
 		for _, v := range r.Violations {
 			fmt.Println("  " + v)
 		}
