soak: no process runs that the soak does not know

The proxy of its peers could not listen again, and that came after the start of the process, which was then not recorded.

Change: the proxy listens before the process starts.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -96,10 +96,13 @@
 	ctx = context.WithoutCancel(ctx)
 	l := &life{command: exec.CommandContext(ctx, p.binary, p.args...), started: time.Now()}
 	l.command.Stdout, l.command.Stderr = log, log
-	err = l.command.Start()
-	if err == nil && p.began != nil {
+	// What can fail comes first: a process that runs must be known.
+	if p.began != nil {
 		err = p.began(ctx)
 	}
+	if err == nil {
+		err = l.command.Start()
+	}
 	if err != nil {
 		return nil, errors.Join(err, log.Close())
 	}
