mirror: a new holder lists again what it followed

Cause: the cache that a holder passes on as fresh is filled by its own reads of the store only. An instance that had read the store long ago, followed a holder since, and then took the lease over, went on from the followed revision: what came between was missing from its cache, and followers took the old objects for fresh with a current revision (VERSION, CONFIG, DRAIN, ROUTE). One that had never read the store itself had no cache for good, so that all followers asked the store.

Change: changes that do not continue the cache drop it, and an instance that leads lists the kind again.

--- a/internal/mirror/cache.go
+++ b/internal/mirror/cache.go
@@ -81,16 +81,17 @@
 	k.notify()
 }
 
-// apply takes in the changes of a kind.
-func (c *cache) apply(name string, e bamboorail.Events) {
+// apply takes in the changes of a kind after a revision. It returns false if
+// the cache lacks those before, as it does of an instance that followed another,
+// and has to be listed again.
+func (c *cache) apply(name string, after uint64, e bamboorail.Events) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.heard(name)
-	if e.Reset || k.objects == nil {
-		// The objects are listed again.
-		k.objects = nil
+	if e.Reset || k.objects == nil || after > k.revision {
+		k.objects, k.events = nil, nil
 		k.notify()
-		return
+		return false
 	}
 	for _, o := range e.Objects {
 		if o.Deleted {
@@ -108,6 +109,7 @@
 	if len(e.Objects) > 0 {
 		k.notify()
 	}
+	return true
 }
 
 // answer is what a peer gets.
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -197,7 +197,7 @@
 	holder.cache.list("busy", nil, revision)
 	for range 6 {
 		now = now.Add(500 * time.Millisecond)
-		holder.cache.apply("busy", bamboorail.Events{Revision: revision})
+		holder.cache.apply("busy", revision, bamboorail.Events{Revision: revision})
 	}
 	if _, _, err := follower.List(context.Background(), "busy/"); err != nil || follower.asked != 0 {
 		t.Fatalf("%v, after %d calls of the store for a kind that the holder follows", err, follower.asked)
--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -165,8 +165,10 @@
 		}, nil
 	}
 	events, err := s.ObjectStore.Watch(ctx, prefixes, revision, wait)
-	if err == nil {
-		s.cache.apply(kindOf(prefixes[0]), events)
+	if err == nil && !s.cache.apply(kindOf(prefixes[0]), revision, events) && s.holder.Leading() {
+		// What a new holder passes on must be complete.
+		s.log.Info("holder lists again what it followed", "kind", kindOf(prefixes[0]), "revision", revision)
+		events.Reset = true
 	}
 	return events, err
 }
