lease: a release is tried until the process ends

Cause: a release that the store did not take was sent again by a duty that the shutdown ends right after the first try, so that one 503, or an own renewal under way, left the lease unreleased: about 6 s without an acting holder in place of 3.

Change: Release itself tries again every 25 ms within its time.

Red before (go test ./internal/lease -run ReleaseIsRecorded): the record at the end of the process is not released (renewal under way, turned away once).

--- a/internal/lease/elector.go
+++ b/internal/lease/elector.go
@@ -33,6 +33,9 @@
 	returnDelay = 8 * time.Second
 	// renewRetry is the pause after a renewal that failed.
 	renewRetry = 250 * time.Millisecond
+	// releaseRetry is the pause after a release that failed, short as a process
+	// has little time at its end.
+	releaseRetry = 25 * time.Millisecond
 )
 
 // Candidate is a lease that an instance may take.
@@ -212,12 +215,19 @@
 // Leave keeps the leases that are held and claims no other any more.
 func (e *Elector) Leave() { e.leaving.Store(true) }
 
-// Release gives up the leases that are held; none is claimed afterwards. While
-// Run goes on, it records what the store does not take now.
+// Release gives up the leases that are held, and tries until the store has
+// recorded it or ctx ends; none is claimed afterwards.
 func (e *Elector) Release(ctx context.Context) {
 	e.Leave()
-	for _, c := range e.candidates {
-		e.release(ctx, c)
+	for {
+		owed := false
+		for _, c := range e.candidates {
+			e.release(ctx, c)
+			owed = owed || c.Lease.owesRelease()
+		}
+		if !owed || duty.Sleep(ctx, releaseRetry) != nil {
+			return
+		}
 	}
 }
 
