placer: a call does not wait to its deadline for releases that nobody reads

Cause: before the releases of adapters were read, a call was asked again until the time by which it had to start; with the store away since the start nothing came, and calls were held to their deadline.

Change: the wait for the first list ends after 500 ms with a refusal as not run.

--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -41,6 +41,9 @@
 	// serves if no holder answers; the bound version_ms is 5 s.
 	oldVersionUse = 1500 * time.Millisecond
 	noEngineRetry = time.Second
+	// releasesWait is the time for which a call waits for the first list of
+	// releases, enough for a list that was turned away twice (0.1 and 0.2 s).
+	releasesWait = 500 * time.Millisecond
 )
 
 // Peers asks other instances for places.
@@ -98,11 +101,15 @@
 	if !a.Service.Engine || a.Call.Key.Model == "" {
 		return c.choosePlain(a)
 	}
+	asked := time.Now()
 	for {
 		place, err := c.chooseEngine(ctx, a)
 		if err == nil || bamboorail.KindOf(err) != bamboorail.KindOverloaded {
 			return place, err
 		}
+		if errors.Is(err, errNoReleases) && time.Since(asked) > releasesWait {
+			return place, err
+		}
 		if time.Now().Add(startMargin).After(a.StartBy) {
 			return place, err
 		}
--- a/internal/placer/releases_test.go
+++ b/internal/placer/releases_test.go
@@ -138,3 +138,22 @@
 		}
 	})
 }
+
+// TestACallDoesNotWaitForReleasesThatNobodyReads: with the store away since the
+// start, a call for an adapter is refused long before its deadline.
+func TestACallDoesNotWaitForReleasesThatNobodyReads(t *testing.T) {
+	const deadline = 10 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		chooser, _, ask := site(t)
+		chooser.Fleet = fleet.New(time.Second)
+		start := time.Now()
+		ask.StartBy = start.Add(deadline)
+		_, err := chooser.Choose(t.Context(), ask)
+		if held := time.Since(start); held > deadline/10 {
+			t.Errorf("held for %v of %v", held, deadline)
+		}
+		if !bamboorail.NotRun(err) || bamboorail.FailureOf(err).RetryAfter <= 0 {
+			t.Errorf("refused with %v", err)
+		}
+	})
+}
