Revert "internal/adapters: a new holder counts the calls that run"

The report counts 64 slots of which few delay others, or the calls end sooner than taken; not traced.

--- a/internal/adapters/cost.go
+++ b/internal/adapters/cost.go
@@ -46,7 +46,7 @@
 	q := p.inquire(r, now)
 	for _, name := range p.names() {
 		e := p.engines[name]
-		if !e.usable(r) || slices.Contains(r.Avoid, name) || (r.Loads == LoadNever && p.full(e, now)) {
+		if !e.usable(r) || slices.Contains(r.Avoid, name) || (r.Loads == LoadNever && e.full()) {
 			continue
 		}
 		if o, ok := p.option(name, e, r, q, now); ok && (best == nil || o.cost < best.cost) {
@@ -205,13 +205,12 @@
 // engine: running ones slow it down, and with all slots taken it waits until
 // one for each call ahead has ended.
 func (p *Planner) queueCost(e *engine, now time.Time) time.Duration {
-	calls := e.calls(p.callTime, now)
-	cost := time.Duration(calls) * p.tuning.CallCost
-	if p.full(e, now) {
-		cost += time.Duration(calls-e.entry.Slots+1) * p.callTime / time.Duration(e.entry.Slots)
+	cost := time.Duration(e.running) * p.tuning.CallCost
+	if e.full() {
+		cost += time.Duration(e.running-e.entry.Slots+1) * p.callTime / time.Duration(e.entry.Slots)
 	}
-	if crowded := e.entry.Slots * crowdedPercent / 100; e.entry.Slots > 0 && calls >= crowded {
-		cost += time.Duration(calls-crowded+1) * crowdedFactor * p.tuning.CallCost
+	if crowded := e.entry.Slots * crowdedPercent / 100; e.entry.Slots > 0 && e.running >= crowded {
+		cost += time.Duration(e.running-crowded+1) * crowdedFactor * p.tuning.CallCost
 	}
 	if now.Before(e.suspectTo) {
 		cost += suspectCost
@@ -220,9 +219,7 @@
 }
 
 // full reports whether the next call waits until another one ends.
-func (p *Planner) full(e *engine, now time.Time) bool {
-	return e.entry.Slots > 0 && e.calls(p.callTime, now) >= e.entry.Slots
-}
+func (e *engine) full() bool { return e.entry.Slots > 0 && e.running >= e.entry.Slots }
 
 const (
 	// crowdedPercent of an engine's slots may be taken before a call costs
--- a/internal/adapters/engine.go
+++ b/internal/adapters/engine.go
@@ -23,10 +23,6 @@
 	atHand    map[bamboorail.AdapterKey]time.Time
 	running   int
 	suspectTo time.Time
-	// inherited are the calls of an earlier holder that the first report, taken
-	// at inheritedAt, counted.
-	inherited   int
-	inheritedAt time.Time
 }
 
 // resident is an adapter that an engine holds or loads.
@@ -75,9 +71,6 @@
 		// The report is older than an order that the engine accepted.
 		return
 	}
-	if !e.known {
-		e.inherited, e.inheritedAt = max(s.Active+s.Queued-e.running, 0), now
-	}
 	e.known, e.synced, e.orders = true, true, s.Orders
 	models := map[string]time.Time{}
 	residents := map[bamboorail.AdapterKey]*resident{}
@@ -128,15 +121,6 @@
 	}
 }
 
-// calls returns the number of calls at the engine. Those of an earlier holder
-// end evenly over twice the mean time of a call.
-func (e *engine) calls(callTime time.Duration, now time.Time) int {
-	if left := 2*callTime - now.Sub(e.inheritedAt); e.inherited > 0 && left > 0 {
-		return e.running + int(float64(e.inherited)*float64(left)/float64(2*callTime))
-	}
-	return e.running
-}
-
 // loading returns the number of adapters on their way to the engine.
 func (e *engine) loading(now time.Time) int {
 	n := 0
--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -216,7 +216,7 @@
 	} else {
 		placement.Orders = orders
 	}
-	if !p.full(p.engines[best.name], now) {
+	if !p.engines[best.name].full() {
 		// A call behind others at a full engine goes on to count for a while:
 		// another engine with its adapter would serve those that follow sooner.
 		p.waiting.leave(r)
@@ -241,7 +241,7 @@
 // take enters a call at an engine.
 func (p *Planner) take(placement *Placement, name string, r Request, now time.Time) {
 	e := p.engines[name]
-	queued := p.full(e, now)
+	queued := e.full()
 	placement.Target = e.entry
 	if r.Key.Adapter != "" {
 		held := e.adapters[r.Key]
