--- a/internal/adapters/cost.go
+++ b/internal/adapters/cost.go
@@ -46,7 +46,7 @@
 	q := p.inquire(r, now)
 	for _, name := range p.names() {
 		e := p.engines[name]
-		if !e.usable(r) || slices.Contains(r.Avoid, name) || (r.Loads == LoadNever && e.full()) {
+		if !e.usable(r) || slices.Contains(r.Avoid, name) {
 			continue
 		}
 		if o, ok := p.option(name, e, r, q, now); ok && (best == nil || o.cost < best.cost) {
--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -173,8 +173,7 @@
 	// LoadIfWanted permits a reload of what an engine held recently, and a
 	// fetch from the weight store if the zone asks for the adapter often.
 	LoadIfWanted
-	// LoadNever rules out engines that do not hold the adapter, and those whose
-	// slots are taken: a zone that loads serves the call sooner.
+	// LoadNever rules out engines that do not hold the adapter.
 	LoadNever
 )
 
--- a/internal/adapters/planner_test.go
+++ b/internal/adapters/planner_test.go
@@ -528,33 +528,6 @@
 // roomyEngine is the number of adapters that the engines of a case hold.
 const roomyEngine = 4
 
-// TestAZoneThatMayNotOrderTurnsCallsAway: without loads, calls for a hot adapter
-// meet at the engines that hold it, while another zone could load it.
-func TestAZoneThatMayNotOrderTurnsCallsAway(t *testing.T) {
-	cases := map[string]struct {
-		rule    LoadRule
-		running int
-		want    bool
-	}{
-		"a slot is free":          {LoadNever, 63, true},
-		"the engine is full":      {LoadNever, 64, false},
-		"full, but the zone acts": {LoadFreely, 64, true},
-	}
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			p := planner(1, 21)
-			for range c.running {
-				serve(t, p, ask(1), start)
-			}
-			r := ask(1)
-			r.Loads = c.rule
-			if _, ok := p.Place(r, start.Add(time.Second)); ok != c.want {
-				t.Errorf("placed %t, want %t", ok, c.want)
-			}
-		})
-	}
-}
-
 func TestHomesAreStableAndEven(t *testing.T) {
 	zones := []string{"a", "b", "c"}
 	counts := map[string]int{}
