internal/adapters: calls at full engines hold up no fetch of another adapter

Cause: a call that was placed behind others at a full engine went on to count in the waiting list for 250 ms, also against other adapters. Where its own queue was still cheaper than a fetch it never fetched, so that a hot adapter kept the free fetches of a zone from all others: a cold one was not placed in 3 s with no fetch under way.

Change: such a call counts for its own adapter, not against others.

Red before (go test ./internal/adapters -run AColdAdapter): not fetched for 400ms: 0 of 1 fetches under way, 1 adapters come first.

--- a/internal/adapters/waiting.go
+++ b/internal/adapters/waiting.go
@@ -28,6 +28,9 @@
 type waitingCall struct {
 	value float64
 	asked time.Time
+	// placed is set for a call behind others at a full engine: it speaks for a
+	// fetch of its adapter, but holds up no fetch of another one.
+	placed bool
 }
 
 // add enters or refreshes a call.
@@ -55,11 +58,20 @@
 // remove removes an adapter whose load starts.
 func (w waitlist) remove(key bamboorail.AdapterKey) { delete(w, key) }
 
-// score is the value of the calls that wait for an adapter.
-func (w waitlist) score(key bamboorail.AdapterKey, now time.Time) float64 {
+// place notes that a call was placed behind others.
+func (w waitlist) place(r Request) {
+	if c, ok := w[r.Key][r.CallID]; ok {
+		c.placed = true
+		w[r.Key][r.CallID] = c
+	}
+}
+
+// score is the value of the calls that wait for an adapter, with those that
+// were placed behind others if placed is set.
+func (w waitlist) score(key bamboorail.AdapterKey, placed bool, now time.Time) float64 {
 	total := 0.0
 	for _, c := range w[key] {
-		if now.Sub(c.asked) <= askedWithin {
+		if now.Sub(c.asked) <= askedWithin && (placed || !c.placed) {
 			total += c.value
 		}
 	}
@@ -74,10 +86,10 @@
 
 // ahead returns the number of adapters that come before one.
 func (w waitlist) ahead(key bamboorail.AdapterKey, now time.Time) int {
-	own := w.score(key, now)
+	own := w.score(key, true, now)
 	ahead := 0
 	for other := range w {
-		if s := w.score(other, now); other != key && (s > own || (s == own && other.Adapter < key.Adapter)) {
+		if s := w.score(other, false, now); s > 0 && other != key && (s > own || (s == own && other.Adapter < key.Adapter)) {
 			ahead++
 		}
 	}
