internal/adapters: a refusal of an earlier call says nothing of now

Cause: a refusal that an instance reports late took an adapter from what its engine was known to hold, and put the engine in doubt, though a call that was sent later had run there.

Change: refusals sent before the engine proved to hold the adapter are old.

Red before (go test ./internal/adapters -run ARefusalOfAnEarlier): held false, state known false after an old refusal.

--- a/internal/adapters/engine.go
+++ b/internal/adapters/engine.go
@@ -34,7 +34,9 @@
 	fetch   bool
 	started time.Time
 	// late is set once the load took longer than expected.
-	late     bool
+	late bool
+	// seen is the last time at which the engine proved to hold the adapter.
+	seen     time.Time
 	leaving  bool
 	running  int
 	lastUsed time.Time
@@ -78,7 +80,7 @@
 		models[model] = now
 		for name, version := range list {
 			key := bamboorail.AdapterKey{Model: model, Adapter: name}
-			r := &resident{version: version, readyAt: now}
+			r := &resident{version: version, readyAt: now, seen: now}
 			if old := e.adapters[key]; old != nil {
 				r.running, r.lastUsed = old.running, old.lastUsed
 			}
--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -215,7 +215,9 @@
 	} else {
 		placement.Orders = orders
 	}
-	if !p.engines[best.name].full() {
+	if p.engines[best.name].full() {
+		p.waiting.place(r)
+	} else {
 		// A call behind others at a full engine goes on to count for a while:
 		// another engine with its adapter would serve those that follow sooner.
 		p.waiting.leave(r)
@@ -291,6 +293,10 @@
 	if e == nil || p.late(e, c, now) {
 		return
 	}
+	if r := e.adapters[c.Key]; r != nil && c.Sent.Before(r.seen) {
+		// The refusal was reported late: a call that was sent later ran.
+		return
+	}
 	if c.Key.Adapter == "" {
 		delete(e.models, c.Key.Model)
 	}
@@ -347,7 +353,7 @@
 	if r == nil {
 		return
 	}
-	e.atHand[key] = now
+	e.atHand[key], r.seen = now, now
 	if !r.loading {
 		return
 	}
