entry: a request waits only for a takeover that somebody can make

Cause: a request waited as long as a takeover may take (6.4 s, 20 s beside 100 more instances) also where the only zone that could run it had no instance left, and did not wait where an owner that had been silent long ago was still taken for the holder although a successor had been killed since.

Measured: the new cases fail with either mechanism taken out (mutants zones-without-instances-are-waited-for, former-owners-stand-for-their-targets) and pass with them.

--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -192,7 +192,7 @@
 func (r *Router) expectsOwner(w *bamboorail.Work, target string, err error) bool {
 	now := time.Now()
 	if target != "" {
-		return bamboorail.KindOf(err) == bamboorail.KindNotOwner && !r.config.Directory.HeldBySilent(r.targetKey(target), now)
+		return bamboorail.KindOf(err) == bamboorail.KindNotOwner && !r.config.Directory.SilentTargets(now)[r.targetKey(target)]
 	}
 	view := r.config.View()
 	adapter, ok := view.Adapter(w.Model.Adapter())
@@ -200,10 +200,17 @@
 		return false
 	}
 	announced := r.config.Directory.Targets(now)
+	silent := r.config.Directory.SilentTargets(now)
+	candidates := map[string]bool{}
 	return slices.ContainsFunc(view.Targets(), func(t record.Target) bool {
+		candidate, known := candidates[t.Zone()]
+		if !known {
+			candidate = r.config.Directory.HasCandidate(t.Zone(), now)
+			candidates[t.Zone()] = candidate
+		}
 		key := membership.TargetKey{Zone: t.Zone(), Name: t.Name()}
 		_, owned := announced[key]
-		return !owned && adapter.MayRunOn(t) && r.takesWork(t) && !r.config.Directory.HeldBySilent(key, now)
+		return candidate && !owned && adapter.MayRunOn(t) && !silent[key] && r.takesWork(t)
 	})
 }
 
--- a/internal/entry/takeover_test.go
+++ b/internal/entry/takeover_test.go
@@ -152,6 +152,13 @@
 			o.heard(&wire.TargetState{Target: "e", Term: 1, MaxBatch: batch})
 			o.directory.MarkSilent("killed")
 		}, model},
+		"no instance of the zone is left": {farRecord, func(o *takeover) {
+			o.directory.Heard(&wire.InstanceState{
+				Session: "far", Instance: "y1", Zone: "y", Region: "r", Peer: "y1:1", Full: true, Owned: []string{"e"},
+				Targets: []*wire.TargetState{{Target: "e", Term: 1, MaxBatch: batch}},
+			}, time.Now())
+			o.directory.MarkGone("far")
+		}, model},
 		"the keeper has no target to call": {serviceRecord, func(o *takeover) {
 			o.owns, o.result = true, notRun("choose-target", bamboorail.KindNoTarget, time.Second, errors.New("none"))
 		}, (*takeover).call},
@@ -172,3 +179,36 @@
 		})
 	}
 }
+
+// farRecord is an engine of a zone without an instance.
+const farRecord = `{"schema-version":1,"kind":"target","name":"e","role":"engine","zone":"y","url":"http://x",` +
+	`"dialect":"openai","base-model":"b","slots":2,"max-batch":8}`
+
+// TestRequestOutlastsTheTakeoverFromASuccessor: an owner that fell silent long
+// ago, and was succeeded, does not stand for the target any more when its
+// successor is killed.
+func TestRequestOutlastsTheTakeoverFromASuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newTakeover(t, engineRecord)
+		o.heard(&wire.TargetState{Target: "e", Term: 1, MaxBatch: batch})
+		o.directory.MarkSilent("killed")
+		time.Sleep(30 * time.Second)
+		o.directory.Heard(&wire.InstanceState{
+			Session: "successor", Instance: "a3", Zone: "z", Region: "r", Peer: "a3:1", Full: true, Owned: []string{"e"},
+			Targets: []*wire.TargetState{{Target: "e", Term: 2, MaxBatch: batch}},
+		}, time.Now())
+		o.directory.MarkGone("successor")
+		key := membership.TargetKey{Zone: "z", Name: "e"}
+		if o.directory.SilentTargets(time.Now())[key] {
+			t.Error("the target counts as held by its first owner")
+		}
+		start := time.Now()
+		// Nobody takes over in this test: the wait is that for a takeover.
+		if err := o.request(t.Context(), 0); !bamboorail.NotRun(err) {
+			t.Errorf("answered %v", err)
+		}
+		if took := time.Since(start); took < membership.TakeoverTime(1) {
+			t.Errorf("refused after %s, a takeover may take %s", took, membership.TakeoverTime(1))
+		}
+	})
+}
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -195,12 +195,24 @@
 		clear(m.targets)
 	}
 	for _, t := range state.GetTargets() {
+		if _, known := m.targets[t.GetTarget()]; !known {
+			d.supersedeTarget(TargetKey{m.session.Zone, t.GetTarget()}, t.GetTerm())
+		}
 		m.targets[t.GetTarget()] = d.targetOf(m.session, t, now)
 	}
 	m.confirm(state.GetOwned(), now)
 	return !known && !state.GetFull()
 }
 
+// supersedeTarget forgets the owners of a target's earlier terms.
+func (d *Directory) supersedeTarget(key TargetKey, term uint64) {
+	for _, m := range d.members {
+		if t, ok := m.targets[key.Name]; ok && m.session.Zone == key.Zone && t.Term < term {
+			delete(m.targets, key.Name)
+		}
+	}
+}
+
 func (d *Directory) targetOf(s platform.Session, t *wire.TargetState, now time.Time) Target {
 	return Target{
 		Name: t.GetTarget(), Term: t.GetTerm(), Session: s.ID, Instance: s.Instance,
@@ -360,20 +372,38 @@
 	})
 }
 
-// HeldBySilent reports whether the last known owner of a target does not answer
-// without being gone: nobody takes over from it before its lease ends.
-func (d *Directory) HeldBySilent(key TargetKey, now time.Time) bool {
+// HasCandidate reports whether an instance of a zone may own targets.
+func (d *Directory) HasCandidate(zone string, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if zone == d.self.Zone {
+		return true
+	}
 	for _, m := range d.members {
-		_, holds := m.targets[key.Name]
-		if holds && m.session.Zone == key.Zone && !m.gone && now.Sub(m.contact) > contactLease {
+		if m.session.Zone == zone && d.state(m, now) == StateLive {
 			return true
 		}
 	}
 	return false
 }
 
+// SilentTargets returns the targets whose last known owner does not answer
+// without being gone: nobody takes over from it before its lease ends.
+func (d *Directory) SilentTargets(now time.Time) map[TargetKey]bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	found := map[TargetKey]bool{}
+	for _, m := range d.members {
+		if m.gone || now.Sub(m.contact) <= contactLease {
+			continue
+		}
+		for name := range m.targets {
+			found[TargetKey{m.session.Zone, name}] = true
+		}
+	}
+	return found
+}
+
 // SetOwn replaces the states of the targets that this instance owns.
 func (d *Directory) SetOwn(states []*wire.TargetState, now time.Time) {
 	d.mu.Lock()
