lease: an instance that owes a release does not name itself as the holder

Cause: until the store had a release, chooser and mirror of the former holder still found their own instance as the holder and asked it, in vain.

Red before (go test ./internal/lease -run TestAReleasedLease, store away): the former holder takes itself for the holder. Green after, five times with the race detector.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -143,14 +143,14 @@
 func (l *Lease) Alive() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.revision > 0 && !l.seen.Released && l.clock()-l.unchangedSince < l.timing.Term+staleList
+	return l.revision > 0 && !l.seen.Released && !l.owed && l.clock()-l.unchangedSince < l.timing.Term+staleList
 }
 
 // Holder returns the name and address of the holder that was last seen.
 func (l *Lease) Holder() (name, address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.seen.Released {
+	if l.seen.Released || l.owed {
 		return "", ""
 	}
 	return l.seen.Holder, l.seen.Address
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -371,6 +371,9 @@
 					if noted == 0 && isReleased(store) {
 						noted = time.Since(released)
 					}
+					if name, _ := holder.Holder(); name == "holder" {
+						t.Fatal("the former holder takes itself for the holder")
+					}
 					if holder.Leading() {
 						t.Fatalf("the former holder leads again after %v", time.Since(released))
 					}
