httpport: a late request leaves its connection usable

Not the links between instances: each caller could meet it, with one late request.

Cause: Bound set the deadline of a request as the read deadline of its connection as well. For a request without a body, net/http already reads on, to see the caller hang up. If that read timed out before the handler ended (both have the same deadline), net/http cancelled the context of the connection, from which the contexts of all its requests derive, and kept the connection. Each later request on it then began cancelled. With a body, net/http lifts the deadline itself when it begins that read (startBackgroundRead). Class: a bound of one request that acts on what its connection shares.

Ruled out: calling back by PeerSilent (comes with heartbeats, not with each call); the pool of drpc (it gives up connections whose Closed is signalled; a call with a cancelled context puts back a connection that is sound). Some failed calls say "dial: operation was canceled", so their context was cancelled before any connection to a1 was theirs.

Change: Bound sets the read deadline only if there is a body to read. Both its users are mended, entry (caller) and gateway (relay). Nothing else sets a read deadline.

--- a/internal/caller/decode.go
+++ b/internal/caller/decode.go
@@ -77,7 +77,7 @@
 	}
 	w.Caller, w.Weight, w.Priority = c.Name(), c.Weight(), c.Priority()
 	w.Deadline = now.Add(d)
-	if err := httpport.Bound(x.writer, w.Deadline, w.Deadline.Add(deliveryTime)); err != nil {
+	if err := httpport.Bound(x.writer, r, w.Deadline, w.Deadline.Add(deliveryTime)); err != nil {
 		return nil, x, c, rejected(bamboorail.KindUnavailable, err)
 	}
 	w.Body, err = s.readBody(r)
--- a/internal/httpport/httpport.go
+++ b/internal/httpport/httpport.go
@@ -79,9 +79,17 @@
 // Bound ends the reading of a request at read, and the writing of its answer at
 // write, so that a peer that stands still holds nothing for longer. The server
 // lifts both for the next request of the connection.
-func Bound(w http.ResponseWriter, read, write time.Time) error {
+//
+// Only a body is bounded: once there is none to read, the server reads on to see
+// a peer hang up, and a timeout of that read ends the context of the connection,
+// and so of each later request on it. The server lifts the bound itself when it
+// begins that read at the end of a body.
+func Bound(w http.ResponseWriter, r *http.Request, read, write time.Time) error {
 	c := http.NewResponseController(w)
-	return errors.Join(supported(c.SetReadDeadline(read)), supported(c.SetWriteDeadline(write)))
+	if err := supported(c.SetWriteDeadline(write)); err != nil || r.Body == nil || r.Body == http.NoBody {
+		return err
+	}
+	return supported(c.SetReadDeadline(read))
 }
 
 // supported drops the error of writers without a connection.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -196,7 +196,7 @@
 	}
 	x.deadline = x.received.Add(patience(x.call.Patience, x.route.Timeout))
 	x.startBy = x.startTime()
-	if err := httpport.Bound(x.w, x.deadline, x.deadline.Add(deliveryTime)); err != nil {
+	if err := httpport.Bound(x.w, x.r, x.deadline, x.deadline.Add(deliveryTime)); err != nil {
 		return notRun(op, bamboorail.KindUnavailable, retryLater, err)
 	}
 	return x.readBody(table.Limits().MaxBodyBytes)
