--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -55,10 +55,10 @@
 	// that of the last heartbeat in either direction, named that at which the
 	// ledger of the zone named the session.
 	listed, contact, named time.Time
-	gone            bool
-	leaving         bool
-	revision        uint64
-	targets         map[string]Target
+	gone                   bool
+	leaving                bool
+	revision               uint64
+	targets                map[string]Target
 }
 
 // Directory is safe for use by several goroutines.
