placement: an owner that has released its target unloads nothing more

Cause: the retirement of versions, and a load for a preload, went on after the closing of an owner; the release only says that no unload is under way at that moment. The model check retires nothing that is not declared, so that it did not meet it.

Change: a closed owner begins no load and no unload; it repeats an unload that failed before the release.

Red before (go test ./internal/placement -run AClosedOwner): unloads [x@v1#1.1], want 0; loads y@v1#1.2 in place of x@v1#1.1.

--- a/internal/placement/slots.go
+++ b/internal/placement/slots.go
@@ -104,6 +104,9 @@
 // BeginLoad chooses the load to make with a permit that was granted. The
 // slots of the plan are taken from then on.
 func (t *Table) BeginLoad(now time.Time) (LoadPlan, bool) {
+	if t.closed != nil {
+		return LoadPlan{}, false
+	}
 	asked := t.askedAt
 	t.askedAt = time.Time{}
 	c, ok := t.policy.Load(t, now)
@@ -256,7 +259,12 @@
 func (t *Table) Retire(declared func(bamboorail.ModelRef) bool) []bamboorail.Handle {
 	var retired []bamboorail.Handle
 	for _, h := range t.Victims() {
-		if s := t.slots[h]; !declared(s.model) || !t.usable(s) {
+		s := t.slots[h]
+		if t.closed != nil && s.state != slotUnloading {
+			// The next owner may use it.
+			continue
+		}
+		if !declared(s.model) || !t.usable(s) {
 			s.unloadFailed = false
 			s.state = slotUnloading
 			retired = append(retired, h)
--- a/internal/placement/table_test.go
+++ b/internal/placement/table_test.go
@@ -403,3 +403,50 @@
 		})
 	}
 }
+
+// TestAClosedOwnerUnloadsNothingMore: the next owner uses the handles of an owner
+// that has released its target, which must not unload them, whatever is declared
+// or preloaded meanwhile. Only an unload that failed before is sent again.
+func TestAClosedOwnerUnloadsNothingMore(t *testing.T) {
+	cases := map[string]struct {
+		prepare func(t *testing.T, table *Table, h bamboorail.Handle)
+		retired int
+	}{
+		"a version is retired": {func(*testing.T, *Table, bamboorail.Handle) {}, 0},
+		"a model is preloaded": {func(t *testing.T, table *Table, _ bamboorail.Handle) {
+			if err := table.Preload(modelNow, ref("y")); err != nil {
+				t.Fatal(err)
+			}
+		}, 0},
+		"an unload failed before": {func(t *testing.T, table *Table, h bamboorail.Handle) {
+			none := func(bamboorail.ModelRef) bool { return false }
+			if got := table.Retire(none); len(got) != 1 {
+				t.Fatalf("unloads %v", got)
+			}
+			table.Unloaded(h, errors.New("no answer"))
+		}, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable(Limits{Slots: 1, MaxBatch: 4}, DefaultSettings(), Weighted{}, Evidence{Term: 1})
+			table.Observe(modelNow, bamboorail.EngineReport{Incarnation: "i", BaseModel: "b"})
+			if err := table.Preload(modelNow, ref("x")); err != nil {
+				t.Fatal(err)
+			}
+			p, ok := table.BeginLoad(modelNow)
+			if !ok {
+				t.Fatal("no load")
+			}
+			table.Loaded(modelNow, p.Handle, nil)
+			later := modelNow.Add(time.Hour)
+			c.prepare(t, table, p.Handle)
+			table.Close(errors.New("moved"))
+			if got, ok := table.BeginLoad(later); ok {
+				t.Errorf("loads %s in place of %q", got.Handle, got.Victim)
+			}
+			if got := table.Retire(func(bamboorail.ModelRef) bool { return false }); len(got) != c.retired {
+				t.Errorf("unloads %v, want %d", got, c.retired)
+			}
+		})
+	}
+}
