placer, gateway: logs and metrics tell what a holder does with its time

Callers get 503 or nothing while a holder answers late, and no line or metric said why. Once a second a holder now logs questions, places, decisions with their time, waiting calls, waits for the lock, orders and the renewal of its lease; each instance measures how late its timers fire.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -175,7 +175,8 @@
 		candidates = append(candidates, lease.Candidate{Lease: l, Stranger: zone != s.Zone})
 		h := placer.NewHolder(placer.HolderConfig{
 			Zone: zone, Instance: s.Instance, Lease: l, Fleet: g.fleet, Table: g.table.Load, Engines: g.adapter.Engines,
-			Tuning: g.tuning(), FetchShare: g.fetchShare, ModelLoadGap: g.modelLoadGap, Log: g.logs.Layer("placer"),
+			Tuning: g.tuning(), FetchShare: g.fetchShare, ModelLoadGap: g.modelLoadGap, Metrics: g.metrics,
+			Log: g.logs.Layer("placer"),
 		})
 		g.holders = append(g.holders, placer.ZoneHolder{Zone: zone, Local: h, Lease: l})
 	}
@@ -273,6 +274,7 @@
 	}
 	d.Start("leases", g.elector.Run)
 	d.Start("settle", g.chooser.Run)
+	d.Start("pulse", g.pulse)
 	d.Start("expiry", func(ctx context.Context) error { return duty.Every(ctx, expireInterval, g.expire) })
 	for _, z := range g.holders {
 		d.Start("placer "+z.Zone, z.Local.Run)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -68,6 +68,8 @@
 	// askedSince and askedLast are the first and the last of the questions by
 	// instances of the lease's own zone that followed each other closely.
 	askedSince, askedLast time.Duration
+	// renewal is the time that the store took for the last confirmed renewal.
+	renewal time.Duration
 }
 
 // Config configures a lease.
@@ -261,10 +263,18 @@
 		l.fencing = won
 	}
 	l.seen, l.revision, l.unchangedSince = next, won, l.clock()
-	l.actUntil = sent + l.timing.Term
+	l.actUntil, l.renewal = sent+l.timing.Term, l.unchangedSince-sent
 	return nil
 }
 
+// RenewalTime returns the time that the store took for the last confirmed
+// renewal.
+func (l *Lease) RenewalTime() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.renewal
+}
+
 // Release gives an own tenure up; this instance does not act afterwards. After
 // an error the release is still owed.
 func (l *Lease) Release(ctx context.Context) error {
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -19,6 +19,7 @@
 	"bamboorail.example/bamboorail/internal/fleet"
 	"bamboorail.example/bamboorail/internal/lease"
 	"bamboorail.example/bamboorail/internal/route"
+	"bamboorail.example/bamboorail/internal/telemetry"
 )
 
 const (
@@ -51,6 +52,7 @@
 	FetchShare func() int
 	// ModelLoadGap is the least time between loads of base models.
 	ModelLoadGap func() time.Duration
+	Metrics      *telemetry.Metrics
 	Log          hclog.Logger
 }
 
@@ -58,6 +60,7 @@
 type Holder struct {
 	HolderConfig
 	background chan []bamboorail.AdapterOrder
+	usage      *usage
 
 	mu        sync.Mutex
 	planner   *adapters.Planner
@@ -71,7 +74,7 @@
 func NewHolder(c HolderConfig) *Holder {
 	return &Holder{
 		HolderConfig: c, planner: adapters.NewPlanner(c.Tuning, 0), background: make(chan []bamboorail.AdapterOrder, backgroundRing),
-		orders: map[bamboorail.TargetID]chan struct{}{},
+		usage: &usage{metrics: c.Metrics.Holder(c.Zone)}, orders: map[bamboorail.TargetID]chan struct{}{},
 	}
 }
 
@@ -80,6 +83,7 @@
 	g := duty.NewGroup(ctx)
 	g.Start("upkeep", h.runUpkeep)
 	g.Start("background", h.runBackground)
+	g.Start("report", h.runReport)
 	return g.Wait()
 }
 
@@ -218,7 +222,10 @@
 	if _, acting := h.Lease.Tenure(); !acting {
 		r.Loads = adapters.LoadNever
 	}
+	asked := time.Now()
+	h.usage.asked()
 	p, err := h.awaitPlace(ctx, r)
+	h.usage.answered(err == nil, time.Since(asked))
 	if err != nil {
 		return adapters.Placement{}, err
 	}
@@ -265,9 +272,7 @@
 	for {
 		now := time.Now()
 		r.Waited = waited + now.Sub(start)
-		h.mu.Lock()
-		p, ok := h.planner.Place(r, now)
-		h.mu.Unlock()
+		p, ok := h.look(r, now)
 		if ok {
 			return p, nil
 		}
@@ -280,12 +285,25 @@
 			h.mu.Unlock()
 			return adapters.Placement{}, failRetry(op, bamboorail.KindOverloaded, noPlaceRetry, fmt.Errorf("%w: %v", errNoPlace, obstacles))
 		}
-		if err := duty.Sleep(ctx, placeInterval); err != nil {
+		h.usage.wait(1)
+		err := duty.Sleep(ctx, placeInterval)
+		h.usage.wait(-1)
+		if err != nil {
 			return adapters.Placement{}, fail(op, bamboorail.KindCancelled, err)
 		}
 	}
 }
 
+// look decides about a call.
+func (h *Holder) look(r adapters.Request, now time.Time) (adapters.Placement, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	began := time.Now()
+	p, ok := h.planner.Place(r, now)
+	h.usage.looked(began.Sub(now), time.Since(began))
+	return p, ok
+}
+
 // lockEngine serializes orders to and reports of one engine, so that the
 // number of accepted orders is known when the next one is sent.
 func (h *Holder) lockEngine(ctx context.Context, id bamboorail.TargetID) (func(), error) {
@@ -368,8 +386,10 @@
 		}
 		o.Orders, o.Holder, o.Fencing = number, h.Instance, fencing
 		sending, cancel := context.WithTimeout(ctx, orderTimeout)
+		sent := time.Now()
 		result, err := h.Engines.Order(sending, o)
 		cancel()
+		h.usage.ordered(time.Since(sent))
 		if err != nil {
 			h.Log.Warn("order without an answer", "zone", h.Zone, "engine", o.Target.Name, "unload", o.Unload,
 				"adapter", o.Key.Adapter, "number", number, "fencing", fencing, "error", err)
@@ -444,6 +464,7 @@
 
 // Settle takes in placements that ended.
 func (h *Holder) Settle(list []Ended) {
+	h.usage.settled(len(list))
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
--- /dev/null
+++ b/internal/telemetry/holder.go
@@ -0,0 +1,61 @@
+package telemetry
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// holderVectors are the metrics of holders, by availability zone.
+type holderVectors struct {
+	waiting *prometheus.GaugeVec
+	looks   *prometheus.CounterVec
+	seconds *prometheus.HistogramVec
+}
+
+func newHolderVectors(r prometheus.Registerer) holderVectors {
+	v := holderVectors{
+		waiting: gauges("holder_waiting_calls", "Calls that wait for a place in an availability zone.", "zone"),
+		looks:   counter("holder_looks_total", "Decisions about one call, tried or taken, by availability zone.", "zone"),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "holder_seconds", Buckets: waitBuckets,
+			Help: "Time of a question (question), of it for the lock (lock) and for decisions (look), and of an order (order).",
+		}, []string{"zone", "part"}),
+	}
+	r.MustRegister(v.waiting, v.looks, v.seconds)
+	return v
+}
+
+// Holder are the metrics of the holder of one availability zone.
+type Holder struct {
+	waiting               prometheus.Gauge
+	looks                 prometheus.Counter
+	question, lock, order prometheus.Observer
+	look                  prometheus.Observer
+}
+
+// Holder returns the metrics of the holder of a zone.
+func (m *Metrics) Holder(zone string) *Holder {
+	v := m.holders
+	return &Holder{
+		waiting: v.waiting.WithLabelValues(zone), looks: v.looks.WithLabelValues(zone),
+		question: v.seconds.WithLabelValues(zone, "question"), lock: v.seconds.WithLabelValues(zone, "lock"),
+		look: v.seconds.WithLabelValues(zone, "look"), order: v.seconds.WithLabelValues(zone, "order"),
+	}
+}
+
+// Waiting sets the number of calls that wait.
+func (h *Holder) Waiting(n int) { h.waiting.Set(float64(n)) }
+
+// Looked observes one decision and the wait for the lock before it.
+func (h *Holder) Looked(lock, look time.Duration) {
+	h.looks.Inc()
+	h.lock.Observe(lock.Seconds())
+	h.look.Observe(look.Seconds())
+}
+
+// Answered observes a question.
+func (h *Holder) Answered(took time.Duration) { h.question.Observe(took.Seconds()) }
+
+// Ordered observes an order to an engine.
+func (h *Holder) Ordered(took time.Duration) { h.order.Observe(took.Seconds()) }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -24,6 +24,8 @@
 	revision  prometheus.Gauge
 	faults    prometheus.Counter
 	mismatch  prometheus.Counter
+	holders   holderVectors
+	late      prometheus.Histogram
 }
 
 // waitBuckets are upper bounds in seconds.
@@ -46,7 +48,9 @@
 	m.revision = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "configuration_revision", Help: "Revision in force."})
 	m.faults = single("record_faults_total", "Records that could not be understood.")
 	m.mismatch = single("answer_mismatches_total", "Answers that belonged to another request or adapter.")
-	m.registry.MustRegister(m.requests, m.duration, m.loads, m.loadTime, m.evictions, m.waited, m.loadWait,
+	m.late = histogram("timer_late_seconds", "Time by which a timer of the instance fired late: it waited for the processor.")
+	m.holders = newHolderVectors(m.registry)
+	m.registry.MustRegister(m.late, m.requests, m.duration, m.loads, m.loadTime, m.evictions, m.waited, m.loadWait,
 		m.running, m.maxBatch, m.revision, m.faults, m.mismatch,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -117,3 +121,6 @@
 	m.revision.Set(float64(revision))
 	m.faults.Add(float64(faults))
 }
+
+// Late observes by how much a timer of this instance fired late.
+func (m *Metrics) Late(d time.Duration) { m.late.Observe(d.Seconds()) }
