--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINTER := $(TOOLS)/golangci-lint
 LINTER_VERSION := v2.15.0
 
-.PHONY: build test lint demo failures soak mutants measure bench slopes
+.PHONY: build test lint demo failures soak mutants measure bench slopes shares
 
 build:
 	go build -o bin/ ./cmd/...
@@ -52,3 +52,9 @@
 
 slopes:
 	go run ./tools/slopes
+
+# Shares of the newest LAST runs of the journal; SITES are site files with floors.
+LAST ?= 1
+SITES ?=
+shares:
+	go run ./tools/shares --last $(LAST) $(foreach s,$(SITES),--site $(s))
