placer: a call asks again when the holders say so

A round of questions now ends with the shortest time after which a holder is to be asked again. The wait for the first list of releases ends with that list and not with a look.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,8 +17,9 @@
 	mu       sync.RWMutex
 	targets  map[string]*known
 	releases map[bamboorail.AdapterKey]bamboorail.ReleaseHistory
-	listed   bool
-	changed  chan struct{}
+	// listed is closed once the releases were read.
+	listed  chan struct{}
+	changed chan struct{}
 }
 
 type known struct {
@@ -37,7 +38,7 @@
 func New(returnGrace time.Duration) *Fleet {
 	return &Fleet{
 		returnGrace: returnGrace, targets: map[string]*known{},
-		releases: map[bamboorail.AdapterKey]bamboorail.ReleaseHistory{}, changed: make(chan struct{}),
+		releases: map[bamboorail.AdapterKey]bamboorail.ReleaseHistory{}, listed: make(chan struct{}), changed: make(chan struct{}),
 	}
 }
 
@@ -172,15 +173,23 @@
 func (f *Fleet) ReleasesListed() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.listed = true
+	if !f.KnowsReleases() {
+		close(f.listed)
+	}
 }
 
+// Listed returns a channel that is closed once the releases were read.
+func (f *Fleet) Listed() <-chan struct{} { return f.listed }
+
 // KnowsReleases reports whether the releases were read. Before that, an adapter
 // without a known release may have some.
 func (f *Fleet) KnowsReleases() bool {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	return f.listed
+	select {
+	case <-f.listed:
+		return true
+	default:
+		return false
+	}
 }
 
 // Releases returns the known releases of an adapter.
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -41,8 +42,8 @@
 	// serves if no holder answers; the bound version_ms is 5 s.
 	oldVersionUse = 1500 * time.Millisecond
 	noEngineRetry = time.Second
-	// placeInterval is the time between questions about a call that has no place.
-	placeInterval = 25 * time.Millisecond
+	// leastPause is the least time between two rounds of questions about a call.
+	leastPause = 25 * time.Millisecond
 	// releasesWait is the time for which a call waits for the first list of
 	// releases, enough for a list that was turned away twice (0.1 and 0.2 s).
 	releasesWait = 500 * time.Millisecond
@@ -103,29 +104,56 @@
 	if !a.Service.Engine || a.Call.Key.Model == "" {
 		return c.choosePlain(a)
 	}
-	asked := time.Now()
+	if err := c.awaitReleases(ctx, a); err != nil {
+		return relay.Place{}, err
+	}
 	for {
-		place, err := c.chooseEngine(ctx, a)
+		asked := time.Now()
+		place, again, err := c.chooseEngine(ctx, a)
 		if err == nil || bamboorail.KindOf(err) != bamboorail.KindOverloaded {
 			return place, err
 		}
-		if errors.Is(err, errNoReleases) && time.Since(asked) > releasesWait {
-			return place, err
-		}
-		if time.Now().Add(startMargin).After(a.StartBy) {
+		// Holders that had the call wait for as long need no pause.
+		next := later(asked.Add(again), time.Now().Add(leastPause))
+		if next.Add(startMargin).After(a.StartBy) {
 			return place, err
 		}
-		if err := duty.Sleep(ctx, placeInterval); err != nil {
+		if err := duty.Sleep(ctx, time.Until(next)); err != nil {
 			return place, fail("choose-engine", bamboorail.KindCancelled, err)
 		}
 	}
 }
 
-func (c *Chooser) chooseEngine(ctx context.Context, a relay.Ask) (relay.Place, error) {
-	if a.Call.Key.Adapter != "" && !c.Fleet.KnowsReleases() {
-		return relay.Place{}, failRetry("choose-engine", bamboorail.KindOverloaded, noPlaceRetry, errNoReleases)
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// awaitReleases waits for the first list of releases: before it, an adapter
+// without a known release may have some.
+func (c *Chooser) awaitReleases(ctx context.Context, a relay.Ask) error {
+	if a.Call.Key.Adapter == "" || c.Fleet.KnowsReleases() {
+		return nil
+	}
+	wait := time.NewTimer(min(releasesWait, time.Until(a.StartBy)-startMargin))
+	defer wait.Stop()
+	select {
+	case <-c.Fleet.Listed():
+		return nil
+	case <-ctx.Done():
+		return fail("choose-engine", bamboorail.KindCancelled, ctx.Err())
+	case <-wait.C:
+		return failRetry("choose-engine", bamboorail.KindOverloaded, noPlaceRetry, errNoReleases)
 	}
+}
+
+// chooseEngine asks the holders once. After a refusal it returns the shortest
+// time after which one of them is to be asked again.
+func (c *Chooser) chooseEngine(ctx context.Context, a relay.Ask) (relay.Place, time.Duration, error) {
 	var failure error
+	again := time.Duration(math.MaxInt64)
 	asked := adapters.LoadFreely
 	a.Avoid = c.avoid(a)
 	for _, q := range c.questions(a.Call.Key) {
@@ -134,24 +162,28 @@
 		}
 		place, err := c.ask(ctx, q.zone, a, q.loads)
 		if err == nil {
-			return place, nil
+			return place, 0, nil
 		}
 		if ctx.Err() != nil {
-			return relay.Place{}, fail("choose-engine", bamboorail.KindDeadlineExceeded, ctx.Err())
+			return relay.Place{}, 0, fail("choose-engine", bamboorail.KindDeadlineExceeded, ctx.Err())
+		}
+		f := bamboorail.FailureOf(err)
+		if q.loads == adapters.LoadFreely && f.RetryAfter > 0 {
+			again = min(again, f.RetryAfter)
 		}
-		if asked == adapters.LoadIfWanted && bamboorail.KindOf(err) == bamboorail.KindOverloaded {
+		if asked == adapters.LoadIfWanted && f.Kind == bamboorail.KindOverloaded {
 			// The adapter's home knows why it is not loaded.
 			failure = err
 		}
 		failure, asked = keepRefusal(failure, err), q.loads
 	}
 	if place, ok := c.chooseLoaded(a); ok {
-		return place, nil
+		return place, 0, nil
 	}
 	if failure == nil {
 		failure = failRetry("choose-engine", bamboorail.KindNoTarget, noEngineRetry, errNoHolder)
 	}
-	return relay.Place{}, failure
+	return relay.Place{}, min(again, noEngineRetry), failure
 }
 
 // question is a question to the holder of one zone.
