placer: a holder learns of placements that nobody holds

A placement whose answer came too late, or whose instance was killed, kept its slot and its adapter for 30 s.

A place for a caller that left is given back at once. Instances report the placements that they hold once a second to the holders that they use; what the report lacks after a second has ended, and all placements of an instance that reported and then is silent for 3 s.

--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -58,6 +58,8 @@
 	demand  map[bamboorail.AdapterKey]*demand
 	tickets map[uint64]ticket
 	next    uint64
+	// heard is the last message of each instance that reports what it holds.
+	heard   map[string]time.Time
 	waiting *waitlist
 	// arrived are adapters that came to an engine while calls wait for them.
 	arrived []bamboorail.AdapterKey
@@ -69,9 +71,10 @@
 
 // ticket is a call that was placed and has not ended.
 type ticket struct {
-	id     bamboorail.TargetID
-	key    bamboorail.AdapterKey
-	issued time.Time
+	id       bamboorail.TargetID
+	key      bamboorail.AdapterKey
+	instance string
+	issued   time.Time
 	// sent is the earliest time at which the call was sent to the engine. queued
 	// is set if all slots of the engine were taken when it was placed.
 	sent   time.Time
@@ -90,6 +93,7 @@
 func NewPlanner(t Tuning, after uint64) *Planner {
 	return &Planner{
 		tuning: t, next: after, engines: map[string]*engine{}, demand: map[bamboorail.AdapterKey]*demand{}, tickets: map[uint64]ticket{},
+		heard:   map[string]time.Time{},
 		waiting: newWaitlist(), fetchTime: t.FetchTime, callTime: t.CallTime,
 	}
 }
@@ -158,6 +162,8 @@
 	// Avoid names engines that failed or refused the call.
 	Avoid []string
 	Loads LoadRule
+	// Instance is the instance that asks, empty for the own one.
+	Instance string
 	// CallID identifies the call while it waits, Waited is the time for which
 	// it has, Objective the time in which its answer is due.
 	CallID    string
@@ -274,7 +280,7 @@
 	e.running++
 	p.next++
 	placement.Ticket = p.next
-	p.tickets[p.next] = ticket{id: e.entry.ID, key: r.Key, issued: now, sent: latest(now, placement.ReadyAt), queued: queued}
+	p.tickets[p.next] = ticket{id: e.entry.ID, key: r.Key, instance: r.Instance, issued: now, sent: latest(now, placement.ReadyAt), queued: queued}
 }
 
 func latest(a, b time.Time) time.Time {
@@ -408,7 +414,7 @@
 // adapters that nobody asks for.
 func (p *Planner) Expire(before, now time.Time) {
 	for number, t := range p.tickets {
-		if t.issued.Before(before) {
+		if t.issued.Before(before) || p.silent(t.instance, now) {
 			_, _ = p.End(number)
 		}
 	}
@@ -417,6 +423,7 @@
 			delete(p.demand, key)
 		}
 	}
+	maps.DeleteFunc(p.heard, func(_ string, at time.Time) bool { return at.Before(before) })
 	p.waiting.prune(now)
 	for _, e := range p.engines {
 		e.trimAtHand(p.tuning.AtHand)
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -87,6 +87,8 @@
 	paused map[string]suspect
 	// ended are the ends that each zone's holder has yet to learn.
 	ended map[string][]Ended
+	// open are the placements by holders of other instances, by zone.
+	open map[string]*openPlacements
 	// suspects are the engines that this instance does not reach; others may.
 	suspects map[string]suspect
 }
@@ -95,7 +97,12 @@
 
 // NewChooser returns a chooser.
 func NewChooser(c ChooserConfig) *Chooser {
-	return &Chooser{ChooserConfig: c, paused: map[string]suspect{}, ended: map[string][]Ended{}, suspects: map[string]suspect{}}
+	open, now := map[string]*openPlacements{}, time.Now()
+	for _, z := range c.Zones {
+		// An earlier process of this instance may have left placements open.
+		open[z.Zone] = &openPlacements{tickets: map[uint64]bool{}, used: now}
+	}
+	return &Chooser{ChooserConfig: c, paused: map[string]suspect{}, ended: map[string][]Ended{}, open: open, suspects: map[string]suspect{}}
 }
 
 // Choose finds a target for a call. A call that waits for an engine is placed
@@ -353,6 +360,7 @@
 		return relay.Place{}, failRetry(op, bamboorail.KindOverloaded, after, errors.New(reply.GetReason()))
 	}
 	c.answered(z)
+	c.opened(z.Zone, reply.GetTicket(), received)
 	target := bamboorail.TargetEntry{
 		ID: bamboorail.TargetID{Name: reply.GetTarget(), Born: reply.GetBorn()}, Service: a.Service.Name,
 		Address: reply.GetAddress(), Zone: reply.GetZone(),
@@ -377,6 +385,7 @@
 func (c *Chooser) settleLater(zone, engine string, ticket uint64) func(balance.Result, time.Duration) {
 	return func(r balance.Result, _ time.Duration) {
 		c.observe(engine, r)
+		c.closed(zone, ticket)
 		end := []Ended{{Ticket: ticket, Result: r}}
 		for _, z := range c.Zones {
 			if z.Zone == zone && z.Local != nil && z.Lease.Leading() {
@@ -423,7 +432,8 @@
 
 func (c *Chooser) settle(ctx context.Context, z ZoneHolder) {
 	list := c.takeEnded(z.Zone)
-	if len(list) == 0 {
+	open, reconcile := c.reconciles(z.Zone, time.Now())
+	if len(list) == 0 && !reconcile {
 		return
 	}
 	if z.Local != nil && z.Lease.Leading() {
@@ -437,7 +447,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
-	reply, err := c.Peers.Settle(ctx, address, &wire.SettleRequest{Zone: z.Zone, Instance: c.Instance, Ended: endedMessages(list)})
+	reply, err := c.Peers.Settle(ctx, address, &wire.SettleRequest{
+		Zone: z.Zone, Instance: c.Instance, Ended: endedMessages(list), Reconcile: reconcile, Open: open,
+	})
 	if err != nil {
 		c.putBack(z.Zone, list)
 		c.pause(z)
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -45,6 +45,7 @@
 	if r.GetInstanceZone() == r.GetZone() && r.GetZone() != s.own {
 		h.Lease.Asked()
 	}
+	h.hear(r.GetInstance())
 	h.Settle(endsOf(r.GetEnded()))
 	key := bamboorail.AdapterKey{Model: r.GetModel(), Adapter: r.GetAdapter()}
 	releases := s.fleet.Releases(key)
@@ -54,7 +55,7 @@
 	}
 	p, err := h.Place(ctx, adapters.Request{
 		Key: key, Service: r.GetService(), Version: releases.Newest(), Releases: releases, Avoid: r.GetAvoid(),
-		Loads: adapters.LoadRule(r.GetLoads()), CallID: r.GetCallId(), Waited: time.Duration(r.GetWaitedMicros()) * time.Microsecond,
+		Loads: adapters.LoadRule(r.GetLoads()), Instance: r.GetInstance(), CallID: r.GetCallId(), Waited: time.Duration(r.GetWaitedMicros()) * time.Microsecond,
 		Objective: time.Duration(r.GetObjectiveMicros()) * time.Microsecond, Priority: int(r.GetPriority()),
 	})
 	if err != nil {
@@ -64,6 +65,10 @@
 			RetryAfterMicros: cmp.Or(f.RetryAfter, noPlaceRetry).Microseconds(),
 		}, nil
 	}
+	if ctx.Err() != nil {
+		// Nobody waits for the answer any more.
+		h.endPlacement(p.Ticket)
+	}
 	return &wire.PlaceReply{
 		Holder: true, Target: p.Target.ID.Name, Born: p.Target.ID.Born, Address: p.Target.Address, Zone: p.Target.Zone,
 		Version: int64(p.Version), ReadyInMicros: max(time.Until(p.ReadyAt), 0).Microseconds(), Ticket: p.Ticket,
@@ -77,6 +82,9 @@
 		return &wire.SettleReply{}, nil
 	}
 	h.Settle(endsOf(r.GetEnded()))
+	if r.GetReconcile() {
+		h.reconcile(r.GetInstance(), r.GetOpen())
+	}
 	return &wire.SettleReply{Holder: true}, nil
 }
 
--- a/internal/placer/usage.go
+++ b/internal/placer/usage.go
@@ -104,7 +104,10 @@
 func (h *Holder) runReport(ctx context.Context) error {
 	return duty.Every(ctx, reportInterval, func(context.Context) {
 		if c := h.usage.take(); h.Lease.Leading() {
-			c.log(h.Log.With("zone", h.Zone), h.Lease.RenewalTime())
+			h.mu.Lock()
+			open := h.planner.Open()
+			h.mu.Unlock()
+			c.log(h.Log.With("zone", h.Zone, "open", open), h.Lease.RenewalTime())
 		}
 	})
 }
