lease: small instances leave a free lease to larger ones for a moment

The settings tell the share of a core. Below 0.4, which the instances of the small sites have, an instance leaves a free lease to others for up to 2 s, 1.04 s at 0.192, time enough for a larger instance to look at the lease.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,7 +74,13 @@
 	// harder.
 	memoryShare = 0.7
 	// storeIdleConns and storeIdleTimeout keep the few connections to the store.
-	storeIdleConns   = 8
+	storeIdleConns = 8
+	// holderShare is the part of a core with which an instance holds a zone as
+	// well as any (page SYSTEM: the instances of the small sites).
+	holderShare = 0.4
+	// longestDeference is long enough for a larger instance to find a lease free,
+	// which looks every 0.75 to 2.25 s.
+	longestDeference = 2 * time.Second
 	storeIdleTimeout = 30 * time.Second
 )
 
@@ -172,7 +178,7 @@
 			Key: leaseKind + "/" + zone, Holder: s.Instance, Address: s.PeerAddress, Timing: timing,
 			Store: g.adapter.Store, Clock: lease.BootTime, Log: g.logs.Layer("lease"),
 		})
-		candidates = append(candidates, lease.Candidate{Lease: l, Stranger: zone != s.Zone})
+		candidates = append(candidates, lease.Candidate{Lease: l, Stranger: zone != s.Zone, Deference: deference(s.ProcessorShare)})
 		h := placer.NewHolder(placer.HolderConfig{
 			Zone: zone, Instance: s.Instance, Lease: l, Fleet: g.fleet, Table: g.table.Load, Engines: g.adapter.Engines,
 			Tuning: g.tuning(), FetchShare: g.fetchShare, ModelLoadGap: g.modelLoadGap, Metrics: g.metrics,
@@ -192,6 +198,12 @@
 	})
 }
 
+// deference returns the time for which an instance leaves a free lease to those
+// with more processor time.
+func deference(share float64) time.Duration {
+	return time.Duration(max(1-share/holderShare, 0) * float64(longestDeference))
+}
+
 // tuning returns the costs of the planner. Times are those of the users'
 // sheets (page SYSTEM); CallTime is the mean over calls of 17 to 43 events with
 // 42 ms each (page LATER).
--- a/internal/lease/elector.go
+++ b/internal/lease/elector.go
@@ -44,17 +44,20 @@
 	// Stranger is set for leases of other zones, which are taken only if no
 	// instance of their zone does.
 	Stranger bool
+	// Deference is the time for which a free lease is left to instances with
+	// more processor time.
+	Deference time.Duration
 }
 
 // delay returns the time for which a free lease is left to others.
 func (c *candidate) delay(now time.Duration) time.Duration {
 	switch {
 	case !c.Stranger:
-		return 0
+		return c.Deference
 	case c.yielded > 0 && now-c.yielded < yieldPause:
 		return returnDelay
 	}
-	return strangerDelay
+	return strangerDelay + c.Deference
 }
 
 // Elector renews the leases of an instance and claims those that lapsed.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -38,6 +38,8 @@
 	AdapterLoads int
 	// MaxMemory is the limit of the process in bytes.
 	MaxMemory int64
+	// ProcessorShare is the part of a core that the instance may use.
+	ProcessorShare float64
 
 	Log Log
 }
@@ -52,6 +54,7 @@
 	defaultRetrySlack     = 50
 	defaultAdapterLoads   = 8
 	defaultGatewayMemory  = 256 << 20
+	defaultProcessorShare = 1
 )
 
 // IsGateway reports whether a settings file configures a gateway.
@@ -85,6 +88,7 @@
 		RetryWindow:      f.Duration(section, "retry-window", defaultRetryWindow),
 		AdapterLoads:     f.Int(section, "adapter-loads", defaultAdapterLoads, 1),
 		MaxMemory:        f.Size(section, "max-memory", defaultGatewayMemory),
+		ProcessorShare:   f.Float(section, "processor-share", defaultProcessorShare),
 		PlatformURL:      f.URL("platform", "url"),
 		Log:              f.log(),
 	}
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -25,6 +25,7 @@
 retry-window = 10s
 release-timeout = 5000ms
 max-memory = 284MiB
+processor-share = 0.4
 
 [platform]
 url = http://10.0.0.9:8142
@@ -52,7 +53,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if g.Zone != "z-a" || len(g.Zones) != 2 || g.RetrySlack != 52 || g.LeaseGap != 3*time.Second || g.MaxMemory != 284<<20 || g.AdapterLoads != 8 {
+	if g.Zone != "z-a" || len(g.Zones) != 2 || g.RetrySlack != 52 || g.LeaseGap != 3*time.Second || g.MaxMemory != 284<<20 || g.ProcessorShare != 0.4 || g.AdapterLoads != 8 {
 		t.Errorf("settings %+v", g)
 	}
 }
