--- a/internal/placer/waiting_test.go
+++ b/internal/placer/waiting_test.go
@@ -79,6 +79,51 @@
 	}
 }
 
+// TestCallsBeyondWhatIsFetchedInTimeAreRefusedAtOnce: a call whose turn would
+// come after its caller has left does not wait, and learns when to come back.
+func TestCallsBeyondWhatIsFetchedInTimeAreRefusedAtOnce(t *testing.T) {
+	const (
+		calls  = 400
+		served = int(3200 * time.Millisecond / (20 * time.Millisecond)) // in the longest wait of a caller, one fetch after the other
+	)
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		b.Tuning, b.FetchShare = queueTuning, func() int { return 1 }
+		b.planner = adapters.NewPlanner(b.Tuning, 0)
+		b.upkeep(context.Background())
+		ctx, cancel := context.WithCancel(context.Background())
+		list := make([]*duty.Duty, 0, calls)
+		refused := 0
+		for n := range calls {
+			key := bamboorail.AdapterKey{Model: "m", Adapter: fmt.Sprintf("a%d", n)}
+			d := duty.Start(ctx, key.Adapter, func(ctx context.Context) error {
+				_, err := b.Place(ctx, adapters.Request{Key: key, Service: "s", CallID: key.Adapter, Objective: time.Second})
+				return err
+			})
+			list = append(list, d)
+			synctest.Wait()
+			select {
+			case err := <-d.Done():
+				if err == nil {
+					continue
+				}
+				refused++
+				if f := bamboorail.FailureOf(err); !bamboorail.NotRun(err) || f.Kind != bamboorail.KindOverloaded || f.RetryAfter < time.Second {
+					t.Fatalf("refused with %v, to come back after %v", err, f.RetryAfter)
+				}
+			default:
+			}
+		}
+		if least := calls - served - slots - 1; refused < least {
+			t.Errorf("%d of %d calls were refused at once, want %d", refused, calls, least)
+		}
+		cancel()
+		for _, d := range list {
+			d.Join()
+		}
+	})
+}
+
 // TestHoldersThatRefuseAtOnceAreNotAskedWithoutPause: a call that nobody can
 // place asks again when the holders say, not all the time.
 func TestHoldersThatRefuseAtOnceAreNotAskedWithoutPause(t *testing.T) {
--- a/tools/shares/main.go
+++ b/tools/shares/main.go
@@ -86,6 +86,9 @@
 // printEntry prints the days of an entry and returns how many are short.
 func printEntry(w io.Writer, e *journal.Entry, s *journal.Site) int {
 	short := 0
+	if len(e.Days()) == 0 {
+		_, _ = fmt.Fprintf(w, "%s %s\tno days: the run has not ended, or played none\n", e.Command(), e.ID())
+	}
 	for _, r := range journal.Compare(e, s) {
 		found := slices.Clone(r.Day.Broken())
 		if r.Short() {
