lease: the test of returned leases counts them

The mutant leases-are-given-back-again-and-again survived the test that names it, on the landed code too: an instance that gives a lease back at each look takes it again at once, so that it leads for 80 % of a minute, and the test asks for 60 % only. The test now also counts the tenures: at most one for each yieldPause of 30 s, and one more.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -268,7 +268,7 @@
 		e := NewElector("leases", listing{store}, []Candidate{{Lease: l, Stranger: true}}, timing, clock, hclog.NewNullLogger())
 		running := duty.Start(ctx, "stranger", e.Run)
 		time.Sleep(20 * time.Second)
-		led := 0
+		led, tenures, last := 0, 0, l.Fencing()
 		const steps = 600
 		for range steps {
 			l.Asked()
@@ -276,10 +276,16 @@
 			if l.Leading() {
 				led++
 			}
+			if f := l.Fencing(); f != last {
+				tenures, last = tenures+1, f
+			}
 		}
 		if share := float64(led) / steps; share < 0.6 {
 			t.Errorf("the lease was held for %.0f %% of a minute", 100*share)
 		}
+		if most := int(time.Minute/yieldPause) + 1; tenures > most {
+			t.Errorf("the lease was taken %d times in a minute, want at most %d", tenures, most)
+		}
 		cancel()
 		running.Join()
 	})
