adapters: learn how many fetches the weight store serves at once

Cause: adapter-loads (8) and 0.33 fetches per engine were figures of two deployments. On the grown register, whose store serves 64 fetches, 18 were started; calls for cold adapters waited until their callers left.

Change: internal/fetchlimit learns the limit of a zone from the durations of its fetches: it grows while they run at full speed, ends its startup at the first stretched ones, and then grows by a few a round and shrinks in proportion. A fetch whose call was not refused within 120 ms has ended; a refused one counts as soon as it is stretched, since its calls may be given up. A fetch of few is the speed of the store, whatever it is. An explicit adapter-loads still wins and is logged. Limit, expected and flat time are in the line "holder load" and at /metrics. tuning() names its other figures.

--- a/internal/adapters/cost.go
+++ b/internal/adapters/cost.go
@@ -186,30 +186,8 @@
 	return o
 }
 
-// fetchLimit returns the maximum number of active fetches of this zone.
-func (p *Planner) fetchLimit() int {
-	return max(p.tuning.MinFetchLimit, int(p.tuning.FetchesPerEngine*float64(len(p.engines))))
-}
-
-// activeFetches returns the number of active fetches of this zone.
-func (p *Planner) activeFetches(now time.Time) int {
-	n := 0
-	for _, e := range p.engines {
-		if !e.loadsUntil.After(now) {
-			continue
-		}
-		for _, r := range e.adapters {
-			if r.loading && r.fetch && r.readyAt.After(now) {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 // queueCost returns the expected wait for the first token behind the calls of
-// an engine. Running calls slow the engine down; if all slots are taken, the
-// call waits until one call has ended for each call ahead of it.
+// an engine. Running calls slow the engine down.
 func (p *Planner) queueCost(e *engine, now time.Time) time.Duration {
 	cost := time.Duration(e.running) * p.tuning.CallCost
 	if e.full() {
@@ -241,9 +219,9 @@
 // loadTime returns the expected time of a load that starts now.
 func (p *Planner) loadTime(e *engine, key bamboorail.AdapterKey) time.Duration {
 	if _, ok := e.cached[key]; ok {
-		return p.tuning.ReloadTime
+		return p.reloadTime()
 	}
-	return p.fetchTime
+	return p.fetchTime()
 }
 
 // ranks returns the rank of each engine in the adapter's rendezvous hash order,
--- a/internal/adapters/engine.go
+++ b/internal/adapters/engine.go
@@ -35,14 +35,18 @@
 	// fetch is set for a load from the weight store; started is its start.
 	fetch   bool
 	started time.Time
-	// late is set once the load took longer than expected.
-	late bool
+	// late is set once the load took longer than expected, observed once its
+	// duration is known. inFlight is the number of active fetches at its start.
+	late, observed bool
+	inFlight       int
 	// confirmedAt is the last time at which the engine was known to hold the
 	// adapter.
 	confirmedAt time.Time
 	unloading   bool
 	running     int
-	lastUsed    time.Time
+	// usedSince is the time since which calls use the adapter without a break.
+	usedSince time.Time
+	lastUsed  time.Time
 }
 
 // maxEntryLag is the time after which an entry reflects what an engine holds: a
@@ -87,7 +91,7 @@
 			key := bamboorail.AdapterKey{Model: model, Adapter: name}
 			r := &adapterState{version: version, readyAt: now, confirmedAt: now}
 			if old := e.adapters[key]; old != nil {
-				r.running, r.lastUsed = old.running, old.lastUsed
+				r.running, r.usedSince, r.lastUsed = old.running, old.usedSince, old.lastUsed
 			}
 			states[key] = r
 			e.cached[key] = now
@@ -96,7 +100,7 @@
 	}
 	for _, key := range s.Pending {
 		if states[key] == nil {
-			states[key] = &adapterState{readyAt: now.Add(p.fetchTime), started: now, loading: true, fetch: true, lastUsed: now}
+			states[key] = &adapterState{readyAt: now.Add(p.fetchTime()), started: now, loading: true, fetch: true, lastUsed: now}
 		}
 	}
 	for key, old := range e.adapters {
--- a/internal/adapters/grants.go
+++ b/internal/adapters/grants.go
@@ -31,7 +31,7 @@
 	if !p.canEnqueue(r.Key) {
 		return 0, false
 	}
-	return p.waiting.enqueue(r, p.fetchTime, now), true
+	return p.waiting.enqueue(r, p.fetchTime(), now), true
 }
 
 // canEnqueue reports whether one more call can be served within maxCallWait. A
@@ -52,7 +52,7 @@
 // DrainTime estimates the time until the adapters that enqueued calls wait for
 // are fetched.
 func (p *Planner) DrainTime() time.Duration {
-	return time.Duration(p.waiting.enqueuedAdapters) * p.fetchTime / time.Duration(p.fetchLimit())
+	return time.Duration(p.waiting.enqueuedAdapters) * p.fetchTime() / time.Duration(p.fetchLimit())
 }
 
 // CancelWait removes an enqueued call.
@@ -77,6 +77,7 @@
 // started only if mayLoad is set.
 func (p *Planner) GrantWaiting(mayLoad bool, now time.Time) GrantResult {
 	var result GrantResult
+	p.observeFetches(now)
 	for len(p.available) > 0 {
 		key := p.available[0]
 		p.available = p.available[1:]
@@ -150,7 +151,7 @@
 		}
 		p.waiting.remove(key, ref)
 		if queued && p.mayFetch(r, now) {
-			p.waiting.add(r, p.fetchTime, now)
+			p.waiting.add(r, p.fetchTime(), now)
 			p.waiting.markPlaced(r)
 		}
 		grants = append(grants, Grant{Number: ref.number, Placement: placement})
--- a/internal/adapters/loads.go
+++ b/internal/adapters/loads.go
@@ -22,7 +22,10 @@
 		running = old.running
 	}
 	e.adapters[r.Key] = p.newLoadingAdapter(e, r.Key, r.Version, now)
-	e.adapters[r.Key].running = running
+	e.adapters[r.Key].running, e.adapters[r.Key].usedSince = running, now
+	if e.adapters[r.Key].fetch {
+		p.trackFetch(e, r.Key, e.adapters[r.Key], now)
+	}
 	p.waiting.loadStarted(r.Key, e.entry.Slots)
 	p.markAvailable(r.Key)
 	return orders
--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -13,18 +13,19 @@
 	"time"
 
 	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/fetchlimit"
 )
 
 // Tuning holds the costs and limits of the planner.
 type Tuning struct {
 	// FetchTime is the initial estimate of the time of an adapter load from the
-	// weight store, ReloadTime that of a load of an adapter that the engine
-	// held recently.
-	FetchTime, ReloadTime time.Duration
-	// The limit of active fetches of this zone is MinFetchLimit, or
-	// FetchesPerEngine times the engines of the zone if that is more.
-	MinFetchLimit    int
-	FetchesPerEngine float64
+	// weight store. ReloadShare times the learned time is the time of a load of
+	// an adapter that the engine held recently.
+	FetchTime   time.Duration
+	ReloadShare float64
+	// FetchLimit is the limit of active fetches of this zone. If it is 0, the
+	// limit is learned, starting at MinFetchLimit.
+	FetchLimit, MinFetchLimit int
 	// ReplicaDemand is the decayed number of calls from which an adapter whose
 	// home is another zone is fetched into this one too.
 	ReplicaDemand float64
@@ -70,9 +71,12 @@
 	available []bamboorail.AdapterKey
 	// decisions counts placement decisions, each about one call.
 	decisions uint64
-	// fetchTime and callTime are moving averages of the observed times of
-	// fetches and calls.
-	fetchTime, callTime time.Duration
+	// fetchLimiter learns from the fetches of this zone; unobserved are those
+	// that it has not learned from yet.
+	fetchLimiter *fetchlimit.Limiter
+	unobserved   []unobservedFetch
+	// callTime is a moving average of the observed times of calls.
+	callTime time.Duration
 }
 
 // ticket is a placement that has not ended.
@@ -102,7 +106,7 @@
 	return &Planner{
 		tuning: t, lastTicket: after, engines: map[string]*engine{}, demand: map[bamboorail.AdapterKey]*demand{}, tickets: map[uint64]ticket{},
 		lastContact: map[string]time.Time{},
-		waiting:     newWaitQueue(), fetchTime: t.FetchTime, callTime: t.CallTime,
+		waiting:     newWaitQueue(), fetchLimiter: fetchlimit.New(t.MinFetchLimit, t.FetchTime), callTime: t.CallTime,
 	}
 }
 
@@ -132,9 +136,6 @@
 	p.sortedNames = slices.Sorted(maps.Keys(p.engines))
 }
 
-// SetMinFetchLimit sets the lower bound of the limit of active fetches.
-func (p *Planner) SetMinFetchLimit(n int) { p.tuning.MinFetchLimit = max(n, 1) }
-
 // Unsynced returns the engines whose state must be read before they receive
 // orders.
 func (p *Planner) Unsynced() []bamboorail.TargetEntry {
@@ -216,7 +217,7 @@
 // pollTimeout, or until it is granted after Enqueue.
 func (p *Planner) Place(r Request, now time.Time) (Placement, bool) {
 	if p.mayFetch(r, now) {
-		p.waiting.add(r, p.fetchTime, now)
+		p.waiting.add(r, p.fetchTime(), now)
 	}
 	placement, queued, ok := p.place(r, now)
 	switch {
@@ -283,7 +284,9 @@
 	if r.Key.Adapter != "" {
 		held := e.adapters[r.Key]
 		placement.Version, placement.ReadyAt = held.version, held.readyAt
-		held.running++
+		if held.running++; held.running == 1 {
+			held.usedSince = now
+		}
 		held.lastUsed = now
 	} else if at := e.models[r.Key.Model]; at.After(now) {
 		placement.ReadyAt = at
@@ -320,7 +323,7 @@
 	if e == nil || p.extendLoad(e, c, now) {
 		return
 	}
-	e.suspectUntil = now.Add(p.tuning.FetchTime)
+	e.suspectUntil = now.Add(p.fetchLimiter.Flat())
 }
 
 // RecordMissing records that an engine refused a call because it lacks the
@@ -342,13 +345,6 @@
 }
 
 const (
-	// onTimeFactor shortens the expected fetch time with each fetch that was on
-	// time. Of the excess of a late fetch, lateWeight is added, at most
-	// maxLateStep of the expected time, which 25 fetches on time offset: one
-	// fetch from an unresponsive engine says nothing about the others.
-	onTimeFactor = 0.998
-	lateWeight   = 0.5
-	maxLateStep  = 0.05
 	// maxLoadFactor times the expected time is the longest wait for a load.
 	maxLoadFactor = 4
 	// extensionFactor is the share of the time since its start by which a late
@@ -362,22 +358,29 @@
 // loading.
 func (p *Planner) extendLoad(e *engine, c EndedPlacement, now time.Time) bool {
 	r := e.adapters[c.Key]
-	if r == nil || !r.loading || now.Sub(r.started) > maxLoadFactor*p.fetchTime {
+	if r == nil || !r.loading || now.Sub(r.started) > maxLoadFactor*p.fetchTime() {
 		return false
 	}
 	if r.readyAt.After(c.Sent) {
 		return true
 	}
-	r.late = true
+	if !r.late {
+		r.late = true
+		p.reobserve(e, c.Key, r)
+	}
 	if !r.fetch {
 		// The engine does not have the adapter cached after all.
 		delete(e.cached, c.Key)
 		r.fetch = true
-		r.readyAt = r.started.Add(p.fetchTime)
+		r.readyAt = r.started.Add(p.fetchTime())
 	}
 	defer e.extendLoadsUntil(r)
 	if !r.readyAt.After(c.Sent) {
-		r.readyAt = c.Sent.Add(max(p.tuning.ReloadTime, time.Duration(extensionFactor*float64(c.Sent.Sub(r.started)))))
+		r.readyAt = c.Sent.Add(max(p.reloadTime(), time.Duration(extensionFactor*float64(c.Sent.Sub(r.started)))))
+	}
+	if p.fetchLimiter.IsStretched(r.readyAt.Sub(r.started)) {
+		// The limit of fetches must not wait for the end of this one.
+		p.observeFetch(r, now)
 	}
 	return true
 }
@@ -398,13 +401,8 @@
 		return
 	}
 	r.loading = false
-	switch {
-	case !r.fetch:
-	case r.late:
-		excess := r.readyAt.Sub(r.started) - p.fetchTime
-		p.fetchTime += time.Duration(min(lateWeight*float64(excess), maxLateStep*float64(p.fetchTime)))
-	default:
-		p.fetchTime = max(time.Duration(float64(p.fetchTime)*onTimeFactor), p.tuning.FetchTime/4)
+	if r.fetch {
+		p.observeFetch(r, now)
 	}
 }
 
--- a/internal/adapters/planner_test.go
+++ b/internal/adapters/planner_test.go
@@ -14,7 +14,7 @@
 
 func testTuning() Tuning {
 	return Tuning{
-		FetchTime: 250 * time.Millisecond, ReloadTime: 30 * time.Millisecond, MinFetchLimit: 3, ReplicaDemand: 8,
+		FetchTime: 250 * time.Millisecond, ReloadShare: 0.12, FetchLimit: 3, ReplicaDemand: 8,
 		MaxLoadsPerEngine: 4, CallCost: 3 * time.Millisecond, CallTime: 1400 * time.Millisecond, RankCost: 15 * time.Millisecond, MinIdleTime: 500 * time.Millisecond,
 		CachedAdapters: 126, OldVersionGrace: 2500 * time.Millisecond, SuspectPeriod: time.Second, DemandHalfLife: 20 * time.Second,
 	}
@@ -116,7 +116,7 @@
 			if !held[id][r.Key] {
 				t.Fatalf("a call for %v goes to %v, which was not ordered to load it", r.Key, id)
 			}
-			if n := p.activeFetches(now); n > testTuning().MinFetchLimit {
+			if n := p.activeFetches(now); n > testTuning().FetchLimit {
 				t.Fatalf("%d concurrent fetches", n)
 			}
 			running[id][r.Key]++
@@ -240,7 +240,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			p := newTestPlanner(1, 21)
-			for n := range testTuning().MinFetchLimit {
+			for n := range testTuning().FetchLimit {
 				placeLoading(t, p, testRequest(n))
 			}
 			for _, r := range c.waiting {
@@ -373,7 +373,7 @@
 			acceptOrders(p, first.Orders, start)
 			c.lose(p, first)
 			now := start.Add(2 * time.Second)
-			loaded := now.Add(p.fetchTime)
+			loaded := now.Add(p.fetchTime())
 			for refused := 0; ; refused++ {
 				got, ok := p.Place(testRequest(1), now)
 				if !ok {
@@ -415,8 +415,8 @@
 	}
 	p.End(got.Ticket)
 	p.RecordLoaded(got.Target.ID, testRequest(1).Key, now.Add(reportLag))
-	if p.fetchTime > took+testTuning().ReloadTime {
-		t.Errorf("loads of %v are expected to take %v", took, p.fetchTime)
+	if p.fetchTime() > took+p.reloadTime() {
+		t.Errorf("loads of %v are expected to take %v", took, p.fetchTime())
 	}
 }
 
@@ -444,8 +444,8 @@
 				fetchFor(p, testRequest(n), now, took)
 				now = now.Add(2 * time.Second)
 			}
-			if p.fetchTime < c.took*8/10 || p.fetchTime > c.took*12/10 {
-				t.Errorf("fetches of %v are expected to take %v", c.took, p.fetchTime)
+			if p.fetchTime() < c.took*8/10 || p.fetchTime() > c.took*12/10 {
+				t.Errorf("fetches of %v are expected to take %v", c.took, p.fetchTime())
 			}
 		})
 	}
@@ -500,7 +500,7 @@
 	}{
 		"fetches are active": {
 			func(p *Planner) {
-				for n := range testTuning().MinFetchLimit {
+				for n := range testTuning().FetchLimit {
 					placeLoading(t, p, testRequest(n))
 				}
 			},
--- a/internal/adapters/simulation_test.go
+++ b/internal/adapters/simulation_test.go
@@ -97,6 +97,9 @@
 	decision             time.Duration
 	busyUntil, nextGrant []time.Time
 	waiting              []map[uint64]func(Placement)
+	// storeLimit is the number of fetches that the weight store serves at full
+	// speed, 0 for any number; fetching is the number of those in progress.
+	storeLimit, fetching int
 }
 
 type event struct {
@@ -328,14 +331,25 @@
 			delete(e.holds, o.Key)
 			continue
 		}
-		took := archiveLoad
-		if !p.engine(o.Target).adapters[o.Key].fetch {
-			took = p.tuning.ReloadTime
+		took := p.reloadTime()
+		if p.engine(o.Target).adapters[o.Key].fetch {
+			took = l.fetch()
 		}
 		e.holds[o.Key] = l.now.Add(took)
 	}
 }
 
+// fetch starts a fetch and returns its duration.
+func (l *simulation) fetch() time.Duration {
+	l.fetching++
+	took := archiveLoad
+	if l.storeLimit > 0 && l.fetching > l.storeLimit {
+		took = took * time.Duration(l.fetching) / time.Duration(l.storeLimit)
+	}
+	l.after(took, func() { l.fetching-- })
+	return took
+}
+
 // send sends a call to an engine, which refuses it if the adapter is missing.
 func (l *simulation) send(c *simCall, p *Planner, got Placement) {
 	const maxSends = 4
@@ -405,7 +419,7 @@
 // archiveTuning is the tuning of the gateway with the fetch time of that day.
 func archiveTuning() Tuning {
 	t := testTuning()
-	t.FetchTime, t.MinFetchLimit, t.FetchesPerEngine, t.MinIdleTime = archiveLoad, 3, 0.33, 50*time.Millisecond
+	t.FetchTime, t.FetchLimit, t.MinIdleTime = archiveLoad, 15, 50*time.Millisecond
 	return t
 }
 
--- a/internal/adapters/starvation_test.go
+++ b/internal/adapters/starvation_test.go
@@ -51,7 +51,7 @@
 func TestColdAdapterIsNotStarvedByHotAdapter(t *testing.T) {
 	const slots, hotEngines = 12, 3
 	tuned := testTuning()
-	tuned.MinFetchLimit, tuned.FetchesPerEngine, tuned.FetchTime = 1, 0, 390*time.Millisecond
+	tuned.FetchLimit, tuned.FetchTime = 1, 390*time.Millisecond
 	p := NewPlanner(tuned, 0)
 	var entries []bamboorail.TargetEntry
 	for n := range 20 {
--- a/internal/adapters/wait_queue_test.go
+++ b/internal/adapters/wait_queue_test.go
@@ -15,7 +15,7 @@
 	for _, waiting := range []int{10, 50, 100, 200, 400} {
 		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
 			tuned := testTuning()
-			tuned.MinFetchLimit, tuned.MinIdleTime = 16, 50*time.Millisecond
+			tuned.FetchLimit, tuned.MinIdleTime = 16, 50*time.Millisecond
 			p := NewPlanner(tuned, 0)
 			var entries []bamboorail.TargetEntry
 			for n := range engines {
@@ -35,7 +35,7 @@
 			for n := range waiting {
 				r := testRequest(1000 + n)
 				r.Waited = 500 * time.Millisecond
-				p.waiting.enqueue(r, p.fetchTime, start)
+				p.waiting.enqueue(r, p.fetchTime(), start)
 			}
 			r := testRequest(5000)
 			b.ResetTimer()
--- /dev/null
+++ b/internal/fetchlimit/fetchlimit_test.go
@@ -0,0 +1,279 @@
+package fetchlimit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+// store is a weight store that serves limit fetches at full speed and
+// stretches all of them in proportion beyond it.
+type store struct {
+	limit  func(at time.Duration) int
+	flat   time.Duration
+	jitter float64
+	random *rand.Rand
+}
+
+// zone fetches as many adapters as its limit allows.
+type zone struct {
+	limiter *Limiter
+	// fixed is the limit of a zone that knows the store, 0 for one that learns.
+	fixed   int
+	fetches []*fetch
+	// engines is the number of engines, of which the first slow ones take ten
+	// times as long.
+	engines, slow int
+	next          int
+}
+
+type fetch struct {
+	started, ready time.Duration
+	// work is the remaining work in time at full speed.
+	work     time.Duration
+	inFlight int
+	late     bool
+}
+
+// demand returns the share of the limit that a zone has calls for.
+type demand func(at time.Duration) float64
+
+func (z *zone) limit() int {
+	if z.fixed > 0 {
+		return z.fixed
+	}
+	return z.limiter.Limit()
+}
+
+func (z *zone) expected(s *store) time.Duration {
+	if z.fixed > 0 {
+		return s.flat + s.flat/10
+	}
+	return z.limiter.Expected()
+}
+
+// result is the outcome of a simulation.
+type result struct {
+	// ended counts the fetches that ended after a warm-up.
+	ended int
+	// longestStretch is the longest time for which the store took more than
+	// twice the flat time.
+	longestStretch time.Duration
+}
+
+// simulate runs zones against a store in steps. A fetch that is not complete
+// when its call arrives is extended by a share of its age, as the planner does.
+// Fetches that end before warmUp after the start or the middle are not counted.
+func simulate(s *store, zones []*zone, d demand, warmUp, length time.Duration) result {
+	const (
+		step          = 5 * time.Millisecond
+		confirmDelay  = 150 * time.Millisecond
+		extension     = 0.15
+		slowFactor    = 10
+		maxLoadFactor = 4
+	)
+	type observation struct {
+		at   time.Duration
+		zone *zone
+		f    Fetch
+	}
+	var r result
+	var observed []observation
+	stretchedSince := time.Duration(-1)
+	for at := time.Duration(0); at < length; at += step {
+		active := 0
+		for _, z := range zones {
+			for _, f := range z.fetches {
+				if f.work > 0 {
+					active++
+				}
+			}
+		}
+		speed := min(1, float64(s.limit(at))/float64(max(active, 1)))
+		if speed >= 0.5 {
+			stretchedSince = -1
+		} else if stretchedSince < 0 {
+			stretchedSince = at
+		} else {
+			r.longestStretch = max(r.longestStretch, at-stretchedSince)
+		}
+		for _, z := range zones {
+			kept, before := z.fetches[:0], len(z.fetches)
+			for _, f := range z.fetches {
+				f.work -= time.Duration(speed * float64(step))
+				switch {
+				case at < f.ready:
+				case f.work <= 0 || at-f.started > maxLoadFactor*z.expected(s):
+					if at%(length/2) >= warmUp {
+						r.ended++
+					}
+					observed = append(observed, observation{at + confirmDelay, z, Fetch{
+						Started: start.Add(f.started), Took: f.ready - f.started, Late: f.late, InFlight: f.inFlight, MaxInFlight: max(f.inFlight, before),
+					}})
+					continue
+				default:
+					f.late = true
+					f.ready = at + max(30*time.Millisecond, time.Duration(extension*float64(at-f.started)))
+				}
+				kept = append(kept, f)
+			}
+			z.fetches = kept
+			for want := int(d(at) * float64(z.limit())); len(z.fetches) < min(want, z.limit()); {
+				work := time.Duration(float64(s.flat) * (1 + s.jitter*(2*s.random.Float64()-1)))
+				if z.next = (z.next + 1) % max(z.engines, 1); z.next < z.slow {
+					work *= slowFactor
+				}
+				z.fetches = append(z.fetches, &fetch{started: at, ready: at + z.expected(s), work: work, inFlight: len(z.fetches) + 1})
+			}
+		}
+		for len(observed) > 0 && observed[0].at <= at {
+			if l := observed[0].zone.limiter; l != nil {
+				l.Record(observed[0].f, start.Add(at))
+			}
+			observed = observed[1:]
+		}
+	}
+	return r
+}
+
+func saturated(time.Duration) float64 { return 1 }
+
+func constant(n int) func(time.Duration) int { return func(time.Duration) int { return n } }
+
+// newStore returns a store of limit fetches and learning zones.
+func newStore(limit, zones int) (*store, []*zone) {
+	var list []*zone
+	for range zones {
+		list = append(list, &zone{engines: 12, limiter: New(testFloor, testInitial)})
+	}
+	return &store{limit: constant(limit), flat: testInitial, random: rand.New(rand.NewPCG(1, 1))}, list
+}
+
+const (
+	testFloor   = 3
+	testInitial = 250 * time.Millisecond
+	testWarmUp  = 3 * time.Second
+	testLength  = 20 * time.Second
+)
+
+// TestSlowEngineDoesNotLowerLimit checks that fetches to an unresponsive engine
+// are not taken for a busy store.
+func TestSlowEngineDoesNotLowerLimit(t *testing.T) {
+	const limit, zones = 60, 3
+	s, list := newStore(limit, zones)
+	for _, z := range list {
+		z.slow = 2
+	}
+	simulate(s, list, saturated, testWarmUp, testLength)
+	for n, z := range list {
+		if got := z.limiter.Limit(); got < limit/zones/2 {
+			t.Errorf("zone %d has a limit of %d beside two slow engines of twelve, want at least half of %d", n, got, limit/zones)
+		}
+	}
+}
+
+// TestUnusedLimitDoesNotGrow checks that fetches that run alone say nothing
+// about how many the store serves at once.
+func TestUnusedLimitDoesNotGrow(t *testing.T) {
+	s, list := newStore(8, 1)
+	before := 0
+	simulate(s, list, func(at time.Duration) float64 {
+		if at < testLength/2+2*time.Second {
+			// Fetches of the time before are observed within two seconds.
+			before = list[0].limiter.Limit()
+		}
+		if at < testLength/2 {
+			return 1
+		}
+		return 0.4
+	}, testWarmUp, testLength)
+	if got := list[0].limiter.Limit(); got > before {
+		t.Errorf("the limit grew from %d to %d while less than half of it was used", before, got)
+	}
+}
+
+// TestNewHolderGetsItsShare checks that a zone whose limit is learned anew, as
+// after a takeover, gets a fair share beside zones that use the whole store.
+func TestNewHolderGetsItsShare(t *testing.T) {
+	const limit, zones = 60, 3
+	s, list := newStore(limit, zones)
+	replaced := false
+	simulate(s, list, func(at time.Duration) float64 {
+		if at >= testLength/2 && !replaced {
+			list[0].limiter, replaced = New(testFloor, testInitial), true
+		}
+		return 1
+	}, testWarmUp, testLength)
+	if got := list[0].limiter.Limit(); got < limit/zones/2 {
+		t.Errorf("the new holder has a limit of %d, want at least half of %d", got, limit/zones)
+	}
+}
+
+// TestLimitIsLearned checks the throughput of zones that learn the limit of a
+// store against zones that know it.
+func TestLimitIsLearned(t *testing.T) {
+	const (
+		zones  = 3
+		warmUp = testWarmUp
+		length = testLength
+		// minShare and maxStretched are the aims of the estimator.
+		minShare     = 0.9
+		maxStretched = 3 * time.Second
+	)
+	change := func(before, after int) func(time.Duration) int {
+		return func(at time.Duration) int {
+			if at < length/2 {
+				return before
+			}
+			return after
+		}
+	}
+	for name, s := range map[string]store{
+		"8":               {limit: constant(8), flat: 250 * time.Millisecond},
+		"16":              {limit: constant(16), flat: 250 * time.Millisecond},
+		"32":              {limit: constant(32), flat: 250 * time.Millisecond},
+		"64":              {limit: constant(64), flat: 288 * time.Millisecond},
+		"64, slow":        {limit: constant(64), flat: 600 * time.Millisecond},
+		"64, fast":        {limit: constant(64), flat: 100 * time.Millisecond},
+		"16 with jitter":  {limit: constant(16), flat: 288 * time.Millisecond, jitter: 0.15},
+		"64 with jitter":  {limit: constant(64), flat: 288 * time.Millisecond, jitter: 0.15},
+		"grows midway":    {limit: change(16, 64), flat: 288 * time.Millisecond},
+		"shrinks midway":  {limit: change(64, 16), flat: 288 * time.Millisecond},
+		"shrinks a fifth": {limit: change(64, 52), flat: 288 * time.Millisecond},
+	} {
+		for _, seed := range []uint64{1, 2, 3} {
+			t.Run(fmt.Sprintf("%s %d", name, seed), func(t *testing.T) {
+				run := func(fixed func() int) result {
+					var list []*zone
+					for range zones {
+						z := &zone{engines: 47}
+						if fixed == nil {
+							z.limiter = New(testFloor, testInitial)
+						} else {
+							z.fixed = fixed()
+						}
+						list = append(list, z)
+					}
+					c := s
+					c.random = rand.New(rand.NewPCG(seed, 1))
+					return simulate(&c, list, saturated, warmUp, length)
+				}
+				known := 0
+				for _, half := range []time.Duration{0, length - 1} {
+					known = max(known, s.limit(half)/zones)
+				}
+				best, got := run(func() int { return known }), run(nil)
+				t.Logf("%d fetches, %d with a known limit, stretched for %v", got.ended, best.ended, got.longestStretch)
+				if float64(got.ended) < minShare*float64(best.ended) {
+					t.Errorf("%d fetches, want at least %v of %d", got.ended, minShare, best.ended)
+				}
+				if got.longestStretch > maxStretched {
+					t.Errorf("fetches took more than twice their time for %v, want at most %v", got.longestStretch, maxStretched)
+				}
+			})
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,7 +16,6 @@
 	"github.com/hashicorp/go-hclog"
 
 	"bamboorail.example/bamboorail"
-	"bamboorail.example/bamboorail/internal/adapters"
 	"bamboorail.example/bamboorail/internal/balance"
 	"bamboorail.example/bamboorail/internal/fleet"
 	"bamboorail.example/bamboorail/internal/informer"
@@ -65,15 +64,6 @@
 	// known number of instances is out of date.
 	retryRatioShare = 0.8
 	retrySlackShare = 0.9
-	// oldVersionPercent is the part of the release timeout, within which a new
-	// adapter version must be in use, during which the previous version may
-	// still be chosen. The rest is left because a call may wait in an engine's
-	// queue for some seconds before it starts.
-	oldVersionPercent = 30
-	// fetchesPerEngine is the number of concurrent adapter downloads per engine
-	// that the weight store serves at full speed (page LATER: 48 and 64 for 140
-	// engines).
-	fetchesPerEngine = 0.33
 	// traceCapacity is the number of spans kept, about 0.5 KB each: a small
 	// part of the 64 MB that an instance may use.
 	traceCapacity = 4096
@@ -82,14 +72,7 @@
 	memoryLimitShare = 0.7
 	// storeIdleConns and storeIdleTimeout limit the idle connections to the
 	// store, which needs only a few.
-	storeIdleConns = 8
-	// holderCPUShare is the part of a core above which more processor time does
-	// not make an instance a better lease holder (page SYSTEM: the instances of
-	// the small sites).
-	holderCPUShare = 0.4
-	// maxClaimDelay gives larger instances, which poll the leases every 0.75 to
-	// 2.25 s, the time to find a free lease first.
-	maxClaimDelay    = 2 * time.Second
+	storeIdleConns   = 8
 	storeIdleTimeout = 30 * time.Second
 )
 
@@ -207,52 +190,6 @@
 	})
 }
 
-// claimDelay returns the time for which an instance leaves a free lease to
-// instances with more processor time.
-func claimDelay(share float64) time.Duration {
-	return time.Duration(max(1-share/holderCPUShare, 0) * float64(maxClaimDelay))
-}
-
-// tuning returns the cost parameters of the planner. Times are those of the
-// users' data sheets (page SYSTEM); CallTime is the mean over calls of 17 to 43
-// events with 42 ms each (page LATER).
-func (g *Gateway) tuning() adapters.Tuning {
-	return adapters.Tuning{
-		FetchTime: 270 * time.Millisecond, ReloadTime: 30 * time.Millisecond, MinFetchLimit: g.initial.AdapterLoads / len(g.initial.Zones),
-		FetchesPerEngine: fetchesPerEngine, ReplicaDemand: 8,
-		MaxLoadsPerEngine: 4, CallCost: 3 * time.Millisecond, CallTime: 1400 * time.Millisecond, RankCost: 15 * time.Millisecond, MinIdleTime: 50 * time.Millisecond,
-		CachedAdapters: 126, OldVersionGrace: g.initial.ReleaseTimeout * oldVersionPercent / 100, SuspectPeriod: time.Second, DemandHalfLife: 20 * time.Second,
-	}
-}
-
-// fetchShare returns the share of this zone in the concurrent downloads from
-// the weight store. Only zones whose holder is alive get a share, as the others
-// download nothing.
-func (g *Gateway) fetchShare() int {
-	alive := 0
-	for _, z := range g.holders {
-		if z.Lease.Alive() {
-			alive++
-		}
-	}
-	alive = max(alive, 1)
-	return (g.initial.AdapterLoads + alive - 1) / alive
-}
-
-// modelLoadInterval returns the interval between base model loads in one zone,
-// which divides the rate limit of the weight store evenly among the zones.
-func (g *Gateway) modelLoadInterval() time.Duration {
-	rate := 1.0
-	if t := g.table.Load(); t != nil {
-		for _, s := range t.Services() {
-			if s.Engine && s.LoadsPerSecond > 0 {
-				rate = s.LoadsPerSecond
-			}
-		}
-	}
-	return time.Duration(float64(len(g.initial.Zones)) / rate * float64(time.Second))
-}
-
 // budget returns the retry budget of a service, which it creates on first use.
 func (g *Gateway) budget(service string) *retry.WindowBudget {
 	g.mu.Lock()
@@ -312,6 +249,9 @@
 		defer cancel()
 		return g.shutdown(ctx)
 	})
+	if loads := g.initial.AdapterLoads; loads > 0 {
+		g.log.Info("concurrent adapter loads are set, not learned", "adapter-loads", loads)
+	}
 	g.log.Info("instance started", "instance", g.initial.Instance, "zone", g.initial.Zone, "version", bamboorail.Version)
 	err := tasks.Wait()
 	g.log.Info("instance ends", "error", errorText(err))
--- /dev/null
+++ b/internal/gateway/tuning.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"time"
+
+	"bamboorail.example/bamboorail/internal/adapters"
+)
+
+const (
+	// initialFetchTime and initialCallTime are estimates until the first
+	// fetches and calls have been observed. A fetch time that is too long costs
+	// the first calls less than refusals by engines that are not ready.
+	initialFetchTime = 300 * time.Millisecond
+	initialCallTime  = 1400 * time.Millisecond
+	// reloadShare is the time of a load of a recently held adapter as a share of
+	// the time of a fetch: a tenth (page PROTOCOL), and the way to the engine.
+	reloadShare = 0.12
+	// minAdapterLoads is the number of concurrent fetches, over all zones, that
+	// any weight store is taken to serve at full speed.
+	minAdapterLoads = 8
+	// maxLoadsPerEngine is the number of adapters in transit to one engine (page
+	// PROTOCOL).
+	maxLoadsPerEngine = 4
+	// replicaDemand is the decayed number of calls from which an adapter is
+	// worth a second fetch, into a zone that is not its home.
+	replicaDemand = 8
+	// callCost is the delay that a running call adds to the first token of the
+	// next one, and rankCost the preference for engines that are more likely to
+	// have held the adapter.
+	callCost = 3 * time.Millisecond
+	rankCost = 15 * time.Millisecond
+	// minIdleTime protects an adapter between two calls from eviction.
+	minIdleTime = 50 * time.Millisecond
+	// cachedAdapters bounds the remembered adapters of an engine. An adapter
+	// that the engine has dropped is forgotten at its first late load.
+	cachedAdapters = 126
+	// suspectPeriod is the time for which an engine that failed gets no calls
+	// while others can take them.
+	suspectPeriod = time.Second
+	// demandHalfLife is short enough for the popularity shifts of a day.
+	demandHalfLife = 20 * time.Second
+	// oldVersionPercent is the part of the release timeout, within which a new
+	// adapter version must be in use, during which the previous version may
+	// still be chosen. The rest is left because a call may wait in an engine's
+	// queue for some seconds before it starts.
+	oldVersionPercent = 30
+	// holderCPUShare is the part of a core above which more processor time does
+	// not make an instance a better lease holder (page SYSTEM: the instances of
+	// the small sites).
+	holderCPUShare = 0.4
+	// maxClaimDelay gives larger instances, which poll the leases every 0.75 to
+	// 2.25 s, the time to find a free lease first.
+	maxClaimDelay = 2 * time.Second
+)
+
+// tuning returns the cost parameters of the planner.
+func (g *Gateway) tuning() adapters.Tuning {
+	zones := len(g.initial.Zones)
+	return adapters.Tuning{
+		FetchTime: initialFetchTime, ReloadShare: reloadShare, MinFetchLimit: (minAdapterLoads + zones - 1) / zones, ReplicaDemand: replicaDemand,
+		MaxLoadsPerEngine: maxLoadsPerEngine, CallCost: callCost, CallTime: initialCallTime, RankCost: rankCost, MinIdleTime: minIdleTime,
+		CachedAdapters: cachedAdapters, OldVersionGrace: g.initial.ReleaseTimeout * oldVersionPercent / 100, SuspectPeriod: suspectPeriod,
+		DemandHalfLife: demandHalfLife,
+	}
+}
+
+// fetchShare returns the share of this zone in the concurrent downloads from
+// the weight store that the settings permit, or 0 if the settings leave it to
+// the planners to learn the number. Only zones whose holder is alive get a
+// share, as the others download nothing.
+func (g *Gateway) fetchShare() int {
+	if g.initial.AdapterLoads == 0 {
+		return 0
+	}
+	alive := 0
+	for _, z := range g.holders {
+		if z.Lease.Alive() {
+			alive++
+		}
+	}
+	alive = max(alive, 1)
+	return (g.initial.AdapterLoads + alive - 1) / alive
+}
+
+// modelLoadInterval returns the interval between base model loads in one zone,
+// which divides the rate limit of the weight store evenly among the zones.
+func (g *Gateway) modelLoadInterval() time.Duration {
+	rate := 1.0
+	if t := g.table.Load(); t != nil {
+		for _, s := range t.Services() {
+			if s.Engine && s.LoadsPerSecond > 0 {
+				rate = s.LoadsPerSecond
+			}
+		}
+	}
+	return time.Duration(float64(len(g.initial.Zones)) / rate * float64(time.Second))
+}
+
+// claimDelay returns the time for which an instance leaves a free lease to
+// instances with more processor time.
+func claimDelay(share float64) time.Duration {
+	return time.Duration(max(1-share/holderCPUShare, 0) * float64(maxClaimDelay))
+}
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -48,8 +48,8 @@
 	Table    func() *route.Table
 	Engines  bamboorail.EngineController
 	Tuning   adapters.Tuning
-	// FetchShare returns the zone's share of the fetches that the weight store
-	// serves concurrently at full speed.
+	// FetchShare returns the zone's fixed share of the fetches that the weight
+	// store serves concurrently at full speed, or 0 if the planner learns it.
 	FetchShare func() int
 	// ModelLoadInterval returns the minimum time between loads of base models.
 	ModelLoadInterval func() time.Duration
@@ -172,7 +172,7 @@
 		s, _ := table.Service(service)
 		return s.AdapterSlots
 	}, now)
-	h.planner.SetMinFetchLimit(h.FetchShare())
+	h.planner.SetFetchLimit(h.FetchShare())
 	h.planner.Expire(now.Add(-placementExpiry), now)
 	return h.planner.Unsynced()
 }
--- a/internal/placer/holder_test.go
+++ b/internal/placer/holder_test.go
@@ -105,7 +105,7 @@
 	b.Holder = NewHolder(HolderConfig{
 		Zone: "z", Instance: "node", Lease: l, Fleet: f, Table: func() *route.Table { return table }, Engines: b.engine,
 		Tuning: adapters.Tuning{
-			FetchTime: time.Millisecond, ReloadTime: time.Millisecond, MinFetchLimit: 8, MaxLoadsPerEngine: 8, CachedAdapters: 8, DemandHalfLife: time.Second,
+			FetchTime: time.Millisecond, ReloadShare: 1, FetchLimit: 8, MaxLoadsPerEngine: 8, CachedAdapters: 8, DemandHalfLife: time.Second,
 		},
 		FetchShare: func() int { return 8 }, ModelLoadInterval: func() time.Duration { return time.Second }, Metrics: telemetry.NewMetrics(), Log: hclog.NewNullLogger(),
 	})
--- a/internal/placer/model_test.go
+++ b/internal/placer/model_test.go
@@ -183,7 +183,7 @@
 		h := NewHolder(HolderConfig{
 			Zone: "z", Instance: name, Lease: l, Fleet: w.fleet, Table: func() *route.Table { return table }, Engines: w.engine,
 			Tuning: adapters.Tuning{
-				FetchTime: 100 * time.Millisecond, ReloadTime: 10 * time.Millisecond, MinFetchLimit: 8, MaxLoadsPerEngine: 8, CachedAdapters: 8,
+				FetchTime: 100 * time.Millisecond, ReloadShare: 0.1, FetchLimit: 8, MaxLoadsPerEngine: 8, CachedAdapters: 8,
 				DemandHalfLife: time.Second,
 			},
 			FetchShare: func() int { return 8 }, ModelLoadInterval: func() time.Duration { return time.Second }, Metrics: telemetry.NewMetrics(), Log: hclog.NewNullLogger(),
--- a/internal/placer/releases_test.go
+++ b/internal/placer/releases_test.go
@@ -63,7 +63,7 @@
 		t.Run("with a holder, "+name, func(t *testing.T) {
 			b := newTestHolder(t)
 			b.planner = adapters.NewPlanner(adapters.Tuning{
-				FetchTime: time.Millisecond, ReloadTime: time.Millisecond, MinFetchLimit: 8, MaxLoadsPerEngine: 8, CachedAdapters: 8,
+				FetchTime: time.Millisecond, ReloadShare: 1, FetchLimit: 8, MaxLoadsPerEngine: 8, CachedAdapters: 8,
 				DemandHalfLife: time.Second, OldVersionGrace: 2 * time.Second,
 			}, 0)
 			ctx, server := context.Background(), NewServer([]ZoneHolder{{Zone: "z", Local: b.Holder, Lease: b.Lease}}, b.Fleet, nil)
--- a/internal/placer/usage.go
+++ b/internal/placer/usage.go
@@ -102,9 +102,11 @@
 	return task.Every(ctx, reportInterval, func(context.Context) {
 		if c := h.usage.resetCounts(); h.Lease.Leading() {
 			h.mu.Lock()
-			open := h.planner.OpenPlacements()
+			open, fetches := h.planner.OpenPlacements(), h.planner.FetchEstimate(time.Now())
 			h.mu.Unlock()
-			c.log(h.Log.With("zone", h.Zone, "open", open), h.Lease.RenewalLatency())
+			h.usage.metrics.SetFetchEstimate(fetches.Limit, fetches.Expected, fetches.Flat)
+			c.log(h.Log.With("zone", h.Zone, "open", open, "fetches", fetches.Active, "fetch-limit", fetches.Limit,
+				"fetch-ms", fetches.Expected.Milliseconds(), "flat-fetch-ms", fetches.Flat.Milliseconds()), h.Lease.RenewalLatency())
 		}
 	})
 }
--- a/internal/placer/waiting_test.go
+++ b/internal/placer/waiting_test.go
@@ -17,7 +17,7 @@
 // queueTuning makes an engine with two adapter slots fetch one adapter at a
 // time.
 var queueTuning = adapters.Tuning{
-	FetchTime: 20 * time.Millisecond, ReloadTime: 20 * time.Millisecond, MinFetchLimit: 1, MaxLoadsPerEngine: 1, CachedAdapters: 126,
+	FetchTime: 20 * time.Millisecond, ReloadShare: 1, FetchLimit: 1, MaxLoadsPerEngine: 1, CachedAdapters: 126,
 	DemandHalfLife: time.Second,
 }
 
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -36,7 +36,8 @@
 	RetrySlack  float64
 	RetryWindow time.Duration
 	// AdapterLoads is the number of concurrent adapter loads, over all engines,
-	// that the weight store serves at full speed.
+	// that the weight store serves at full speed; 0 leaves it to the instances
+	// to learn the number.
 	AdapterLoads int
 	// MaxMemory is the memory limit of the process in bytes.
 	MaxMemory int64
@@ -54,7 +55,6 @@
 	defaultRetryWindow    = 10 * time.Second
 	defaultRetryRatio     = 0.2
 	defaultRetrySlack     = 50
-	defaultAdapterLoads   = 8
 	defaultGatewayMemory  = 256 << 20
 	defaultProcessorShare = 1
 )
@@ -88,7 +88,7 @@
 		RetryRatio:       f.Float(section, "retry-ratio", defaultRetryRatio),
 		RetrySlack:       f.Float(section, "retry-slack", defaultRetrySlack),
 		RetryWindow:      f.Duration(section, "retry-window", defaultRetryWindow),
-		AdapterLoads:     f.Int(section, "adapter-loads", defaultAdapterLoads, 1),
+		AdapterLoads:     f.Int(section, "adapter-loads", 0, 1),
 		MaxMemory:        f.Size(section, "max-memory", defaultGatewayMemory),
 		ProcessorShare:   f.Float(section, "processor-share", defaultProcessorShare),
 		PlatformURL:      f.URL("platform", "url"),
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if g.Zone != "z-a" || len(g.Zones) != 2 || g.RetrySlack != 52 || g.LeaseGap != 3*time.Second || g.MaxMemory != 284<<20 || g.ProcessorShare != 0.4 || g.AdapterLoads != 8 {
+	if g.Zone != "z-a" || len(g.Zones) != 2 || g.RetrySlack != 52 || g.LeaseGap != 3*time.Second || g.MaxMemory != 284<<20 || g.ProcessorShare != 0.4 || g.AdapterLoads != 0 {
 		t.Errorf("settings %+v", g)
 	}
 }
@@ -61,6 +61,7 @@
 func TestGatewayErrors(t *testing.T) {
 	cases := map[string]struct{ from, to, want string }{
 		"own zone is missing":  {"zones = z-a,z-b", "zones = z-b", "the zone \"z-a\" of the instance is missing"},
+		"no adapter loads":     {"retry-ratio = 0.2", "adapter-loads = 0", "is not a whole number of at least 1"},
 		"zone is not a name":   {"zones = z-a,z-b", "zones = z-a,/", "is not a valid name"},
 		"ratio is negative":    {"retry-ratio = 0.2", "retry-ratio = -1", "is not a number of at least 0"},
 		"ratio is text":        {"retry-ratio = 0.2", "retry-ratio = few", "is not a number of at least 0"},
--- a/internal/telemetry/holder.go
+++ b/internal/telemetry/holder.go
@@ -12,6 +12,8 @@
 	waiting *prometheus.GaugeVec
 	looks   *prometheus.CounterVec
 	seconds *prometheus.HistogramVec
+	// fetchLimit and fetchSeconds are the estimates of the weight store.
+	fetchLimit, fetchSeconds *prometheus.GaugeVec
 }
 
 func newHolderVectors(r prometheus.Registerer) holderVectors {
@@ -22,8 +24,11 @@
 			Namespace: namespace, Name: "holder_seconds", Buckets: waitBuckets,
 			Help: "Time of a question (question), of it for the lock (lock) and for decisions (look), and of an order (order).",
 		}, []string{"zone", "part"}),
+		fetchLimit: newGaugeVec("holder_fetch_limit", "Concurrent adapter fetches permitted in an availability zone.", "zone"),
+		fetchSeconds: newGaugeVec(
+			"holder_fetch_seconds", "Estimated time of an adapter fetch now (expected) and at full speed (flat), by availability zone.", "zone", "estimate"),
 	}
-	r.MustRegister(v.waiting, v.looks, v.seconds)
+	r.MustRegister(v.waiting, v.looks, v.seconds, v.fetchLimit, v.fetchSeconds)
 	return v
 }
 
@@ -33,6 +38,9 @@
 	looks                 prometheus.Counter
 	question, lock, order prometheus.Observer
 	look                  prometheus.Observer
+	fetchLimit            prometheus.Gauge
+	expectedFetch         prometheus.Gauge
+	flatFetch             prometheus.Gauge
 }
 
 // Holder returns the metrics of the holder of a zone.
@@ -42,12 +50,22 @@
 		waiting: v.waiting.WithLabelValues(zone), looks: v.looks.WithLabelValues(zone),
 		question: v.seconds.WithLabelValues(zone, "question"), lock: v.seconds.WithLabelValues(zone, "lock"),
 		look: v.seconds.WithLabelValues(zone, "look"), order: v.seconds.WithLabelValues(zone, "order"),
+		fetchLimit: v.fetchLimit.WithLabelValues(zone), expectedFetch: v.fetchSeconds.WithLabelValues(zone, "expected"),
+		flatFetch: v.fetchSeconds.WithLabelValues(zone, "flat"),
 	}
 }
 
 // SetWaiting sets the number of calls that wait for placement.
 func (h *Holder) SetWaiting(n int) { h.waiting.Set(float64(n)) }
 
+// SetFetchEstimate sets the limit of concurrent fetches, and the estimated times
+// of a fetch now and at full speed.
+func (h *Holder) SetFetchEstimate(limit int, expected, flat time.Duration) {
+	h.fetchLimit.Set(float64(limit))
+	h.expectedFetch.Set(expected.Seconds())
+	h.flatFetch.Set(flat.Seconds())
+}
+
 // RecordDecisions records a batch of n placement decisions, the time spent waiting for
 // the lock and the time spent on the decisions.
 func (h *Holder) RecordDecisions(n int, lock, look time.Duration) {
