gateway: count calls to the store by call, kind and result

Each instance counts its calls, at /metrics (bamboorail_store_calls_total) and each 10 s in a log line.

--- a/internal/fetchlimit/fetchlimit_test.go
+++ b/internal/fetchlimit/fetchlimit_test.go
@@ -93,11 +93,12 @@
 			}
 		}
 		speed := min(1, float64(s.limit(at))/float64(max(active, 1)))
-		if speed >= 0.5 {
+		switch {
+		case speed >= 0.5:
 			stretchedSince = -1
-		} else if stretchedSince < 0 {
+		case stretchedSince < 0:
 			stretchedSince = at
-		} else {
+		default:
 			r.longestStretch = max(r.longestStretch, at-stretchedSince)
 		}
 		for _, z := range zones {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,6 +117,8 @@
 	metrics  *telemetry.Metrics
 	spans    *telemetry.SpanStore
 	ports    *ports
+	// storeCalls is the store of platform, whose calls it counts.
+	storeCalls *countedStore
 
 	// current holds the settings in effect, initial those at startup.
 	current      atomic.Pointer[settings.Gateway]
@@ -145,6 +147,8 @@
 		metrics: telemetry.NewMetrics(), spans: telemetry.NewSpanStore(s.Instance, traceCapacity), budgets: map[string]*retry.WindowBudget{},
 	}
 	g.current.Store(&s)
+	g.storeCalls = newCountedStore(p.Store, g.metrics, logs.Layer("store"))
+	g.platform.Store = g.storeCalls
 	setMemoryLimit(s)
 	var err error
 	if g.ports, err = openPorts(ctx, s); err != nil {
@@ -235,6 +239,7 @@
 	}
 	tasks.Start("leases", g.elector.Run)
 	tasks.Start("settle", g.chooser.Run)
+	tasks.Start("store calls", g.storeCalls.run)
 	tasks.Start("pulse", g.measureTimerDelay)
 	tasks.Start("expiry", func(ctx context.Context) error { return task.Every(ctx, expireInterval, g.expireTargets) })
 	for _, z := range g.holders {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -26,6 +26,7 @@
 	mismatch  prometheus.Counter
 	holders   holderVectors
 	late      prometheus.Histogram
+	store     *prometheus.CounterVec
 }
 
 // waitBuckets are histogram bucket bounds in seconds.
@@ -50,7 +51,8 @@
 	m.mismatch = newCounter("answer_mismatches_total", "Answers that belonged to another request or adapter.")
 	m.late = newHistogram("timer_late_seconds", "Time by which a timer of the instance fired late: it waited for the processor.")
 	m.holders = newHolderVectors(m.registry)
-	m.registry.MustRegister(m.late, m.requests, m.duration, m.loads, m.loadTime, m.evictions, m.waited, m.loadWait,
+	m.store = newCounterVec("store_calls_total", "Calls to the object store by call, kind of object, and result.", "call", "kind", "result")
+	m.registry.MustRegister(m.store, m.late, m.requests, m.duration, m.loads, m.loadTime, m.evictions, m.waited, m.loadWait,
 		m.running, m.maxBatch, m.revision, m.faults, m.mismatch,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -123,5 +125,10 @@
 	m.faults.Add(float64(faults))
 }
 
+// StoreCall counts a call to the object store.
+func (m *Metrics) StoreCall(call, kind, result string) {
+	m.store.WithLabelValues(call, kind, result).Inc()
+}
+
 // RecordTimerDelay records the delay with which a timer of this instance fired.
 func (m *Metrics) RecordTimerDelay(d time.Duration) { m.late.Observe(d.Seconds()) }
