mirror: read leases, and at a start everything, through the holder

Change: followers get the leases from their holder, whose own leases carry the renewals that it has written since it listed them. A lease that looks free is listed from the store before it is claimed. An instance that has just started waits up to 3 s for a holder to read from before it lists the store.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -183,7 +183,9 @@
 		g.holders = append(g.holders, placer.ZoneHolder{Zone: zone, Local: h, Lease: l})
 	}
 	g.mirror = mirror.NewStore(g.platform.Store, s.Instance, s.Zone, g.holders[0].Lease, g.peers, g.targetDigest, g.logs.Layer("mirror"))
+	g.mirror.SetLeases(mirror.Leases{Kind: leaseKind, Store: g.platform.Store, Held: g.heldLeases})
 	g.elector = lease.NewElector(leaseKind, g.platform.Store, candidates, timing, lease.BootTime, g.logs.Layer("lease"))
+	g.elector.SetReader(g.mirror)
 	g.chooser = placer.NewChooser(placer.ChooserConfig{
 		Instance: s.Instance, Zones: g.holders, Peers: g.peers, Fleet: g.fleet, Balancer: g.balancer,
 		Tracer: tracer, PollLease: g.elector.PollNow, Log: g.logs.Layer("placer"),
--- a/internal/gateway/tuning.go
+++ b/internal/gateway/tuning.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/adapters"
 )
 
@@ -101,3 +102,14 @@
 func claimDelay(share float64) time.Duration {
 	return time.Duration(max(1-share/holderCPUShare, 0) * float64(maxClaimDelay))
 }
+
+// heldLeases returns the leases that this instance holds.
+func (g *Gateway) heldLeases() []bamboorail.Object {
+	var held []bamboorail.Object
+	for _, z := range g.holders {
+		if o, ok := z.Lease.Held(); ok {
+			held = append(held, o)
+		}
+	}
+	return held
+}
--- a/internal/lease/claim_delay_test.go
+++ b/internal/lease/claim_delay_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/stand/memory"
 	"bamboorail.example/bamboorail/internal/task"
 )
@@ -60,3 +61,59 @@
 		}
 	}
 }
+
+// laggingReader lists the leases as a peer read them at some time.
+type laggingReader struct{ objects []bamboorail.Object }
+
+func (r *laggingReader) ListStale(context.Context, string) ([]bamboorail.Object, error) {
+	return r.objects, nil
+}
+
+// TestFreeLeaseIsConfirmedBeforeClaim guards against claims of a lease that only
+// looks free in the view of a peer: each would cost the store a write.
+func TestFreeLeaseIsConfirmedBeforeClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		start := time.Now()
+		clock := func() time.Duration { return time.Second + time.Since(start) }
+		store := &countingPuts{Store: memory.NewStore()}
+		newLease := func(name string) *Lease {
+			return New(Config{Key: leaseKey, Holder: name, Address: name + ":1", Timing: testTiming, Store: store, Clock: clock, Log: hclog.NewNullLogger()})
+		}
+		holder := newLease("holder")
+		renewing := task.Start(ctx, "holder", NewElector("leases", staleLister{store.Store}, []Candidate{{Lease: holder}}, testTiming, clock, hclog.NewNullLogger()).Run)
+		time.Sleep(3 * time.Second)
+		o, ok := holder.Held()
+		if !ok {
+			t.Fatal("no holder")
+		}
+		follower := newLease("follower")
+		e := NewElector("leases", staleLister{store.Store}, []Candidate{{Lease: follower}}, testTiming, clock, hclog.NewNullLogger())
+		e.SetReader(&laggingReader{[]bamboorail.Object{o}})
+		polling := task.Start(ctx, "follower", e.Run)
+		time.Sleep(30 * time.Second)
+		if n := store.conflicts; n > 0 {
+			t.Errorf("%d claims of a lease that is renewed", n)
+		}
+		if name, _ := follower.Holder(); name != "holder" {
+			t.Errorf("the follower sees the holder %q", name)
+		}
+		cancel()
+		renewing.Join()
+		polling.Join()
+	})
+}
+
+// countingPuts counts the writes that met a conflict.
+type countingPuts struct {
+	*memory.Store
+	conflicts int
+}
+
+func (c *countingPuts) Put(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
+	version, err := c.Store.Put(ctx, key, value, expect)
+	if bamboorail.KindOf(err) == bamboorail.KindConflict {
+		c.conflicts++
+	}
+	return version, err
+}
--- a/internal/lease/elector.go
+++ b/internal/lease/elector.go
@@ -65,8 +65,11 @@
 
 // Elector renews the leases of an instance and claims lapsed ones.
 type Elector struct {
-	kind       string
-	store      bamboorail.StaleLister
+	kind  string
+	store bamboorail.StaleLister
+	// reader lists the leases for a poll. It may lag behind store, which confirms
+	// that a lease is free before it is claimed.
+	reader     bamboorail.StaleLister
 	candidates map[string]*candidate // by object key
 	timing     Timing
 	clock      Clock
@@ -89,7 +92,7 @@
 // NewElector returns an elector for the leases of one kind of object.
 func NewElector(kind string, store bamboorail.StaleLister, list []Candidate, t Timing, c Clock, log hclog.Logger) *Elector {
 	e := &Elector{
-		kind: kind, store: store, candidates: map[string]*candidate{}, timing: t, clock: c, log: log, wake: make(chan struct{}, 1),
+		kind: kind, store: store, reader: store, candidates: map[string]*candidate{}, timing: t, clock: c, log: log, wake: make(chan struct{}, 1),
 	}
 	for _, entry := range list {
 		e.candidates[entry.Lease.key] = &candidate{Candidate: entry}
@@ -97,6 +100,10 @@
 	return e
 }
 
+// SetReader lets the elector poll the leases through another instance, so that
+// the store is not polled by every instance. It must be called before Run.
+func (e *Elector) SetReader(r bamboorail.StaleLister) { e.reader = r }
+
 // PollNow triggers a poll of the leases before the next one is due, such as
 // after an instance has answered that it no longer holds the local zone's
 // lease.
@@ -163,14 +170,14 @@
 
 // pollOnce reads all leases and claims the free ones.
 func (e *Elector) pollOnce(ctx context.Context) {
-	objects, err := e.store.ListStale(ctx, e.kind)
-	if err != nil {
+	if err := e.observe(ctx, e.reader); err != nil {
 		e.log.Debug("failed to read leases", "error", err)
 		return
 	}
-	for _, o := range objects {
-		if c := e.candidates[o.Key]; c != nil {
-			c.Lease.Observe(o)
+	if e.reader != e.store && e.isAnyClaimable() {
+		if err := e.observe(ctx, e.store); err != nil {
+			e.log.Debug("failed to confirm free leases", "error", err)
+			return
 		}
 	}
 	for _, c := range e.candidates {
@@ -193,6 +200,30 @@
 	}
 }
 
+// observe reads all leases.
+func (e *Elector) observe(ctx context.Context, from bamboorail.StaleLister) error {
+	objects, err := from.ListStale(ctx, e.kind)
+	if err != nil {
+		return err
+	}
+	for _, o := range objects {
+		if c := e.candidates[o.Key]; c != nil {
+			c.Lease.Observe(o)
+		}
+	}
+	return nil
+}
+
+// isAnyClaimable reports whether some lease may be free.
+func (e *Elector) isAnyClaimable() bool {
+	for _, c := range e.candidates {
+		if c.Lease.Claimable() {
+			return true
+		}
+	}
+	return false
+}
+
 // claim claims a lease unless claiming has stopped, also while the claim was in
 // progress. An instance that shuts down still polls, because its calls have to
 // find the next holder.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -164,6 +164,22 @@
 	return l.lastRecord.Holder, l.lastRecord.Address
 }
 
+// Held returns the lease object as this instance last wrote it, and false if it
+// does not hold the lease.
+func (l *Lease) Held() (bamboorail.Object, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.held {
+		return bamboorail.Object{}, false
+	}
+	value, err := json.Marshal(l.lastRecord)
+	if err != nil {
+		l.log.Error("failed to encode lease object", "key", l.key, "error", err)
+		return bamboorail.Object{}, false
+	}
+	return bamboorail.Object{Key: l.key, Version: l.revision, Value: value}, true
+}
+
 // Observe applies the lease object as read from the store. Outdated versions
 // are ignored.
 func (l *Lease) Observe(o bamboorail.Object) {
--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -52,6 +53,10 @@
 	peers    Peers
 	log      hclog.Logger
 	cache    *cache
+	// leases are read through the holder too. startupEnd is the time until which
+	// this instance waits for a holder.
+	leases     Leases
+	startupEnd time.Time
 
 	mu            sync.Mutex
 	holderRetryAt time.Time
@@ -142,8 +147,13 @@
 
 // List returns the objects of a kind.
 func (s *Store) List(ctx context.Context, prefix string) ([]bamboorail.Object, uint64, error) {
-	if reply, ok := s.followHolder(ctx, prefix, 0, 0); ok {
-		return objectsOf(reply), reply.GetRevision(), nil
+	for {
+		if reply, ok := s.followHolder(ctx, prefix, 0, 0); ok {
+			return objectsOf(reply), reply.GetRevision(), nil
+		}
+		if !s.awaitHolder(ctx) {
+			break
+		}
 	}
 	if err := s.storeRefusal(); err != nil {
 		return nil, 0, err
@@ -179,30 +189,45 @@
 // followHolder sends a follow request to the holder of the zone. It returns false
 // if the store must be called instead.
 func (s *Store) followHolder(ctx context.Context, prefix string, revision uint64, wait time.Duration) (*wire.FollowReply, bool) {
+	reply, err := s.askHolder(ctx, prefix, revision, wait)
+	if err != nil {
+		return nil, false
+	}
+	if !reply.GetFresh() {
+		s.pauseHolder()
+		return nil, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances = int(reply.GetInstances())
+	return reply, true
+}
+
+// askHolder sends a follow request to the holder of the zone. A holder that does
+// not answer is not asked again for a while.
+func (s *Store) askHolder(ctx context.Context, prefix string, revision uint64, wait time.Duration) (*wire.FollowReply, error) {
 	address := s.holderAddress()
 	if address == "" {
-		return nil, false
+		return nil, errNoHolder
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+replyGrace)
 	defer cancel()
 	reply, err := s.peers.Follow(ctx, address, &wire.FollowRequest{
 		Instance: s.instance, Zone: s.zone, Kind: kindOf(prefix), Revision: revision, WaitMicros: wait.Microseconds(),
 	})
-	switch {
-	case err != nil:
+	if err != nil {
 		s.log.Info("follow request to holder failed", "kind", kindOf(prefix), "address", address, "error", err)
-	case !reply.GetFresh():
+		s.pauseHolder()
+		return nil, err
+	}
+	if !reply.GetFresh() {
 		s.log.Debug("holder has no fresh data", "kind", kindOf(prefix), "address", address)
-	default:
-		s.mu.Lock()
-		s.instances = int(reply.GetInstances())
-		s.mu.Unlock()
-		return reply, true
 	}
-	s.pauseHolder()
-	return nil, false
+	return reply, nil
 }
 
+var errNoHolder = errors.New("no holder to read from")
+
 func objectsOf(reply *wire.FollowReply) []bamboorail.Object {
 	objects := make([]bamboorail.Object, 0, len(reply.GetObjects()))
 	for _, o := range reply.GetObjects() {
@@ -223,6 +248,9 @@
 	s.mu.Unlock()
 	a := s.cache.follow(ctx, r.GetKind(), r.GetRevision(), min(time.Duration(r.GetWaitMicros())*time.Microsecond, followWait))
 	reply := &wire.FollowReply{Fresh: a.fresh, Revision: a.events.Revision, Gap: a.events.Reset, Instances: int32(instances)}
+	if a.fresh {
+		a.objects = s.withHeld(r.GetKind(), a.objects)
+	}
 	for _, o := range append(a.objects, a.events.Objects...) {
 		reply.Objects = append(reply.Objects, &wire.FollowedObject{Key: o.Key, Version: o.Version, Value: o.Value, Deleted: o.Deleted})
 	}
