mirror: ask the holder of another zone before the store

Change: if the own holder does not answer or has no fresh data, the next zone's holder is asked, then the store. Its answer is fresh by the same bounds. It does not count followers of other zones as its own (new field instance_zone), as the retry budget is shared by that count. A holder that did not answer is paused by its address, so that its successor is asked at once.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -183,6 +183,9 @@
 		g.holders = append(g.holders, placer.ZoneHolder{Zone: zone, Local: h, Lease: l})
 	}
 	g.mirror = mirror.NewStore(g.platform.Store, s.Instance, s.Zone, g.holders[0].Lease, g.peers, g.targetDigest, g.logs.Layer("mirror"))
+	for _, z := range g.holders[1:] {
+		g.mirror.AddFallback(z.Zone, z.Lease)
+	}
 	g.mirror.SetLeases(mirror.Leases{Kind: leaseKind, Store: g.platform.Store, Held: g.heldLeases})
 	g.elector = lease.NewElector(leaseKind, g.platform.Store, candidates, timing, lease.BootTime, g.logs.Layer("lease"))
 	g.elector.SetReader(g.mirror)
--- /dev/null
+++ b/internal/mirror/fallback_test.go
@@ -0,0 +1,82 @@
+package mirror
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"bamboorail.example/bamboorail/internal/peer/wire"
+)
+
+// zonePeers reaches the nodes of several zones by their addresses.
+type zonePeers map[string]*node
+
+func (z zonePeers) Follow(ctx context.Context, address string, r *wire.FollowRequest) (*wire.FollowReply, error) {
+	if z[address].unreachable {
+		return nil, errNoAnswer
+	}
+	return z[address].Follow(ctx, r)
+}
+
+// address locates a holder.
+type address string
+
+func (a address) Leading() bool            { return false }
+func (a address) Holder() (string, string) { return "holder", string(a) }
+
+// TestFollowersFallBackToOtherZone guards against a zone that reads the store
+// with every instance while its holder is gone or has lost the store: a holder
+// of another zone serves it meanwhile, and does not count it as its own zone.
+func TestFollowersFallBackToOtherZone(t *testing.T) {
+	cases := map[string]struct {
+		disrupt    func(own, other *node)
+		storeCalls int
+	}{
+		"own holder serves":       {func(*node, *node) {}, 0},
+		"own holder gone":         {func(own, _ *node) { own.unreachable = true }, 0},
+		"own holder lost store":   {func(own, _ *node) { own.cache.lastContact = time.Now().Add(-2 * maxContactAge) }, 0},
+		"own holder was replaced": {func(own, _ *node) { own.leading = false }, 0},
+		"both gone":               {func(own, other *node) { own.unreachable, other.unreachable = true, true }, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			own, follower := newPair(t)
+			other := &node{objects: own.objects, leading: true}
+			other.Store = NewStore(countingStore{own.objects, other}, "other", "y", other, directPeers{other}, nil, hclog.NewNullLogger())
+			peers := zonePeers{"own": own, "other": other}
+			follower.Store = NewStore(countingStore{own.objects, follower}, "follower", "z", address("own"), peers, nil, hclog.NewNullLogger())
+			follower.AddFallback("y", address("other"))
+			own.mustList(t)
+			other.mustList(t)
+			c.disrupt(own, other)
+			revision := follower.mustList(t)
+			if follower.storeCalls != c.storeCalls {
+				t.Errorf("%d calls to the store, want %d", follower.storeCalls, c.storeCalls)
+			}
+			if c.storeCalls > 0 {
+				return
+			}
+			if _, err := other.objects.Put(context.Background(), "k/b", []byte("2"), 0); err != nil {
+				t.Fatal(err)
+			}
+			for _, n := range []*node{own, other} {
+				if n.unreachable || !n.leading {
+					continue
+				}
+				if _, err := n.Watch(context.Background(), []string{"k/"}, revision, time.Second); err != nil {
+					t.Fatal(err)
+				}
+			}
+			c.disrupt(own, other)
+			events, err := follower.Watch(context.Background(), []string{"k/"}, revision, time.Second)
+			if err != nil || len(events.Objects) != 1 || follower.storeCalls != 0 {
+				t.Errorf("events %+v, %v, after %d calls to the store", events, err, follower.storeCalls)
+			}
+			if size := other.ZoneSize(); size != 1 {
+				t.Errorf("the other zone counts %d instances, want its own one", size)
+			}
+		})
+	}
+}
--- a/internal/mirror/leases.go
+++ b/internal/mirror/leases.go
@@ -39,8 +39,10 @@
 // ListStale returns the leases as the holder of the zone last read them, or as
 // the object store lists them.
 func (s *Store) ListStale(ctx context.Context, prefix string) ([]bamboorail.Object, error) {
-	if reply, err := s.askHolder(ctx, prefix, 0, 0); err == nil && reply.GetFresh() {
-		return objectsOf(reply), nil
+	for _, from := range s.sources() {
+		if reply, err := s.ask(ctx, from, prefix, 0, 0); err == nil && reply.GetFresh() {
+			return objectsOf(reply), nil
+		}
 	}
 	objects, err := s.leases.Store.ListStale(ctx, prefix)
 	if err == nil {
@@ -72,6 +74,6 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.holderRetryAt = time.Time{}
+	clear(s.retryAt)
 	return true
 }
--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -50,16 +49,20 @@
 	instance string
 	zone     string
 	holder   Holder
-	peers    Peers
-	log      hclog.Logger
-	cache    *cache
+	// others are the holders of other zones, which are asked if that of this
+	// zone has no fresh data.
+	others []upstream
+	peers  Peers
+	log    hclog.Logger
+	cache  *cache
 	// leases are read through the holder too. startupEnd is the time until which
 	// this instance waits for a holder.
 	leases     Leases
 	startupEnd time.Time
 
-	mu            sync.Mutex
-	holderRetryAt time.Time
+	mu sync.Mutex
+	// retryAt are the times until which a holder is not asked, by address.
+	retryAt map[string]time.Time
 	// refusal is the error of an overloaded store, which is not called again
 	// until storeRetryAt.
 	refusal      error
@@ -75,10 +78,22 @@
 func NewStore(store bamboorail.ObjectStore, instance, zone string, h Holder, p Peers, d Digest, log hclog.Logger) *Store {
 	return &Store{
 		ObjectStore: store, instance: instance, zone: zone, holder: h, peers: p, log: log, cache: newCache(d),
-		followers: map[string]time.Time{},
+		followers: map[string]time.Time{}, retryAt: map[string]time.Time{},
 	}
 }
 
+// upstream is the holder of a zone.
+type upstream struct {
+	zone   string
+	holder Holder
+}
+
+// AddFallback adds the holder of another zone. It must be called before the
+// store is used.
+func (s *Store) AddFallback(zone string, h Holder) {
+	s.others = append(s.others, upstream{zone, h})
+}
+
 // ZoneSize returns the number of instances of the zone, including this one, or 0
 // if it is unknown.
 func (s *Store) ZoneSize() int {
@@ -101,19 +116,30 @@
 	return len(s.followers)
 }
 
-// holderAddress returns the address of the holder, or an empty string if this
-// instance must call the store directly.
-func (s *Store) holderAddress() string {
+// source is an instance to read from.
+type source struct{ zone, address string }
+
+// sources returns the holders to ask in order, or none if this instance must
+// call the store directly: the holder of the zone, and one of another zone in
+// case the former is gone or has lost the store.
+func (s *Store) sources() []source {
 	if s.holder.Leading() {
-		return ""
+		return nil
 	}
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if time.Now().Before(s.holderRetryAt) {
-		return ""
+	var list []source
+	for n, u := range append([]upstream{{s.zone, s.holder}}, s.others...) {
+		_, address := u.holder.Holder()
+		if address == "" || now.Before(s.retryAt[address]) {
+			continue
+		}
+		if list = append(list, source{u.zone, address}); n > 0 {
+			break
+		}
 	}
-	_, address := s.holder.Holder()
-	return address
+	return list
 }
 
 // deferToHolder allows the next call to the holder immediately, and the next call
@@ -121,7 +147,7 @@
 func (s *Store) deferToHolder(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.holderRetryAt = time.Time{}
+	clear(s.retryAt)
 	if !s.holder.Leading() {
 		s.refusal, s.storeRetryAt = err, time.Now().Add(storeRetryDelay/2+rand.N(storeRetryDelay))
 	}
@@ -135,14 +161,14 @@
 	if s.holder.Leading() || time.Now().After(s.storeRetryAt) {
 		return nil
 	}
-	s.holderRetryAt = time.Time{}
+	clear(s.retryAt)
 	return s.refusal
 }
 
-func (s *Store) pauseHolder() {
+func (s *Store) pause(address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.holderRetryAt = time.Now().Add(peerRetryDelay)
+	s.retryAt[address] = time.Now().Add(peerRetryDelay)
 }
 
 // List returns the objects of a kind.
@@ -186,48 +212,47 @@
 	return events, err
 }
 
-// followHolder sends a follow request to the holder of the zone. It returns false
-// if the store must be called instead.
+// followHolder sends a follow request to the holder of the zone, or else to that
+// of another zone. It returns false if the store must be called instead.
 func (s *Store) followHolder(ctx context.Context, prefix string, revision uint64, wait time.Duration) (*wire.FollowReply, bool) {
-	reply, err := s.askHolder(ctx, prefix, revision, wait)
-	if err != nil {
-		return nil, false
-	}
-	if !reply.GetFresh() {
-		s.pauseHolder()
-		return nil, false
+	for _, from := range s.sources() {
+		reply, err := s.ask(ctx, from, prefix, revision, wait)
+		if err != nil {
+			continue
+		}
+		if !reply.GetFresh() {
+			s.pause(from.address)
+			continue
+		}
+		if from.zone == s.zone {
+			s.mu.Lock()
+			s.instances = int(reply.GetInstances())
+			s.mu.Unlock()
+		}
+		return reply, true
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.instances = int(reply.GetInstances())
-	return reply, true
+	return nil, false
 }
 
-// askHolder sends a follow request to the holder of the zone. A holder that does
-// not answer is not asked again for a while.
-func (s *Store) askHolder(ctx context.Context, prefix string, revision uint64, wait time.Duration) (*wire.FollowReply, error) {
-	address := s.holderAddress()
-	if address == "" {
-		return nil, errNoHolder
-	}
+// ask sends a follow request to a holder. A holder that does not answer is not
+// asked again for a while.
+func (s *Store) ask(ctx context.Context, from source, prefix string, revision uint64, wait time.Duration) (*wire.FollowReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+replyGrace)
 	defer cancel()
-	reply, err := s.peers.Follow(ctx, address, &wire.FollowRequest{
-		Instance: s.instance, Zone: s.zone, Kind: kindOf(prefix), Revision: revision, WaitMicros: wait.Microseconds(),
+	reply, err := s.peers.Follow(ctx, from.address, &wire.FollowRequest{
+		Instance: s.instance, InstanceZone: s.zone, Zone: from.zone, Kind: kindOf(prefix), Revision: revision, WaitMicros: wait.Microseconds(),
 	})
 	if err != nil {
-		s.log.Info("follow request to holder failed", "kind", kindOf(prefix), "address", address, "error", err)
-		s.pauseHolder()
+		s.log.Info("follow request to holder failed", "kind", kindOf(prefix), "zone", from.zone, "address", from.address, "error", err)
+		s.pause(from.address)
 		return nil, err
 	}
 	if !reply.GetFresh() {
-		s.log.Debug("holder has no fresh data", "kind", kindOf(prefix), "address", address)
+		s.log.Debug("holder has no fresh data", "kind", kindOf(prefix), "zone", from.zone, "address", from.address)
 	}
 	return reply, nil
 }
 
-var errNoHolder = errors.New("no holder to read from")
-
 func objectsOf(reply *wire.FollowReply) []bamboorail.Object {
 	objects := make([]bamboorail.Object, 0, len(reply.GetObjects()))
 	for _, o := range reply.GetObjects() {
@@ -243,7 +268,9 @@
 	}
 	now := time.Now()
 	s.mu.Lock()
-	s.followers[r.GetInstance()] = now
+	if from := r.GetInstanceZone(); from == "" || from == s.zone {
+		s.followers[r.GetInstance()] = now
+	}
 	instances := s.countFollowers(now) + 1
 	s.mu.Unlock()
 	a := s.cache.follow(ctx, r.GetKind(), r.GetRevision(), min(time.Duration(r.GetWaitMicros())*time.Microsecond, followWait))
--- a/internal/mirror/takeover_test.go
+++ b/internal/mirror/takeover_test.go
@@ -53,7 +53,7 @@
 	next.mustList(t) // from the store, since the holder is unreachable
 	holder.unreachable = false
 	next.mu.Lock()
-	next.holderRetryAt = time.Time{}
+	clear(next.retryAt)
 	next.mu.Unlock()
 	revision := holder.mustList(t)
 	put := func(key, value string, version uint64) uint64 {
