--- a/internal/fetchlimit/fetchlimit_test.go
+++ b/internal/fetchlimit/fetchlimit_test.go
@@ -176,6 +176,22 @@
 	}
 }
 
+// TestOneSlowFetchDoesNotMoveExpectedTime guards against an unresponsive engine
+// that lengthens the expected time of the fetches of all others.
+func TestOneSlowFetchDoesNotMoveExpectedTime(t *testing.T) {
+	l := New(testFloor, testInitial)
+	for n := range 20 {
+		at := start.Add(time.Duration(n) * testInitial)
+		l.Record(Fetch{Started: at, Took: l.Expected(), InFlight: 1, MaxInFlight: 1}, at.Add(testInitial))
+	}
+	before := l.Expected()
+	at := start.Add(time.Minute)
+	l.Record(Fetch{Started: at, Took: 40 * testInitial, Late: true, InFlight: 1, MaxInFlight: 1}, at.Add(40*testInitial))
+	if got := l.Expected(); got < before || float64(got) > (1+maxLateStep)*float64(before) {
+		t.Errorf("expected %v after one fetch of %v, %v before", got, 40*testInitial, before)
+	}
+}
+
 // TestUnusedLimitDoesNotGrow checks that fetches that run alone say nothing
 // about how many the store serves at once.
 func TestUnusedLimitDoesNotGrow(t *testing.T) {
--- /dev/null
+++ b/internal/placer/orders.go
@@ -0,0 +1,183 @@
+package placer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"bamboorail.example/bamboorail"
+)
+
+// lockEngine serializes the orders to one engine and the reads of its state, so
+// that the number of accepted orders is known when the next order is sent.
+func (h *Holder) lockEngine(ctx context.Context, id bamboorail.TargetID) (func(), error) {
+	h.mu.Lock()
+	lock := h.engineLocks[id]
+	if lock == nil {
+		lock = make(chan struct{}, 1)
+		h.engineLocks[id] = lock
+	}
+	h.mu.Unlock()
+	select {
+	case lock <- struct{}{}:
+		return func() { <-lock }, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// execute sends orders to one engine sequentially.
+func (h *Holder) execute(ctx context.Context, orders []bamboorail.AdapterOrder) error {
+	unlock, err := h.lockEngine(ctx, orders[0].Target)
+	if err != nil {
+		h.revertOrders(orders, err)
+		return fail("send-orders", bamboorail.KindUnavailable, err)
+	}
+	defer unlock()
+	for i, o := range orders {
+		if err := h.send(ctx, o); err != nil {
+			h.revertOrders(orders[i:], err)
+			return err
+		}
+	}
+	return nil
+}
+
+// revertOrders undoes the planner's assumptions about orders that failed.
+func (h *Holder) revertOrders(orders []bamboorail.AdapterOrder, err error) {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	defer h.grantWaiting(now)
+	h.revertOrdersLocked(orders, err, now)
+}
+
+// enqueueBackground queues orders that no call waits for. The caller holds the
+// lock.
+func (h *Holder) enqueueBackground(orders []bamboorail.AdapterOrder, now time.Time) {
+	select {
+	case h.background <- orders:
+	default:
+		h.revertOrdersLocked(orders, errEngineUnsynced, now)
+	}
+}
+
+// revertOrdersLocked implements revertOrders. The caller holds the lock.
+func (h *Holder) revertOrdersLocked(orders []bamboorail.AdapterOrder, err error, now time.Time) {
+	for _, o := range orders {
+		if !o.Unload && o.Key.Adapter == "" {
+			h.planner.ModelLoadFailed(o.Target, o.Key.Model)
+		} else if !o.Unload {
+			h.planner.LoadFailed(o.Target, o.Key)
+		}
+	}
+	if !errors.Is(err, errAdapterInUse) {
+		// The engine may have accepted an order, or may still hold the adapter
+		// that was to be evicted.
+		h.planner.Desync(orders[0].Target, now)
+	}
+}
+
+// maxOrderAttempts bounds the attempts to send an order, each based on a newer
+// engine state.
+const maxOrderAttempts = 2
+
+// send sends one order. On a conflict it reads the engine's state and decides
+// again.
+func (h *Holder) send(ctx context.Context, o bamboorail.AdapterOrder) error {
+	const op = "send-order"
+	for attempt := range maxOrderAttempts {
+		if attempt > 0 && o.Unload {
+			if done, err := h.reevaluateUnload(o); done {
+				return err
+			}
+		}
+		h.mu.Lock()
+		number, known := h.planner.OrderNumber(o.Target)
+		hasSlot := o.Unload || h.planner.HasFreeSlot(o.Target, o.Key)
+		h.mu.Unlock()
+		switch {
+		case !known:
+			return fail(op, bamboorail.KindUnavailable, errEngineUnsynced)
+		case !hasSlot:
+			return fail(op, bamboorail.KindOverloaded, errNoCapacity)
+		}
+		fencingToken, acting := h.Lease.Tenure()
+		if !acting {
+			return fail(op, bamboorail.KindNotOwner, errMayNotAct)
+		}
+		o.Orders, o.Holder, o.FencingToken = number, h.Instance, fencingToken
+		sendCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		sent := time.Now()
+		result, err := h.Engines.Order(sendCtx, o)
+		cancel()
+		h.usage.recordOrder(time.Since(sent))
+		if err != nil {
+			h.Log.Warn("order not answered", "zone", h.Zone, "engine", o.Target.Name, "unload", o.Unload,
+				"adapter", o.Key.Adapter, "number", number, "fencing", fencingToken, "error", err)
+			return err
+		}
+		done, err := h.recordOrderResult(o, result)
+		if done {
+			return err
+		}
+		h.Log.Info("order conflicts with engine state", "zone", h.Zone, "engine", o.Target.Name, "adapter", o.Key.Adapter, "number", number)
+		state, err := h.Engines.State(ctx, o.Target, o.Address)
+		if err != nil {
+			return err
+		}
+		now := time.Now()
+		h.mu.Lock()
+		h.planner.Desync(o.Target, now)
+		h.planner.Sync(o.Target, state, now)
+		h.grantWaiting(now)
+		h.mu.Unlock()
+	}
+	return fail(op, bamboorail.KindUnavailable, errEngineUnsynced)
+}
+
+// reevaluateUnload checks an unload against the engine state that was read
+// after a conflict. It reports true if the order must not be sent.
+func (h *Holder) reevaluateUnload(o bamboorail.AdapterOrder) (bool, error) {
+	h.mu.Lock()
+	held, idle := h.planner.Evict(o.Target, o.Key)
+	h.mu.Unlock()
+	switch {
+	case !held:
+		h.Log.Info("unload no longer needed", "zone", h.Zone, "engine", o.Target.Name, "adapter", o.Key.Adapter)
+		return true, nil
+	case !idle:
+		return true, fail("send-order", bamboorail.KindOverloaded, errAdapterInUse)
+	}
+	return false, nil
+}
+
+// recordOrderResult applies the result of an order to the planner. It reports
+// false if the order must be decided again.
+func (h *Holder) recordOrderResult(o bamboorail.AdapterOrder, result bamboorail.OrderResult) (bool, error) {
+	const op = "send-order"
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	defer h.grantWaiting(now)
+	switch result {
+	case bamboorail.OrderAccepted:
+		h.planner.RecordOrder(o, now)
+		if o.Unload {
+			h.planner.RecordUnloading(o.Target, o.Key, now)
+			return true, fail(op, bamboorail.KindOverloaded, errAdapterInUse)
+		}
+		return true, nil
+	case bamboorail.OrderDone:
+		if o.Unload {
+			h.planner.RecordOrder(o, now)
+		} else {
+			h.planner.RecordLoaded(o.Target, o.Key, now)
+		}
+		return true, nil
+	case bamboorail.OrderConflict:
+		return false, nil
+	case bamboorail.OrderRejected:
+	}
+	return true, fail(op, bamboorail.KindConflict, errOrderRejected)
+}
--- /dev/null
+++ b/internal/placer/settle.go
@@ -0,0 +1,91 @@
+package placer
+
+import (
+	"context"
+	"time"
+
+	"bamboorail.example/bamboorail/internal/balance"
+	"bamboorail.example/bamboorail/internal/peer/wire"
+	"bamboorail.example/bamboorail/internal/task"
+)
+
+// settleFunc returns the function that ends a placement.
+func (c *Chooser) settleFunc(zone, engine string, ticket uint64) func(balance.Result, time.Duration) {
+	return func(r balance.Result, _ time.Duration) {
+		c.recordResult(engine, r)
+		c.removeOpen(zone, ticket)
+		end := []EndedPlacement{{Ticket: ticket, Result: r}}
+		for _, z := range c.Zones {
+			if z.Zone == zone && z.Local != nil && z.Lease.Leading() {
+				z.Local.Settle(end)
+				return
+			}
+		}
+		c.requeueEnded(zone, end)
+	}
+}
+
+func (c *Chooser) takeEnded(zone string) []EndedPlacement {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.ended[zone]
+	delete(c.ended, zone)
+	return list
+}
+
+func (c *Chooser) requeueEnded(zone string, list []EndedPlacement) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.ended[zone])+len(list) <= maxPendingEnded {
+		c.ended[zone] = append(c.ended[zone], list...)
+	}
+}
+
+func endedMessages(list []EndedPlacement) []*wire.EndedPlacement {
+	out := make([]*wire.EndedPlacement, 0, len(list))
+	for _, e := range list {
+		out = append(out, &wire.EndedPlacement{Ticket: e.Ticket, Result: int32(e.Result)})
+	}
+	return out
+}
+
+// Run reports ended and open placements until ctx ends.
+func (c *Chooser) Run(ctx context.Context) error {
+	return task.Every(ctx, settleInterval, func(ctx context.Context) {
+		for _, z := range c.Zones {
+			c.settle(ctx, z)
+		}
+	})
+}
+
+func (c *Chooser) settle(ctx context.Context, z ZoneHolder) {
+	list := c.takeEnded(z.Zone)
+	open, reconcile := c.openReport(z.Zone, time.Now())
+	if len(list) == 0 && !reconcile {
+		return
+	}
+	if z.Local != nil && z.Lease.Leading() {
+		z.Local.Settle(list)
+		return
+	}
+	_, address := z.Lease.Holder()
+	if address == "" || c.inBackoff(z) {
+		c.requeueEnded(z.Zone, list)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	reply, err := c.Peers.Settle(ctx, address, &wire.SettleRequest{
+		Zone: z.Zone, Instance: c.Instance, Ended: endedMessages(list), Reconcile: reconcile, Open: open,
+	})
+	if err != nil {
+		c.requeueEnded(z.Zone, list)
+		c.backOff(z)
+		c.Log.Debug("ended placements not reported", "zone", z.Zone, "count", len(list), "error", err)
+		return
+	}
+	if !reply.GetHolder() {
+		// A new holder does not know the placements of the previous one.
+		c.Log.Debug("ended placements dropped", "zone", z.Zone, "count", len(list))
+	}
+}
