fetchlimit: forget a limit that was learned while other zones were quiet

When the store came back at second 38, all zones fetched together, four times what the store serves; 1,200 calls were refused by engines that were not ready, most without a retry budget left.

Change: a round counts as using the limit only if half of its fetches found three quarters of it in use, and an unused limit goes back step by step to the share at which the zones last competed.

--- a/internal/fetchlimit/fetchlimit.go
+++ b/internal/fetchlimit/fetchlimit.go
@@ -86,15 +86,18 @@
 	// provenInFlight is the most fetches that were served at full speed by then.
 	startup        bool
 	provenInFlight int
-	flatRounds     int
-	round          round
+	// share is the limit after the last reduction, when other zones competed
+	// for the store.
+	share      float64
+	flatRounds int
+	round      round
 }
 
 // round counts the fetches since the last decision.
 type round struct {
-	fetches, stretched, unclear int
-	maxInFlight                 int
-	sum                         time.Duration
+	fetches, stretched, unclear, saturated int
+	maxInFlight                            int
+	sum                                    time.Duration
 }
 
 // New returns a limiter that starts with floor fetches in flight, which every
@@ -131,7 +134,7 @@
 	if f.Started.Before(l.settledAt) {
 		return
 	}
-	l.round.add(f, l.Flat(), l.IsStretched(f.Took))
+	l.round.add(f, l.Flat(), l.IsStretched(f.Took), float64(f.MaxInFlight) >= saturation*float64(int(l.limit)))
 	if l.startup {
 		l.growAtStartup(f, now)
 	}
@@ -158,7 +161,7 @@
 
 // settle starts a new round after a reduction of the limit.
 func (l *Limiter) settle(now time.Time) {
-	l.settledAt, l.startup, l.flatRounds, l.round = now.Add(l.expected), false, 0, round{}
+	l.settledAt, l.startup, l.share, l.flatRounds, l.round = now.Add(l.expected), false, l.limit, 0, round{}
 }
 
 func (l *Limiter) updateExpected(f Fetch) {
@@ -173,10 +176,13 @@
 	}
 }
 
-func (r *round) add(f Fetch, flat time.Duration, isStretched bool) {
+func (r *round) add(f Fetch, flat time.Duration, isStretched, isSaturated bool) {
 	r.fetches++
 	r.sum += min(f.Took, maxSampleStretch*flat)
 	r.maxInFlight = max(r.maxInFlight, f.MaxInFlight)
+	if isSaturated {
+		r.saturated++
+	}
 	switch {
 	case !isStretched:
 	case f.Late:
@@ -202,8 +208,10 @@
 		l.expected = (l.expected + l.flat) / 2
 	case !isStretched:
 		l.flat = min(l.flat, mean)
-		if float64(r.maxInFlight) >= saturation*float64(int(l.limit)) {
+		if 2*r.saturated >= r.fetches {
 			l.grow()
+		} else {
+			l.relax()
 		}
 	case l.limit <= l.floor:
 		// Fewer fetches would not be faster: this is the speed of the store.
@@ -216,6 +224,16 @@
 	}
 }
 
+// relax lowers a limit that is not used. It was raised while other zones were
+// quiet, and together the zones would ask too much of the store once all are
+// busy.
+func (l *Limiter) relax() {
+	l.flatRounds = 0
+	if !l.startup {
+		l.limit = max(l.limit-1, l.share)
+	}
+}
+
 // shrink lowers the limit after inFlight fetches took mean.
 func (l *Limiter) shrink(inFlight int, mean time.Duration, now time.Time) {
 	factor := min(max(acceptedStretch*float64(l.flat)/float64(mean), minShrink), maxShrink)
--- a/internal/fetchlimit/fetchlimit_test.go
+++ b/internal/fetchlimit/fetchlimit_test.go
@@ -28,6 +28,8 @@
 	// times as long.
 	engines, slow int
 	next          int
+	// demand replaces the demand of all zones if it is set.
+	demand demand
 }
 
 type fetch struct {
@@ -122,7 +124,11 @@
 				kept = append(kept, f)
 			}
 			z.fetches = kept
-			for want := int(d(at) * float64(z.limit())); len(z.fetches) < min(want, z.limit()); {
+			wanted := d
+			if z.demand != nil {
+				wanted = z.demand
+			}
+			for want := int(wanted(at) * float64(z.limit())); len(z.fetches) < min(want, z.limit()); {
 				work := time.Duration(float64(s.flat) * (1 + s.jitter*(2*s.random.Float64()-1)))
 				if z.next = (z.next + 1) % max(z.engines, 1); z.next < z.slow {
 					work *= slowFactor
@@ -294,3 +300,34 @@
 		}
 	}
 }
+
+// TestShortPeaksDoNotRaiseLimit guards against zones that raise their limits in
+// turn, each with a short peak while the others are quiet, and together ask far
+// more of the store than it serves once all of them are busy.
+func TestShortPeaksDoNotRaiseLimit(t *testing.T) {
+	const (
+		limit, zones = 32, 5
+		// peak is the time for which a zone in turn has much to fetch, period
+		// the time after which it has again.
+		peak, period = 300 * time.Millisecond, 5 * time.Second
+	)
+	s, list := newStore(limit, zones)
+	// The zones are busy together first and settle at their shares.
+	busy := 4 * time.Second
+	for n, z := range list {
+		z.demand = func(at time.Duration) float64 {
+			if at < busy || at%period-time.Duration(n)*period/zones > 0 && at%period-time.Duration(n)*period/zones < peak {
+				return 1
+			}
+			return 0.3
+		}
+	}
+	simulate(s, list, saturated, testWarmUp, testLength)
+	total := 0
+	for _, z := range list {
+		total += z.limiter.Limit()
+	}
+	if total > 2*limit {
+		t.Errorf("the limits add up to %d, want at most twice the %d of the store", total, limit)
+	}
+}
