mirror: probe a lost store once for all kinds, and leave it to the holders

Change: after an error each call to the store waits, for whatever kind, 0.5 s on average as after a refusal, and 1.5 s if holders answered that they have no fresh data either. Holders are asked again at each attempt: who finds the store first serves the others.

--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -24,6 +24,9 @@
 	// overloaded store. Together with the backoff of an informer it stays below
 	// the 2 s within which a change must take effect (limit config_apply_ms).
 	storeRetryDelay = 500 * time.Millisecond
+	// outageRetryDelay is the mean time for which followers do not call a store
+	// that their holders have lost too. The holders find it again sooner.
+	outageRetryDelay = 1500 * time.Millisecond
 	// followerExpiry is the time since its last request for which a follower
 	// counts as an instance of the zone.
 	followerExpiry = 5 * time.Second
@@ -63,10 +66,11 @@
 	mu sync.Mutex
 	// retryAt are the times until which a holder is not asked, by address.
 	retryAt map[string]time.Time
-	// refusal is the error of an overloaded store, which is not called again
-	// until storeRetryAt.
-	refusal      error
-	storeRetryAt time.Time
+	// refusal is the error of an overloaded or unavailable store, which is not
+	// called again until storeRetryAt, for whatever kind. staleReplyAt is the
+	// time of the last reply of a holder without fresh data.
+	refusal                    error
+	storeRetryAt, staleReplyAt time.Time
 	// followers maps the following instances to the time of their last request.
 	// instances is the number of instances reported by the holder.
 	followers map[string]time.Time
@@ -143,18 +147,25 @@
 }
 
 // deferToHolder allows the next call to the holder immediately, and the next call
-// to the overloaded store only after a delay.
+// to a store that is overloaded or unavailable only after a delay. A store rejects
+// calls when many instances read at once, for example after all were restarted;
+// the holder may have what is asked for by now.
 func (s *Store) deferToHolder(err error) {
+	kind := bamboorail.KindOf(err)
+	if s.holder.Leading() || (kind != bamboorail.KindOverloaded && kind != bamboorail.KindUnavailable) {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	clear(s.retryAt)
-	if !s.holder.Leading() {
-		s.refusal, s.storeRetryAt = err, time.Now().Add(storeRetryDelay/2+rand.N(storeRetryDelay))
+	now, delay := time.Now(), storeRetryDelay
+	if kind == bamboorail.KindUnavailable && now.Sub(s.staleReplyAt) < peerRetryDelay {
+		delay = outageRetryDelay
 	}
+	s.refusal, s.storeRetryAt = err, now.Add(delay/2+rand.N(delay))
 }
 
-// storeRefusal returns the error of an overloaded store while calls to it are
-// delayed. The next attempt asks the holder again.
+// storeRefusal returns the last error of the store while calls to it are delayed. The next attempt asks the holder again.
 func (s *Store) storeRefusal() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -188,9 +199,7 @@
 	switch {
 	case err == nil:
 		s.cache.replace(kindOf(prefix), objects, revision)
-	case bamboorail.KindOf(err) == bamboorail.KindOverloaded:
-		// The store rejects calls when many instances read at once, for example
-		// after all were restarted. The holder may have the list by now.
+	default:
 		s.deferToHolder(err)
 	}
 	return objects, revision, err
@@ -203,7 +212,13 @@
 			Revision: reply.GetRevision(), Objects: objectsOf(reply), Reset: reply.GetGap(), FromPeer: true,
 		}, nil
 	}
+	if err := s.storeRefusal(); err != nil {
+		return bamboorail.Events{}, err
+	}
 	events, err := s.ObjectStore.Watch(ctx, prefixes, revision, wait)
+	if err != nil {
+		s.deferToHolder(err)
+	}
 	if err == nil && !s.cache.apply(kindOf(prefixes[0]), revision, events) && s.holder.Leading() {
 		// The cache of a new holder must be complete before it serves peers.
 		s.log.Info("new holder lists kind again, cache is incomplete", "kind", kindOf(prefixes[0]), "revision", revision)
@@ -248,6 +263,9 @@
 		return nil, err
 	}
 	if !reply.GetFresh() {
+		s.mu.Lock()
+		s.staleReplyAt = time.Now()
+		s.mu.Unlock()
 		s.log.Debug("holder has no fresh data", "kind", kindOf(prefix), "zone", from.zone, "address", from.address)
 	}
 	return reply, nil
