mirror: no full lists between zones

Change: another zone's holder passes changes on; a full list comes from the own holder or the store. Leases, a few objects, may still come from it.

--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -228,9 +228,13 @@
 }
 
 // followHolder sends a follow request to the holder of the zone, or else to that
-// of another zone. It returns false if the store must be called instead.
+// of another zone, but for a full list: those of many instances would fill the
+// links between zones. It returns false if the store must be called instead.
 func (s *Store) followHolder(ctx context.Context, prefix string, revision uint64, wait time.Duration) (*wire.FollowReply, bool) {
 	for _, from := range s.sources() {
+		if revision == 0 && from.zone != s.zone {
+			break
+		}
 		reply, err := s.ask(ctx, from, prefix, revision, wait)
 		if err != nil {
 			continue
