placer: a call that no holder can serve is refused without a further round

Change: the entry asks again at the time that the holders tell, and refuses at once if that is too late. A holder that may not act tells when its tenure permits it, or a term if it has lapsed.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -103,6 +103,22 @@
 	return l.fencingToken, l.held && now >= l.actFrom && now < l.actUntil
 }
 
+// WaitToAct returns 0 if this instance may act, the time until its tenure begins
+// to permit it, or a term if its tenure has lapsed: nobody knows for how long the
+// store does not answer.
+func (l *Lease) WaitToAct() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock()
+	switch {
+	case l.held && now < l.actFrom:
+		return l.actFrom - now
+	case l.held && now < l.actUntil:
+		return 0
+	}
+	return l.timing.Term
+}
+
 // FencingToken returns the fencing token of this instance's last tenure.
 func (l *Lease) FencingToken() uint64 {
 	l.mu.Lock()
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -202,7 +202,10 @@
 	if failure == nil {
 		failure = failRetry("choose-engine", bamboorail.KindNoTarget, noEngineRetry, errNoHolder)
 	}
-	return relay.Reservation{}, min(retryAfter, noEngineRetry), failure
+	if retryAfter == math.MaxInt64 {
+		retryAfter = noEngineRetry
+	}
+	return relay.Reservation{}, retryAfter, failure
 }
 
 func (c *Chooser) chooseBalanced(a relay.ChooseRequest) (relay.Reservation, error) {
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -237,13 +238,18 @@
 	if !h.Lease.Leading() {
 		return adapters.Placement{}, fail(op, bamboorail.KindNotOwner, errNotHolder)
 	}
-	if _, acting := h.Lease.Tenure(); !acting {
+	wait := h.Lease.WaitToAct()
+	if wait > 0 {
 		r.Loads = adapters.LoadNever
 	}
 	start := time.Now()
 	h.usage.recordRequest()
 	p, err := h.awaitPlace(ctx, r)
 	h.usage.recordAnswer(err == nil, time.Since(start))
+	if wait > 0 && bamboorail.KindOf(err) == bamboorail.KindOverloaded {
+		// Nothing is loaded until this holder may act.
+		return adapters.Placement{}, failRetry(op, bamboorail.KindOverloaded, max(wait, noCapacityRetry), errors.Join(errMayNotAct, err))
+	}
 	if err != nil {
 		return adapters.Placement{}, err
 	}
--- a/internal/placer/waiting_test.go
+++ b/internal/placer/waiting_test.go
@@ -152,6 +152,40 @@
 	}
 }
 
+// TestCallWithoutHopeIsRefusedAtOnce checks that a call is refused without a
+// delay if all holders say that they cannot serve it before it must start, with
+// the time that they tell, and waits if one of them can.
+func TestCallWithoutHopeIsRefusedAtOnce(t *testing.T) {
+	const startIn = 2560 * time.Millisecond
+	cases := map[string]struct {
+		after map[string]time.Duration // retry time by zone
+		took  time.Duration
+	}{
+		"no holder can":       {map[string]time.Duration{"a": 4 * time.Second, "b": 3 * time.Second, "c": 5 * time.Second}, 0},
+		"one can in a moment": {map[string]time.Duration{"a": 4 * time.Second, "b": 1200 * time.Millisecond, "c": 5 * time.Second}, 2400 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				chooser, peers, request := newTestChooser(t)
+				for zone, after := range c.after {
+					peers.replies[zone] = &wire.PlaceReply{Holder: true, Reason: "full", RetryAfterMicros: after.Microseconds()}
+				}
+				start := time.Now()
+				request.StartBy = start.Add(startIn)
+				_, err := chooser.Choose(context.Background(), request)
+				f := bamboorail.FailureOf(err)
+				if f.Kind != bamboorail.KindOverloaded || !bamboorail.NotRun(err) || f.RetryAfter < time.Second {
+					t.Errorf("refused with %v, retry after %v", err, f.RetryAfter)
+				}
+				if took := time.Since(start); took != c.took {
+					t.Errorf("refused after %v, want %v", took, c.took)
+				}
+			})
+		})
+	}
+}
+
 // TestRefusalTellsWhenQueueHasDrained checks that a call that cannot be served
 // before its caller leaves is refused at once, with the time after which the
 // waiting adapters have been fetched.
@@ -209,3 +243,30 @@
 		}
 	})
 }
+
+// TestLapsedHolderRefusesAtOnce checks that a holder whose tenure does not permit
+// orders refuses a call for an adapter that no engine holds, and tells when it may
+// act, or that it does not know so for a term. What is loaded it still places.
+func TestLapsedHolderRefusesAtOnce(t *testing.T) {
+	const term = 3 * time.Second // of the test's lease
+	b := newTestHolder(t)
+	held := adapters.Request{Key: bamboorail.AdapterKey{Model: "m", Adapter: "held"}, Service: "s", CallID: "c", Objective: time.Second}
+	if _, err := b.Place(context.Background(), held); err != nil {
+		t.Fatal(err)
+	}
+	b.mu.Lock()
+	b.now += 2 * term
+	b.mu.Unlock()
+	if _, err := b.Place(context.Background(), held); err != nil {
+		t.Errorf("a call for an adapter that is loaded: %v", err)
+	}
+	start := time.Now()
+	_, err := b.Place(context.Background(), adapters.Request{Key: bamboorail.AdapterKey{Model: "m", Adapter: "cold"}, Service: "s", CallID: "d", Objective: time.Second})
+	f := bamboorail.FailureOf(err)
+	if f.Kind != bamboorail.KindOverloaded || !bamboorail.NotRun(err) || f.RetryAfter < term {
+		t.Errorf("refused with %v, retry after %v, want %v", err, f.RetryAfter, term)
+	}
+	if took := time.Since(start); took >= maxPlaceWait {
+		t.Errorf("refused after %v", took)
+	}
+}
