--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -196,13 +196,12 @@
 		return nil, 0, err
 	}
 	objects, revision, err := s.ObjectStore.List(ctx, prefix)
-	switch {
-	case err == nil:
-		s.cache.replace(kindOf(prefix), objects, revision)
-	default:
+	if err != nil {
 		s.deferToHolder(err)
+		return nil, 0, err
 	}
-	return objects, revision, err
+	s.cache.replace(kindOf(prefix), objects, revision)
+	return objects, revision, nil
 }
 
 // Watch waits for changes of one kind after revision.
@@ -218,13 +217,14 @@
 	events, err := s.ObjectStore.Watch(ctx, prefixes, revision, wait)
 	if err != nil {
 		s.deferToHolder(err)
+		return bamboorail.Events{}, err
 	}
-	if err == nil && !s.cache.apply(kindOf(prefixes[0]), revision, events) && s.holder.Leading() {
+	if !s.cache.apply(kindOf(prefixes[0]), revision, events) && s.holder.Leading() {
 		// The cache of a new holder must be complete before it serves peers.
 		s.log.Info("new holder lists kind again, cache is incomplete", "kind", kindOf(prefixes[0]), "revision", revision)
 		events.Reset = true
 	}
-	return events, err
+	return events, nil
 }
 
 // followHolder sends a follow request to the holder of the zone, or else to that
