relay: a head without an end takes 64 KiB, not 10 MB

Events (256 KiB), chunk lines, trailers, refusals, reports and lists had bounds already; a body without an end is passed on until the deadline and does not look complete.

Change: transports to targets and stores limit the head of an answer to 64 KiB.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/balance"
 	"bamboorail.example/bamboorail/internal/fleet"
+	"bamboorail.example/bamboorail/internal/httpport"
 	"bamboorail.example/bamboorail/internal/informer"
 	"bamboorail.example/bamboorail/internal/lease"
 	"bamboorail.example/bamboorail/internal/logflags"
@@ -135,7 +136,7 @@
 func NewTransport() *http.Transport {
 	return &http.Transport{
 		DialContext: relay.NewDialer().DialContext, MaxIdleConnsPerHost: storeIdleConns,
-		IdleConnTimeout: storeIdleTimeout, DisableCompression: true,
+		IdleConnTimeout: storeIdleTimeout, DisableCompression: true, MaxResponseHeaderBytes: httpport.MaxResponseHeaderBytes,
 	}
 }
 
--- a/internal/httpport/httpport.go
+++ b/internal/httpport/httpport.go
@@ -15,6 +15,11 @@
 	"bamboorail.example/bamboorail/internal/tlsconf"
 )
 
+// MaxResponseHeaderBytes limits the head of an answer of a target or a store. One
+// in trouble may send a head without an end, and the default of net/http, 10 MB a
+// connection, is a large part of an instance's memory.
+const MaxResponseHeaderBytes = 64 << 10
+
 // Limits restricts the header size and the timing of a client.
 type Limits struct {
 	MaxHeaderBytes int
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/httpport"
 )
 
 const (
@@ -96,7 +97,7 @@
 func (p *pool) newTransport(idle time.Duration) *http.Transport {
 	return &http.Transport{
 		DialContext: p.dialer.DialContext, DisableCompression: true,
-		MaxIdleConnsPerHost: idlePerTarget, IdleConnTimeout: idle,
+		MaxIdleConnsPerHost: idlePerTarget, IdleConnTimeout: idle, MaxResponseHeaderBytes: httpport.MaxResponseHeaderBytes,
 	}
 }
 
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -17,6 +17,7 @@
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/application"
 	"bamboorail.example/bamboorail/internal/entry"
+	"bamboorail.example/bamboorail/internal/httpport"
 	"bamboorail.example/bamboorail/internal/logflags"
 	"bamboorail.example/bamboorail/internal/membership"
 	"bamboorail.example/bamboorail/internal/ownership"
@@ -127,13 +128,14 @@
 	dialer := &net.Dialer{Timeout: targetDialTimeout}
 	i.store = platform.NewClient(i.settings.PlatformURL, &http.Transport{
 		DialContext: dialer.DialContext, TLSClientConfig: platformTLS, MaxIdleConnsPerHost: platformIdleConns, IdleConnTimeout: idleConnTimeout,
+		MaxResponseHeaderBytes: httpport.MaxResponseHeaderBytes,
 	})
 	i.writer = platform.NewWriter(i.store)
 	i.sessions = platform.NewSessionRenewer(i.store, self)
 	i.peers = peer.NewClient(peerTLS)
 	engines := &http.Transport{
 		DialContext: dialer.DialContext, TLSClientConfig: targetTLS, MaxIdleConnsPerHost: idleConnsPerTarget,
-		IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+		IdleConnTimeout: idleConnTimeout, DisableCompression: true, MaxResponseHeaderBytes: httpport.MaxResponseHeaderBytes,
 	}
 	i.engineTransport = engines
 	i.applicationTransport = application.Transport(engines)
