relay: a byte now and then does not keep a stalled stream

Change: only complete events reset the timer. Slow events move nothing. The mutant with the former condition is killed.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -328,12 +328,14 @@
 	for {
 		n, err := resp.Body.Read(buffer)
 		if n > 0 {
-			if watched {
-				eventTimer.Reset(eventTimeout)
-			}
-			if sendErr := x.forwardChunk(flusher, buffer[:n], resumable); sendErr != nil {
+			forwarded, sendErr := x.forwardChunk(flusher, buffer[:n], resumable)
+			if sendErr != nil {
 				return balance.Abandoned, mayHaveRun(op, bamboorail.KindCancelled, sendErr)
 			}
+			if watched && forwarded {
+				// A byte now and then is no event.
+				eventTimer.Reset(eventTimeout)
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return balance.Answered, nil
@@ -345,16 +347,17 @@
 }
 
 // forwardChunk forwards bytes of a stream. Of a resumable stream it forwards
-// only complete events, so that another target can continue after the last one.
-func (x *exchange) forwardChunk(flusher *http.ResponseController, data []byte, resumable bool) error {
+// only complete events, so that another target can continue after the last one. It
+// reports whether anything was forwarded.
+func (x *exchange) forwardChunk(flusher *http.ResponseController, data []byte, resumable bool) (bool, error) {
 	if resumable {
 		var err error
 		if data, err = x.events.add(data); err != nil || len(data) == 0 {
-			return err
+			return false, err
 		}
 	}
 	if _, err := x.w.Write(data); err != nil {
-		return err
+		return false, err
 	}
-	return flusher.Flush()
+	return true, flusher.Flush()
 }
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -83,3 +84,49 @@
 		t.Errorf("an answer without an end looks complete: status %d, %d bytes", r.status, len(r.body))
 	}
 }
+
+// trickle sends an event and then a byte of the next one now and then.
+func trickle(c net.Conn, r *http.Request) bool {
+	stream(false, event(1))(c, r)
+	for {
+		if _, err := io.WriteString(c, "1\r\n:\r\n"); err != nil {
+			return false
+		}
+		time.Sleep(eventTimeout / 4)
+	}
+}
+
+// TestStalledStreamMovesDespiteTrickle checks that a target that sends a byte of an
+// event now and then counts as stalled, and that one whose events come slowly does
+// not.
+func TestStalledStreamMovesDespiteTrickle(t *testing.T) {
+	slow := func(c net.Conn, r *http.Request) bool {
+		stream(false, event(1))(c, r)
+		for n := 2; n <= 4; n++ {
+			time.Sleep(eventTimeout / 2)
+			e := event(n)
+			_, _ = io.WriteString(c, strconv.FormatInt(int64(len(e)), 16)+"\r\n"+e+"\r\n")
+		}
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+		return true
+	}
+	cases := map[string]struct {
+		first script
+		moves bool
+	}{
+		"a byte now and then": {trickle, true},
+		"slow events":         {slow, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			first, spare := newTarget(t, "a", c.first), newTarget(t, "spare", stream(true, event(2), event(3), event(4)))
+			r := newTestRelay(t, resumable, first, spare).call(t, http.MethodPost, "/p/x", "body")
+			if want := event(1) + event(2) + event(3) + event(4); r.broken || r.body != want {
+				t.Errorf("answer %q, broken %t, want %q", r.body, r.broken, want)
+			}
+			if moved := len(spare.seen()) > 0; moved != c.moves {
+				t.Errorf("moved %t, want %t", moved, c.moves)
+			}
+		})
+	}
+}
