--- a/internal/adapters/fetches_test.go
+++ b/internal/adapters/fetches_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"bamboorail.example/bamboorail"
 )
 
 // TestLearnedFetchLimitServesLikeKnownOne plays the calls of the grown archive
@@ -34,3 +36,40 @@
 		}
 	}
 }
+
+// TestLoadIsTimedFromItsOrder guards against calls that share a load and reach the
+// engine before it: the load begins when the engine accepts the order, not when it
+// was decided.
+func TestLoadIsTimedFromItsOrder(t *testing.T) {
+	const delay = 80 * time.Millisecond
+	p := newTestPlanner(1, 8)
+	first, ok := p.Place(testRequest(0), start)
+	if !ok || len(first.Orders) == 0 {
+		t.Fatalf("placement %+v, %t", first, ok)
+	}
+	acceptOrders(p, first.Orders, start.Add(delay))
+	r := testRequest(0)
+	r.CallID = "second"
+	second, ok := p.Place(r, start.Add(2*delay))
+	if want := start.Add(delay + testTuning().FetchTime); !ok || !second.ReadyAt.Equal(want) {
+		t.Errorf("a call that shares the load is ready %v after its order, want %v", second.ReadyAt.Sub(start.Add(delay)), testTuning().FetchTime)
+	}
+}
+
+// TestLargeFleetStartsWithMoreFetches checks the first limit of zones of different
+// sizes.
+func TestLargeFleetStartsWithMoreFetches(t *testing.T) {
+	for engines, want := range map[int]int{3: 3, 12: 3, 20: 6, 47: 14} {
+		tuned := testTuning()
+		tuned.FetchLimit, tuned.MinFetchLimit, tuned.MinFetchesPerEngine = 0, 3, 0.3
+		p := NewPlanner(tuned, 0)
+		var entries []bamboorail.TargetEntry
+		for n := range engines {
+			entries = append(entries, bamboorail.TargetEntry{ID: engineID(n), Service: "s", Address: "a", Zone: "z", Slots: 64})
+		}
+		p.SetEngines(entries, func(string) int { return 8 }, start)
+		if got := p.fetchLimit(); got != want {
+			t.Errorf("a zone of %d engines starts with %d fetches, want %d", engines, got, want)
+		}
+	}
+}
--- a/internal/adapters/grants.go
+++ b/internal/adapters/grants.go
@@ -1,7 +1,6 @@
 package adapters
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -43,20 +42,31 @@
 		ahead := p.waiting.adaptersAhead(r.Key, len(p.waiting.list), now)
 		wait = time.Duration(ahead)*p.fetchTime()/time.Duration(p.fetchLimit()) + p.fetchTime()
 	}
-	slotWait := time.Duration(math.MaxInt64)
+	return max(wait, p.slotWait(r))
+}
+
+// slotWait returns the shortest wait for a slot of an engine, 0 if there is none.
+func (p *Planner) slotWait(r Request) time.Duration {
+	wait, found := time.Duration(0), false
 	for _, e := range p.engines {
-		if e.usable(r) {
-			slotWait = min(slotWait, p.queueWait(e))
+		if !e.usable(r) {
+			continue
+		}
+		if w := p.queueWait(e); !found || w < wait {
+			wait, found = w, true
 		}
 	}
-	if slotWait == math.MaxInt64 {
-		return wait
-	}
-	return max(wait, slotWait)
+	return wait
 }
 
-// CanWait reports whether a call that was not placed can still be served in time.
+// CanWait reports whether a call that was not placed may still be served before its
+// caller leaves. The wait for a fetch of a call that is late already depends on the
+// calls to come, which go first: it keeps its chance. Refused, it would come back as
+// a new call, go first itself, and be late all the same.
 func (p *Planner) CanWait(r Request, now time.Time) bool {
+	if r.Waited+p.fetchTime() > r.Objective {
+		return r.canWait(p.slotWait(r), now)
+	}
 	return r.canWait(p.ExpectedWait(r, now), now)
 }
 
--- a/internal/adapters/loads.go
+++ b/internal/adapters/loads.go
@@ -38,6 +38,12 @@
 		return
 	}
 	e.orders = o.Orders + 1
+	if r := e.adapters[o.Key]; r != nil && !o.Unload && r.loading && !r.late && !r.observed {
+		// The load begins now, not when it was decided.
+		delay := now.Sub(r.started)
+		r.started, r.readyAt = now, r.readyAt.Add(delay)
+		e.extendLoadsUntil(r)
+	}
 	if !o.Unload && o.Key.Adapter != "" && e.adapters[o.Key] == nil {
 		e.adapters[o.Key] = p.newLoadingAdapter(e, o.Key, o.Version, now)
 		p.markAvailable(o.Key)
--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -24,8 +24,10 @@
 	FetchTime   time.Duration
 	ReloadShare float64
 	// FetchLimit is the limit of active fetches of this zone. If it is 0, the
-	// limit is learned, starting at MinFetchLimit.
+	// limit is learned, and is at least MinFetchLimit, and MinFetchesPerEngine
+	// for each engine of the zone.
 	FetchLimit, MinFetchLimit int
+	MinFetchesPerEngine       float64
 	// ReplicaDemand is the decayed number of calls from which an adapter whose
 	// home is another zone is fetched into this one too.
 	ReplicaDemand float64
@@ -134,6 +136,7 @@
 		}
 	}
 	p.sortedNames = slices.Sorted(maps.Keys(p.engines))
+	p.fetchLimiter.SetFloor(max(p.tuning.MinFetchLimit, int(p.tuning.MinFetchesPerEngine*float64(len(p.engines)))))
 }
 
 // Unsynced returns the engines whose state must be read before they receive
--- a/internal/fetchlimit/fetchlimit.go
+++ b/internal/fetchlimit/fetchlimit.go
@@ -18,7 +18,7 @@
 	// maxStretch is the ratio to the flat time up to which a fetch counts as
 	// served at full speed. It covers the steps in which a late fetch is
 	// measured and the jitter of the store.
-	maxStretch = 1.2
+	maxStretch = 1.15
 	// maxSampleStretch bounds the weight of one fetch from an unresponsive
 	// engine.
 	maxSampleStretch = 4
@@ -40,13 +40,20 @@
 	// least minStretched, that ends the startup.
 	startupStretchedShare = 0.2
 	minStretched          = 3
+	// flatStep bounds the growth of the flat time in one round at the lowest
+	// limit. If zones took the stretch that others cause for the speed of the
+	// store, all would fetch more and more.
+	flatStep = 1.02
 	// acceptedStretch is the stretch at which a reduction aims. A few more
 	// fetches than the store serves at full speed cost no throughput, too few do.
 	acceptedStretch = 1.05
 	// minShrink and maxShrink bound the factor of one reduction.
 	minShrink, maxShrink = 0.4, 0.95
 
-	// onTimeFactor shortens the expected time with each fetch that was on time.
+	// searchFactor shortens the expected time with each fetch that was on time
+	// until the first one is late, so that the time at full speed is known before
+	// the limit grows far. onTimeFactor does so afterwards.
+	searchFactor = 0.985
 	// Of the excess of a late fetch, lateWeight is added, at most maxLateStep of
 	// the expected time, which 25 fetches on time offset: one fetch from an
 	// unresponsive engine says nothing about the others.
@@ -85,6 +92,7 @@
 	// startup is set until fetches are stretched for the first time, and
 	// provenInFlight is the most fetches that were served at full speed by then.
 	startup        bool
+	hasBeenLate    bool
 	provenInFlight int
 	// share is the limit after the last reduction, when other zones competed
 	// for the store.
@@ -107,6 +115,13 @@
 	return &Limiter{floor: float64(max(floor, 1)), limit: float64(max(floor, 1)), initial: initial, expected: initial, startup: true}
 }
 
+// SetFloor sets the number of fetches that the store is taken to serve at full
+// speed, below which the limit never goes.
+func (l *Limiter) SetFloor(n int) {
+	l.floor = float64(max(n, 1))
+	l.limit = max(l.limit, l.floor)
+}
+
 // Limit returns the number of fetches that may be in flight.
 func (l *Limiter) Limit() int { return int(l.limit) }
 
@@ -167,12 +182,17 @@
 func (l *Limiter) updateExpected(f Fetch) {
 	switch {
 	case f.Late:
+		l.hasBeenLate = true
 		excess := float64(f.Took - l.expected)
 		l.expected += time.Duration(max(min(lateWeight*excess, maxLateStep*float64(l.expected)), 0))
 	case l.IsStretched(l.expected):
 		l.expected = time.Duration(float64(l.expected) * (1 - maxLateStep))
 	default:
-		l.expected = max(time.Duration(float64(l.expected)*onTimeFactor), time.Duration(minTimeShare*float64(l.initial)))
+		factor := onTimeFactor
+		if !l.hasBeenLate {
+			factor = searchFactor
+		}
+		l.expected = max(time.Duration(float64(l.expected)*factor), time.Duration(minTimeShare*float64(l.initial)))
 	}
 }
 
@@ -214,8 +234,10 @@
 			l.relax()
 		}
 	case l.limit <= l.floor:
-		// Fewer fetches would not be faster: this is the speed of the store.
-		l.flat, l.expected, l.flatRounds = mean, mean, 0
+		// Fewer fetches may not be faster: either this is the speed of the store,
+		// or other zones have yet to shrink.
+		l.flat = min(time.Duration(flatStep*float64(l.flat)), mean)
+		l.expected, l.flatRounds = max(l.expected, mean), 0
 	case float64(r.maxInFlight) >= startupSaturation*l.limit:
 		l.shrink(r.maxInFlight, mean, now)
 	default:
--- a/internal/fetchlimit/fetchlimit_test.go
+++ b/internal/fetchlimit/fetchlimit_test.go
@@ -327,3 +327,69 @@
 		t.Errorf("the limits add up to %d, want at most twice the %d of the store", total, limit)
 	}
 }
+
+// TestStretchByOthersIsNotTheSpeedOfTheStore guards against zones at their lowest
+// limits that take the stretch that others cause for the speed of the store, and
+// then raise their limits in turn (large archive, scale-1: three times what the store
+// serves).
+func TestStretchByOthersIsNotTheSpeedOfTheStore(t *testing.T) {
+	l, at := New(testFloor, testInitial), start
+	round := func(took time.Duration) {
+		for range minRound {
+			at = at.Add(took)
+			late := took > l.Expected()
+			l.Record(Fetch{Started: at, Took: max(took, l.Expected()), Late: late, InFlight: testFloor, MaxInFlight: testFloor}, at.Add(took))
+		}
+	}
+	round(testInitial)
+	flat := l.Flat()
+	for range 3 {
+		l.limit, l.startup = l.floor, false
+		round(2 * testInitial)
+	}
+	if got := l.Flat(); float64(got) > flatStep*flatStep*flatStep*float64(flat) {
+		t.Errorf("after three stretched rounds the flat time is %v, was %v", got, flat)
+	}
+	for range 120 {
+		round(2 * testInitial)
+	}
+	if l.IsStretched(2 * testInitial) {
+		t.Errorf("the store has been slow for long, but the flat time is %v", l.Flat())
+	}
+}
+
+// TestZonesTogetherKeepToTheStore checks that the limits of zones that are all
+// saturated stretch fetches by no more than a half on average.
+func TestZonesTogetherKeepToTheStore(t *testing.T) {
+	const (
+		limit, zones, floor = 32, 5, 6
+		// maxTotal is the sum of limits that stretches fetches by a half.
+		maxTotal = limit * 3 / 2
+	)
+	for _, initial := range []time.Duration{200, 250, 300} {
+		for _, seed := range []uint64{1, 2, 3} {
+			t.Run(fmt.Sprint(initial, " ", seed), func(t *testing.T) {
+				s := &store{limit: constant(limit), flat: testInitial, jitter: 0.1, random: rand.New(rand.NewPCG(seed, 1))}
+				var list []*zone
+				for range zones {
+					list = append(list, &zone{engines: 23, limiter: New(floor, initial*time.Millisecond)})
+				}
+				sum, samples := 0, 0
+				simulate(s, list, func(at time.Duration) float64 {
+					total := 0
+					for _, z := range list {
+						total += z.limiter.Limit()
+					}
+					if at > testLength/2 {
+						sum, samples = sum+total, samples+1
+					}
+					return 1
+				}, testWarmUp, testLength)
+				t.Logf("the limits add up to %d on average", sum/samples)
+				if sum > maxTotal*samples {
+					t.Errorf("the limits add up to %d on average, want at most %d", sum/samples, maxTotal)
+				}
+			})
+		}
+	}
+}
--- a/internal/gateway/tuning.go
+++ b/internal/gateway/tuning.go
@@ -11,7 +11,7 @@
 	// initialFetchTime and initialCallTime are estimates until the first
 	// fetches and calls have been observed. A fetch time that is too long costs
 	// the first calls less than refusals by engines that are not ready.
-	initialFetchTime = 300 * time.Millisecond
+	initialFetchTime = 260 * time.Millisecond
 	initialCallTime  = 1400 * time.Millisecond
 	// reloadShare is the time of a load of a recently held adapter as a share of
 	// the time of a fetch: a tenth (page PROTOCOL), and the way to the engine.
@@ -19,6 +19,9 @@
 	// minAdapterLoads is the number of concurrent fetches, over all zones, that
 	// any weight store is taken to serve at full speed.
 	minAdapterLoads = 8
+	// minFetchesPerEngine makes a large fleet start with more: a fraction of the
+	// adapters that its engines may have in transit.
+	minFetchesPerEngine = 0.3
 	// maxLoadsPerEngine is the number of adapters in transit to one engine (page
 	// PROTOCOL).
 	maxLoadsPerEngine = 4
@@ -58,7 +61,7 @@
 func (g *Gateway) tuning() adapters.Tuning {
 	zones := len(g.initial.Zones)
 	return adapters.Tuning{
-		FetchTime: initialFetchTime, ReloadShare: reloadShare, MinFetchLimit: (minAdapterLoads + zones - 1) / zones, ReplicaDemand: replicaDemand,
+		FetchTime: initialFetchTime, ReloadShare: reloadShare, MinFetchLimit: (minAdapterLoads + zones - 1) / zones, MinFetchesPerEngine: minFetchesPerEngine, ReplicaDemand: replicaDemand,
 		MaxLoadsPerEngine: maxLoadsPerEngine, CallCost: callCost, CallTime: initialCallTime, RankCost: rankCost, MinIdleTime: minIdleTime,
 		CachedAdapters: cachedAdapters, OldVersionGrace: g.initial.ReleaseTimeout * oldVersionPercent / 100, SuspectPeriod: suspectPeriod,
 		DemandHalfLife: demandHalfLife,
