--- a/internal/gateway/tuning.go
+++ b/internal/gateway/tuning.go
@@ -61,7 +61,8 @@
 func (g *Gateway) tuning() adapters.Tuning {
 	zones := len(g.initial.Zones)
 	return adapters.Tuning{
-		FetchTime: initialFetchTime, ReloadShare: reloadShare, MinFetchLimit: (minAdapterLoads + zones - 1) / zones, MinFetchesPerEngine: minFetchesPerEngine, ReplicaDemand: replicaDemand,
+		FetchTime: initialFetchTime, ReloadShare: reloadShare, MinFetchLimit: (minAdapterLoads + zones - 1) / zones,
+		MinFetchesPerEngine: minFetchesPerEngine, ReplicaDemand: replicaDemand,
 		MaxLoadsPerEngine: maxLoadsPerEngine, CallCost: callCost, CallTime: initialCallTime, RankCost: rankCost, MinIdleTime: minIdleTime,
 		CachedAdapters: cachedAdapters, OldVersionGrace: g.initial.ReleaseTimeout * oldVersionPercent / 100, SuspectPeriod: suspectPeriod,
 		DemandHalfLife: demandHalfLife,
