fetchlimit: back off below the stretch, and hold

Cause: with the limit at or above what the store serves, every saturated second has late fetches, and each costs the calls that wait for it a refusal by an engine, a retry of the budget, and time.

Change: the expected time errs on the long side, as before the limiter; a stretched round lowers the limit to 0.8 of what was in flight and holds it 5 to 40 s; then it grows by one a round.

--- a/internal/adapters/fetches.go
+++ b/internal/adapters/fetches.go
@@ -63,7 +63,7 @@
 			continue
 		}
 		for _, r := range e.adapters {
-			if r.loading && r.fetch && !r.started.After(now) && (r.readyAt.After(now) || (r.late && now.Sub(r.started) < p.fetchTime())) {
+			if r.loading && r.fetch && !r.started.After(now) && p.isInFlight(r, now) {
 				n++
 			}
 		}
@@ -71,6 +71,14 @@
 	return n
 }
 
+// isInFlight reports whether a fetch is still on its way.
+func (p *Planner) isInFlight(r *adapterState, now time.Time) bool {
+	if r.late {
+		return r.readyAt.After(now) || now.Sub(r.started) < p.fetchTime()
+	}
+	return r.readyAt.After(now)
+}
+
 // trackFetch records a fetch that starts now.
 func (p *Planner) trackFetch(e *engine, key bamboorail.AdapterKey, r *adapterState, now time.Time) {
 	r.inFlight = p.activeFetches(now)
--- a/internal/fetchlimit/fetchlimit.go
+++ b/internal/fetchlimit/fetchlimit.go
@@ -44,16 +44,15 @@
 	// limit. If zones took the stretch that others cause for the speed of the
 	// store, all would fetch more and more.
 	flatStep = 1.02
-	// acceptedStretch is the stretch at which a reduction aims. A few more
-	// fetches than the store serves at full speed cost no throughput, too few do.
-	acceptedStretch = 1.05
-	// minShrink and maxShrink bound the factor of one reduction.
-	minShrink, maxShrink = 0.4, 0.95
+	// backoffFactor lowers the limit once fetches are stretched. A fetch that takes
+	// longer than expected costs the calls that wait for it a refusal each, so the
+	// limit stays below what the store serves, and is raised again only after
+	// minHold, which doubles with each reduction up to maxHold.
+	backoffFactor = 0.8
+	minHold       = 5 * time.Second
+	maxHold       = 40 * time.Second
 
-	// searchFactor shortens the expected time with each fetch that was on time
-	// until the first one is late, so that the time at full speed is known before
-	// the limit grows far. onTimeFactor does so afterwards.
-	searchFactor = 0.985
+	// onTimeFactor shortens the expected time with each fetch that was on time.
 	// Of the excess of a late fetch, lateWeight is added, at most maxLateStep of
 	// the expected time, which 25 fetches on time offset: one fetch from an
 	// unresponsive engine says nothing about the others.
@@ -92,13 +91,15 @@
 	// startup is set until fetches are stretched for the first time, and
 	// provenInFlight is the most fetches that were served at full speed by then.
 	startup        bool
-	hasBeenLate    bool
 	provenInFlight int
 	// share is the limit after the last reduction, when other zones competed
 	// for the store.
-	share      float64
-	flatRounds int
-	round      round
+	share float64
+	// holdUntil is the time from which the limit may grow after its last
+	// reduction, which began a hold.
+	holdUntil time.Time
+	hold      time.Duration
+	round     round
 }
 
 // round counts the fetches since the last decision.
@@ -164,8 +165,7 @@
 func (l *Limiter) growAtStartup(f Fetch, now time.Time) {
 	switch {
 	case l.round.stretched >= minStretched && float64(l.round.stretched) > startupStretchedShare*float64(l.round.fetches):
-		l.limit = max(min(l.limit, float64(l.provenInFlight)), l.floor)
-		l.settle(now)
+		l.shrink(l.provenInFlight, now)
 	case !l.IsStretched(f.Took):
 		l.provenInFlight = max(l.provenInFlight, f.InFlight)
 		if float64(f.InFlight) >= startupSaturation*l.limit {
@@ -176,24 +176,20 @@
 
 // settle starts a new round after a reduction of the limit.
 func (l *Limiter) settle(now time.Time) {
-	l.settledAt, l.startup, l.share, l.flatRounds, l.round = now.Add(l.expected), false, l.limit, 0, round{}
+	l.hold = min(max(2*l.hold, minHold), maxHold)
+	l.settledAt, l.holdUntil = now.Add(l.expected), now.Add(l.hold)
+	l.startup, l.share, l.round = false, l.limit, round{}
 }
 
+// updateExpected follows most fetches from above: a call that comes before its
+// adapter is refused, which costs it and its engine more than a short wait.
 func (l *Limiter) updateExpected(f Fetch) {
-	switch {
-	case f.Late:
-		l.hasBeenLate = true
-		excess := float64(f.Took - l.expected)
-		l.expected += time.Duration(max(min(lateWeight*excess, maxLateStep*float64(l.expected)), 0))
-	case l.IsStretched(l.expected):
-		l.expected = time.Duration(float64(l.expected) * (1 - maxLateStep))
-	default:
-		factor := onTimeFactor
-		if !l.hasBeenLate {
-			factor = searchFactor
-		}
-		l.expected = max(time.Duration(float64(l.expected)*factor), time.Duration(minTimeShare*float64(l.initial)))
+	if !f.Late {
+		l.expected = max(time.Duration(float64(l.expected)*onTimeFactor), time.Duration(minTimeShare*float64(l.initial)))
+		return
 	}
+	excess := float64(f.Took - l.expected)
+	l.expected += time.Duration(max(min(lateWeight*excess, maxLateStep*float64(l.expected)), 0))
 }
 
 func (r *round) add(f Fetch, flat time.Duration, isStretched, isSaturated bool) {
@@ -221,15 +217,14 @@
 	isStretched := float64(r.stretched) > stretchedShare*float64(r.fetches)
 	switch {
 	case l.flat == 0:
-		l.flat, l.expected = mean, mean
+		l.flat = mean
 	case 2*r.unclear > r.fetches:
-		// The fetches were expected to take longer than at full speed and were
-		// on time. A shorter expectation shows whether they still are.
-		l.expected = (l.expected + l.flat) / 2
+		// The fetches were expected to be stretched and were on time: the expected
+		// time is still going down.
 	case !isStretched:
 		l.flat = min(l.flat, mean)
 		if 2*r.saturated >= r.fetches {
-			l.grow()
+			l.grow(now)
 		} else {
 			l.relax()
 		}
@@ -237,12 +232,10 @@
 		// Fewer fetches may not be faster: either this is the speed of the store,
 		// or other zones have yet to shrink.
 		l.flat = min(time.Duration(flatStep*float64(l.flat)), mean)
-		l.expected, l.flatRounds = max(l.expected, mean), 0
 	case float64(r.maxInFlight) >= startupSaturation*l.limit:
-		l.shrink(r.maxInFlight, mean, now)
+		l.shrink(r.maxInFlight, now)
 	default:
 		// Too few fetches of this zone to be the cause.
-		l.expected = max(l.expected, mean)
 	}
 }
 
@@ -250,25 +243,21 @@
 // quiet, and together the zones would ask too much of the store once all are
 // busy.
 func (l *Limiter) relax() {
-	l.flatRounds = 0
 	if !l.startup {
 		l.limit = max(l.limit-1, l.share)
 	}
 }
 
-// shrink lowers the limit after inFlight fetches took mean.
-func (l *Limiter) shrink(inFlight int, mean time.Duration, now time.Time) {
-	factor := min(max(acceptedStretch*float64(l.flat)/float64(mean), minShrink), maxShrink)
-	l.limit = max(min(l.limit, float64(inFlight))*factor, l.floor)
-	l.expected = max(time.Duration(factor*float64(mean)), l.flat)
+// shrink lowers the limit after inFlight fetches were stretched.
+func (l *Limiter) shrink(inFlight int, now time.Time) {
+	l.limit = max(min(l.limit, float64(inFlight))*backoffFactor, l.floor)
 	l.settle(now)
 }
 
-// grow raises the limit by one more with each saturated round at full speed in
-// a row: the store may allow much more than before.
-func (l *Limiter) grow() {
-	if !l.startup {
-		l.limit += float64(1 + l.flatRounds)
-		l.flatRounds++
+// grow raises the limit after a round of fetches that used it and ran at full
+// speed.
+func (l *Limiter) grow(now time.Time) {
+	if !l.startup && !now.Before(l.holdUntil) {
+		l.limit++
 	}
 }
--- a/internal/fetchlimit/fetchlimit_test.go
+++ b/internal/fetchlimit/fetchlimit_test.go
@@ -24,6 +24,8 @@
 	// fixed is the limit of a zone that knows the store, 0 for one that learns.
 	fixed   int
 	fetches []*fetch
+	// inFlight is the number of fetches that count as in flight.
+	inFlight int
 	// engines is the number of engines, of which the first slow ones take ten
 	// times as long.
 	engines, slow int
@@ -104,7 +106,7 @@
 			r.longestStretch = max(r.longestStretch, at-stretchedSince)
 		}
 		for _, z := range zones {
-			kept, before := z.fetches[:0], len(z.fetches)
+			kept, before := z.fetches[:0], z.inFlight
 			for _, f := range z.fetches {
 				f.work -= time.Duration(speed * float64(step))
 				switch {
@@ -128,13 +130,21 @@
 			if z.demand != nil {
 				wanted = z.demand
 			}
-			for want := int(wanted(at) * float64(z.limit())); len(z.fetches) < min(want, z.limit()); {
+			inFlight := 0
+			for _, f := range z.fetches {
+				if f.ready > at {
+					inFlight++
+				}
+			}
+			for want := int(wanted(at) * float64(z.limit())); inFlight < min(want, z.limit()); {
+				inFlight++
 				work := time.Duration(float64(s.flat) * (1 + s.jitter*(2*s.random.Float64()-1)))
 				if z.next = (z.next + 1) % max(z.engines, 1); z.next < z.slow {
 					work *= slowFactor
 				}
-				z.fetches = append(z.fetches, &fetch{started: at, ready: at + z.expected(s), work: work, inFlight: len(z.fetches) + 1})
+				z.fetches = append(z.fetches, &fetch{started: at, ready: at + z.expected(s), work: work, inFlight: inFlight})
 			}
+			z.inFlight = inFlight
 		}
 		for len(observed) > 0 && observed[0].at <= at {
 			if l := observed[0].zone.limiter; l != nil {
--- a/internal/gateway/tuning.go
+++ b/internal/gateway/tuning.go
@@ -11,7 +11,7 @@
 	// initialFetchTime and initialCallTime are estimates until the first
 	// fetches and calls have been observed. A fetch time that is too long costs
 	// the first calls less than refusals by engines that are not ready.
-	initialFetchTime = 260 * time.Millisecond
+	initialFetchTime = 270 * time.Millisecond
 	initialCallTime  = 1400 * time.Millisecond
 	// reloadShare is the time of a load of a recently held adapter as a share of
 	// the time of a fetch: a tenth (page PROTOCOL), and the way to the engine.
@@ -21,7 +21,7 @@
 	minAdapterLoads = 8
 	// minFetchesPerEngine makes a large fleet start with more: a fraction of the
 	// adapters that its engines may have in transit.
-	minFetchesPerEngine = 0.3
+	minFetchesPerEngine = 0.33
 	// maxLoadsPerEngine is the number of adapters in transit to one engine (page
 	// PROTOCOL).
 	maxLoadsPerEngine = 4
