--- a/internal/fetchlimit/fetchlimit.go
+++ b/internal/fetchlimit/fetchlimit.go
@@ -4,7 +4,8 @@
 // number. A Limiter takes the duration of each fetch of one zone, needs no
 // clock, and shares the store with the limiters of other zones without
 // messages: all see the same stretch, grow by the same steps and shrink in
-// proportion, which converges to equal shares.
+// proportion, which converges to equal shares. It stays below the stretch where it
+// can: a fetch that is late costs the calls that wait for it more than a later one.
 //
 // It is designed for a start with many cold adapters and for popularity shifts,
 // when every call in a queue waits for a fetch.
--- a/internal/fetchlimit/fetchlimit_test.go
+++ b/internal/fetchlimit/fetchlimit_test.go
@@ -328,7 +328,7 @@
 			return 0.3
 		}
 	}
-	simulate(s, list, saturated, testWarmUp, testLength)
+	simulate(s, list, saturated, testWarmUp, 6*testLength)
 	total := 0
 	for _, z := range list {
 		total += z.limiter.Limit()
