--- a/internal/mirror/leases_test.go
+++ b/internal/mirror/leases_test.go
@@ -87,10 +87,14 @@
 			synctest.Test(t, func(t *testing.T) {
 				holder, follower, _, _ := newLeasePair(t)
 				holder.mustList(t)
-				upstream := follower.upstream
 				if c.ready > 0 {
-					follower.upstream = nil
-					time.AfterFunc(c.ready, func() { follower.upstream = upstream; holder.mustList(t) })
+					follower.hidden.Store(true)
+					time.AfterFunc(c.ready, func() {
+						if _, _, err := holder.List(context.Background(), "k/"); err != nil {
+							t.Error(err)
+						}
+						follower.hidden.Store(false)
+					})
 				}
 				start := time.Now()
 				follower.mustList(t)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,7 +21,8 @@
 	leading     bool
 	upstream    *node
 	unreachable bool
-	storeCalls  int // calls to the object store
+	hidden      atomic.Bool // no holder is known yet
+	storeCalls  int         // calls to the object store
 }
 
 var errNoAnswer = errors.New("no answer")
@@ -28,7 +30,7 @@
 func (n *node) Leading() bool { return n.leading }
 
 func (n *node) Holder() (string, string) {
-	if n.upstream == nil {
+	if n.upstream == nil || n.hidden.Load() {
 		return "", ""
 	}
 	return "holder", "address"
