--- /dev/null
+++ b/internal/relay/answer.go
@@ -0,0 +1,156 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/balance"
+)
+
+const (
+	// eventTimeout is the time without an event after which a resumable stream
+	// continues at another target. Callers disconnect after two seconds without
+	// an event (page PROTOCOL).
+	eventTimeout = 1200 * time.Millisecond
+	// maxBufferedAnswer is the largest answer that is read completely before it
+	// is forwarded, so that a truncated one can be replaced.
+	maxBufferedAnswer = 256 << 10
+	// readSize is the buffer size for reading a stream.
+	readSize = 16 << 10
+)
+
+// forwardAnswer forwards the response of a target to the caller.
+func (x *exchange) forwardAnswer(ctx context.Context, cancel context.CancelCauseFunc, resp *http.Response) (balance.Result, error) {
+	const op = "pass-answer"
+	if x.route.Streaming && resp.StatusCode == http.StatusOK {
+		return x.forwardStream(ctx, cancel, resp)
+	}
+	if x.committed || (resp.StatusCode >= http.StatusInternalServerError && x.mayRetryAnswer()) {
+		// The failure of a second target must not end the stream of the first
+		// as if it were complete.
+		return balance.Failed, mayHaveRun(op, bamboorail.KindTargetFailed, fmt.Errorf("the target answered with status %d", resp.StatusCode))
+	}
+	head, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer))
+	if err != nil {
+		return x.truncatedError(ctx, op, err)
+	}
+	result := balance.Answered
+	if resp.StatusCode >= http.StatusInternalServerError {
+		result = balance.Failed
+	}
+	if len(head) < maxBufferedAnswer {
+		resp.ContentLength = int64(len(head))
+	}
+	x.commit(resp)
+	if _, err := x.w.Write(head); err != nil {
+		return balance.Abandoned, mayHaveRun(op, bamboorail.KindCancelled, err)
+	}
+	if len(head) < maxBufferedAnswer {
+		return result, nil
+	}
+	if _, err := io.Copy(x.w, resp.Body); err != nil {
+		return x.truncatedError(ctx, op, err)
+	}
+	return result, nil
+}
+
+// mayRetryAnswer reports whether a call that the target answered with a failure
+// may be run again.
+func (x *exchange) mayRetryAnswer() bool {
+	return x.route.Repeat != bamboorail.RepeatNever && x.runs < x.route.MaxAttempts && x.sent < maxSent &&
+		time.Until(x.deadline) > x.route.Objective/2 && x.budget().Available(time.Now())
+}
+
+// truncatedError returns the failure of an answer that did not arrive
+// completely.
+func (x *exchange) truncatedError(ctx context.Context, op string, err error) (balance.Result, error) {
+	switch {
+	case errors.Is(context.Cause(ctx), errEventTimeout):
+		return balance.Unreachable, mayHaveRun(op, bamboorail.KindTruncated, errEventTimeout)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return balance.Abandoned, mayHaveRun(op, bamboorail.KindDeadlineExceeded, err)
+	case ctx.Err() != nil:
+		return balance.Abandoned, mayHaveRun(op, bamboorail.KindCancelled, err)
+	}
+	return balance.Failed, mayHaveRun(op, bamboorail.KindTruncated, err)
+}
+
+// commit sends the response headers to the caller. A resumed stream keeps the
+// headers of its first target.
+func (x *exchange) commit(resp *http.Response) {
+	if x.committed {
+		return
+	}
+	header := x.w.Header()
+	for name, values := range resp.Header {
+		if name == "Connection" || name == "Keep-Alive" || name == "Transfer-Encoding" || name == "Content-Length" || name == "Trailer" {
+			continue
+		}
+		header[name] = values
+	}
+	if _, ok := header["Content-Type"]; !ok {
+		// A nil value stops net/http from detecting a content type.
+		header["Content-Type"] = nil
+	}
+	if resp.ContentLength >= 0 {
+		header.Set("Content-Length", fmt.Sprint(resp.ContentLength))
+	}
+	x.committed, x.status, x.firstByte = true, resp.StatusCode, time.Since(x.received)
+	x.w.WriteHeader(resp.StatusCode)
+}
+
+// forwardStream forwards events as they arrive.
+func (x *exchange) forwardStream(ctx context.Context, cancel context.CancelCauseFunc, resp *http.Response) (balance.Result, error) {
+	const op = "pass-stream"
+	resumable := x.route.Repeat == bamboorail.RepeatResume
+	x.commit(resp)
+	flusher := http.NewResponseController(x.w)
+	watched := resumable && x.runs < x.route.MaxAttempts
+	eventTimer := time.AfterFunc(eventTimeout, func() { cancel(errEventTimeout) })
+	defer eventTimer.Stop()
+	if !watched {
+		eventTimer.Stop()
+	}
+	x.events.discardPartial()
+	buffer := make([]byte, readSize)
+	for {
+		n, err := resp.Body.Read(buffer)
+		if n > 0 {
+			forwarded, sendErr := x.forwardChunk(flusher, buffer[:n], resumable)
+			if sendErr != nil {
+				return balance.Abandoned, mayHaveRun(op, bamboorail.KindCancelled, sendErr)
+			}
+			if watched && forwarded {
+				// A byte now and then is no event.
+				eventTimer.Reset(eventTimeout)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return balance.Answered, nil
+		}
+		if err != nil {
+			return x.truncatedError(ctx, op, err)
+		}
+	}
+}
+
+// forwardChunk forwards bytes of a stream. Of a resumable stream it forwards
+// only complete events, so that another target can continue after the last one. It
+// reports whether anything was forwarded.
+func (x *exchange) forwardChunk(flusher *http.ResponseController, data []byte, resumable bool) (bool, error) {
+	if resumable {
+		var err error
+		if data, err = x.events.add(data); err != nil || len(data) == 0 {
+			return false, err
+		}
+	}
+	if _, err := x.w.Write(data); err != nil {
+		return false, err
+	}
+	return true, flusher.Flush()
+}
