--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -10,6 +10,7 @@
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/balance"
+	"bamboorail.example/bamboorail/internal/eventstream"
 )
 
 const (
@@ -24,9 +25,31 @@
 	readSize = 16 << 10
 )
 
+// framing is the way in which a response marks the end of its body.
+type framing string
+
+// The framings of HTTP/1.1. A body without a length or chunks ends with its
+// connection.
+const (
+	framingLength framing = "length"
+	framingChunks framing = "chunks"
+	framingClose  framing = "close"
+)
+
+func framingOf(resp *http.Response) framing {
+	switch {
+	case resp.ContentLength >= 0:
+		return framingLength
+	case len(resp.TransferEncoding) > 0:
+		return framingChunks
+	}
+	return framingClose
+}
+
 // forwardAnswer forwards the response of a target to the caller.
 func (x *exchange) forwardAnswer(ctx context.Context, cancel context.CancelCauseFunc, resp *http.Response) (balance.Result, error) {
 	const op = "pass-answer"
+	x.framing, x.answer = framingOf(resp), eventstream.Tracker{}
 	if x.route.Streaming && resp.StatusCode == http.StatusOK {
 		return x.forwardStream(ctx, cancel, resp)
 	}
@@ -36,6 +59,7 @@
 		return balance.Failed, mayHaveRun(op, bamboorail.KindTargetFailed, fmt.Errorf("the target answered with status %d", resp.StatusCode))
 	}
 	head, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer))
+	x.answer.Add(head)
 	if err != nil {
 		return x.truncatedError(ctx, op, err)
 	}
@@ -121,6 +145,7 @@
 	for {
 		n, err := resp.Body.Read(buffer)
 		if n > 0 {
+			x.answer.Add(buffer[:n])
 			forwarded, sendErr := x.forwardChunk(flusher, buffer[:n], resumable)
 			if sendErr != nil {
 				return balance.Abandoned, mayHaveRun(op, bamboorail.KindCancelled, sendErr)
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"errors"
+
+	"bamboorail.example/bamboorail/internal/eventstream"
 )
 
 // maxEventBytes limits one event of a stream; the largest that users send have
@@ -22,7 +24,7 @@
 // valid until the next call.
 func (b *eventBuffer) add(data []byte) ([]byte, error) {
 	b.pending = append(b.pending, data...)
-	end := endOfEvents(b.pending)
+	end := eventstream.Complete(b.pending)
 	if end == 0 {
 		if len(b.pending) > maxEventBytes {
 			return nil, errEventTooLarge
@@ -40,17 +42,6 @@
 // discardPartial removes the incomplete event at the end of the buffer.
 func (b *eventBuffer) discardPartial() { b.pending = b.pending[:0] }
 
-// endOfEvents returns the length of the complete events at the start of data.
-func endOfEvents(data []byte) int {
-	end := 0
-	for _, separator := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
-		if i := bytes.LastIndex(data, separator); i >= 0 {
-			end = max(end, i+len(separator))
-		}
-	}
-	return end
-}
-
 // lastEventID returns the value of the last id field in complete events.
 func lastEventID(data []byte) (string, bool) {
 	id, found := "", false
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,7 @@
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/balance"
+	"bamboorail.example/bamboorail/internal/eventstream"
 	"bamboorail.example/bamboorail/internal/httpport"
 	"bamboorail.example/bamboorail/internal/retry"
 	"bamboorail.example/bamboorail/internal/route"
@@ -145,6 +146,9 @@
 	committed bool
 	status    int
 	events    eventBuffer
+	// framing and answer describe the body of the last response.
+	framing framing
+	answer  eventstream.Tracker
 	// attempts counts the targets chosen, sent those that the call reached, and
 	// runs those that may have run it.
 	attempts  int
@@ -334,6 +338,12 @@
 		"model", x.call.Key.Model, "adapter", x.call.Key.Adapter, "status", x.status,
 		"took-ms", took.Milliseconds(), "first-ms", x.firstByte.Milliseconds(), "sent", x.sent, "trail", x.trail,
 	}
+	if x.framing != "" {
+		fields = append(fields, "framing", string(x.framing), "answer-bytes", x.answer.Bytes())
+		if x.route.Streaming {
+			fields = append(fields, "inside-event", x.answer.InsideEvent())
+		}
+	}
 	if err != nil {
 		f := bamboorail.FailureOf(err)
 		fields = append(fields, "kind", string(f.Kind), "outcome", string(f.Outcome), "error", err.Error())
