--- a/internal/application/application_test.go
+++ b/internal/application/application_test.go
@@ -189,3 +189,32 @@
 		t.Error("mismatch reported as a truncated response")
 	}
 }
+
+// TestStreamEndingInsideEventFails guards against event streams that break off
+// and reach their callers as complete (incident archive-order).
+func TestStreamEndingInsideEventFails(t *testing.T) {
+	const event = "data: a\n\n"
+	cases := map[string]struct {
+		head, body string
+		complete   bool
+	}{
+		"whole, closed":     {"Content-Type: text/event-stream", event, true},
+		"inside, closed":    {"Content-Type: text/event-stream", event + "data", false},
+		"inside, length":    {"Content-Type: text/event-stream\r\nContent-Length: 8", event[:8], false},
+		"no events, closed": {"Content-Type: text/event-stream", "", false},
+		"no events, length": {"Content-Type: text/event-stream\r\nContent-Length: 0", "", true},
+		"no event stream":   {"Content-Type: text/plain", event[:8], true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newRawServer(t, func(s *rawServer, conn net.Conn, r *bufio.Reader) {
+				s.readHead(r)
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest-Id: z.1\r\n"+c.head+"\r\n\r\n"+c.body)
+			})
+			err := newClient(t, s.address).Call(context.Background(), &bamboorail.Request{RequestID: "z.1", Method: "GET", Path: "/"}, &sink{})
+			if c.complete != (err == nil) || err != nil && bamboorail.KindOf(err) != bamboorail.KindTruncated {
+				t.Errorf("error %v, complete %t", err, c.complete)
+			}
+		})
+	}
+}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -187,3 +187,36 @@
 		}
 	})
 }
+
+// TestShortenedReportIsRejected guards against a report of which the end is
+// missing: the adapters that it does not list would count as unloaded.
+func TestShortenedReportIsRejected(t *testing.T) {
+	const info, slots = "engine_info{incarnation=\"i1\",base_model=\"b\"} 1\n", "engine_adapter_slots 4\n"
+	cases := map[string]struct {
+		head, body string
+		valid      bool
+	}{
+		"length":                 {fmt.Sprintf("Content-Length: %d\r\n", len(info+slots)), info + slots, true},
+		"chunks":                 {"Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(info+slots), info+slots), true},
+		"ends with a connection": {"", info, false},
+		"longer than the limit":  {fmt.Sprintf("Content-Length: %d\r\n", len(info)+1<<21), info + strings.Repeat("#\n", 1<<20), false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer conn.Close()
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+c.head+"\r\n"+c.body)
+			}))
+			t.Cleanup(s.Close)
+			report, err := engine.New(target(t, s.URL, record.DialectOpenAI), &http.Transport{}).Report(context.Background())
+			if c.valid != (err == nil) || c.valid && report.Slots != 4 {
+				t.Errorf("report %+v, error %v", report, err)
+			}
+		})
+	}
+}
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -11,6 +11,7 @@
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/balance"
 	"bamboorail.example/bamboorail/internal/eventstream"
+	"bamboorail.example/bamboorail/internal/httpport"
 )
 
 const (
@@ -25,31 +26,10 @@
 	readSize = 16 << 10
 )
 
-// framing is the way in which a response marks the end of its body.
-type framing string
-
-// The framings of HTTP/1.1. A body without a length or chunks ends with its
-// connection.
-const (
-	framingLength framing = "length"
-	framingChunks framing = "chunks"
-	framingClose  framing = "close"
-)
-
-func framingOf(resp *http.Response) framing {
-	switch {
-	case resp.ContentLength >= 0:
-		return framingLength
-	case len(resp.TransferEncoding) > 0:
-		return framingChunks
-	}
-	return framingClose
-}
-
 // forwardAnswer forwards the response of a target to the caller.
 func (x *exchange) forwardAnswer(ctx context.Context, cancel context.CancelCauseFunc, resp *http.Response) (balance.Result, error) {
 	const op = "pass-answer"
-	x.framing, x.answer = framingOf(resp), eventstream.Tracker{}
+	x.framing, x.answer = httpport.FramingOf(resp), eventstream.Tracker{}
 	if x.route.Streaming && resp.StatusCode == http.StatusOK {
 		return x.forwardStream(ctx, cancel, resp)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -147,7 +147,7 @@
 	status    int
 	events    eventBuffer
 	// framing and answer describe the body of the last response.
-	framing framing
+	framing httpport.Framing
 	answer  eventstream.Tracker
 	// attempts counts the targets chosen, sent those that the call reached, and
 	// runs those that may have run it.
