relay: a stream that ends inside an event has broken off

Cause: the relay took the end of the body for the end of the stream. A target that sends neither a length nor chunks ends its body with the connection, and so does a crash that closes it; a length or a last chunk proves no more about the stream. A resumable stream lost its unfinished event the same way and was not resumed.

Change: however a stream is framed, it is whole only if it ends with an event; one that ends with its connection needs an event at all. Anything else is answer-truncated: resumed where the route permits it, and broken for the caller otherwise. The length of an event stream is not passed on, since it would end a broken stream properly. An answer of another type on a streaming route is passed on as it comes; a resumable route used to keep all of it back.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -39,11 +39,12 @@
 	bytes int64
 }
 
-// Add records the next piece of the stream.
-func (t *Tracker) Add(piece []byte) {
+// Write records the next piece of the stream. It never fails.
+func (t *Tracker) Write(piece []byte) (int, error) {
 	t.bytes += int64(len(piece))
 	t.tail = append(t.tail, piece[max(0, len(piece)-maxTerminatorBytes):]...)
 	t.tail = t.tail[max(0, len(t.tail)-maxTerminatorBytes):]
+	return len(piece), nil
 }
 
 // Bytes returns the length of the stream so far.
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -41,7 +41,7 @@
 				var tracker Tracker
 				for start := 0; start < len(c.stream); start += size {
 					end := min(start+size, len(c.stream))
-					tracker.Add([]byte(c.stream[start:end]))
+					_, _ = tracker.Write([]byte(c.stream[start:end]))
 					last := 0
 					for _, e := range c.ends {
 						if e <= end {
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -30,16 +30,26 @@
 func (x *exchange) forwardAnswer(ctx context.Context, cancel context.CancelCauseFunc, resp *http.Response) (balance.Result, error) {
 	const op = "pass-answer"
 	x.framing, x.answer = httpport.FramingOf(resp), eventstream.Tracker{}
-	if x.route.Streaming && resp.StatusCode == http.StatusOK {
-		return x.forwardStream(ctx, cancel, resp)
+	events := x.isEventStream(resp)
+	if events {
+		// A length is kept only by the target that announced it, and ends a stream
+		// that breaks off at that length as if it were complete.
+		resp.ContentLength = -1
+	}
+	if x.route.Streaming && resp.StatusCode == http.StatusOK && (events || !x.committed) {
+		return x.forwardStream(ctx, cancel, resp, events)
 	}
 	if x.committed || (resp.StatusCode >= http.StatusInternalServerError && x.mayRetryAnswer()) {
 		// The failure of a second target must not end the stream of the first
 		// as if it were complete.
 		return balance.Failed, mayHaveRun(op, bamboorail.KindTargetFailed, fmt.Errorf("the target answered with status %d", resp.StatusCode))
 	}
-	head, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer))
-	x.answer.Add(head)
+	body := io.TeeReader(resp.Body, &x.answer)
+	head, err := io.ReadAll(io.LimitReader(body, maxBufferedAnswer))
+	whole := len(head) < maxBufferedAnswer
+	if err == nil && whole && events {
+		err = x.checkStreamEnd()
+	}
 	if err != nil {
 		return x.truncatedError(ctx, op, err)
 	}
@@ -47,22 +57,48 @@
 	if resp.StatusCode >= http.StatusInternalServerError {
 		result = balance.Failed
 	}
-	if len(head) < maxBufferedAnswer {
+	if whole {
 		resp.ContentLength = int64(len(head))
 	}
 	x.commit(resp)
 	if _, err := x.w.Write(head); err != nil {
 		return balance.Abandoned, mayHaveRun(op, bamboorail.KindCancelled, err)
 	}
-	if len(head) < maxBufferedAnswer {
+	if whole {
 		return result, nil
 	}
-	if _, err := io.Copy(x.w, resp.Body); err != nil {
+	_, err = io.Copy(x.w, body)
+	if err == nil && events {
+		err = x.checkStreamEnd()
+	}
+	if err != nil {
 		return x.truncatedError(ctx, op, err)
 	}
 	return result, nil
 }
 
+// isEventStream reports whether the response is a stream of events. On a
+// streaming route, one without a content type is.
+func (x *exchange) isEventStream(resp *http.Response) bool {
+	if x.r.Method == http.MethodHead {
+		return false
+	}
+	contentType := resp.Header.Get("Content-Type")
+	return eventstream.IsEventStream(contentType) || x.route.Streaming && contentType == ""
+}
+
+// checkStreamEnd returns an error if the stream that has ended is not whole,
+// whatever its framing says.
+func (x *exchange) checkStreamEnd() error {
+	switch {
+	case x.answer.InsideEvent():
+		return errInsideEvent
+	case x.framing == httpport.FramingClose && x.answer.Bytes() == 0:
+		return errNoEvent
+	}
+	return nil
+}
+
 // mayRetryAnswer reports whether a call that the target answered with a failure
 // may be run again.
 func (x *exchange) mayRetryAnswer() bool {
@@ -108,10 +144,10 @@
 	x.w.WriteHeader(resp.StatusCode)
 }
 
-// forwardStream forwards events as they arrive.
-func (x *exchange) forwardStream(ctx context.Context, cancel context.CancelCauseFunc, resp *http.Response) (balance.Result, error) {
+// forwardStream forwards the parts of a stream as they arrive.
+func (x *exchange) forwardStream(ctx context.Context, cancel context.CancelCauseFunc, resp *http.Response, events bool) (balance.Result, error) {
 	const op = "pass-stream"
-	resumable := x.route.Repeat == bamboorail.RepeatResume
+	resumable := events && x.route.Repeat == bamboorail.RepeatResume
 	x.commit(resp)
 	flusher := http.NewResponseController(x.w)
 	watched := resumable && x.runs < x.route.MaxAttempts
@@ -125,7 +161,7 @@
 	for {
 		n, err := resp.Body.Read(buffer)
 		if n > 0 {
-			x.answer.Add(buffer[:n])
+			_, _ = x.answer.Write(buffer[:n]) // never fails
 			forwarded, sendErr := x.forwardChunk(flusher, buffer[:n], resumable)
 			if sendErr != nil {
 				return balance.Abandoned, mayHaveRun(op, bamboorail.KindCancelled, sendErr)
@@ -136,7 +172,12 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return balance.Answered, nil
+			if !events {
+				return balance.Answered, nil
+			}
+			if err = x.checkStreamEnd(); err == nil {
+				return balance.Answered, nil
+			}
 		}
 		if err != nil {
 			return x.truncatedError(ctx, op, err)
