relay: a broken answer without events is not continued by a stream

On a resumable route, an answer of another type that broke off was followed by the events of a run at another target: two answers in one body.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -148,6 +148,7 @@
 func (x *exchange) forwardStream(ctx context.Context, cancel context.CancelCauseFunc, resp *http.Response, events bool) (balance.Result, error) {
 	const op = "pass-stream"
 	resumable := events && x.route.Repeat == bamboorail.RepeatResume
+	x.resumable = x.resumable || resumable
 	x.commit(resp)
 	flusher := http.NewResponseController(x.w)
 	watched := resumable && x.runs < x.route.MaxAttempts
--- a/internal/relay/answer_test.go
+++ b/internal/relay/answer_test.go
@@ -129,3 +129,23 @@
 		})
 	}
 }
+
+// TestBrokenAnswerWithoutEventsIsNotContinued guards against an answer whose
+// second half is the stream of another run.
+func TestBrokenAnswerWithoutEventsIsNotContinued(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Type: application/json\r\n"
+	cases := map[string]script{
+		"short":       raw(head + "Content-Length: 9\r\n\r\n{"),
+		"long":        raw(head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", 2*maxBufferedAnswer, strings.Repeat(" ", maxBufferedAnswer+1))),
+		"long, reset": reset(head + "\r\n" + strings.Repeat(" ", maxBufferedAnswer+1)),
+	}
+	for name, first := range cases {
+		t.Run(name, func(t *testing.T) {
+			spare := newTarget(t, "spare", stream(true, event(1)))
+			r := newTestRelay(t, resumable, newTarget(t, "a", first), spare).call(t, http.MethodPost, "/p/x", "body")
+			if !r.broken || len(spare.seen()) != 0 {
+				t.Errorf("answer ends with %q, broken %t, %d requests at the second target", r.body[max(0, len(r.body)-40):], r.broken, len(spare.seen()))
+			}
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -145,6 +145,9 @@
 	// committed is set once response headers have been sent to the caller.
 	committed bool
 	status    int
+	// resumable is set once whole events of a stream are forwarded, which another
+	// target can continue.
+	resumable bool
 	events    eventBuffer
 	// framing and answer describe the body of the last response.
 	framing httpport.Framing
@@ -285,7 +288,7 @@
 	case bamboorail.RepeatAlways:
 		return !x.committed
 	case bamboorail.RepeatResume:
-		return true
+		return !x.committed || x.resumable
 	}
 	return false
 }
