relay, caller: a broken answer is reset for callers of HTTP/1.0

Such a caller gets no chunks, so that the end of the connection ends its answer, a broken one too. The connection is now reset.

--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -39,7 +40,7 @@
 	return newHandlerOf(t, &fakeDispatcher{err: err})
 }
 
-func newHandlerOf(t testing.TB, d *fakeDispatcher, records ...string) http.Handler {
+func newHandlerOf(t testing.TB, d bamboorail.Dispatcher, records ...string) http.Handler {
 	t.Helper()
 	store := memory.NewStore()
 	change := platform.Change{ID: "c", Apply: []json.RawMessage{
@@ -193,3 +194,46 @@
 		}
 	})
 }
+
+// brokenDispatcher answers a part and fails.
+type brokenDispatcher struct{}
+
+func (brokenDispatcher) Dispatch(_ context.Context, _ *bamboorail.Request, s bamboorail.Sink) error {
+	if err := s.Begin(bamboorail.ResponseHead{Status: http.StatusOK}); err != nil {
+		return err
+	}
+	if err := s.Write(bytes.Repeat([]byte("part"), 4<<10)); err != nil {
+		return err
+	}
+	return &taggedError{bamboorail.Failure{Op: "o", Kind: bamboorail.KindTruncated, Outcome: bamboorail.OutcomeMayHaveRun}}
+}
+
+// TestBrokenAnswerOfServiceIsReset guards against broken answers that look
+// complete to callers of HTTP/1.0, for whom the connection ends the answer.
+func TestBrokenAnswerOfServiceIsReset(t *testing.T) {
+	for _, version := range []string{"1.0", "1.1"} {
+		t.Run(version, func(t *testing.T) {
+			s := httptest.NewServer(newHandlerOf(t, brokenDispatcher{},
+				`{"schema-version":1,"kind":"target","name":"t","role":"application","zone":"z","url":"http://t.example","service":"s"}`))
+			t.Cleanup(s.Close)
+			conn, err := net.Dial("tcp", s.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			_, err = fmt.Fprintf(conn, "GET /v1/services/s/x HTTP/%s\r\nHost: h\r\nAuthorization: Bearer secret\r\n\r\n", version)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				return // reset before its head was read
+			}
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			if resp.StatusCode != http.StatusOK || err == nil {
+				t.Errorf("status %d, %d bytes end as if complete", resp.StatusCode, len(body))
+			}
+		})
+	}
+}
--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/tidwall/gjson"
 
 	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/httpport"
 	"bamboorail.example/bamboorail/internal/requestid"
 )
 
@@ -38,9 +39,15 @@
 
 // withExchange adds the response writer to the context, from which the decoders
 // build the sinks that write to it.
-func withExchange(next http.Handler) http.Handler {
+func (s *Server) withExchange(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		x := &exchange{writer: w, abort: func(error) { panic(http.ErrAbortHandler) }}
+		x := &exchange{writer: w}
+		x.abort = func(error) {
+			if err := httpport.MarkBroken(w, r); err != nil {
+				s.config.Log.Warn("broken answer not marked", "request-id", x.requestID, "error", err)
+			}
+			panic(http.ErrAbortHandler)
+		}
 		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), exchangeKey{}, x)))
 	})
 }
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -53,7 +53,7 @@
 	mux.Handle("POST /v1/request-ids", s.queryHandler("request-ids", s.newRequestID))
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("GET /readyz", s.serveReady)
-	return withExchange(splitByPath(mux, s.dispatchHandler("routed-call", s.decodeRoutedCall)))
+	return s.withExchange(splitByPath(mux, s.dispatchHandler("routed-call", s.decodeRoutedCall)))
 }
 
 // splitByPath sends the paths of the caller API to own and all others unchanged
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -121,8 +121,9 @@
 	x.report(err)
 	x.endTrace(span, err)
 	if err != nil && x.committed {
-		// Abort the connection, so that the caller sees that the answer is
-		// incomplete.
+		if err := httpport.MarkBroken(w, r); err != nil {
+			h.Log.Warn("broken answer not marked", "id", x.call.ID, "error", err)
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
