application, caller: an event stream that ends inside an event has broken off

The same cause as in the relay, on the project's own interface: the client of application targets took the end of the body for the end of the stream, and the announced length of a stream was passed on, which ends a broken one properly.

--- a/internal/application/application.go
+++ b/internal/application/application.go
@@ -17,6 +17,8 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/eventstream"
+	"bamboorail.example/bamboorail/internal/httpport"
 	"bamboorail.example/bamboorail/pkg/record"
 )
 
@@ -112,15 +114,20 @@
 	if err := s.Begin(bamboorail.ResponseHead{Status: resp.StatusCode, Header: resp.Header}); err != nil {
 		return err
 	}
+	var stream eventstream.Tracker
 	buffer := make([]byte, copyBufferBytes)
 	for {
 		n, err := resp.Body.Read(buffer)
 		if n > 0 {
+			_, _ = stream.Write(buffer[:n]) // never fails
 			if err := s.Write(buffer[:n]); err != nil {
 				return err
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			if resp.Request.Method != http.MethodHead && eventstream.IsEventStream(resp.Header.Get("Content-Type")) {
+				return stream.CheckEnd(httpport.FramingOf(resp) == httpport.FramingClose)
+			}
 			return nil
 		}
 		if err != nil {
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -196,24 +196,35 @@
 }
 
 // brokenDispatcher answers a part and fails.
-type brokenDispatcher struct{}
+type brokenDispatcher struct{ header http.Header }
 
-func (brokenDispatcher) Dispatch(_ context.Context, _ *bamboorail.Request, s bamboorail.Sink) error {
-	if err := s.Begin(bamboorail.ResponseHead{Status: http.StatusOK}); err != nil {
+const partBytes = 16 << 10
+
+func (d brokenDispatcher) Dispatch(_ context.Context, _ *bamboorail.Request, s bamboorail.Sink) error {
+	if err := s.Begin(bamboorail.ResponseHead{Status: http.StatusOK, Header: d.header}); err != nil {
 		return err
 	}
-	if err := s.Write(bytes.Repeat([]byte("part"), 4<<10)); err != nil {
+	if err := s.Write(bytes.Repeat([]byte("x"), partBytes)); err != nil {
 		return err
 	}
 	return &taggedError{bamboorail.Failure{Op: "o", Kind: bamboorail.KindTruncated, Outcome: bamboorail.OutcomeMayHaveRun}}
 }
 
-// TestBrokenAnswerOfServiceIsReset guards against broken answers that look
-// complete to callers of HTTP/1.0, for whom the connection ends the answer.
-func TestBrokenAnswerOfServiceIsReset(t *testing.T) {
-	for _, version := range []string{"1.0", "1.1"} {
-		t.Run(version, func(t *testing.T) {
-			s := httptest.NewServer(newHandlerOf(t, brokenDispatcher{},
+// TestBrokenAnswerOfServiceIsNotComplete guards against broken answers that look
+// complete: to callers of HTTP/1.0, for whom the connection ends the answer, and in a
+// stream that breaks off at its announced length.
+func TestBrokenAnswerOfServiceIsNotComplete(t *testing.T) {
+	cases := map[string]struct {
+		version string
+		header  http.Header
+	}{
+		"HTTP/1.0":         {version: "1.0"},
+		"HTTP/1.1":         {version: "1.1"},
+		"announced length": {"1.1", http.Header{"Content-Type": {"text/event-stream"}, "Content-Length": {fmt.Sprint(partBytes)}}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewServer(newHandlerOf(t, brokenDispatcher{c.header},
 				`{"schema-version":1,"kind":"target","name":"t","role":"application","zone":"z","url":"http://t.example","service":"s"}`))
 			t.Cleanup(s.Close)
 			conn, err := net.Dial("tcp", s.Listener.Addr().String())
@@ -221,7 +232,7 @@
 				t.Fatal(err)
 			}
 			defer conn.Close()
-			_, err = fmt.Fprintf(conn, "GET /v1/services/s/x HTTP/%s\r\nHost: h\r\nAuthorization: Bearer secret\r\n\r\n", version)
+			_, err = fmt.Fprintf(conn, "GET /v1/services/s/x HTTP/%s\r\nHost: h\r\nAuthorization: Bearer secret\r\n\r\n", c.version)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/tidwall/gjson"
 
 	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/eventstream"
 	"bamboorail.example/bamboorail/internal/httpport"
 	"bamboorail.example/bamboorail/internal/requestid"
 )
@@ -219,6 +220,10 @@
 	for _, k := range hopByHopHeaders {
 		header.Del(k)
 	}
+	if eventstream.IsEventStream(header.Get("Content-Type")) {
+		// The length ends a stream that breaks off at it as if it were complete.
+		header.Del("Content-Length")
+	}
 	s.x.setHead(h)
 	if s.opaque {
 		header.Set(repeatHeader, repeatNewRequest)
--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"mime"
 )
 
@@ -55,3 +56,22 @@
 func (t *Tracker) InsideEvent() bool {
 	return t.bytes > 0 && Complete(t.tail) != len(t.tail)
 }
+
+// The errors of CheckEnd.
+var (
+	ErrInsideEvent = errors.New("the stream ended inside an event")
+	ErrNoEvent     = errors.New("the connection closed before the first event")
+)
+
+// CheckEnd returns an error if a stream that has ended is not whole. What marked
+// its end proves nothing about the last event; a stream that ended with its
+// connection needs an event at all.
+func (t *Tracker) CheckEnd(withConnection bool) error {
+	switch {
+	case t.InsideEvent():
+		return ErrInsideEvent
+	case withConnection && t.bytes == 0:
+		return ErrNoEvent
+	}
+	return nil
+}
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -87,16 +87,9 @@
 	return eventstream.IsEventStream(contentType) || x.route.Streaming && contentType == ""
 }
 
-// checkStreamEnd returns an error if the stream that has ended is not whole,
-// whatever its framing says.
+// checkStreamEnd returns an error if the stream that has ended is not whole.
 func (x *exchange) checkStreamEnd() error {
-	switch {
-	case x.answer.InsideEvent():
-		return errInsideEvent
-	case x.framing == httpport.FramingClose && x.answer.Bytes() == 0:
-		return errNoEvent
-	}
-	return nil
+	return x.answer.CheckEnd(x.framing == httpport.FramingClose)
 }
 
 // mayRetryAnswer reports whether a call that the target answered with a failure
--- a/internal/relay/errors.go
+++ b/internal/relay/errors.go
@@ -25,7 +25,5 @@
 	errNoLength        = errors.New("the HTTP/1.0 request has no Content-Length")
 	errTooLate         = errors.New("the adapter load would complete too late for the caller")
 	errEventTimeout    = errors.New("no stream event arrived in time")
-	errInsideEvent     = errors.New("the stream ended inside an event")
-	errNoEvent         = errors.New("the connection closed before the first event")
 	errAttemptTimeout  = errors.New("the target did not answer in time")
 )
