engine: a report without an end is rejected

The metrics of an engine have no end marker, so that a report that ends with its connection, or at the limit of a megabyte, counted as whole. Adapters that it does not list count as unloaded then. TestShortenedReportIsRejected failed on the code before in the case of a closed connection; its gauge got its TYPE line, without which no report has a number of slots.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -191,7 +191,7 @@
 // TestShortenedReportIsRejected guards against a report of which the end is
 // missing: the adapters that it does not list would count as unloaded.
 func TestShortenedReportIsRejected(t *testing.T) {
-	const info, slots = "engine_info{incarnation=\"i1\",base_model=\"b\"} 1\n", "engine_adapter_slots 4\n"
+	const info, slots = "engine_info{incarnation=\"i1\",base_model=\"b\"} 1\n", "# TYPE engine_adapter_slots gauge\nengine_adapter_slots 4\n"
 	cases := map[string]struct {
 		head, body string
 		valid      bool
--- a/internal/engine/openai.go
+++ b/internal/engine/openai.go
@@ -17,6 +17,7 @@
 	"github.com/tidwall/sjson"
 
 	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/httpport"
 )
 
 // openAIEngine implements the OpenAI-compatible dialect: load and unload requests
@@ -65,14 +66,36 @@
 	if resp.StatusCode != http.StatusOK {
 		return bamboorail.EngineReport{}, statusError(op, resp)
 	}
+	text, err := readWhole(resp)
+	if err != nil {
+		return bamboorail.EngineReport{}, notRun(op, bamboorail.KindMismatch, err)
+	}
 	parser := expfmt.NewTextParser(model.UTF8Validation)
-	families, err := parser.TextToMetricFamilies(io.LimitReader(resp.Body, maxReportBytes))
+	families, err := parser.TextToMetricFamilies(bytes.NewReader(text))
 	if err != nil {
 		return bamboorail.EngineReport{}, notRun(op, bamboorail.KindMismatch, err)
 	}
 	return reportOf(families), nil
 }
 
+var (
+	errNoFraming     = errors.New("the report has neither a length nor chunks")
+	errReportTooLong = errors.New("the report exceeds 1 MiB")
+)
+
+// readWhole reads a report whose format does not mark its end: a part of it would
+// be valid too, and what it does not list would count as unloaded.
+func readWhole(resp *http.Response) ([]byte, error) {
+	if httpport.FramingOf(resp) == httpport.FramingClose {
+		return nil, errNoFraming
+	}
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes+1))
+	if err == nil && len(text) > maxReportBytes {
+		err = errReportTooLong
+	}
+	return text, err
+}
+
 func reportOf(families map[string]*dto.MetricFamily) bamboorail.EngineReport {
 	var r bamboorail.EngineReport
 	for _, m := range families["engine_info"].GetMetric() {
