relay: log the shared parts of a call's prompt

Crashes of engines could not be connected with what the calls on them had in common. No decision changes.

--- a/fleet.go
+++ b/fleet.go
@@ -166,6 +166,9 @@
 	Key AdapterKey
 	// LastEvent is the id of the event after which the caller resumes a stream.
 	LastEvent string
+	// PromptSegments are the ids of the parts of the prompt that the call may share
+	// with others, in order.
+	PromptSegments []string
 	// Header holds the header fields that are forwarded to the target.
 	Header http.Header
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -342,6 +342,9 @@
 		"model", x.call.Key.Model, "adapter", x.call.Key.Adapter, "status", x.status,
 		"took-ms", took.Milliseconds(), "first-ms", x.firstByte.Milliseconds(), "sent", x.sent, "trail", x.trail,
 	}
+	if len(x.call.PromptSegments) > 0 {
+		fields = append(fields, "prompt", x.call.PromptSegments)
+	}
 	if x.framing != "" {
 		fields = append(fields, "framing", string(x.framing), "answer-bytes", x.answer.Bytes())
 		if x.route.Streaming {
