quarantine: block the part of a prompt that crashes engine after engine

Cause: nothing connected the crashes. Each instance judged engines by themselves and sent the next call with the same part to the next engine.

Change: a call that its engine breaks off before or as it begins to answer is evidence, told within 200 ms to the holders of all zones together with the number of answers that its segments had. internal/quarantine, pure and with the time as an argument, groups it by crash and blocks the segment that explains the most crashes (3 or more, over half a second, more than its answers), then the next, without the crashes that are explained. Holders pass blocks on in their answers; an instance refuses blocked calls at once, as not run, and a call that waits for its adapter looks again before it is sent.

--- a/failure.go
+++ b/failure.go
@@ -36,6 +36,7 @@
 	KindConflict         Kind = "conflict"
 	KindOverloaded       Kind = "overloaded"
 	KindNoTarget         Kind = "no-target"
+	KindPromptBlocked    Kind = "prompt-blocked"
 	KindNotOwner         Kind = "not-owner"
 	KindUnavailable      Kind = "unavailable"
 	KindDeadlineExceeded Kind = "deadline-exceeded"
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -45,8 +45,16 @@
 	// Abandoned means that the call was given up before the answer was
 	// complete, such as when the caller disconnected.
 	Abandoned
+	// Dropped means that the target closed the connection before it answered.
+	Dropped
+	// CutShort means that the answer broke off at its beginning.
+	CutShort
 )
 
+// BrokeAtStart reports whether the target broke the call off before or as it
+// began to answer.
+func (r Result) BrokeAtStart() bool { return r == Dropped || r == CutShort }
+
 type state struct {
 	inFlight     int
 	latency      float64 // seconds
@@ -129,11 +137,11 @@
 		s.latency += smoothing * (took.Seconds() - s.latency)
 		s.failures -= smoothing * s.failures
 		s.suspectUntil = time.Time{}
-	case Failed:
+	case Failed, CutShort:
 		s.failures += smoothing * (1 - s.failures)
 	case Refused:
 		s.latency += smoothing * initialLatency.Seconds()
-	case Unreachable, Misdirected:
+	case Unreachable, Misdirected, Dropped:
 		s.failures += smoothing * (1 - s.failures)
 		s.suspectUntil = now.Add(suspectPeriod)
 	case Abandoned:
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -151,7 +151,7 @@
 		return true
 	}
 	switch l.message {
-	case "lease taken", "lease lost", "lease not renewed", "holder does not answer", "store lost", "store regained", "instance leaves":
+	case "prompt segment blocked", "lease taken", "lease lost", "lease not renewed", "holder does not answer", "store lost", "store regained", "instance leaves":
 		return true
 	}
 	return false
@@ -181,6 +181,7 @@
 	meaning := map[bamboorail.Kind]string{
 		bamboorail.KindOverloaded:       "no target had free capacity within the wait limit",
 		bamboorail.KindNoTarget:         "no target or no holder of its zone was known",
+		bamboorail.KindPromptBlocked:    "a part of the prompt crashed engines and is blocked",
 		bamboorail.KindUnavailable:      "the target or its holder could not be reached, or closed the connection",
 		bamboorail.KindTruncated:        "the target's answer broke off",
 		bamboorail.KindMismatch:         "the response did not belong to this request",
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,14 +110,16 @@
 	balancer *balance.Balancer
 	relay    *relay.Handler
 	chooser  *placer.Chooser
-	holders  []placer.ZoneHolder
-	elector  *lease.Elector
-	peers    *peer.Client
-	resync   *informer.ResyncSignal
-	mirror   *mirror.Store
-	metrics  *telemetry.Metrics
-	spans    *telemetry.SpanStore
-	ports    *ports
+	// quarantine is shared by the chooser and the holders.
+	quarantine *placer.Quarantine
+	holders    []placer.ZoneHolder
+	elector    *lease.Elector
+	peers      *peer.Client
+	resync     *informer.ResyncSignal
+	mirror     *mirror.Store
+	metrics    *telemetry.Metrics
+	spans      *telemetry.SpanStore
+	ports      *ports
 	// storeCalls is the store of platform, whose calls it counts.
 	storeCalls *countedStore
 
@@ -190,9 +192,10 @@
 	g.mirror.SetLeases(mirror.Leases{Kind: leaseKind, Store: g.platform.Store, Held: g.heldLeases})
 	g.elector = lease.NewElector(leaseKind, g.platform.Store, candidates, timing, lease.BootTime, g.logs.Layer("lease"))
 	g.elector.SetReader(g.mirror)
+	g.quarantine = placer.NewQuarantine(g.metrics, g.logs.Layer("placer"))
 	g.chooser = placer.NewChooser(placer.ChooserConfig{
 		Instance: s.Instance, Zones: g.holders, Peers: g.peers, Fleet: g.fleet, Balancer: g.balancer,
-		Tracer: tracer, PollLease: g.elector.PollNow, Log: g.logs.Layer("placer"),
+		Tracer: tracer, PollLease: g.elector.PollNow, Quarantine: g.quarantine, Log: g.logs.Layer("placer"),
 	})
 	g.relay = relay.NewHandler(relay.Config{
 		Ingress: g.platform.Ingress, Egress: g.platform.Egress, Table: g.table.Load, Chooser: g.chooser, Budget: g.budget,
@@ -235,7 +238,7 @@
 	defer cancel()
 	tasks := task.NewGroup(ctx)
 	tasks.Start("peers", func(ctx context.Context) error {
-		return peer.ServePlacer(ctx, g.ports.peer, placer.NewServer(g.holders, g.fleet, g.mirror), g.logs.Layer("peer"))
+		return peer.ServePlacer(ctx, g.ports.peer, placer.NewServer(g.holders, g.fleet, g.mirror, g.quarantine), g.logs.Layer("peer"))
 	})
 	tasks.Start("readiness", g.ports.readiness.Serve)
 	tasks.Start("callers", g.ports.caller.Serve)
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -16,6 +16,7 @@
 	"bamboorail.example/bamboorail/internal/fleet"
 	"bamboorail.example/bamboorail/internal/lease"
 	"bamboorail.example/bamboorail/internal/peer/wire"
+	"bamboorail.example/bamboorail/internal/quarantine"
 	"bamboorail.example/bamboorail/internal/relay"
 	"bamboorail.example/bamboorail/internal/task"
 )
@@ -74,8 +75,9 @@
 	Balancer *balance.Balancer
 	Tracer   trace.Tracer
 	// PollLease triggers a poll of the local zone's lease.
-	PollLease func()
-	Log       hclog.Logger
+	PollLease  func()
+	Quarantine *Quarantine
+	Log        hclog.Logger
 }
 
 // Chooser selects targets: engines through the holder of a zone, other targets
@@ -88,6 +90,8 @@
 	holderBackoffs map[string]backoff
 	// ended are the ended placements that have not been reported, by zone.
 	ended map[string][]EndedPlacement
+	// breaks is the evidence that has not been reported, by zone.
+	breaks map[string][]quarantine.Break
 	// open are the placements made by the holders of other instances, by zone.
 	open map[string]*openPlacements
 	// suspects are the engines that this instance cannot reach; other instances
@@ -104,7 +108,7 @@
 		// An earlier process of this instance may have left placements open.
 		open[z.Zone] = &openPlacements{tickets: map[uint64]bool{}, lastPlaced: now}
 	}
-	return &Chooser{ChooserConfig: c, holderBackoffs: map[string]backoff{}, ended: map[string][]EndedPlacement{}, open: open, suspects: map[string]backoff{}}
+	return &Chooser{ChooserConfig: c, holderBackoffs: map[string]backoff{}, ended: map[string][]EndedPlacement{}, breaks: map[string][]quarantine.Break{}, open: open, suspects: map[string]backoff{}}
 }
 
 // Choose selects a target for a call. If no engine has capacity, it retries
@@ -118,7 +122,7 @@
 	}
 	for {
 		start := time.Now()
-		reservation, retryAfter, err := c.chooseEngine(ctx, a)
+		reservation, retryAfter, err := c.choosePermitted(ctx, a)
 		if err == nil || bamboorail.KindOf(err) != bamboorail.KindOverloaded {
 			return reservation, err
 		}
--- a/internal/placer/chooser_test.go
+++ b/internal/placer/chooser_test.go
@@ -19,6 +19,7 @@
 	"bamboorail.example/bamboorail/internal/relay"
 	"bamboorail.example/bamboorail/internal/stand/memory"
 	"bamboorail.example/bamboorail/internal/task"
+	"bamboorail.example/bamboorail/internal/telemetry"
 )
 
 // fakeHolders answers for the holders of all zones, by address.
@@ -27,6 +28,8 @@
 	replies map[string]*wire.PlaceReply
 	// wait is the time for which the holders keep a call waiting.
 	wait time.Duration
+	// broken are the calls that each zone was told of.
+	broken map[string][]*wire.BrokenCall
 }
 
 var errHolderDown = errors.New("no answer")
@@ -42,10 +45,15 @@
 	return nil, errHolderDown
 }
 
-func (h *fakeHolders) Settle(context.Context, string, *wire.SettleRequest) (*wire.SettleReply, error) {
+func (h *fakeHolders) Settle(_ context.Context, _ string, r *wire.SettleRequest) (*wire.SettleReply, error) {
+	h.broken[r.GetZone()] = append(h.broken[r.GetZone()], r.GetBroken()...)
 	return &wire.SettleReply{Holder: true}, nil
 }
 
+func newTestQuarantine() *Quarantine {
+	return NewQuarantine(telemetry.NewMetrics(), hclog.NewNullLogger())
+}
+
 // newTestChooser returns a chooser in zone a of zones a, b and c, whose holders
 // have the addresses a, b and c, and a request for an adapter whose home zone
 // is b.
@@ -69,10 +77,11 @@
 	f := fleet.New(time.Second)
 	f.MarkReleasesSynced()
 	f.Update(bamboorail.TargetEntry{ID: bamboorail.TargetID{Name: "e"}, Service: "s", Zone: "c"})
-	peers := &fakeHolders{replies: map[string]*wire.PlaceReply{}}
+	peers := &fakeHolders{replies: map[string]*wire.PlaceReply{}, broken: map[string][]*wire.BrokenCall{}}
 	c := NewChooser(ChooserConfig{
 		Instance: "self", Zones: zones, Peers: peers, Fleet: f, Balancer: balance.New("a"),
 		Tracer: noop.NewTracerProvider().Tracer(""), PollLease: func() {}, Log: hclog.NewNullLogger(),
+		Quarantine: newTestQuarantine(),
 	})
 	key := bamboorail.AdapterKey{Model: "m"}
 	for n := 0; key.Adapter == "" || adapters.HomeZone(names, key) != "b"; n++ {
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -301,9 +301,9 @@
 			h.planner.RecordRefusal(c, now)
 		case balance.Misdirected:
 			h.planner.RecordMissing(c, now)
-		case balance.Unreachable:
+		case balance.Unreachable, balance.Dropped:
 			h.planner.MarkSuspect(c.Target.Name, now)
-		case balance.Failed, balance.Abandoned:
+		case balance.Failed, balance.CutShort, balance.Abandoned:
 		}
 	}
 }
--- /dev/null
+++ b/internal/placer/quarantine.go
@@ -0,0 +1,189 @@
+package placer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/balance"
+	"bamboorail.example/bamboorail/internal/peer/wire"
+	"bamboorail.example/bamboorail/internal/quarantine"
+	"bamboorail.example/bamboorail/internal/relay"
+	"bamboorail.example/bamboorail/internal/telemetry"
+)
+
+// maxPendingBreaks bounds the evidence that is kept for a holder that does not
+// answer.
+const maxPendingBreaks = 64
+
+var errPromptBlocked = errors.New("a segment of the prompt crashes engines")
+
+// Quarantine exchanges the evidence and the blocks of the registry of this instance
+// with other instances.
+type Quarantine struct {
+	registry *quarantine.Registry
+	metrics  *telemetry.Metrics
+	log      hclog.Logger
+}
+
+// NewQuarantine returns a quarantine without evidence.
+func NewQuarantine(m *telemetry.Metrics, log hclog.Logger) *Quarantine {
+	return &Quarantine{registry: quarantine.New(), metrics: m, log: log}
+}
+
+// check returns an error if the call must not be sent to an engine.
+func (q *Quarantine) check(call *bamboorail.Call) error {
+	now := time.Now()
+	b, blocked := q.registry.Check(call.PromptSegments, now)
+	if !blocked {
+		return nil
+	}
+	return failRetry("choose-engine", bamboorail.KindPromptBlocked, b.Until.Sub(now), fmt.Errorf("%w: %s, %d crashes", errPromptBlocked, b.Segment, b.Crashes))
+}
+
+// record records the result of a call. It returns what other instances should be
+// told about it, and false if there is nothing.
+func (q *Quarantine) record(call *bamboorail.Call, target bamboorail.TargetID, r balance.Result) (quarantine.Break, bool) {
+	switch {
+	case len(call.PromptSegments) == 0:
+	case r == balance.Answered:
+		q.registry.RecordAnswer(call.PromptSegments)
+	case r.BrokeAtStart():
+		return q.registry.RecordBreak(target, call.PromptSegments, time.Now()), true
+	}
+	return quarantine.Break{}, false
+}
+
+// merge adds the evidence of another instance.
+func (q *Quarantine) merge(messages []*wire.BrokenCall) {
+	if len(messages) == 0 {
+		return
+	}
+	now := time.Now()
+	breaks := make([]quarantine.Break, 0, len(messages))
+	for _, m := range messages {
+		b := quarantine.Break{
+			Target:   bamboorail.TargetID{Name: m.GetTarget(), StartMillis: m.GetBorn()},
+			At:       now.Add(-time.Duration(m.GetAgeMicros()) * time.Microsecond),
+			Segments: m.GetSegments(),
+		}
+		for _, n := range m.GetAnswers() {
+			b.Answers = append(b.Answers, int(n))
+		}
+		breaks = append(breaks, b)
+	}
+	q.registry.Merge(breaks, now)
+}
+
+// decide blocks the segments that the evidence names. Only a holder is told of all
+// evidence.
+func (q *Quarantine) decide() { q.report(q.registry.Evaluate(time.Now()), "evidence") }
+
+// learn takes over the blocks of a holder.
+func (q *Quarantine) learn(zone string, messages []*wire.SegmentBlock) {
+	if len(messages) == 0 {
+		return
+	}
+	now := time.Now()
+	blocks := make([]quarantine.Block, 0, len(messages))
+	for _, m := range messages {
+		blocks = append(blocks, quarantine.Block{
+			Segment: m.GetSegment(), Until: now.Add(time.Duration(m.GetRemainingMicros()) * time.Microsecond), Crashes: int(m.GetCrashes()),
+		})
+	}
+	q.report(q.registry.AddBlocks(blocks, now), "holder of "+zone)
+}
+
+func (q *Quarantine) report(blocks []quarantine.Block, source string) {
+	for _, b := range blocks {
+		q.metrics.PromptSegmentBlocked()
+		q.log.Warn("prompt segment blocked", "segment", b.Segment, "crashes", b.Crashes, "for", time.Until(b.Until).Round(time.Second).String(), "source", source)
+	}
+}
+
+// blockMessages returns the blocks in force.
+func (q *Quarantine) blockMessages() []*wire.SegmentBlock {
+	now := time.Now()
+	var list []*wire.SegmentBlock
+	for _, b := range q.registry.Blocks(now) {
+		list = append(list, &wire.SegmentBlock{Segment: b.Segment, RemainingMicros: b.Until.Sub(now).Microseconds(), Crashes: int32(b.Crashes)})
+	}
+	return list
+}
+
+func breakMessages(breaks []quarantine.Break, now time.Time) []*wire.BrokenCall {
+	list := make([]*wire.BrokenCall, 0, len(breaks))
+	for _, b := range breaks {
+		m := &wire.BrokenCall{Target: b.Target.Name, Born: b.Target.StartMillis, AgeMicros: now.Sub(b.At).Microseconds(), Segments: b.Segments}
+		for _, n := range b.Answers {
+			m.Answers = append(m.Answers, int32(min(n, math.MaxInt32)))
+		}
+		list = append(list, m)
+	}
+	return list
+}
+
+// observe returns a reservation that also records the result of the call, and is
+// not valid once the call is blocked.
+func (c *Chooser) observe(a relay.ChooseRequest, r relay.Reservation) relay.Reservation {
+	valid, done, target := r.Valid, r.Done, r.Target.ID
+	r.Valid = func() bool { return valid() && c.Quarantine.check(a.Call) == nil }
+	r.Done = func(result balance.Result, took time.Duration) {
+		done(result, took)
+		if broken, ok := c.Quarantine.record(a.Call, target, result); ok {
+			c.addBreak(broken)
+		}
+	}
+	return r
+}
+
+// choosePermitted chooses an engine for a call that is not blocked. The answer of
+// a holder may bring the block of the call that it is asked about.
+func (c *Chooser) choosePermitted(ctx context.Context, a relay.ChooseRequest) (relay.Reservation, time.Duration, error) {
+	if err := c.Quarantine.check(a.Call); err != nil {
+		return relay.Reservation{}, 0, err
+	}
+	reservation, retryAfter, err := c.chooseEngine(ctx, a)
+	if err != nil {
+		return relay.Reservation{}, retryAfter, err
+	}
+	if err := c.Quarantine.check(a.Call); err != nil {
+		reservation.Done(balance.Abandoned, 0)
+		return relay.Reservation{}, 0, err
+	}
+	return c.observe(a, reservation), 0, nil
+}
+
+// addBreak queues evidence for the holders of all zones.
+func (c *Chooser) addBreak(b quarantine.Break) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, z := range c.Zones {
+		c.keepBreaks(z.Zone, b)
+	}
+}
+
+// keepBreaks queues evidence for the holder of a zone. The caller holds the lock.
+func (c *Chooser) keepBreaks(zone string, list ...quarantine.Break) {
+	list = append(c.breaks[zone], list...)
+	c.breaks[zone] = list[max(0, len(list)-maxPendingBreaks):]
+}
+
+func (c *Chooser) takeBreaks(zone string) []quarantine.Break {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.breaks[zone]
+	delete(c.breaks, zone)
+	return list
+}
+
+func (c *Chooser) requeueBreaks(zone string, list []quarantine.Break) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keepBreaks(zone, list...)
+}
--- /dev/null
+++ b/internal/placer/quarantine_test.go
@@ -0,0 +1,72 @@
+package placer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/balance"
+	"bamboorail.example/bamboorail/internal/peer/wire"
+)
+
+// TestBlockInAnswerOfHolderRefusesCall guards against a call that is sent although
+// the holder that placed it told that its prompt is blocked.
+func TestBlockInAnswerOfHolderRefusesCall(t *testing.T) {
+	c, holders, request := newTestChooser(t)
+	request.Call.PromptSegments = []string{"common", "x"}
+	for _, zone := range []string{"a", "b", "c"} {
+		holders.replies[zone] = &wire.PlaceReply{
+			Holder: true, Target: "e", Ticket: 7, Blocks: []*wire.SegmentBlock{{Segment: "x", RemainingMicros: 1e9, Crashes: 3}},
+		}
+	}
+	_, err := c.Choose(context.Background(), request)
+	if f := bamboorail.FailureOf(err); f.Kind != bamboorail.KindPromptBlocked || f.Outcome != bamboorail.OutcomeNotRun || f.RetryAfter <= 0 {
+		t.Errorf("error %v, outcome %s, retry after %s", err, f.Outcome, f.RetryAfter)
+	}
+	ended := 0
+	for _, list := range c.ended {
+		ended += len(list)
+	}
+	if ended != 1 {
+		t.Errorf("%d placements ended, want 1", ended)
+	}
+	asked := len(holders.queries)
+	if _, err := c.Choose(context.Background(), request); bamboorail.KindOf(err) != bamboorail.KindPromptBlocked || len(holders.queries) != asked {
+		t.Errorf("error %v after %d further queries", err, len(holders.queries)-asked)
+	}
+}
+
+// TestBreaksAreToldToAllHolders guards against evidence that reaches only the holder
+// of one zone, and checks that a block ends the wait of a placed call.
+func TestBreaksAreToldToAllHolders(t *testing.T) {
+	c, holders, request := newTestChooser(t)
+	request.Call.PromptSegments = []string{"x"}
+	for _, zone := range []string{"a", "b", "c"} {
+		holders.replies[zone] = &wire.PlaceReply{Holder: true, Target: "e", Ticket: 7}
+	}
+	first, err := c.Choose(context.Background(), request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := c.Choose(context.Background(), request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first.Done(balance.CutShort, time.Second)
+	for _, z := range c.Zones {
+		c.settle(context.Background(), z)
+	}
+	for _, zone := range []string{"a", "b", "c"} {
+		if len(holders.broken[zone]) != 1 {
+			t.Errorf("zone %s was told of %d breaks", zone, len(holders.broken[zone]))
+		}
+	}
+	if !second.Valid() {
+		t.Error("a placed call is not valid before the block")
+	}
+	c.Quarantine.learn("b", []*wire.SegmentBlock{{Segment: "x", RemainingMicros: 1e9}})
+	if second.Valid() {
+		t.Error("a placed call is valid after the block")
+	}
+}
--- a/internal/placer/queries.go
+++ b/internal/placer/queries.go
@@ -123,6 +123,7 @@
 		Priority: int32(a.Route.Priority), InstanceZone: c.Zones[0].Zone, RemainingMicros: time.Until(a.StartBy).Microseconds(),
 	})
 	received := time.Now()
+	c.Quarantine.learn(z.Zone, reply.GetBlocks())
 	switch {
 	case err != nil && ctx.Err() != nil:
 		c.requeueEnded(z.Zone, ended)
--- a/internal/placer/reconcile_test.go
+++ b/internal/placer/reconcile_test.go
@@ -32,7 +32,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				b := newTestHolder(t)
 				ctx := context.Background()
-				s := NewServer([]ZoneHolder{{Zone: "z", Local: b.Holder, Lease: b.Lease}}, b.Fleet, nil)
+				s := NewServer([]ZoneHolder{{Zone: "z", Local: b.Holder, Lease: b.Lease}}, b.Fleet, nil, newTestQuarantine())
 				tickets := make([]uint64, 0, placements)
 				for range placements {
 					reply, err := s.Place(ctx, &wire.PlaceRequest{Zone: "z", Instance: "i", Service: "s", Model: "m", Adapter: "a0"})
@@ -67,7 +67,7 @@
 // it.
 func TestPlacementOfCanceledRequestIsReleased(t *testing.T) {
 	b := newTestHolder(t)
-	s := NewServer([]ZoneHolder{{Zone: "z", Local: b.Holder, Lease: b.Lease}}, b.Fleet, nil)
+	s := NewServer([]ZoneHolder{{Zone: "z", Local: b.Holder, Lease: b.Lease}}, b.Fleet, nil, newTestQuarantine())
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	if _, err := s.Place(ctx, &wire.PlaceRequest{Zone: "z", Instance: "i", Service: "s", Model: "m", Adapter: "a0"}); err != nil {
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -24,15 +24,16 @@
 type Server struct {
 	Follower
 	// localZone is the availability zone of this instance.
-	localZone string
-	zones     map[string]*Holder
-	fleet     *fleet.Fleet
+	localZone  string
+	zones      map[string]*Holder
+	fleet      *fleet.Fleet
+	quarantine *Quarantine
 }
 
 // NewServer returns a server for the holders of all zones. The local zone comes
 // first.
-func NewServer(zones []ZoneHolder, f *fleet.Fleet, follower Follower) *Server {
-	s := &Server{Follower: follower, localZone: zones[0].Zone, zones: map[string]*Holder{}, fleet: f}
+func NewServer(zones []ZoneHolder, f *fleet.Fleet, follower Follower, q *Quarantine) *Server {
+	s := &Server{Follower: follower, localZone: zones[0].Zone, zones: map[string]*Holder{}, fleet: f, quarantine: q}
 	for _, z := range zones {
 		s.zones[z.Zone] = z.Local
 	}
@@ -41,9 +42,15 @@
 
 // Place places a call of another instance.
 func (s *Server) Place(ctx context.Context, r *wire.PlaceRequest) (*wire.PlaceReply, error) {
+	reply := s.place(ctx, r)
+	reply.Blocks = s.quarantine.blockMessages()
+	return reply, nil
+}
+
+func (s *Server) place(ctx context.Context, r *wire.PlaceRequest) *wire.PlaceReply {
 	h := s.zones[r.GetZone()]
 	if h == nil || !h.Lease.Leading() {
-		return &wire.PlaceReply{}, nil
+		return &wire.PlaceReply{}
 	}
 	if r.GetInstanceZone() == r.GetZone() && r.GetZone() != s.localZone {
 		h.Lease.RecordZoneRequest()
@@ -71,7 +78,7 @@
 		return &wire.PlaceReply{
 			Holder: f.Kind != bamboorail.KindNotOwner, Reason: f.Error(),
 			RetryAfterMicros: cmp.Or(f.RetryAfter, noCapacityRetry).Microseconds(),
-		}, nil
+		}
 	}
 	if ctx.Err() != nil {
 		// The requesting instance no longer waits for the answer.
@@ -80,21 +87,23 @@
 	return &wire.PlaceReply{
 		Holder: true, Target: p.Target.ID.Name, Born: p.Target.ID.StartMillis, Address: p.Target.Address, Zone: p.Target.Zone,
 		Version: int64(p.Version), ReadyInMicros: max(time.Until(p.ReadyAt), 0).Microseconds(), Ticket: p.Ticket,
-	}, nil
+	}
 }
 
 // Settle records the ended placements of another instance and, if requested,
 // reconciles its open ones.
 func (s *Server) Settle(_ context.Context, r *wire.SettleRequest) (*wire.SettleReply, error) {
+	s.quarantine.merge(r.GetBroken())
+	blocks := s.quarantine.blockMessages()
 	h := s.zones[r.GetZone()]
 	if h == nil || !h.Lease.Leading() {
-		return &wire.SettleReply{}, nil
+		return &wire.SettleReply{Blocks: blocks}, nil
 	}
 	h.Settle(endedFromWire(r.GetEnded()))
 	if r.GetReconcile() {
 		h.reconcile(r.GetInstance(), r.GetOpen())
 	}
-	return &wire.SettleReply{Holder: true}, nil
+	return &wire.SettleReply{Holder: true, Blocks: blocks}, nil
 }
 
 func endedFromWire(messages []*wire.EndedPlacement) []EndedPlacement {
--- a/internal/placer/settle.go
+++ b/internal/placer/settle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"bamboorail.example/bamboorail/internal/balance"
@@ -49,43 +50,54 @@
 	return out
 }
 
-// Run reports ended and open placements until ctx ends.
+// Run reports ended and open placements, and blocks prompts that crash engines
+// while this instance is a holder, until ctx ends.
 func (c *Chooser) Run(ctx context.Context) error {
 	return task.Every(ctx, settleInterval, func(ctx context.Context) {
 		for _, z := range c.Zones {
 			c.settle(ctx, z)
 		}
+		if slices.ContainsFunc(c.Zones, func(z ZoneHolder) bool { return z.Local != nil && z.Lease.Leading() }) {
+			c.Quarantine.decide()
+		}
 	})
 }
 
 func (c *Chooser) settle(ctx context.Context, z ZoneHolder) {
-	list := c.takeEnded(z.Zone)
+	list, breaks := c.takeEnded(z.Zone), c.takeBreaks(z.Zone)
 	open, reconcile := c.openReport(z.Zone, time.Now())
-	if len(list) == 0 && !reconcile {
+	if len(list) == 0 && len(breaks) == 0 && !reconcile {
 		return
 	}
 	if z.Local != nil && z.Lease.Leading() {
 		z.Local.Settle(list)
 		return
 	}
+	requeue := func() {
+		c.requeueEnded(z.Zone, list)
+		c.requeueBreaks(z.Zone, breaks)
+	}
 	_, address := z.Lease.Holder()
 	if address == "" || c.inBackoff(z) {
-		c.requeueEnded(z.Zone, list)
+		requeue()
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	reply, err := c.Peers.Settle(ctx, address, &wire.SettleRequest{
 		Zone: z.Zone, Instance: c.Instance, Ended: endedMessages(list), Reconcile: reconcile, Open: open,
+		Broken: breakMessages(breaks, time.Now()),
 	})
 	if err != nil {
-		c.requeueEnded(z.Zone, list)
+		requeue()
 		c.backOff(z)
 		c.Log.Debug("ended placements not reported", "zone", z.Zone, "count", len(list), "error", err)
 		return
 	}
+	c.Quarantine.learn(z.Zone, reply.GetBlocks())
 	if !reply.GetHolder() {
 		// A new holder does not know the placements of the previous one.
 		c.Log.Debug("ended placements dropped", "zone", z.Zone, "count", len(list))
+		c.requeueBreaks(z.Zone, breaks)
 	}
 }
--- a/internal/placer/suspects.go
+++ b/internal/placer/suspects.go
@@ -32,11 +32,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch r {
-	case balance.Unreachable:
+	case balance.Unreachable, balance.Dropped:
 		c.suspects[name] = c.suspects[name].next(minSuspectPeriod, maxSuspectPeriod, time.Now())
 	case balance.Answered, balance.Refused, balance.Misdirected:
 		delete(c.suspects, name)
-	case balance.Failed, balance.Abandoned:
+	case balance.Failed, balance.CutShort, balance.Abandoned:
 	}
 }
 
--- /dev/null
+++ b/internal/quarantine/evaluate.go
@@ -0,0 +1,141 @@
+package quarantine
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// minCrashes is the number of crashes after which a segment is blocked. Calls
+	// that share an engine with the cause by chance rarely do so three times.
+	minCrashes = 3
+	// minSpread is the time that these crashes must span: engines that are lost
+	// together have another cause.
+	minSpread = 500 * time.Millisecond
+	// firstBlock is the duration of the first block of a segment; each further one
+	// lasts twice as long, up to longestBlock.
+	firstBlock   = 10 * time.Minute
+	longestBlock = 2 * time.Hour
+	// maxDoublings keeps the duration from overflowing.
+	maxDoublings = 8
+)
+
+// suspicion is what the crashes say about one segment.
+type suspicion struct {
+	segment     string
+	crashes     int
+	answers     int
+	depth       int // largest position in a prompt
+	first, last time.Time
+}
+
+// Evaluate blocks the segments that explain the crashes best, one after the other:
+// crashes of calls with a blocked segment no longer count against their other
+// segments. It returns the new blocks. It must run only where the evidence of all
+// instances arrives.
+func (r *Registry) Evaluate(now time.Time) []Block {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.pending {
+		return nil
+	}
+	r.pending = slices.ContainsFunc(r.crashes, func(c crash) bool { return !c.isComplete(now) })
+	var blocks []Block
+	for {
+		var worst suspicion
+		for _, s := range r.suspicions(now) {
+			if r.isCause(s) && s.isWorseThan(worst) {
+				worst = s
+			}
+		}
+		if worst.segment == "" {
+			return blocks
+		}
+		duration := min(firstBlock<<min(r.terms[worst.segment], maxDoublings), longestBlock)
+		b := Block{Segment: worst.segment, Until: now.Add(duration), Crashes: worst.crashes}
+		if !r.set(b, now) {
+			return blocks
+		}
+		blocks = append(blocks, b)
+	}
+}
+
+// isCause reports whether a segment is to be blocked. One that was blocked before
+// is at its next crash.
+func (r *Registry) isCause(s suspicion) bool {
+	if s.answers >= s.crashes {
+		return false
+	}
+	return r.terms[s.segment] > 0 || s.crashes >= minCrashes && s.last.Sub(s.first) >= minSpread
+}
+
+// isWorseThan orders suspicions by the number of crashes. Of two segments that
+// occur in the same calls, the one with fewer answers and then the more specific
+// one, later in the prompt, is worse.
+func (s suspicion) isWorseThan(other suspicion) bool {
+	switch {
+	case s.crashes != other.crashes:
+		return s.crashes > other.crashes
+	case s.answers != other.answers:
+		return s.answers < other.answers
+	case s.depth != other.depth:
+		return s.depth > other.depth
+	}
+	return strings.Compare(s.segment, other.segment) < 0
+}
+
+// suspicions returns the suspicion of each segment from the crashes that no block
+// explains.
+func (r *Registry) suspicions(now time.Time) map[string]suspicion {
+	all := map[string]suspicion{}
+	for i := range r.crashes {
+		c := &r.crashes[i]
+		if !c.isComplete(now) || r.isExplained(c, now) {
+			continue
+		}
+		for segment, depth := range c.suspects() {
+			s := all[segment]
+			if s.segment == "" {
+				s = suspicion{segment: segment, answers: r.answers(segment), first: c.at, last: c.at}
+			}
+			s.crashes++
+			s.depth = max(s.depth, depth)
+			if c.at.Before(s.first) {
+				s.first = c.at
+			}
+			if c.at.After(s.last) {
+				s.last = c.at
+			}
+			all[segment] = s
+		}
+	}
+	return all
+}
+
+// isComplete reports whether all instances had the time to tell of their calls.
+func (c *crash) isComplete(now time.Time) bool { return now.Sub(c.at) >= reportDelay }
+
+// suspects returns the segments of the calls that broke off with the crash, with
+// their positions.
+func (c *crash) suspects() map[string]int {
+	segments := map[string]int{}
+	for _, b := range c.breaks {
+		if b.At.Sub(c.at) > breakWindow {
+			continue
+		}
+		for depth, s := range b.Segments {
+			segments[s] = max(segments[s], depth)
+		}
+	}
+	return segments
+}
+
+func (r *Registry) isExplained(c *crash, now time.Time) bool {
+	for s := range c.suspects() {
+		if r.blocks[s].Until.After(now) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -22,6 +22,8 @@
 	// maxBufferedAnswer is the largest answer that is read completely before it
 	// is forwarded, so that a truncated one can be replaced.
 	maxBufferedAnswer = 256 << 10
+	// startBytes is the beginning of an answer, an event or two.
+	startBytes = 512
 	// readSize is the buffer size for reading a stream.
 	readSize = 16 << 10
 )
@@ -110,7 +112,11 @@
 	case ctx.Err() != nil:
 		return balance.Abandoned, mayHaveRun(op, bamboorail.KindCancelled, err)
 	}
-	return balance.Failed, mayHaveRun(op, bamboorail.KindTruncated, err)
+	result := balance.Failed
+	if x.answer.Bytes() <= startBytes && (closedByTarget(err) || errors.Is(err, eventstream.ErrNoEvent) || errors.Is(err, eventstream.ErrInsideEvent)) {
+		result = balance.CutShort
+	}
+	return result, mayHaveRun(op, bamboorail.KindTruncated, err)
 }
 
 // commit sends the response headers to the caller. A resumed stream keeps the
--- a/internal/relay/answer_test.go
+++ b/internal/relay/answer_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/balance"
 	"bamboorail.example/bamboorail/internal/httpport"
 )
 
@@ -149,3 +150,35 @@
 		})
 	}
 }
+
+// TestBreaksAtTheStartAreTold checks which results tell the chooser that the target
+// broke a call off before or as it began to answer.
+func TestBreaksAtTheStartAreTold(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	var many []string
+	for n := range 2 * startBytes / len(event(1)) {
+		many = append(many, event(n+1))
+	}
+	cases := map[string]struct {
+		answer script
+		want   balance.Result
+	}{
+		"reset before the head":  {reset(""), balance.Dropped},
+		"closed before the head": {raw(""), balance.Dropped},
+		"closed after the head":  {raw(head), balance.CutShort},
+		"closed without framing": {framed(httpport.FramingClose, "text/event-stream", ""), balance.CutShort},
+		"after the first event":  {stream(false, event(1)), balance.CutShort},
+		"midway":                 {stream(false, many...), balance.Failed},
+		"refused":                {raw("HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"), balance.Refused},
+		"whole":                  {stream(true, event(1)), balance.Answered},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newTestRelay(t, oneStream, newTarget(t, "a", c.answer))
+			b.call(t, http.MethodPost, "/p/x", "body")
+			if got := b.chooser.releasedResults(); len(got) != 1 || got[0] != c.want {
+				t.Errorf("results %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -5,10 +5,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
 	"strings"
+	"syscall"
 	"time"
 
 	"bamboorail.example/bamboorail"
@@ -183,9 +185,18 @@
 	case ctx.Err() != nil:
 		return balance.Abandoned, mayHaveRun(op, bamboorail.KindCancelled, err)
 	}
+	if closedByTarget(err) {
+		return balance.Dropped, mayHaveRun(op, bamboorail.KindUnavailable, err)
+	}
 	return balance.Unreachable, mayHaveRun(op, bamboorail.KindUnavailable, err)
 }
 
+// closedByTarget reports whether the target ended the connection, in contrast to a
+// connection that timed out.
+func closedByTarget(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // singleUseBody is a body that cannot be sent again. If it could, net/http
 // might retry a request by itself.
 type singleUseBody struct{ *bytes.Reader }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -27,6 +27,7 @@
 	holders   holderVectors
 	late      prometheus.Histogram
 	store     *prometheus.CounterVec
+	blocked   prometheus.Counter
 }
 
 // waitBuckets are histogram bucket bounds in seconds.
@@ -52,7 +53,8 @@
 	m.late = newHistogram("timer_late_seconds", "Time by which a timer of the instance fired late: it waited for the processor.")
 	m.holders = newHolderVectors(m.registry)
 	m.store = newCounterVec("store_calls_total", "Calls to the object store by call, kind of object, and result.", "call", "kind", "result")
-	m.registry.MustRegister(m.store, m.late, m.requests, m.duration, m.loads, m.loadTime, m.evictions, m.waited, m.loadWait,
+	m.blocked = newCounter("prompt_segments_blocked_total", "Prompt segments that were blocked because they crash engines.")
+	m.registry.MustRegister(m.store, m.blocked, m.late, m.requests, m.duration, m.loads, m.loadTime, m.evictions, m.waited, m.loadWait,
 		m.running, m.maxBatch, m.revision, m.faults, m.mismatch,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -132,3 +134,6 @@
 
 // RecordTimerDelay records the delay with which a timer of this instance fired.
 func (m *Metrics) RecordTimerDelay(d time.Duration) { m.late.Observe(d.Seconds()) }
+
+// PromptSegmentBlocked counts a prompt segment that was blocked.
+func (m *Metrics) PromptSegmentBlocked() { m.blocked.Inc() }
