relay: a failure of a target on a streaming route is passed on

Only a success without a type is a stream. TestFailureOnStreamingRoutePasses failed before in two cases; TestFailedResumptionBreaksStream gets a failure with a type, without which its mutant survived.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -80,13 +80,13 @@
 }
 
 // isEventStream reports whether the response is a stream of events. On a
-// streaming route, one without a content type is.
+// streaming route, a success without a content type is.
 func (x *exchange) isEventStream(resp *http.Response) bool {
 	if x.r.Method == http.MethodHead {
 		return false
 	}
 	contentType := resp.Header.Get("Content-Type")
-	return eventstream.IsEventStream(contentType) || x.route.Streaming && contentType == ""
+	return eventstream.IsEventStream(contentType) || x.route.Streaming && resp.StatusCode == http.StatusOK && contentType == ""
 }
 
 // checkStreamEnd returns an error if the stream that has ended is not whole.
--- a/internal/relay/answer_test.go
+++ b/internal/relay/answer_test.go
@@ -151,6 +151,20 @@
 	}
 }
 
+// TestFailureOnStreamingRoutePasses guards against a failure of the target that is
+// taken for a broken stream, since its body is no event.
+func TestFailureOnStreamingRoutePasses(t *testing.T) {
+	for name, head := range map[string]string{"length": "Content-Length: 4\r\n", "close": "", "type": "Content-Type: text/plain\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			a := newTarget(t, "a", raw("HTTP/1.1 500 No\r\nId: ID\r\n"+head+"\r\nsick"))
+			r := newTestRelay(t, oneStream, a).call(t, http.MethodPost, "/p/x", "body")
+			if r.status != http.StatusInternalServerError || r.body != "sick" || r.broken {
+				t.Errorf("answer %+v", r)
+			}
+		})
+	}
+}
+
 // TestBreaksAtTheStartAreTold checks which results tell the chooser that the target
 // broke a call off before or as it began to answer.
 func TestBreaksAtTheStartAreTold(t *testing.T) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -182,6 +182,7 @@
 // site, hunt-2113-3, ORDER).
 func TestFailedResumptionBreaksStream(t *testing.T) {
 	cases := map[string]script{
+		"failure with a type":   raw("HTTP/1.1 500 No\r\nId: ID\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nno"),
 		"failure of the target": raw("HTTP/1.1 500 No\r\nId: ID\r\nContent-Length: 2\r\n\r\nno"),
 		"refusal":               raw("HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"),
 		"another call's answer": raw("HTTP/1.1 200 OK\r\nId: x\r\nContent-Length: 0\r\n\r\n"),
