bamboorail: StoreVersion, an era and a revision in one type

A store that is restored from a copy gives its revisions out again, in a higher era. Versions of objects, lists, watches and conditional writes get one type that orders them by both; numbers without a type no longer pass. The memory store can be copied and restored. No store tells an era yet: behavior is unchanged.

--- a/internal/gateway/informers_test.go
+++ b/internal/gateway/informers_test.go
@@ -50,7 +50,7 @@
 	return s.silent
 }
 
-func (s *silentStore) Watch(ctx context.Context, kinds []string, revision uint64, wait time.Duration) (bamboorail.Events, error) {
+func (s *silentStore) Watch(ctx context.Context, kinds []string, revision bamboorail.StoreVersion, wait time.Duration) (bamboorail.Events, error) {
 	if !s.isSilent() {
 		return s.Store.Watch(ctx, kinds, revision, wait)
 	}
@@ -103,7 +103,7 @@
 	}
 }
 
-func put(t *testing.T, store bamboorail.ObjectStore, key, value string, version uint64) uint64 {
+func put(t *testing.T, store bamboorail.ObjectStore, key, value string, version bamboorail.StoreVersion) bamboorail.StoreVersion {
 	t.Helper()
 	written, err := store.Put(context.Background(), key, []byte(value), version)
 	if err != nil {
--- a/internal/gateway/store_calls.go
+++ b/internal/gateway/store_calls.go
@@ -79,14 +79,14 @@
 }
 
 // GetNewer counts and makes the call.
-func (s *countedStore) GetNewer(ctx context.Context, key string, version uint64) (bamboorail.Object, bool, error) {
+func (s *countedStore) GetNewer(ctx context.Context, key string, version bamboorail.StoreVersion) (bamboorail.Object, bool, error) {
 	o, newer, err := s.Store.GetNewer(ctx, key, version)
 	s.count("get", key, err)
 	return o, newer, err
 }
 
 // List counts and makes the call.
-func (s *countedStore) List(ctx context.Context, prefix string) ([]bamboorail.Object, uint64, error) {
+func (s *countedStore) List(ctx context.Context, prefix string) ([]bamboorail.Object, bamboorail.StoreVersion, error) {
 	objects, revision, err := s.Store.List(ctx, prefix)
 	s.count("list", prefix, err)
 	return objects, revision, err
@@ -100,21 +100,21 @@
 }
 
 // Put counts and makes the call.
-func (s *countedStore) Put(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
+func (s *countedStore) Put(ctx context.Context, key string, value []byte, expect bamboorail.StoreVersion) (bamboorail.StoreVersion, error) {
 	version, err := s.Store.Put(ctx, key, value, expect)
 	s.count("put", key, err)
 	return version, err
 }
 
 // Delete counts and makes the call.
-func (s *countedStore) Delete(ctx context.Context, key string, expect uint64) error {
+func (s *countedStore) Delete(ctx context.Context, key string, expect bamboorail.StoreVersion) error {
 	err := s.Store.Delete(ctx, key, expect)
 	s.count("delete", key, err)
 	return err
 }
 
 // Watch counts and makes the call.
-func (s *countedStore) Watch(ctx context.Context, prefixes []string, revision uint64, wait time.Duration) (bamboorail.Events, error) {
+func (s *countedStore) Watch(ctx context.Context, prefixes []string, revision bamboorail.StoreVersion, wait time.Duration) (bamboorail.Events, error) {
 	events, err := s.Store.Watch(ctx, prefixes, revision, wait)
 	s.count("watch", prefixes[0], err)
 	return events, err
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -118,7 +118,7 @@
 }
 
 // list lists the kind and retries until the store responds.
-func (i *Informer) list(ctx context.Context, state storeState) (uint64, error) {
+func (i *Informer) list(ctx context.Context, state storeState) (bamboorail.StoreVersion, error) {
 	for attempt := 0; ; attempt++ {
 		objects, revision, err := i.Store.List(ctx, i.Kind)
 		if err == nil {
@@ -144,7 +144,7 @@
 // watch processes changes until the history is gone, another informer triggers
 // Resync, or two consecutive calls fail. It returns the state of the store at
 // that time.
-func (i *Informer) watch(ctx context.Context, revision uint64) (storeState, error) {
+func (i *Informer) watch(ctx context.Context, revision bamboorail.StoreVersion) (storeState, error) {
 	failures, state := 0, storeAvailable
 	for ctx.Err() == nil {
 		events, resync, err := i.watchOnce(ctx, revision)
@@ -189,7 +189,7 @@
 
 // watchOnce makes one watch call. It returns true if another informer triggered
 // Resync in the meantime.
-func (i *Informer) watchOnce(ctx context.Context, revision uint64) (bamboorail.Events, bool, error) {
+func (i *Informer) watchOnce(ctx context.Context, revision bamboorail.StoreVersion) (bamboorail.Events, bool, error) {
 	resync := i.Resync.channel()
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -36,7 +36,7 @@
 	lost chan struct{}
 }
 
-func (s *gapStore) Watch(ctx context.Context, kinds []string, _ uint64, _ time.Duration) (bamboorail.Events, error) {
+func (s *gapStore) Watch(ctx context.Context, kinds []string, _ bamboorail.StoreVersion, _ time.Duration) (bamboorail.Events, error) {
 	if kinds[0] == "busy" {
 		select {
 		case <-s.lost:
@@ -119,7 +119,7 @@
 
 var errUnreachable = errors.New("unreachable")
 
-func (s *outageStore) List(ctx context.Context, kind string) ([]bamboorail.Object, uint64, error) {
+func (s *outageStore) List(ctx context.Context, kind string) ([]bamboorail.Object, bamboorail.StoreVersion, error) {
 	if kind == "busy" && s.failed {
 		s.failed = false
 		return nil, 0, errUnreachable
@@ -127,7 +127,7 @@
 	return s.Store.List(ctx, kind)
 }
 
-func (s *outageStore) Watch(ctx context.Context, kinds []string, _ uint64, _ time.Duration) (bamboorail.Events, error) {
+func (s *outageStore) Watch(ctx context.Context, kinds []string, _ bamboorail.StoreVersion, _ time.Duration) (bamboorail.Events, error) {
 	if kinds[0] == "busy" {
 		select {
 		case <-s.outage:
@@ -170,7 +170,7 @@
 
 type overloadError struct{ bamboorail.Failure }
 
-func (s *overloadedStore) List(ctx context.Context, kind string) ([]bamboorail.Object, uint64, error) {
+func (s *overloadedStore) List(ctx context.Context, kind string) ([]bamboorail.Object, bamboorail.StoreVersion, error) {
 	s.mu.Lock()
 	s.lists[kind]++
 	refused := s.lists[kind]%2 == 1
--- a/internal/lease/claim_delay_test.go
+++ b/internal/lease/claim_delay_test.go
@@ -110,7 +110,7 @@
 	conflicts int
 }
 
-func (c *countingPuts) Put(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
+func (c *countingPuts) Put(ctx context.Context, key string, value []byte, expect bamboorail.StoreVersion) (bamboorail.StoreVersion, error) {
 	version, err := c.Store.Put(ctx, key, value, expect)
 	if bamboorail.KindOf(err) == bamboorail.KindConflict {
 		c.conflicts++
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -56,7 +56,7 @@
 	// lastRecord is the last record that was read or written, at revision;
 	// unchangedSince is the time at which this revision was first seen.
 	lastRecord     record
-	revision       uint64
+	revision       bamboorail.StoreVersion
 	unchangedSince time.Duration
 	// held and fencing describe a tenure of this instance, which may act
 	// between actFrom and actUntil.
@@ -261,7 +261,7 @@
 	defer l.mu.Unlock()
 	now := l.clock()
 	l.lastRecord, l.revision, l.unchangedSince = next, newRevision, now
-	l.held, l.releasePending, l.fencingToken, l.actUntil = true, false, newRevision, sent+l.timing.Term
+	l.held, l.releasePending, l.fencingToken, l.actUntil = true, false, uint64(newRevision), sent+l.timing.Term
 	l.actFrom = l.earliestActTime(previous, since, now, revision)
 	l.log.Info("lease taken", "key", l.key, "from", previous.Holder, "fencing", newRevision, "acts-in", (l.actFrom - now).String())
 	return nil
@@ -270,7 +270,7 @@
 // earliestActTime returns the time from which a new holder may act. The
 // previous holder may have acted until it released the lease, or for a term
 // after its last renewal.
-func (l *Lease) earliestActTime(previous record, since, now time.Duration, revision uint64) time.Duration {
+func (l *Lease) earliestActTime(previous record, since, now time.Duration, revision bamboorail.StoreVersion) time.Duration {
 	switch {
 	case revision == 0, previous.Acting && previous.Holder == l.self && previous.Address == l.address:
 		return now
@@ -301,7 +301,7 @@
 		// The tenure lapsed before this renewal was sent. No other instance
 		// claimed the lease, but a new tenure with its own fencing token
 		// starts.
-		l.fencingToken = newRevision
+		l.fencingToken = uint64(newRevision)
 	}
 	l.lastRecord, l.revision, l.unchangedSince = next, newRevision, l.clock()
 	l.actUntil, l.renewalLatency = sent+l.timing.Term, l.unchangedSince-sent
@@ -351,7 +351,7 @@
 }
 
 // write stores a record. On a conflict it observes the current object.
-func (l *Lease) write(ctx context.Context, r record, revision uint64) (uint64, error) {
+func (l *Lease) write(ctx context.Context, r record, revision bamboorail.StoreVersion) (bamboorail.StoreVersion, error) {
 	value, err := json.Marshal(r)
 	if err != nil {
 		return 0, err
--- a/internal/membership/directory_test.go
+++ b/internal/membership/directory_test.go
@@ -18,7 +18,7 @@
 	return platform.Session{ID: id, Instance: instance, Zone: zone, Region: "r", Peer: instance + ":1"}
 }
 
-func listing(t *testing.T, version uint64, sessions ...platform.Session) []bamboorail.Object {
+func listing(t *testing.T, version bamboorail.StoreVersion, sessions ...platform.Session) []bamboorail.Object {
 	t.Helper()
 	var list []bamboorail.Object
 	for _, s := range sessions {
--- a/internal/mirror/cache.go
+++ b/internal/mirror/cache.go
@@ -48,8 +48,8 @@
 // oldest first.
 type kindCache struct {
 	objects     map[string]bamboorail.Object
-	revision    uint64
-	since       uint64
+	revision    bamboorail.StoreVersion
+	since       bamboorail.StoreVersion
 	events      []bamboorail.Object
 	changed     chan struct{}
 	lastContact time.Time
@@ -111,7 +111,7 @@
 }
 
 // replace replaces all objects of a kind with the result of a list.
-func (c *cache) replace(name string, objects []bamboorail.Object, revision uint64) {
+func (c *cache) replace(name string, objects []bamboorail.Object, revision bamboorail.StoreVersion) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.recordContact(name)
@@ -126,7 +126,7 @@
 // apply applies the changes of a kind after a revision. It returns false if the
 // cache lacks earlier changes, as on an instance that followed another holder. The
 // kind must then be listed again.
-func (c *cache) apply(name string, after uint64, e bamboorail.Events) bool {
+func (c *cache) apply(name string, after bamboorail.StoreVersion, e bamboorail.Events) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.recordContact(name)
@@ -167,7 +167,7 @@
 
 // read returns the changes of a kind after a revision, or all objects if the
 // revision is 0, and a channel that is closed at the next change.
-func (c *cache) read(name string, revision uint64) (followResult, <-chan struct{}) {
+func (c *cache) read(name string, revision bamboorail.StoreVersion) (followResult, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.kind(name)
@@ -195,7 +195,7 @@
 }
 
 // follow reads a kind and waits up to wait for a change if there is none.
-func (c *cache) follow(ctx context.Context, name string, revision uint64, wait time.Duration) followResult {
+func (c *cache) follow(ctx context.Context, name string, revision bamboorail.StoreVersion, wait time.Duration) followResult {
 	a, changed := c.read(name, revision)
 	if !a.fresh || revision == 0 || a.events.Reset || len(a.events.Objects) > 0 {
 		return a
--- a/internal/mirror/leases_test.go
+++ b/internal/mirror/leases_test.go
@@ -12,7 +12,7 @@
 
 // leaseLister lists one lease and counts the calls.
 type leaseLister struct {
-	version uint64
+	version bamboorail.StoreVersion
 	calls   int
 }
 
@@ -36,7 +36,7 @@
 func TestFollowersReadLeasesThroughHolder(t *testing.T) {
 	cases := map[string]struct {
 		disrupt func(holder *node)
-		held    uint64
+		held    bamboorail.StoreVersion
 		calls   int
 		want    string
 	}{
--- a/internal/mirror/minor_test.go
+++ b/internal/mirror/minor_test.go
@@ -16,7 +16,7 @@
 	c := newCache(func(o bamboorail.Object) (string, bool) { return string(o.Value[:1]), o.Value[0] != '?' })
 	c.now = func() time.Time { return now }
 	c.replace("k", nil, 1)
-	revision := uint64(1)
+	revision := bamboorail.StoreVersion(1)
 	write := func(value string) {
 		revision++
 		o := bamboorail.Object{Key: "k/a", Version: revision, Value: []byte(value), Deleted: value == ""}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -56,12 +56,12 @@
 	n *node
 }
 
-func (c countingStore) List(ctx context.Context, prefix string) ([]bamboorail.Object, uint64, error) {
+func (c countingStore) List(ctx context.Context, prefix string) ([]bamboorail.Object, bamboorail.StoreVersion, error) {
 	c.n.storeCalls++
 	return c.Store.List(ctx, prefix)
 }
 
-func (c countingStore) Watch(ctx context.Context, prefixes []string, revision uint64, wait time.Duration) (bamboorail.Events, error) {
+func (c countingStore) Watch(ctx context.Context, prefixes []string, revision bamboorail.StoreVersion, wait time.Duration) (bamboorail.Events, error) {
 	c.n.storeCalls++
 	return c.Store.Watch(ctx, prefixes, revision, wait)
 }
@@ -81,7 +81,7 @@
 }
 
 // mustList lists the kind and returns the revision.
-func (n *node) mustList(t *testing.T) uint64 {
+func (n *node) mustList(t *testing.T) bamboorail.StoreVersion {
 	t.Helper()
 	list, revision, err := n.List(context.Background(), "k/")
 	if err != nil || len(list) != 1 {
@@ -163,7 +163,7 @@
 // overloadedStore is a store that rejects lists.
 type overloadedStore struct{ countingStore }
 
-func (b overloadedStore) List(ctx context.Context, prefix string) ([]bamboorail.Object, uint64, error) {
+func (b overloadedStore) List(ctx context.Context, prefix string) ([]bamboorail.Object, bamboorail.StoreVersion, error) {
 	if _, _, err := b.countingStore.List(ctx, prefix); err != nil {
 		return nil, 0, err
 	}
--- a/internal/mirror/outage_test.go
+++ b/internal/mirror/outage_test.go
@@ -22,14 +22,14 @@
 	return &unavailableError{bamboorail.Failure{Op: "call-store", Kind: bamboorail.KindUnavailable}}
 }
 
-func (b *brokenStore) List(ctx context.Context, prefix string) ([]bamboorail.Object, uint64, error) {
+func (b *brokenStore) List(ctx context.Context, prefix string) ([]bamboorail.Object, bamboorail.StoreVersion, error) {
 	if b.down {
 		return nil, 0, b.failure()
 	}
 	return b.countingStore.List(ctx, prefix)
 }
 
-func (b *brokenStore) Watch(ctx context.Context, prefixes []string, revision uint64, wait time.Duration) (bamboorail.Events, error) {
+func (b *brokenStore) Watch(ctx context.Context, prefixes []string, revision bamboorail.StoreVersion, wait time.Duration) (bamboorail.Events, error) {
 	if b.down {
 		return bamboorail.Events{}, b.failure()
 	}
--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -183,10 +183,10 @@
 }
 
 // List returns the objects of a kind.
-func (s *Store) List(ctx context.Context, prefix string) ([]bamboorail.Object, uint64, error) {
+func (s *Store) List(ctx context.Context, prefix string) ([]bamboorail.Object, bamboorail.StoreVersion, error) {
 	for {
 		if reply, ok := s.followHolder(ctx, prefix, 0, 0); ok {
-			return objectsOf(reply), reply.GetRevision(), nil
+			return objectsOf(reply), bamboorail.StoreVersion(reply.GetRevision()), nil
 		}
 		if !s.awaitHolder(ctx) {
 			break
@@ -205,10 +205,10 @@
 }
 
 // Watch waits for changes of one kind after revision.
-func (s *Store) Watch(ctx context.Context, prefixes []string, revision uint64, wait time.Duration) (bamboorail.Events, error) {
+func (s *Store) Watch(ctx context.Context, prefixes []string, revision bamboorail.StoreVersion, wait time.Duration) (bamboorail.Events, error) {
 	if reply, ok := s.followHolder(ctx, prefixes[0], revision, min(wait, followWait)); ok {
 		return bamboorail.Events{
-			Revision: reply.GetRevision(), Objects: objectsOf(reply), Reset: reply.GetGap(), FromPeer: true,
+			Revision: bamboorail.StoreVersion(reply.GetRevision()), Objects: objectsOf(reply), Reset: reply.GetGap(), FromPeer: true,
 		}, nil
 	}
 	if err := s.storeRefusal(); err != nil {
@@ -230,7 +230,7 @@
 // followHolder sends a follow request to the holder of the zone, or else to that
 // of another zone, but for a full list: those of many instances would fill the
 // links between zones. It returns false if the store must be called instead.
-func (s *Store) followHolder(ctx context.Context, prefix string, revision uint64, wait time.Duration) (*wire.FollowReply, bool) {
+func (s *Store) followHolder(ctx context.Context, prefix string, revision bamboorail.StoreVersion, wait time.Duration) (*wire.FollowReply, bool) {
 	for _, from := range s.sources() {
 		if revision == 0 && from.zone != s.zone {
 			break
@@ -255,11 +255,11 @@
 
 // ask sends a follow request to a holder. A holder that does not answer is not
 // asked again for a while.
-func (s *Store) ask(ctx context.Context, from source, prefix string, revision uint64, wait time.Duration) (*wire.FollowReply, error) {
+func (s *Store) ask(ctx context.Context, from source, prefix string, revision bamboorail.StoreVersion, wait time.Duration) (*wire.FollowReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+replyGrace)
 	defer cancel()
 	reply, err := s.peers.Follow(ctx, from.address, &wire.FollowRequest{
-		Instance: s.instance, InstanceZone: s.zone, Zone: from.zone, Kind: kindOf(prefix), Revision: revision, WaitMicros: wait.Microseconds(),
+		Instance: s.instance, InstanceZone: s.zone, Zone: from.zone, Kind: kindOf(prefix), Revision: uint64(revision), WaitMicros: wait.Microseconds(),
 	})
 	if err != nil {
 		s.log.Info("follow request to holder failed", "kind", kindOf(prefix), "zone", from.zone, "address", from.address, "error", err)
@@ -278,7 +278,7 @@
 func objectsOf(reply *wire.FollowReply) []bamboorail.Object {
 	objects := make([]bamboorail.Object, 0, len(reply.GetObjects()))
 	for _, o := range reply.GetObjects() {
-		objects = append(objects, bamboorail.Object{Key: o.GetKey(), Version: o.GetVersion(), Value: o.GetValue(), Deleted: o.GetDeleted()})
+		objects = append(objects, bamboorail.Object{Key: o.GetKey(), Version: bamboorail.StoreVersion(o.GetVersion()), Value: o.GetValue(), Deleted: o.GetDeleted()})
 	}
 	return objects
 }
@@ -295,13 +295,13 @@
 	}
 	instances := s.countFollowers(now) + 1
 	s.mu.Unlock()
-	a := s.cache.follow(ctx, r.GetKind(), r.GetRevision(), min(time.Duration(r.GetWaitMicros())*time.Microsecond, followWait))
-	reply := &wire.FollowReply{Fresh: a.fresh, Revision: a.events.Revision, Gap: a.events.Reset, Instances: int32(instances)}
+	a := s.cache.follow(ctx, r.GetKind(), bamboorail.StoreVersion(r.GetRevision()), min(time.Duration(r.GetWaitMicros())*time.Microsecond, followWait))
+	reply := &wire.FollowReply{Fresh: a.fresh, Revision: uint64(a.events.Revision), Gap: a.events.Reset, Instances: int32(instances)}
 	if a.fresh {
 		a.objects = s.withHeld(r.GetKind(), a.objects)
 	}
 	for _, o := range append(a.objects, a.events.Objects...) {
-		reply.Objects = append(reply.Objects, &wire.FollowedObject{Key: o.Key, Version: o.Version, Value: o.Value, Deleted: o.Deleted})
+		reply.Objects = append(reply.Objects, &wire.FollowedObject{Key: o.Key, Version: uint64(o.Version), Value: o.Value, Deleted: o.Deleted})
 	}
 	return reply, nil
 }
--- a/internal/mirror/takeover_test.go
+++ b/internal/mirror/takeover_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"bamboorail.example/bamboorail"
 )
 
 // TestNewHolderServesFollowers checks that an instance that never read the store
@@ -56,7 +58,7 @@
 	clear(next.retryAt)
 	next.mu.Unlock()
 	revision := holder.mustList(t)
-	put := func(key, value string, version uint64) uint64 {
+	put := func(key, value string, version bamboorail.StoreVersion) bamboorail.StoreVersion {
 		v, err := next.objects.Put(ctx, key, []byte(value), version)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -93,7 +93,7 @@
 	current  map[string]*runningOwner
 	draining map[string][]*runningOwner
 	ledger   platform.Ledger
-	version  uint64
+	version  bamboorail.StoreVersion
 	// closed holds, by target, the own terms whose owners were closed. Such a
 	// term is never resumed.
 	closed map[string]uint64
@@ -245,7 +245,7 @@
 
 // applyLedger replaces the ledger by the stored one unless that is older.
 // Claims that are not in the store are kept if their terms are higher.
-func (m *Manager) applyLedger(stored platform.Ledger, version uint64) {
+func (m *Manager) applyLedger(stored platform.Ledger, version bamboorail.StoreVersion) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.synced && version < m.version {
@@ -346,7 +346,7 @@
 	}
 }
 
-func (m *Manager) written(l platform.Ledger, version uint64) {
+func (m *Manager) written(l platform.Ledger, version bamboorail.StoreVersion) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if version >= m.version {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -58,11 +58,11 @@
 }
 
 // GetNewer returns the object under key unless it still has the given version.
-func (c *Client) GetNewer(ctx context.Context, key string, version uint64) (bamboorail.Object, bool, error) {
+func (c *Client) GetNewer(ctx context.Context, key string, version bamboorail.StoreVersion) (bamboorail.Object, bool, error) {
 	const op = "get-object"
 	header := http.Header{}
 	if version > 0 {
-		header.Set("If-None-Match", strconv.FormatUint(version, 10))
+		header.Set("If-None-Match", strconv.FormatUint(uint64(version), 10))
 	}
 	resp, err := c.call(ctx, op, http.MethodGet, "/v1/objects/"+key, nil, header)
 	if err != nil {
@@ -75,11 +75,11 @@
 	if err != nil {
 		return bamboorail.Object{}, false, fail(op, bamboorail.KindInternal, fmt.Errorf("header %s: %w", versionHeader, err))
 	}
-	return bamboorail.Object{Key: key, Version: v, Value: resp.body}, true, nil
+	return bamboorail.Object{Key: key, Version: bamboorail.StoreVersion(v), Value: resp.body}, true, nil
 }
 
 // List returns the objects under prefix.
-func (c *Client) List(ctx context.Context, prefix string) ([]bamboorail.Object, uint64, error) {
+func (c *Client) List(ctx context.Context, prefix string) ([]bamboorail.Object, bamboorail.StoreVersion, error) {
 	var events bamboorail.Events
 	q := url.Values{"prefix": {prefix}}
 	err := c.query(ctx, "list-objects", "/v1/list?"+q.Encode(), &events)
@@ -87,7 +87,7 @@
 }
 
 // Put writes a value if the current version is expect.
-func (c *Client) Put(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
+func (c *Client) Put(ctx context.Context, key string, value []byte, expect bamboorail.StoreVersion) (bamboorail.StoreVersion, error) {
 	const op = "put-object"
 	if len(value) > MaxValueBytes {
 		return 0, fail(op, bamboorail.KindTooLarge, fmt.Errorf("value of %q has %d bytes, limit %d", key, len(value), MaxValueBytes))
@@ -100,22 +100,22 @@
 	if err != nil {
 		return 0, fail(op, bamboorail.KindInternal, fmt.Errorf("header %s: %w", versionHeader, err))
 	}
-	return v, nil
+	return bamboorail.StoreVersion(v), nil
 }
 
 // Delete removes a key if its current version is expect.
-func (c *Client) Delete(ctx context.Context, key string, expect uint64) error {
+func (c *Client) Delete(ctx context.Context, key string, expect bamboorail.StoreVersion) error {
 	_, err := c.call(ctx, "delete-object", http.MethodDelete, "/v1/objects/"+key, nil, ifMatch(expect))
 	return err
 }
 
 // Watch waits up to wait for changes after revision. It does not count against
 // the limit of calls in flight, since each process has only one watch.
-func (c *Client) Watch(ctx context.Context, prefixes []string, revision uint64, wait time.Duration) (bamboorail.Events, error) {
+func (c *Client) Watch(ctx context.Context, prefixes []string, revision bamboorail.StoreVersion, wait time.Duration) (bamboorail.Events, error) {
 	const op = "watch-objects"
 	q := url.Values{
 		"prefix": prefixes,
-		"after":  {strconv.FormatUint(revision, 10)},
+		"after":  {strconv.FormatUint(uint64(revision), 10)},
 		"wait":   {wait.String()},
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+CallTimeout)
@@ -149,8 +149,8 @@
 	return nil
 }
 
-func ifMatch(version uint64) http.Header {
-	return http.Header{"If-Match": {strconv.FormatUint(version, 10)}}
+func ifMatch(version bamboorail.StoreVersion) http.Header {
+	return http.Header{"If-Match": {strconv.FormatUint(uint64(version), 10)}}
 }
 
 type response struct {
--- a/internal/platform/configuration.go
+++ b/internal/platform/configuration.go
@@ -260,7 +260,7 @@
 // putHead commits the change by replacing the head. After an error it reads the
 // head back, because the write may have taken effect although its response was
 // lost.
-func (w *Writer) putHead(ctx context.Context, head Head, version uint64, id string) error {
+func (w *Writer) putHead(ctx context.Context, head Head, version bamboorail.StoreVersion, id string) error {
 	value, err := json.Marshal(head)
 	if err != nil {
 		return fail("commit-change", bamboorail.KindInternal, err)
@@ -296,7 +296,7 @@
 }
 
 // ReadHead returns the head of the configuration and its object version.
-func ReadHead(ctx context.Context, store bamboorail.ObjectStore) (Head, uint64, error) {
+func ReadHead(ctx context.Context, store bamboorail.ObjectStore) (Head, bamboorail.StoreVersion, error) {
 	o, err := store.Get(ctx, HeadKey)
 	if err != nil {
 		if bamboorail.KindOf(err) == bamboorail.KindNotFound {
--- a/internal/platform/configuration_test.go
+++ b/internal/platform/configuration_test.go
@@ -225,7 +225,7 @@
 	}
 }
 
-func put(t *testing.T, s bamboorail.ObjectStore, key, value string, expect uint64) {
+func put(t *testing.T, s bamboorail.ObjectStore, key, value string, expect bamboorail.StoreVersion) {
 	t.Helper()
 	if _, err := s.Put(t.Context(), key, []byte(value), expect); err != nil {
 		t.Fatal(err)
--- a/internal/platform/ledger.go
+++ b/internal/platform/ledger.go
@@ -87,7 +87,7 @@
 func LedgerKey(zone string) string { return ledgerPrefix + zone }
 
 // ReadLedger returns the ledger of a zone and its object version.
-func ReadLedger(ctx context.Context, store bamboorail.ObjectStore, zone string) (Ledger, uint64, error) {
+func ReadLedger(ctx context.Context, store bamboorail.ObjectStore, zone string) (Ledger, bamboorail.StoreVersion, error) {
 	o, err := store.Get(ctx, LedgerKey(zone))
 	if err != nil {
 		if bamboorail.KindOf(err) == bamboorail.KindNotFound {
@@ -111,7 +111,7 @@
 // WriteLedger replaces the ledger of a zone if its version is expect. After an
 // error other than a conflict the write may have taken effect; read the ledger to
 // find out.
-func WriteLedger(ctx context.Context, store bamboorail.ObjectStore, zone string, l Ledger, expect uint64) (uint64, error) {
+func WriteLedger(ctx context.Context, store bamboorail.ObjectStore, zone string, l Ledger, expect bamboorail.StoreVersion) (bamboorail.StoreVersion, error) {
 	value, err := json.Marshal(l)
 	if err != nil {
 		return 0, fail("write-ledger", bamboorail.KindInternal, err)
--- a/internal/platform/sessions.go
+++ b/internal/platform/sessions.go
@@ -43,7 +43,7 @@
 
 	mu        sync.Mutex
 	session   Session
-	version   uint64
+	version   bamboorail.StoreVersion
 	withdrawn bool
 }
 
@@ -96,7 +96,7 @@
 // observed.
 type ObservedSession struct {
 	Session    Session
-	Version    uint64
+	Version    bamboorail.StoreVersion
 	LastChange time.Time
 }
 
--- a/internal/service/configuration.go
+++ b/internal/service/configuration.go
@@ -117,7 +117,7 @@
 // watch follows changes of the configuration and of the ledger of this zone.
 func (i *Instance) watch(ctx context.Context) error {
 	prefixes := []string{platform.HeadKey, platform.LedgerKey(i.settings.Zone)}
-	var revision uint64
+	var revision bamboorail.StoreVersion
 	for attempt := 0; ctx.Err() == nil; {
 		events, err := i.store.Watch(ctx, prefixes, revision, platform.WatchTimeout)
 		if err != nil {
--- a/internal/stand/memory/store.go
+++ b/internal/stand/memory/store.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -35,13 +36,15 @@
 
 // Store is an in-memory object store.
 type Store struct {
-	mu        sync.Mutex
-	revision  uint64
-	objects   map[string]bamboorail.Object
-	history   []bamboorail.Object
-	changed   chan struct{}
-	instances []bamboorail.Instance
-	hook      Hook
+	mu       sync.Mutex
+	revision bamboorail.StoreVersion // last one given out
+	objects  map[string]bamboorail.Object
+	history  []bamboorail.Object
+	// firstEvent is the version of the first change since the last restore.
+	firstEvent bamboorail.StoreVersion
+	changed    chan struct{}
+	instances  []bamboorail.Instance
+	hook       Hook
 }
 
 var _ bamboorail.ObjectStore = (*Store)(nil)
@@ -92,7 +95,7 @@
 
 // GetNewer returns the object under key and whether its version differs from
 // version.
-func (s *Store) GetNewer(_ context.Context, key string, version uint64) (bamboorail.Object, bool, error) {
+func (s *Store) GetNewer(_ context.Context, key string, version bamboorail.StoreVersion) (bamboorail.Object, bool, error) {
 	if _, err := s.runHook("get-object", key); err != nil {
 		return bamboorail.Object{}, false, err
 	}
@@ -107,7 +110,7 @@
 
 // List returns the objects whose keys start with prefix, sorted by key, and the
 // revision of the store.
-func (s *Store) List(_ context.Context, prefix string) ([]bamboorail.Object, uint64, error) {
+func (s *Store) List(_ context.Context, prefix string) ([]bamboorail.Object, bamboorail.StoreVersion, error) {
 	if _, err := s.runHook("list-objects", prefix); err != nil {
 		return nil, 0, err
 	}
@@ -125,17 +128,17 @@
 
 // Put writes a value if the current version is expect; version 0 means that the
 // key does not exist.
-func (s *Store) Put(_ context.Context, key string, value []byte, expect uint64) (uint64, error) {
+func (s *Store) Put(_ context.Context, key string, value []byte, expect bamboorail.StoreVersion) (bamboorail.StoreVersion, error) {
 	return s.write("put-object", bamboorail.Object{Key: key, Value: slices.Clone(value)}, expect)
 }
 
 // Delete removes a key if its current version is expect.
-func (s *Store) Delete(_ context.Context, key string, expect uint64) error {
+func (s *Store) Delete(_ context.Context, key string, expect bamboorail.StoreVersion) error {
 	_, err := s.write("delete-object", bamboorail.Object{Key: key, Deleted: true}, expect)
 	return err
 }
 
-func (s *Store) write(op string, o bamboorail.Object, expect uint64) (uint64, error) {
+func (s *Store) write(op string, o bamboorail.Object, expect bamboorail.StoreVersion) (bamboorail.StoreVersion, error) {
 	lost, err := s.runHook(op, o.Key)
 	if err != nil {
 		return 0, err
@@ -166,7 +169,7 @@
 // waits up to wait for the first one. Events.Reset is set if the history no
 // longer covers the changes after revision, or if revision is newer than the
 // store.
-func (s *Store) Watch(ctx context.Context, prefixes []string, revision uint64, wait time.Duration) (bamboorail.Events, error) {
+func (s *Store) Watch(ctx context.Context, prefixes []string, revision bamboorail.StoreVersion, wait time.Duration) (bamboorail.Events, error) {
 	if _, err := s.runHook("watch-objects", strings.Join(prefixes, ",")); err != nil {
 		return bamboorail.Events{}, err
 	}
@@ -187,11 +190,11 @@
 	}
 }
 
-func (s *Store) eventsAfter(after uint64, prefixes []string) (bamboorail.Events, chan struct{}) {
+func (s *Store) eventsAfter(after bamboorail.StoreVersion, prefixes []string) (bamboorail.Events, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	events := bamboorail.Events{Revision: s.revision}
-	if after > s.revision || (len(s.history) > 0 && s.history[0].Version > after+1) {
+	if after > s.revision || after+1 < s.firstEvent || (len(s.history) > 0 && s.history[0].Version > after+1) {
 		events.Reset = true
 		return events, s.changed
 	}
@@ -220,3 +223,40 @@
 	objects, _, err := s.List(ctx, prefix)
 	return objects, err
 }
+
+// Snapshot is a copy of the objects of a store.
+type Snapshot struct {
+	revision uint64
+	objects  map[string]bamboorail.Object
+}
+
+// Snapshot copies the store.
+func (s *Store) Snapshot() Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Snapshot{revision: s.revision.Revision(), objects: maps.Clone(s.objects)}
+}
+
+// Restore replaces the objects by those of an earlier copy, in the next era. The
+// revisions after the copy are given out again.
+func (s *Store) Restore(c Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	era := s.revision.Era() + 1
+	s.revision, s.history = bamboorail.NewStoreVersion(era, c.revision), nil
+	s.objects = make(map[string]bamboorail.Object, len(c.objects))
+	for key, o := range c.objects {
+		o.Version = bamboorail.NewStoreVersion(era, o.Version.Revision())
+		s.objects[key] = o
+	}
+	s.firstEvent = s.revision + 1
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Era returns the era of the store.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision.Era()
+}
--- a/internal/stand/platform/platform.go
+++ b/internal/stand/platform/platform.go
@@ -92,7 +92,7 @@
 
 type reply struct {
 	status  int
-	version uint64
+	version bamboorail.StoreVersion
 	body    []byte
 }
 
@@ -132,7 +132,7 @@
 		}
 		s.calls.WithLabelValues(call, strconv.Itoa(rep.status)).Inc()
 		if rep.version > 0 {
-			rw.Header().Set(versionHeader, strconv.FormatUint(rep.version, 10))
+			rw.Header().Set(versionHeader, strconv.FormatUint(uint64(rep.version), 10))
 		}
 		rw.WriteHeader(rep.status)
 		_, _ = rw.Write(rep.body)
@@ -144,7 +144,7 @@
 	if err != nil {
 		return storeErrorReply(err)
 	}
-	if r.Header.Get("If-None-Match") == strconv.FormatUint(o.Version, 10) {
+	if r.Header.Get("If-None-Match") == strconv.FormatUint(uint64(o.Version), 10) {
 		return reply{status: http.StatusNotModified, version: o.Version}
 	}
 	return reply{status: http.StatusOK, version: o.Version, body: o.Value}
@@ -180,8 +180,9 @@
 	return reply{status: http.StatusOK}
 }
 
-func expectedVersion(r *http.Request) (uint64, error) {
-	return strconv.ParseUint(r.Header.Get("If-Match"), 10, 64)
+func expectedVersion(r *http.Request) (bamboorail.StoreVersion, error) {
+	v, err := strconv.ParseUint(r.Header.Get("If-Match"), 10, 64)
+	return bamboorail.StoreVersion(v), err
 }
 
 func (s *Server) list(r *http.Request) reply {
@@ -199,7 +200,7 @@
 	if err != nil || wait > maxWatchWait {
 		return errorReply(http.StatusBadRequest, "wait must be a duration of at most "+maxWatchWait.String())
 	}
-	return jsonReply(s.store.Watch(r.Context(), q["prefix"], after, wait))
+	return jsonReply(s.store.Watch(r.Context(), q["prefix"], bamboorail.StoreVersion(after), wait))
 }
 
 func (s *Server) listInstances(r *http.Request) reply {
--- a/platform.go
+++ b/platform.go
@@ -5,12 +5,32 @@
 	"time"
 )
 
+// StoreVersion is a state of the object store. It orders states by era and, within an
+// era, by revision: a store that is restored from a copy gives revisions out again,
+// but in a higher era.
+type StoreVersion uint64
+
+// eraShift leaves 40 bits for the revision, and the version exact as a JSON number for
+// 8,192 eras.
+const eraShift = 40
+
+// NewStoreVersion returns the version of a revision in an era.
+func NewStoreVersion(era, revision uint64) StoreVersion {
+	return StoreVersion(era<<eraShift | revision&(1<<eraShift-1))
+}
+
+// Era returns the era of v, 0 in a store that was never restored or does not tell.
+func (v StoreVersion) Era() uint64 { return uint64(v) >> eraShift }
+
+// Revision returns the revision of v within its era.
+func (v StoreVersion) Revision() uint64 { return uint64(v) & (1<<eraShift - 1) }
+
 // Object is a value of the platform's object API.
 type Object struct {
 	Key string `json:"key"`
-	// Version is the store-wide revision of the last write to the key.
-	Version uint64 `json:"version"`
-	Value   []byte `json:"value"`
+	// Version is the store-wide version of the last write to the key.
+	Version StoreVersion `json:"version"`
+	Value   []byte       `json:"value"`
 	// Deleted is set in watch events for deleted keys.
 	Deleted bool `json:"deleted,omitempty"`
 }
@@ -18,8 +38,8 @@
 // Events is the result of a watch: the objects that changed since a revision.
 type Events struct {
 	// Revision is the store-wide revision for the next watch.
-	Revision uint64   `json:"revision"`
-	Objects  []Object `json:"objects"`
+	Revision StoreVersion `json:"revision"`
+	Objects  []Object     `json:"objects"`
 	// Reset is set if the store no longer has the requested history. The caller
 	// must list the keys again.
 	Reset bool `json:"reset,omitempty"`
@@ -52,18 +72,18 @@
 	Get(ctx context.Context, key string) (Object, error)
 	// GetNewer returns the object under key and true, or false if it still has
 	// the given version.
-	GetNewer(ctx context.Context, key string, version uint64) (Object, bool, error)
+	GetNewer(ctx context.Context, key string, version StoreVersion) (Object, bool, error)
 	// List returns the objects whose keys begin with prefix, and the revision of
 	// the list.
-	List(ctx context.Context, prefix string) ([]Object, uint64, error)
+	List(ctx context.Context, prefix string) ([]Object, StoreVersion, error)
 	// Put writes a value if the current version is expect, where 0 means that
 	// the key must not exist. It returns the new version, or KindConflict. After
 	// any other error the write may have taken effect.
-	Put(ctx context.Context, key string, value []byte, expect uint64) (uint64, error)
+	Put(ctx context.Context, key string, value []byte, expect StoreVersion) (StoreVersion, error)
 	// Delete deletes a key if its current version is expect.
-	Delete(ctx context.Context, key string, expect uint64) error
+	Delete(ctx context.Context, key string, expect StoreVersion) error
 	// Watch waits up to wait for changes after revision under the prefixes.
-	Watch(ctx context.Context, prefixes []string, revision uint64, wait time.Duration) (Events, error)
+	Watch(ctx context.Context, prefixes []string, revision StoreVersion, wait time.Duration) (Events, error)
 	// Instances returns the platform's list of instances.
 	Instances(ctx context.Context) ([]Instance, error)
 }
