lease: one holder, and tokens that grow, in a store restored from a copy

Cause: a restored record says nothing about the claims after it. Instances took it for the latest: a former holder acted at once as "its" lease (two holders in the same instant, first counterexample of the new test), a release from before the copy cut the wait short, and a missing object counted as never claimed.

Change: a record tells the era in which it was written; one of an earlier era than its version allows no shortcut, and a successor waits a term and the gap from when it saw it. A holder whose tenure is still valid keeps it over the restore and writes its record again. A claim of a missing object waits too, unless the store was never restored. A release by an instance that was still waiting itself no longer shortens the wait of the next. Tokens are versions: era, then revision. The numbers of tickets come from a hash, since such tokens have more than 32 bits.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -28,20 +28,6 @@
 	Gap time.Duration
 }
 
-// record is the value of a lease object.
-type record struct {
-	Holder  string `json:"holder"`
-	Address string `json:"address"`
-	// Renewals changes with each renewal, so that each renewal produces a new
-	// revision.
-	Renewals uint64 `json:"renewals"`
-	// Acting is set once the holder's gap has passed: no other instance has
-	// acted since.
-	Acting bool `json:"acting"`
-	// Released is set by a holder that gives the lease up.
-	Released bool `json:"released"`
-}
-
 // Lease is this instance's view of a lease.
 type Lease struct {
 	key     string
@@ -62,8 +48,12 @@
 	// between actFrom and actUntil.
 	held         bool
 	fencingToken uint64
-	actFrom      time.Duration
-	actUntil     time.Duration
+	// confirmedEra is the era of the last confirmed write of the tenure.
+	confirmedEra uint64
+	// disappeared is set once the lease object was missing after it had been seen.
+	disappeared bool
+	actFrom     time.Duration
+	actUntil    time.Duration
 	// releasePending is set while the end of a tenure has not been recorded in
 	// the store; couldAct is set if this instance could act during the tenure.
 	releasePending, couldAct bool
@@ -196,53 +186,6 @@
 	return bamboorail.Object{Key: l.key, Version: l.revision, Value: value}, true
 }
 
-// Observe applies the lease object as read from the store. Outdated versions
-// are ignored.
-func (l *Lease) Observe(o bamboorail.Object) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if o.Version <= l.revision {
-		return
-	}
-	var r record
-	if err := json.Unmarshal(o.Value, &r); err != nil {
-		l.log.Warn("failed to decode lease object", "key", l.key, "revision", o.Version, "error", err)
-		r = record{}
-	}
-	if l.held && (r.Holder != l.self || r.Address != l.address) {
-		l.log.Info("lease lost", "key", l.key, "to", r.Holder, "revision", o.Version)
-		l.held = false
-	}
-	if r.Released || r.Holder != l.self || r.Address != l.address {
-		l.releasePending = false
-	}
-	l.lastRecord, l.revision, l.unchangedSince = r, o.Version, l.clock()
-}
-
-// refresh reads the lease object. A lease that was never claimed has none.
-func (l *Lease) refresh(ctx context.Context) error {
-	o, err := l.store.Get(ctx, l.key)
-	if bamboorail.KindOf(err) == bamboorail.KindNotFound {
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	l.Observe(o)
-	return nil
-}
-
-// Claimable reports whether the lease is free, or was not renewed for the time
-// in which its holder may act.
-func (l *Lease) Claimable() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.held && l.clock() < l.actUntil {
-		return false
-	}
-	return l.revision == 0 || l.lastRecord.Released || l.lastRecord.Holder == l.self || l.clock()-l.unchangedSince > l.timing.Term
-}
-
 // Claim tries to claim a claimable lease.
 func (l *Lease) Claim(ctx context.Context) error {
 	l.mu.Lock()
@@ -250,8 +193,8 @@
 	l.mu.Unlock()
 	sent := l.clock()
 	next := record{
-		Holder: l.self, Address: l.address, Renewals: previous.Renewals + 1,
-		Acting: l.earliestActTime(previous, since, sent, revision) <= sent,
+		Holder: l.self, Address: l.address, Renewals: previous.Renewals + 1, Era: revision.Era(),
+		Acting: revision > 0 && l.earliestActTime(previous, since, sent, revision) <= sent,
 	}
 	newRevision, err := l.write(ctx, next, revision)
 	if err != nil {
@@ -263,18 +206,25 @@
 	l.lastRecord, l.revision, l.unchangedSince = next, newRevision, now
 	l.held, l.releasePending, l.fencingToken, l.actUntil = true, false, uint64(newRevision), sent+l.timing.Term
 	l.actFrom = l.earliestActTime(previous, since, now, revision)
-	l.log.Info("lease taken", "key", l.key, "from", previous.Holder, "fencing", newRevision, "acts-in", (l.actFrom - now).String())
+	if revision == 0 && (newRevision.Era() > 0 || l.disappeared) {
+		// Claims before a restore may be lost.
+		l.actFrom = now + l.timing.Term + l.timing.Gap
+	}
+	l.confirmedEra, l.disappeared = newRevision.Era(), false
+	l.log.Info("lease taken", "key", l.key, "from", previous.Holder, "fencing", uint64(newRevision), "acts-in", (l.actFrom - now).String())
 	return nil
 }
 
 // earliestActTime returns the time from which a new holder may act. The
 // previous holder may have acted until it released the lease, or for a term
-// after its last renewal.
+// after its last renewal. A restored record does not tell who was the last one.
 func (l *Lease) earliestActTime(previous record, since, now time.Duration, revision bamboorail.StoreVersion) time.Duration {
 	switch {
+	case previous.isRestored(revision):
+		return max(now, since+l.timing.Term+l.timing.Gap)
 	case revision == 0, previous.Acting && previous.Holder == l.self && previous.Address == l.address:
 		return now
-	case previous.Released:
+	case previous.Released && previous.Acting:
 		return max(now, since+l.timing.Gap)
 	}
 	return max(now, since+l.timing.Term+l.timing.Gap)
@@ -285,7 +235,12 @@
 	l.mu.Lock()
 	sent := l.clock()
 	next, revision := l.lastRecord, l.revision
+	lapsed := sent >= l.actUntil
+	next.Era = revision.Era()
 	next.Acting = next.Acting || sent >= l.actFrom
+	if lapsed && next.Era != l.confirmedEra {
+		next.Acting = false
+	}
 	l.mu.Unlock()
 	next.Renewals++
 	newRevision, err := l.write(ctx, next, revision)
@@ -297,12 +252,17 @@
 	if !l.held {
 		return nil
 	}
-	if sent >= l.actUntil {
+	if lapsed {
 		// The tenure lapsed before this renewal was sent. No other instance
 		// claimed the lease, but a new tenure with its own fencing token
 		// starts.
 		l.fencingToken = uint64(newRevision)
 	}
+	if lapsed && newRevision.Era() != l.confirmedEra {
+		// A claim of another instance may have been lost in a restore.
+		l.actFrom = l.clock() + l.timing.Term + l.timing.Gap
+	}
+	l.confirmedEra = newRevision.Era()
 	l.lastRecord, l.revision, l.unchangedSince = next, newRevision, l.clock()
 	l.actUntil, l.renewalLatency = sent+l.timing.Term, l.unchangedSince-sent
 	return nil
@@ -363,11 +323,9 @@
 	if bamboorail.KindOf(err) == bamboorail.KindConflict {
 		// The object may be this instance's own earlier write whose answer was
 		// lost.
-		o, readErr := l.store.Get(ctx, l.key)
-		if readErr != nil {
+		if readErr := l.refresh(ctx); readErr != nil {
 			return 0, errors.Join(err, readErr)
 		}
-		l.Observe(o)
 	}
 	return 0, err
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -71,8 +71,22 @@
 // outages, at most one instance may act at a time, a successor waits for the
 // gap, and fencing tokens increase.
 func TestAtMostOneActingHolder(t *testing.T) {
+	checkHolders(t, false)
+}
+
+// TestAtMostOneActingHolderAcrossRestores checks the same in a store that is
+// restored from earlier copies, with instances that start again.
+func TestAtMostOneActingHolderAcrossRestores(t *testing.T) { checkHolders(t, true) }
+
+func checkHolders(t *testing.T, restores bool) {
+	const actions, restoreActions = 6, 9
+	lastAction := actions
+	if restores {
+		lastAction = restoreActions
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		s := newTestStore()
+		copies := []memory.Snapshot{s.store.Snapshot()}
 		leases := []*Lease{s.instance(1), s.instance(2), s.instance(3)}
 		last := struct {
 			holder       int
@@ -82,8 +96,9 @@
 		ctx := context.Background()
 		for range rapid.IntRange(20, 120).Draw(t, "steps") {
 			s.now += time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond
-			l := leases[rapid.IntRange(0, 2).Draw(t, "instance")]
-			switch rapid.IntRange(0, 6).Draw(t, "action") {
+			n := rapid.IntRange(0, 2).Draw(t, "instance")
+			l := leases[n]
+			switch rapid.IntRange(0, lastAction).Draw(t, "action") {
 			case 0:
 				s.observe(t, l)
 			case 1, 2:
@@ -101,6 +116,12 @@
 				s.unavailable = !s.unavailable
 			case 6:
 				_ = l.Release(ctx)
+			case 7:
+				copies = append(copies, s.store.Snapshot())
+			case 8:
+				s.store.Restore(copies[rapid.IntRange(0, len(copies)-1).Draw(t, "copy")])
+			case 9:
+				leases[n] = s.instance(n + 1)
 			}
 			for n, other := range leases {
 				fencingToken, acting := other.Tenure()
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -5,10 +5,12 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"bamboorail.example/bamboorail"
@@ -31,8 +33,8 @@
 	// backgroundQueueSize is the capacity of the queue of background loads.
 	backgroundQueueSize = 64
 	// ticketBits is the number of low ticket bits that are numbered within one
-	// tenure. The high bits hold the fencing token, so that a ticket of an
-	// earlier tenure never ends a placement of the current one.
+	// tenure. The high bits hold a hash of the fencing token, so that a ticket of
+	// an earlier tenure ends no placement of the current one.
 	ticketBits = 32
 	// orderTimeout bounds one order, so that an unresponsive engine delays few
 	// calls.
@@ -114,6 +116,12 @@
 	}
 }
 
+// firstTicket returns the number before the first ticket of a tenure. Fencing tokens
+// have more than 32 bits, with the era of the store in the upper ones.
+func firstTicket(fencingToken uint64) uint64 {
+	return (xxhash.Sum64(binary.BigEndian.AppendUint64(nil, fencingToken)) >> ticketBits) << ticketBits
+}
+
 func (h *Holder) runBackground(ctx context.Context) error {
 	for {
 		select {
@@ -138,7 +146,7 @@
 	h.mu.Lock()
 	if leading != h.leading {
 		// The engine state of an earlier tenure is outdated.
-		h.planner = adapters.NewPlanner(h.Tuning, h.Lease.FencingToken()<<ticketBits)
+		h.planner = adapters.NewPlanner(h.Tuning, firstTicket(h.Lease.FencingToken()))
 		h.leading = leading
 		for number, w := range h.waiters {
 			close(w)
