platform, informer, mirror, fleet: a store that is restored from a copy

Instances pass the era on with the versions that they exchange: a holder that has not heard of a restore is not fresh for a follower that has. After a restore, kinds are listed again; targets that are missing stay for the time in which they write again, and an older entry brings no target back that left.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,8 +14,11 @@
 type Fleet struct {
 	returnGrace time.Duration
 
-	mu       sync.RWMutex
-	targets  map[string]*trackedTarget
+	mu      sync.RWMutex
+	targets map[string]*trackedTarget
+	// departed are the last entries of targets that are gone or leave, which an
+	// older entry must not bring back.
+	departed map[string]departedTarget
 	releases map[bamboorail.AdapterKey]bamboorail.ReleaseHistory
 	// releasesSynced is closed once all releases were read.
 	releasesSynced chan struct{}
@@ -29,6 +32,16 @@
 	missingSince time.Time
 }
 
+// departedTarget is the last entry of a target that left.
+type departedTarget struct {
+	entry bamboorail.TargetEntry
+	at    time.Time
+}
+
+// departureMemory is the time for which a target that left is remembered. Copies
+// from which a store is restored are some seconds old.
+const departureMemory = time.Minute
+
 // maxReleaseHistory bounds the history of one adapter. Versions that were
 // replaced before it count as replaced long ago.
 const maxReleaseHistory = 8
@@ -37,7 +50,7 @@
 // store are kept for returnGrace, during which live targets register again.
 func New(returnGrace time.Duration) *Fleet {
 	return &Fleet{
-		returnGrace: returnGrace, targets: map[string]*trackedTarget{},
+		returnGrace: returnGrace, targets: map[string]*trackedTarget{}, departed: map[string]departedTarget{},
 		releases: map[bamboorail.AdapterKey]bamboorail.ReleaseHistory{}, releasesSynced: make(chan struct{}), changed: make(chan struct{}),
 	}
 }
@@ -50,6 +63,9 @@
 	if k := f.targets[e.ID.Name]; k != nil && isOlder(e, k.entry) {
 		return
 	}
+	if f.hasDeparted(e) {
+		return
+	}
 	f.targets[e.ID.Name] = &trackedTarget{entry: e}
 	f.notify()
 }
@@ -62,11 +78,29 @@
 	return a.HeartbeatSeq < b.HeartbeatSeq
 }
 
-// Remove removes a target.
-func (f *Fleet) Remove(name string) {
+// hasDeparted reports whether e was written before its target left. Entries that
+// count no heartbeats cannot be ordered and are accepted. The caller holds the lock.
+func (f *Fleet) hasDeparted(e bamboorail.TargetEntry) bool {
+	d, ok := f.departed[e.ID.Name]
+	if !ok || e.HeartbeatSeq == 0 {
+		return false
+	}
+	return !isOlder(d.entry, e)
+}
+
+// depart records that a target is gone. The caller holds the lock.
+func (f *Fleet) depart(name string, now time.Time) {
+	if k := f.targets[name]; k != nil {
+		f.departed[name] = departedTarget{entry: k.entry, at: now}
+		delete(f.targets, name)
+	}
+}
+
+// Remove removes a target. An entry that it wrote before does not bring it back.
+func (f *Fleet) Remove(name string, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.targets, name)
+	f.depart(name, now)
 	f.notify()
 }
 
@@ -79,10 +113,19 @@
 	previous := f.targets
 	f.targets = make(map[string]*trackedTarget, len(entries))
 	for _, e := range entries {
-		f.targets[e.ID.Name] = &trackedTarget{entry: e}
+		switch k := previous[e.ID.Name]; {
+		case k != nil && isOlder(e, k.entry):
+			f.targets[e.ID.Name] = k
+		case !f.hasDeparted(e):
+			f.targets[e.ID.Name] = &trackedTarget{entry: e}
+		}
 	}
 	for name, k := range previous {
-		if f.targets[name] != nil || (!afterOutage && k.missingSince.IsZero()) {
+		if f.targets[name] != nil {
+			continue
+		}
+		if !afterOutage && k.missingSince.IsZero() {
+			f.departed[name] = departedTarget{entry: k.entry, at: now}
 			continue
 		}
 		if k.missingSince.IsZero() {
@@ -99,10 +142,15 @@
 	defer f.mu.Unlock()
 	for name, k := range f.targets {
 		if !k.missingSince.IsZero() && now.Sub(k.missingSince) > f.returnGrace {
-			delete(f.targets, name)
+			f.depart(name, now)
 			f.notify()
 		}
 	}
+	for name, d := range f.departed {
+		if now.Sub(d.at) > departureMemory {
+			delete(f.departed, name)
+		}
+	}
 }
 
 // notify closes the channel that Changed returned. The caller holds the lock.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -109,3 +109,48 @@
 		t.Errorf("targets %+v", list)
 	}
 }
+
+// TestOlderEntriesBringNoTargetBack guards against targets that left and come back
+// with entries that a store restored from an older copy lists again.
+func TestOlderEntriesBringNoTargetBack(t *testing.T) {
+	leaving := entry("a", 5, 8)
+	leaving.Leaving = true
+	cases := map[string]struct {
+		known   bamboorail.TargetEntry
+		removed bool
+		next    bamboorail.TargetEntry
+		listed  bool // next comes with a list
+		later   time.Duration
+		takes   bool // calls
+	}{
+		"gone, older change":            {known: entry("a", 5, 8), removed: true, next: entry("a", 5, 7)},
+		"gone, older list":              {known: entry("a", 5, 8), removed: true, next: entry("a", 5, 7), listed: true},
+		"gone, same entry":              {known: entry("a", 5, 8), removed: true, next: entry("a", 5, 8), listed: true},
+		"gone, later heartbeat":         {known: entry("a", 5, 8), removed: true, next: entry("a", 5, 9), takes: true},
+		"gone, later start":             {known: entry("a", 5, 8), removed: true, next: entry("a", 6, 1), takes: true},
+		"gone, no heartbeats":           {known: entry("a", 0, 0), removed: true, next: entry("a", 0, 0), takes: true},
+		"gone for long":                 {known: entry("a", 5, 8), removed: true, next: entry("a", 5, 7), later: 2 * departureMemory, takes: true},
+		"leaves, ready in older list":   {known: leaving, next: entry("a", 5, 7), listed: true},
+		"leaves, ready in later list":   {known: leaving, next: entry("a", 5, 9), listed: true, takes: true},
+		"leaves, ready in older change": {known: leaving, next: entry("a", 5, 7)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := New(2 * time.Second)
+			f.Update(c.known)
+			if c.removed {
+				f.Remove("a", start)
+			}
+			now := start.Add(c.later)
+			f.Expire(now)
+			if c.listed {
+				f.Replace([]bamboorail.TargetEntry{c.next}, now, true)
+			} else {
+				f.Update(c.next)
+			}
+			if takes := len(f.Service("s")) > 0; takes != c.takes {
+				t.Errorf("takes calls: %t, want %t", takes, c.takes)
+			}
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,6 +97,8 @@
 	bamboorail.StaleLister
 	// SetBaseURL sends all further requests to the store at base, an HTTP URL.
 	SetBaseURL(base string)
+	// ObserveEra tells of an era of the store that another instance has heard of.
+	ObserveEra(era uint64)
 }
 
 // Gateway is one running instance.
--- a/internal/gateway/informers_test.go
+++ b/internal/gateway/informers_test.go
@@ -64,6 +64,8 @@
 
 func (*silentStore) SetBaseURL(string) {}
 
+func (*silentStore) ObserveEra(uint64) {}
+
 // TestLostWatchDoesNotDelayChanges checks that a change is known within
 // recoveryBound after an outage of the store. A store that does not answer for
 // a moment loses the watches sent in that time, such as those after a change; a
--- a/internal/gateway/records.go
+++ b/internal/gateway/records.go
@@ -61,13 +61,13 @@
 func (h *targetHandler) Update(o bamboorail.Object) {
 	name := h.name(o)
 	if o.Deleted {
-		h.g.fleet.Remove(name)
+		h.g.fleet.Remove(name, time.Now())
 		h.g.log.Info("target gone", "target", name, "revision", o.Version)
 		return
 	}
 	e, ok := h.decode(o)
 	if !ok {
-		h.g.fleet.Remove(name)
+		h.g.fleet.Remove(name, time.Now())
 		return
 	}
 	known, found := h.g.fleet.Target(name)
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -26,7 +27,8 @@
 // a single goroutine.
 type Handler interface {
 	// Replace receives a full list. afterOutage is set if calls to the store
-	// failed before.
+	// failed before, or if it was restored from a copy: what is missing or older
+	// in the list than before may be written again.
 	Replace(objects []bamboorail.Object, afterOutage bool)
 	// Update receives one changed or deleted object.
 	Update(o bamboorail.Object)
@@ -76,10 +78,14 @@
 // Informer tracks the objects of one kind.
 type Informer struct {
 	Config
+	// listed is the version of the last list, newest the newest one heard of.
+	listed, newest bamboorail.StoreVersion
 }
 
+var errEarlierEra = errors.New("the list is older than the last restore of the store")
+
 // New returns an informer with the given configuration.
-func New(c Config) *Informer { return &Informer{c} }
+func New(c Config) *Informer { return &Informer{Config: c} }
 
 // Run tracks the kind until ctx ends.
 func (i *Informer) Run(ctx context.Context) error {
@@ -121,14 +127,22 @@
 func (i *Informer) list(ctx context.Context, state storeState) (bamboorail.StoreVersion, error) {
 	for attempt := 0; ; attempt++ {
 		objects, revision, err := i.Store.List(ctx, i.Kind)
+		if err == nil && revision.Era() < i.newest.Era() {
+			err = errEarlierEra
+		}
 		if err == nil {
-			if state == storeUnreachable {
+			restored := i.listed > 0 && revision.Era() > i.listed.Era()
+			i.listed, i.newest = revision, max(i.newest, revision)
+			if restored {
+				i.Log.Warn("store restored from a copy, kind listed again", "kind", i.Kind, "era", revision.Era(), "revision", revision.Revision())
+			}
+			if state == storeUnreachable || restored {
 				i.Resync.trigger()
 			}
 			if state != storeAvailable {
 				i.Log.Info("store regained", "kind", i.Kind, "revision", revision, "objects", len(objects))
 			}
-			i.Handler.Replace(objects, state != storeAvailable)
+			i.Handler.Replace(objects, state != storeAvailable || restored)
 			return revision, nil
 		}
 		state = state.afterError(err)
@@ -166,6 +180,7 @@
 			// The following list is complete: objects missing from it were
 			// deleted.
 			i.Log.Info("store no longer has the requested history", "kind", i.Kind, "revision", revision)
+			i.newest = max(i.newest, events.Revision)
 			i.Resync.trigger()
 			return storeAvailable, nil
 		}
@@ -174,6 +189,7 @@
 			i.Handler.Update(o)
 		}
 		revision = max(revision, events.Revision)
+		i.newest = max(i.newest, revision)
 		if len(events.Objects) > 0 {
 			delay := i.BatchDelay
 			if events.FromPeer {
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,13 +21,21 @@
 type recorder struct {
 	replaced chan bool // value of afterOutage
 	updated  chan string
+	listed   atomic.Pointer[[]string] // keys of the last list
 }
 
 func newRecorder() *recorder {
 	return &recorder{replaced: make(chan bool, 64), updated: make(chan string, 64)}
 }
 
-func (r *recorder) Replace(_ []bamboorail.Object, afterOutage bool) { r.replaced <- afterOutage }
+func (r *recorder) Replace(objects []bamboorail.Object, afterOutage bool) {
+	keys := []string{}
+	for _, o := range objects {
+		keys = append(keys, o.Key)
+	}
+	r.listed.Store(&keys)
+	r.replaced <- afterOutage
+}
 
 func (r *recorder) Update(o bamboorail.Object) { r.updated <- o.Key }
 
@@ -213,3 +223,43 @@
 		}
 	})
 }
+
+// TestRestoredStoreIsListedAgain guards against changes that are missed after a store
+// came back from an older copy and gave the same revisions out again, and against a
+// late list of the time before.
+func TestRestoredStoreIsListedAgain(t *testing.T) {
+	ctx := context.Background()
+	store := &lateStore{Store: memory.NewStore()}
+	r := start(t, store, "k", NewResyncSignal())
+	<-r.replaced
+	copied := store.Snapshot()
+	put := func(key string) {
+		if _, err := store.Put(ctx, key, []byte("1"), 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put("k/before")
+	<-r.updated
+	store.late.Store(1)
+	store.Restore(copied)
+	put("k/after") // with the revision that k/before had
+	if afterOutage := <-r.replaced; !afterOutage {
+		t.Error("the list after a restore counts as complete")
+	}
+	if keys := *r.listed.Load(); !slices.Equal(keys, []string{"k/after"}) {
+		t.Errorf("listed %q", keys)
+	}
+}
+
+// lateStore answers late lists as before the restore.
+type lateStore struct {
+	*memory.Store
+	late atomic.Int32
+}
+
+func (s *lateStore) List(ctx context.Context, prefix string) ([]bamboorail.Object, bamboorail.StoreVersion, error) {
+	if s.late.Add(-1) >= 0 {
+		return []bamboorail.Object{{Key: "k/before", Version: 1}}, 1, nil
+	}
+	return s.Store.List(ctx, prefix)
+}
--- a/internal/mirror/cache.go
+++ b/internal/mirror/cache.go
@@ -172,6 +172,10 @@
 	defer c.mu.Unlock()
 	k := c.kind(name)
 	now := c.now()
+	if revision.Era() > k.revision.Era() {
+		// The peer has heard of a restore of the store that this instance has not.
+		return followResult{}, k.changed
+	}
 	if k.objects == nil || now.Sub(c.lastContact) > maxContactAge || now.Sub(k.lastContact) > maxKindContactAge {
 		return followResult{}, k.changed
 	}
--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -266,6 +266,7 @@
 		s.pause(from.address)
 		return nil, err
 	}
+	s.observeEra(reply.GetRevision())
 	if !reply.GetFresh() {
 		s.mu.Lock()
 		s.staleReplyAt = time.Now()
@@ -275,6 +276,16 @@
 	return reply, nil
 }
 
+// eraObserver is implemented by stores that can be told of a restore.
+type eraObserver interface{ ObserveEra(era uint64) }
+
+// observeEra tells the store of the era in a peer's version.
+func (s *Store) observeEra(version uint64) {
+	if o, ok := s.ObjectStore.(eraObserver); ok && version > 0 {
+		o.ObserveEra(bamboorail.StoreVersion(version).Era())
+	}
+}
+
 func objectsOf(reply *wire.FollowReply) []bamboorail.Object {
 	objects := make([]bamboorail.Object, 0, len(reply.GetObjects()))
 	for _, o := range reply.GetObjects() {
@@ -288,6 +299,7 @@
 	if r.GetZone() != s.zone || !s.holder.Leading() {
 		return &wire.FollowReply{}, nil
 	}
+	s.observeEra(r.GetRevision())
 	now := time.Now()
 	s.mu.Lock()
 	if from := r.GetInstanceZone(); from == "" || from == s.zone {
