--- a/internal/lease/restore_test.go
+++ b/internal/lease/restore_test.go
@@ -117,3 +117,58 @@
 		})
 	}
 }
+
+// TestRestoredRecordAllowsNoShortcut guards against an instance that takes a record
+// from before a restore for the latest, and acts beside the holder that it misses.
+func TestRestoredRecordAllowsNoShortcut(t *testing.T) {
+	for name, released := range map[string]bool{"held by the claimant": false, "released": true} {
+		t.Run(name, func(t *testing.T) {
+			ctx := context.Background()
+			s := newTestStore()
+			a, b := s.instance(1), s.instance(2)
+			if err := a.Claim(ctx); err != nil {
+				t.Fatal(err)
+			}
+			s.now += testTiming.RenewInterval
+			if err := a.Renew(ctx); err != nil {
+				t.Fatal(err)
+			}
+			if released {
+				if err := a.Release(ctx); err != nil {
+					t.Fatal(err)
+				}
+			}
+			copied := s.store.Snapshot()
+			if err := a.Release(ctx); err != nil {
+				t.Fatal(err)
+			}
+			s.observe(t, b)
+			if err := b.Claim(ctx); err != nil {
+				t.Fatal(err)
+			}
+			for range 4 {
+				s.now += testTiming.RenewInterval
+				if err := b.Renew(ctx); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if _, acting := b.Tenure(); !acting {
+				t.Fatal("the successor does not act")
+			}
+			s.store.Restore(copied)
+			if err := a.refresh(ctx); err != nil {
+				t.Fatal(err)
+			}
+			if a.Claimable() {
+				_ = a.Claim(ctx) // a conflict is as good
+			}
+			if _, acting := a.Tenure(); acting {
+				t.Error("both act after the restore")
+			}
+			s.now += testTiming.Gap
+			if _, acting := a.Tenure(); acting {
+				t.Error("the claimant acts within the gap after its successor")
+			}
+		})
+	}
+}
