placer: a call whose load order failed was not run

Callers at the holder itself got 502, "may have run", when the order of the adapter failed, though the call had not been sent; through another instance they got 503 for the same.

--- a/internal/placer/queries.go
+++ b/internal/placer/queries.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -94,10 +95,10 @@
 			StartBy: a.StartBy,
 		})
 		if err != nil {
-			return relay.Reservation{}, err
+			return relay.Reservation{}, unplaced(err)
 		}
 		return relay.Reservation{
-			Target: p.Target, Version: p.Version, ReadyAt: p.ReadyAt, Valid: c.valid(p.Target), Done: c.settleFunc(z.Zone, p.Target.ID.Name, p.Ticket),
+			Target: p.Target, Version: p.Version, ReadyAt: p.ReadyAt, Valid: c.valid(p.Target), Done: c.settleFunc(z.Zone, p.Target.ID, p.Ticket),
 		}, nil
 	}
 	_, address := z.Lease.Holder()
@@ -107,6 +108,16 @@
 	return c.askPeer(ctx, z, address, a, newest, loads)
 }
 
+// unplaced returns the failure of a call that this instance, as the holder, did not
+// place. Whatever failed, such as an order, the call was not sent.
+func unplaced(err error) error {
+	f := bamboorail.FailureOf(err)
+	if f.Outcome == bamboorail.OutcomeNotRun {
+		return err
+	}
+	return failRetry("ask-holder", bamboorail.KindOverloaded, cmp.Or(f.RetryAfter, noCapacityRetry), err)
+}
+
 func (c *Chooser) askPeer(
 	ctx context.Context, z ZoneHolder, address string, a relay.ChooseRequest, newest int, loads adapters.LoadPolicy,
 ) (relay.Reservation, error) {
@@ -154,6 +165,6 @@
 	ready := received.Add(time.Duration(reply.GetReadyInMicros()) * time.Microsecond)
 	return relay.Reservation{
 		Target: target, Version: int(reply.GetVersion()), ReadyAt: ready, Valid: c.valid(target),
-		Done: c.settleFunc(z.Zone, target.ID.Name, reply.GetTicket()),
+		Done: c.settleFunc(z.Zone, target.ID, reply.GetTicket()),
 	}, nil
 }
