advisory: targets that say that they leave, or ask for a pause

Change: answers to calls, orders and state queries are searched for both. A target that says that it leaves counts as leaving for this start of it, whatever entries say later; the holder of its zone is told with the end of the call. A target that asks for a pause gets nothing of this instance until its end, plus up to a quarter of it and 2 s so that instances return one after the other, and then one request before others. If all targets of a service want a pause, calls are refused at once with the time until the first returns. internal/advisory decides, with the time as an argument.

--- a/fleet.go
+++ b/fleet.go
@@ -186,6 +186,15 @@
 	Priority int
 }
 
+// Advisory is what a target says of itself in an answer.
+type Advisory struct {
+	// Leaving is set if the target leaves and wants no new calls.
+	Leaving bool
+	// QuietFor is the time for which the target wants no requests of this instance,
+	// 0 if it does not say.
+	QuietFor time.Duration
+}
+
 // ResponseClass classifies a response of a target by its status and header.
 type ResponseClass int
 
@@ -219,4 +228,7 @@
 	Encode(r *http.Request, c *Call, s Attempt)
 	// Classify classifies the status and header of a response.
 	Classify(r *http.Response, c *Call) ResponseClass
+	// Advisory returns what the target says of itself. A value that cannot be
+	// decoded is an error and counts as not said.
+	Advisory(r *http.Response) (Advisory, error)
 }
--- /dev/null
+++ b/internal/advisory/advisory.go
@@ -0,0 +1,167 @@
+// Package advisory tracks what targets say of themselves in their answers: that they
+// leave, and that they want no requests for a while. It decides what an instance may
+// send to a target; the time is passed in.
+package advisory
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"bamboorail.example/bamboorail"
+)
+
+const (
+	// maxQuiet bounds the time that a target may ask for, so that a wrong value does
+	// not take it out of service for good.
+	maxQuiet = 10 * time.Minute
+	// returnSpread is the part of that time over which instances return, and
+	// maxReturnSpread its bound.
+	returnSpread    = 0.25
+	maxReturnSpread = 2 * time.Second
+	// trialTimeout is the time after which a trial that has no result counts as
+	// lost.
+	trialTimeout = 5 * time.Second
+	// retention is the time for which a target that is not known any more is
+	// remembered.
+	retention = 10 * time.Minute
+)
+
+// Reason states why a target gets no requests.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNone    Reason = ""
+	ReasonLeaving Reason = "leaving"
+	ReasonQuiet   Reason = "quiet"
+	// ReasonTrial means that the first request after a quiet time is under way.
+	ReasonTrial Reason = "trial"
+)
+
+// state is what one start of a target has said.
+type state struct {
+	leaving bool
+	// quietUntil is the end of the last quiet time, with this instance's delay.
+	quietUntil time.Time
+	// returning is set from the end of a quiet time until a request was taken.
+	// trialUntil is the end of the trial that is under way.
+	returning  bool
+	trialUntil time.Time
+	lastSeen   time.Time
+}
+
+// Registry holds the advisories of all targets.
+type Registry struct {
+	mu     sync.Mutex
+	states map[bamboorail.TargetID]*state
+	// delay draws a delay of up to its argument.
+	delay func(time.Duration) time.Duration
+}
+
+// New returns an empty registry.
+func New() *Registry {
+	return &Registry{states: map[bamboorail.TargetID]*state{}, delay: func(limit time.Duration) time.Duration { return rand.N(limit + 1) }}
+}
+
+// Observe records the advisory of an answer of a target, and returns the reasons
+// that are new.
+func (r *Registry) Observe(id bamboorail.TargetID, a bamboorail.Advisory, now time.Time) []Reason {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.states[id]
+	if s == nil {
+		if !a.Leaving && a.QuietFor <= 0 {
+			return nil
+		}
+		s = &state{}
+		r.states[id] = s
+	}
+	s.lastSeen = now
+	var reasons []Reason
+	if a.Leaving && !s.leaving {
+		s.leaving = true
+		reasons = append(reasons, ReasonLeaving)
+	}
+	if a.QuietFor > 0 {
+		quiet := min(a.QuietFor, maxQuiet)
+		until := now.Add(quiet + r.delay(min(time.Duration(returnSpread*float64(quiet)), maxReturnSpread)))
+		if now.After(s.quietUntil) {
+			reasons = append(reasons, ReasonQuiet)
+		}
+		if until.After(s.quietUntil) {
+			s.quietUntil = until
+		}
+		s.returning, s.trialUntil = true, time.Time{}
+	} else if s.returning && !now.Before(s.quietUntil) {
+		s.returning = false
+	}
+	return reasons
+}
+
+// Check returns why a target must not get a request now, and until when, or
+// ReasonNone.
+func (r *Registry) Check(id bamboorail.TargetID, now time.Time) (Reason, time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.states[id].check(now)
+}
+
+func (s *state) check(now time.Time) (Reason, time.Time) {
+	switch {
+	case s == nil:
+		return ReasonNone, time.Time{}
+	case s.leaving:
+		return ReasonLeaving, time.Time{}
+	case now.Before(s.quietUntil):
+		return ReasonQuiet, s.quietUntil
+	case s.returning && now.Before(s.trialUntil):
+		return ReasonTrial, s.trialUntil
+	}
+	return ReasonNone, time.Time{}
+}
+
+// Acquire is Check for a request that is sent now. After a quiet time, the first one
+// is a trial: others wait for its answer.
+func (r *Registry) Acquire(id bamboorail.TargetID, now time.Time) Reason {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.states[id]
+	reason, _ := s.check(now)
+	if reason == ReasonNone && s != nil && s.returning {
+		s.trialUntil = now.Add(trialTimeout)
+	}
+	return reason
+}
+
+// Closed returns the names of the targets that must not get a request now.
+func (r *Registry) Closed(now time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var names []string
+	for id, s := range r.states {
+		if reason, _ := s.check(now); reason != ReasonNone {
+			names = append(names, id.Name)
+		}
+	}
+	return names
+}
+
+// IsLeaving reports whether a target said that it leaves.
+func (r *Registry) IsLeaving(id bamboorail.TargetID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.states[id]
+	return s != nil && s.leaving
+}
+
+// Expire forgets targets that are not live and said nothing for long.
+func (r *Registry) Expire(live func(bamboorail.TargetID) bool, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, s := range r.states {
+		if now.Sub(s.lastSeen) > retention && !live(id) {
+			delete(r.states, id)
+		}
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,6 +19,8 @@
 	// departed are the last entries of targets that are gone or leave, which an
 	// older entry must not bring back.
 	departed map[string]departedTarget
+	// leaving are the targets that said themselves that they leave, with the time.
+	leaving  map[bamboorail.TargetID]time.Time
 	releases map[bamboorail.AdapterKey]bamboorail.ReleaseHistory
 	// releasesSynced is closed once all releases were read.
 	releasesSynced chan struct{}
@@ -42,6 +44,10 @@
 // from which a store is restored are some seconds old.
 const departureMemory = time.Minute
 
+// leavingMemory is the time for which a target that is not listed any more is known
+// to leave. Some serve for many seconds after their entries are removed.
+const leavingMemory = 10 * time.Minute
+
 // maxReleaseHistory bounds the history of one adapter. Versions that were
 // replaced before it count as replaced long ago.
 const maxReleaseHistory = 8
@@ -50,7 +56,7 @@
 // store are kept for returnGrace, during which live targets register again.
 func New(returnGrace time.Duration) *Fleet {
 	return &Fleet{
-		returnGrace: returnGrace, targets: map[string]*trackedTarget{}, departed: map[string]departedTarget{},
+		returnGrace: returnGrace, targets: map[string]*trackedTarget{}, departed: map[string]departedTarget{}, leaving: map[bamboorail.TargetID]time.Time{},
 		releases: map[bamboorail.AdapterKey]bamboorail.ReleaseHistory{}, releasesSynced: make(chan struct{}), changed: make(chan struct{}),
 	}
 }
@@ -66,7 +72,32 @@
 	if f.hasDeparted(e) {
 		return
 	}
-	f.targets[e.ID.Name] = &trackedTarget{entry: e}
+	f.targets[e.ID.Name] = f.track(e)
+	f.notify()
+}
+
+// track returns the state of a target with a new entry. An entry that was written
+// before the target said that it leaves does not take that back. The caller holds
+// the lock.
+func (f *Fleet) track(e bamboorail.TargetEntry) *trackedTarget {
+	if _, ok := f.leaving[e.ID]; ok {
+		e.Leaving = true
+	}
+	return &trackedTarget{entry: e}
+}
+
+// MarkLeaving records that a target said itself that it leaves. It concerns this
+// start of the target only.
+func (f *Fleet) MarkLeaving(id bamboorail.TargetID, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, ok := f.leaving[id]; ok {
+		return
+	}
+	f.leaving[id] = now
+	if k := f.targets[id.Name]; k != nil && k.entry.ID == id {
+		k.entry.Leaving = true
+	}
 	f.notify()
 }
 
@@ -117,7 +148,7 @@
 		case k != nil && isOlder(e, k.entry):
 			f.targets[e.ID.Name] = k
 		case !f.hasDeparted(e):
-			f.targets[e.ID.Name] = &trackedTarget{entry: e}
+			f.targets[e.ID.Name] = f.track(e)
 		}
 	}
 	for name, k := range previous {
@@ -146,6 +177,11 @@
 			f.notify()
 		}
 	}
+	for id, at := range f.leaving {
+		if f.targets[id.Name] == nil && now.Sub(at) > leavingMemory {
+			delete(f.leaving, id)
+		}
+	}
 	for name, d := range f.departed {
 		if now.Sub(d.at) > departureMemory {
 			delete(f.departed, name)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -154,3 +154,37 @@
 		})
 	}
 }
+
+// TestOwnWordOutweighsEntries guards against a target that says that it leaves and is
+// brought back by an entry that says that it is ready.
+func TestOwnWordOutweighsEntries(t *testing.T) {
+	cases := map[string]struct {
+		next  bamboorail.TargetEntry
+		takes bool
+	}{
+		"later heartbeat":   {entry("a", 5, 9), false},
+		"its next start":    {entry("a", 6, 1), true},
+		"another in a list": {entry("b", 5, 1), true},
+	}
+	for name, c := range cases {
+		for _, listed := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				f := New(time.Second)
+				f.Update(entry("a", 5, 8))
+				f.MarkLeaving(bamboorail.TargetID{Name: "a", StartMillis: 5}, start)
+				if len(f.Service("s")) > 0 {
+					t.Fatal("the target still takes calls")
+				}
+				if listed {
+					f.Replace([]bamboorail.TargetEntry{c.next}, start, false)
+				} else {
+					f.Update(c.next)
+				}
+				f.Expire(start.Add(2 * leavingMemory))
+				if takes := len(f.Service("s")) > 0; takes != c.takes {
+					t.Errorf("takes calls: %t, want %t", takes, c.takes)
+				}
+			})
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/advisory"
 	"bamboorail.example/bamboorail/internal/balance"
 	"bamboorail.example/bamboorail/internal/fleet"
 	"bamboorail.example/bamboorail/internal/httpport"
@@ -112,8 +113,9 @@
 	balancer *balance.Balancer
 	relay    *relay.Handler
 	chooser  *placer.Chooser
-	// quarantine is shared by the chooser and the holders.
+	// quarantine and advisories are shared by the chooser and the holders.
 	quarantine *placer.Quarantine
+	advisories *advisory.Registry
 	holders    []placer.ZoneHolder
 	elector    *lease.Elector
 	peers      *peer.Client
@@ -149,7 +151,7 @@
 	g := &Gateway{
 		initial: s, platform: p, logs: logs, log: logs.Layer("gateway"), started: time.Now(),
 		fleet: fleet.New(registrationGrace), balancer: balance.New(s.Zone), peers: peer.NewClient(nil), resync: informer.NewResyncSignal(),
-		metrics: telemetry.NewMetrics(), spans: telemetry.NewSpanStore(s.Instance, traceCapacity), budgets: map[string]*retry.WindowBudget{},
+		metrics: telemetry.NewMetrics(), spans: telemetry.NewSpanStore(s.Instance, traceCapacity), advisories: advisory.New(), budgets: map[string]*retry.WindowBudget{},
 	}
 	g.current.Store(&s)
 	g.storeCalls = newCountedStore(p.Store, g.metrics, logs.Layer("store"))
@@ -160,6 +162,9 @@
 		return nil, err
 	}
 	g.assemble()
+	if e, ok := p.Engines.(bamboorail.AdvisedController); ok {
+		e.OnAdvisory(g.advise)
+	}
 	g.registerHandlers()
 	return g, nil
 }
@@ -182,7 +187,7 @@
 		candidates = append(candidates, lease.Candidate{Lease: l, CrossZone: zone != s.Zone, ClaimDelay: claimDelay(s.ProcessorShare)})
 		h := placer.NewHolder(placer.HolderConfig{
 			Zone: zone, Instance: s.Instance, Lease: l, Fleet: g.fleet, Table: g.table.Load, Engines: g.platform.Engines,
-			Tuning: g.tuning(), FetchShare: g.fetchShare, ModelLoadInterval: g.modelLoadInterval, Metrics: g.metrics,
+			Tuning: g.tuning(), FetchShare: g.fetchShare, ModelLoadInterval: g.modelLoadInterval, Permit: g.permit, Metrics: g.metrics,
 			Log: g.logs.Layer("placer"),
 		})
 		g.holders = append(g.holders, placer.ZoneHolder{Zone: zone, Local: h, Lease: l})
@@ -197,11 +202,12 @@
 	g.quarantine = placer.NewQuarantine(g.metrics, g.logs.Layer("placer"))
 	g.chooser = placer.NewChooser(placer.ChooserConfig{
 		Instance: s.Instance, Zones: g.holders, Peers: g.peers, Fleet: g.fleet, Balancer: g.balancer,
-		Tracer: tracer, PollLease: g.elector.PollNow, Quarantine: g.quarantine, Log: g.logs.Layer("placer"),
+		Tracer: tracer, PollLease: g.elector.PollNow, Quarantine: g.quarantine, Advisories: g.advisories, Log: g.logs.Layer("placer"),
 	})
 	g.relay = relay.NewHandler(relay.Config{
 		Ingress: g.platform.Ingress, Egress: g.platform.Egress, Table: g.table.Load, Chooser: g.chooser, Budget: g.budget,
-		Dialer: relay.NewDialer(), Metrics: g.metrics, Tracer: tracer, ShuttingDown: g.shuttingDown.Load, Log: g.logs.Layer("relay"),
+		Dialer: relay.NewDialer(), Metrics: g.metrics, Tracer: tracer, Advise: g.advise, ShuttingDown: g.shuttingDown.Load,
+		Log: g.logs.Layer("relay"),
 	})
 }
 
@@ -306,6 +312,7 @@
 	}
 	g.balancer.Retain(live)
 	g.relay.Retain(live)
+	g.advisories.Expire(live, time.Now())
 	slack := g.retrySlack(g.current.Load().RetrySlack)
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/adapters"
+	"bamboorail.example/bamboorail/internal/advisory"
 	"bamboorail.example/bamboorail/internal/balance"
 	"bamboorail.example/bamboorail/internal/fleet"
 	"bamboorail.example/bamboorail/internal/lease"
@@ -77,6 +79,7 @@
 	// PollLease triggers a poll of the local zone's lease.
 	PollLease  func()
 	Quarantine *Quarantine
+	Advisories *advisory.Registry
 	Log        hclog.Logger
 }
 
@@ -214,7 +217,10 @@
 
 func (c *Chooser) chooseBalanced(a relay.ChooseRequest) (relay.Reservation, error) {
 	now := time.Now()
-	target, ok := c.Balancer.Choose(c.Fleet.Service(a.Service.Name), a.Avoid, now)
+	if err := c.checkQuiet(a.Service.Name, now); err != nil {
+		return relay.Reservation{}, err
+	}
+	target, ok := c.Balancer.Choose(c.openTargets(a.Service.Name, now), a.Avoid, now)
 	if !ok {
 		return relay.Reservation{}, failRetry("choose-target", bamboorail.KindNoTarget, noEngineRetry, errNoTarget)
 	}
@@ -230,7 +236,7 @@
 	key := a.Call.Key
 	releases := c.Fleet.Releases(key)
 	var engines []bamboorail.TargetEntry
-	for _, e := range c.Fleet.Service(a.Service.Name) {
+	for _, e := range c.openTargets(a.Service.Name, now) {
 		held, loaded := e.Models[key.Model]
 		if !loaded || slices.Contains(a.Avoid, e.ID.Name) {
 			continue
@@ -253,11 +259,39 @@
 }
 
 // valid returns a function that reports whether a target still accepts calls as
-// far as this instance knows. This instance may learn that a target leaves
-// before the holder does.
+// far as this instance knows. This instance may learn that a target leaves, or wants
+// no requests, before the holder does.
 func (c *Chooser) valid(t bamboorail.TargetEntry) func() bool {
 	return func() bool {
 		known, ok := c.Fleet.Target(t.ID.Name)
-		return ok && !known.Leaving && known.ID == t.ID
+		return ok && !known.Leaving && known.ID == t.ID && c.Advisories.Acquire(t.ID, time.Now()) == advisory.ReasonNone
+	}
+}
+
+// openTargets returns the targets of a service that want requests now.
+func (c *Chooser) openTargets(service string, now time.Time) []bamboorail.TargetEntry {
+	return slices.DeleteFunc(c.Fleet.Service(service), func(e bamboorail.TargetEntry) bool {
+		reason, _ := c.Advisories.Check(e.ID, now)
+		return reason != advisory.ReasonNone
+	})
+}
+
+// checkQuiet returns an error if all targets of a service want no requests, with the
+// time until the first one does.
+func (c *Chooser) checkQuiet(service string, now time.Time) error {
+	var first time.Time
+	for _, e := range c.Fleet.Service(service) {
+		reason, until := c.Advisories.Check(e.ID, now)
+		if reason == advisory.ReasonNone {
+			return nil
+		}
+		if reason != advisory.ReasonLeaving && (first.IsZero() || until.Before(first)) {
+			first = until
+		}
+	}
+	if first.IsZero() {
+		return nil
 	}
+	after := max(first.Sub(now), minRetryDelay)
+	return failRetry("choose-target", bamboorail.KindOverloaded, after+rand.N(after/retrySpread+1), errTargetsQuiet)
 }
--- a/internal/placer/chooser_test.go
+++ b/internal/placer/chooser_test.go
@@ -12,6 +12,7 @@
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/adapters"
+	"bamboorail.example/bamboorail/internal/advisory"
 	"bamboorail.example/bamboorail/internal/balance"
 	"bamboorail.example/bamboorail/internal/fleet"
 	"bamboorail.example/bamboorail/internal/lease"
@@ -81,7 +82,7 @@
 	c := NewChooser(ChooserConfig{
 		Instance: "self", Zones: zones, Peers: peers, Fleet: f, Balancer: balance.New("a"),
 		Tracer: noop.NewTracerProvider().Tracer(""), PollLease: func() {}, Log: hclog.NewNullLogger(),
-		Quarantine: newTestQuarantine(),
+		Quarantine: newTestQuarantine(), Advisories: advisory.New(),
 	})
 	key := bamboorail.AdapterKey{Model: "m"}
 	for n := 0; key.Adapter == "" || adapters.HomeZone(names, key) != "b"; n++ {
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -55,8 +55,11 @@
 	FetchShare func() int
 	// ModelLoadInterval returns the minimum time between loads of base models.
 	ModelLoadInterval func() time.Duration
-	Metrics           *telemetry.Metrics
-	Log               hclog.Logger
+	// Permit returns an error while an engine wants no requests of this instance;
+	// nil permits all.
+	Permit  func(id bamboorail.TargetID) error
+	Metrics *telemetry.Metrics
+	Log     hclog.Logger
 }
 
 // Holder places the calls of one zone while this instance holds the zone's
@@ -83,6 +86,9 @@
 
 // NewHolder returns a holder that does not lead.
 func NewHolder(c HolderConfig) *Holder {
+	if c.Permit == nil {
+		c.Permit = func(bamboorail.TargetID) error { return nil }
+	}
 	return &Holder{
 		HolderConfig: c, planner: adapters.NewPlanner(c.Tuning, 0), background: make(chan []bamboorail.AdapterOrder, backgroundQueueSize),
 		usage: &usage{metrics: c.Metrics.Holder(c.Zone)}, engineLocks: map[bamboorail.TargetID]chan struct{}{},
@@ -192,6 +198,9 @@
 		return
 	}
 	defer unlock()
+	if h.Permit(e.ID) != nil {
+		return
+	}
 	state, err := h.Engines.State(ctx, e.ID, e.Address)
 	if err != nil {
 		h.Log.Debug("failed to read engine state", "zone", h.Zone, "engine", e.ID.Name, "error", err)
@@ -285,6 +294,8 @@
 type EndedPlacement struct {
 	Ticket uint64
 	Result balance.Result
+	// Leaving is set if the target said in an answer that it leaves.
+	Leaving bool
 }
 
 // Settle records the ends of placements.
@@ -302,6 +313,9 @@
 		if !ok {
 			continue
 		}
+		if e.Leaving {
+			h.Fleet.MarkLeaving(c.Target, now)
+		}
 		switch e.Result {
 		case balance.Answered:
 			h.planner.RecordLoaded(c.Target, c.Key, now)
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -102,6 +102,9 @@
 		case !hasSlot:
 			return fail(op, bamboorail.KindOverloaded, errNoCapacity)
 		}
+		if err := h.Permit(o.Target); err != nil {
+			return err
+		}
 		fencingToken, acting := h.Lease.Tenure()
 		if !acting {
 			return fail(op, bamboorail.KindNotOwner, errMayNotAct)
@@ -122,6 +125,9 @@
 			return err
 		}
 		h.Log.Info("order conflicts with engine state", "zone", h.Zone, "engine", o.Target.Name, "adapter", o.Key.Adapter, "number", number)
+		if err := h.Permit(o.Target); err != nil {
+			return err
+		}
 		state, err := h.Engines.State(ctx, o.Target, o.Address)
 		if err != nil {
 			return err
--- a/internal/placer/quarantine.go
+++ b/internal/placer/quarantine.go
@@ -148,6 +148,9 @@
 	if err := c.Quarantine.check(a.Call); err != nil {
 		return relay.Reservation{}, 0, err
 	}
+	if err := c.checkQuiet(a.Service.Name, time.Now()); err != nil {
+		return relay.Reservation{}, bamboorail.FailureOf(err).RetryAfter, err
+	}
 	reservation, retryAfter, err := c.chooseEngine(ctx, a)
 	if err != nil {
 		return relay.Reservation{}, retryAfter, err
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -109,7 +109,7 @@
 func endedFromWire(messages []*wire.EndedPlacement) []EndedPlacement {
 	list := make([]EndedPlacement, 0, len(messages))
 	for _, m := range messages {
-		list = append(list, EndedPlacement{Ticket: m.GetTicket(), Result: balance.Result(m.GetResult())})
+		list = append(list, EndedPlacement{Ticket: m.GetTicket(), Result: balance.Result(m.GetResult()), Leaving: m.GetLeaving()})
 	}
 	return list
 }
--- a/internal/placer/settle.go
+++ b/internal/placer/settle.go
@@ -5,17 +5,18 @@
 	"slices"
 	"time"
 
+	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/balance"
 	"bamboorail.example/bamboorail/internal/peer/wire"
 	"bamboorail.example/bamboorail/internal/task"
 )
 
 // settleFunc returns the function that ends a placement.
-func (c *Chooser) settleFunc(zone, engine string, ticket uint64) func(balance.Result, time.Duration) {
+func (c *Chooser) settleFunc(zone string, target bamboorail.TargetID, ticket uint64) func(balance.Result, time.Duration) {
 	return func(r balance.Result, _ time.Duration) {
-		c.recordResult(engine, r)
+		c.recordResult(target.Name, r)
 		c.removeOpen(zone, ticket)
-		end := []EndedPlacement{{Ticket: ticket, Result: r}}
+		end := []EndedPlacement{{Ticket: ticket, Result: r, Leaving: c.Advisories.IsLeaving(target)}}
 		for _, z := range c.Zones {
 			if z.Zone == zone && z.Local != nil && z.Lease.Leading() {
 				z.Local.Settle(end)
@@ -45,7 +46,7 @@
 func endedMessages(list []EndedPlacement) []*wire.EndedPlacement {
 	out := make([]*wire.EndedPlacement, 0, len(list))
 	for _, e := range list {
-		out = append(out, &wire.EndedPlacement{Ticket: e.Ticket, Result: int32(e.Result)})
+		out = append(out, &wire.EndedPlacement{Ticket: e.Ticket, Result: int32(e.Result), Leaving: e.Leaving})
 	}
 	return out
 }
--- a/internal/placer/suspects.go
+++ b/internal/placer/suspects.go
@@ -41,15 +41,16 @@
 }
 
 // enginesToAvoid returns the engines that a call should not be sent to: those
-// that the request excludes, and the suspects.
+// that the request excludes, those that want no requests, and the suspects.
 func (c *Chooser) enginesToAvoid(a relay.ChooseRequest) []string {
+	now := time.Now()
+	closed := c.Advisories.Closed(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.suspects) == 0 {
+	if len(c.suspects) == 0 && len(closed) == 0 {
 		return a.Avoid
 	}
-	now := time.Now()
-	names := slices.Clone(a.Avoid)
+	names := slices.Concat(a.Avoid, closed)
 	for name, s := range c.suspects {
 		switch {
 		case now.Before(s.until):
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -124,6 +124,7 @@
 		return x.transportError(ctx, op, err)
 	}
 	defer resp.Body.Close()
+	x.advise(reservation.Target.ID, resp)
 	x.h.pool.limitIdle(reservation.Target.ID, resp.Header.Get("Keep-Alive"))
 	switch x.h.Egress.Classify(resp, &x.call) {
 	case bamboorail.ResponseNotRun:
@@ -139,6 +140,18 @@
 	return x.forwardAnswer(ctx, cancel, resp)
 }
 
+// advise passes on what a target says of itself in its answer. A misdirected call
+// was answered by another target.
+func (x *exchange) advise(id bamboorail.TargetID, resp *http.Response) {
+	a, err := x.h.Egress.Advisory(resp)
+	if err != nil {
+		x.h.Log.Warn("advisory of target ignored", "id", x.call.ID, "target", id.Name, "error", err)
+	}
+	if resp.StatusCode != http.StatusMisdirectedRequest {
+		x.h.Advise(id, a)
+	}
+}
+
 // refusedError returns the failure of a call that the target refused to run.
 func (x *exchange) refusedError(op string, resp *http.Response) error {
 	err := fmt.Errorf("the target refused with status %d", resp.StatusCode)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -64,7 +64,8 @@
 	// Assumed is set if it is not certain that the target holds the adapter: a
 	// target that turns out to lack it is not tried again.
 	Assumed bool
-	// Valid reports whether the target still takes calls.
+	// Valid reports whether the target still takes calls. It is called once,
+	// immediately before the call is sent.
 	Valid func() bool
 	// Done releases the reservation. It is called once.
 	Done func(r balance.Result, took time.Duration)
@@ -88,6 +89,8 @@
 	Dialer  *net.Dialer
 	Metrics *telemetry.Metrics
 	Tracer  trace.Tracer
+	// Advise is told what targets say of themselves in their answers.
+	Advise func(id bamboorail.TargetID, a bamboorail.Advisory)
 	// ShuttingDown reports whether the instance is shutting down.
 	ShuttingDown func() bool
 	Log          hclog.Logger
--- a/internal/relay/testrelay_test.go
+++ b/internal/relay/testrelay_test.go
@@ -52,6 +52,14 @@
 	}
 }
 
+func (testDialect) Advisory(r *http.Response) (bamboorail.Advisory, error) {
+	quiet, err := time.ParseDuration(r.Header.Get("Quiet"))
+	if r.Header.Get("Quiet") == "" {
+		err = nil
+	}
+	return bamboorail.Advisory{Leaving: r.Header.Get("Leaving") != "", QuietFor: quiet}, err
+}
+
 func (testDialect) Classify(r *http.Response, c *bamboorail.Call) bamboorail.ResponseClass {
 	switch {
 	case r.Header.Get("Not-Run") != "":
@@ -238,7 +246,9 @@
 type testRelay struct {
 	*httptest.Server
 	chooser *fakeChooser
-	spans   *telemetry.SpanStore
+	// advisories are what the targets said, by target.
+	advisories map[string][]bamboorail.Advisory
+	spans      *telemetry.SpanStore
 }
 
 func newTestRelay(t *testing.T, spec bamboorail.RouteSpec, targets ...*fakeTarget) *testRelay {
@@ -250,11 +260,14 @@
 	}
 	table := route.NewTable(bamboorail.Configuration{Version: 1, Routes: []bamboorail.RouteSpec{spec}})
 	budget := retry.NewWindowBudget(1, 100, 10*time.Second)
-	b := &testRelay{chooser: &fakeChooser{targets: targets}, spans: telemetry.NewSpanStore("i", 64)}
+	b := &testRelay{chooser: &fakeChooser{targets: targets}, advisories: map[string][]bamboorail.Advisory{}, spans: telemetry.NewSpanStore("i", 64)}
 	handler := NewHandler(Config{
 		Tracer:  telemetry.NewTracer(b.spans),
 		Ingress: testDialect{}, Egress: testDialect{}, Table: func() *route.Table { return table }, Chooser: b.chooser,
 		Budget: func(string) *retry.WindowBudget { return budget }, Dialer: NewDialer(), Metrics: telemetry.NewMetrics(),
+		Advise: func(id bamboorail.TargetID, a bamboorail.Advisory) {
+			b.advisories[id.Name] = append(b.advisories[id.Name], a)
+		},
 		ShuttingDown: func() bool { return false }, Log: hclog.NewNullLogger(),
 	})
 	b.Server = httptest.NewServer(handler)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -28,6 +28,7 @@
 	late      prometheus.Histogram
 	store     *prometheus.CounterVec
 	blocked   prometheus.Counter
+	advised   *prometheus.CounterVec
 }
 
 // waitBuckets are histogram bucket bounds in seconds.
@@ -54,7 +55,8 @@
 	m.holders = newHolderVectors(m.registry)
 	m.store = newCounterVec("store_calls_total", "Calls to the object store by call, kind of object, and result.", "call", "kind", "result")
 	m.blocked = newCounter("prompt_segments_blocked_total", "Prompt segments that were blocked because they crash engines.")
-	m.registry.MustRegister(m.store, m.blocked, m.late, m.requests, m.duration, m.loads, m.loadTime, m.evictions, m.waited, m.loadWait,
+	m.advised = newCounterVec("target_advisories_total", "Targets that said that they leave or asked for a pause.", "reason")
+	m.registry.MustRegister(m.store, m.blocked, m.advised, m.late, m.requests, m.duration, m.loads, m.loadTime, m.evictions, m.waited, m.loadWait,
 		m.running, m.maxBatch, m.revision, m.faults, m.mismatch,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -137,3 +139,6 @@
 
 // PromptSegmentBlocked counts a prompt segment that was blocked.
 func (m *Metrics) PromptSegmentBlocked() { m.blocked.Inc() }
+
+// TargetAdvised counts a target that said that it leaves or asked for a pause.
+func (m *Metrics) TargetAdvised(reason string) { m.advised.WithLabelValues(reason).Inc() }
--- a/orders.go
+++ b/orders.go
@@ -46,6 +46,13 @@
 	Pending []AdapterKey
 }
 
+// AdvisedController is implemented by controllers that tell what engines say of
+// themselves in their answers to orders and state queries.
+type AdvisedController interface {
+	// OnAdvisory sets the function that is told. It is called before the first order.
+	OnAdvisory(f func(id TargetID, a Advisory))
+}
+
 // EngineController is a client of engines that accept orders. An error means
 // that the order may have been accepted, or may still be accepted later.
 type EngineController interface {
