--- a/cmd/railentry/cmds/commands.go
+++ b/cmd/railentry/cmds/commands.go
@@ -102,7 +102,8 @@
 	return program{
 		log: s.Log, out: stdout,
 		start: func(ctx context.Context, logs *logflags.Logs) (instance, error) {
-			return gateway.New(ctx, s, platform.NewAdapter(s.PlatformURL, gateway.NewTransport(), logs.With("instance", s.Instance).Layer("store")), logs.With("instance", s.Instance))
+			logs = logs.With("instance", s.Instance)
+			return gateway.New(ctx, s, platform.NewAdapter(s.PlatformURL, gateway.NewTransport(), logs.Layer("store")), logs)
 		},
 		watch: func(ctx context.Context, i instance, hangups <-chan struct{}, logs *logflags.Logs) error {
 			return reloadSettings(ctx, path, s, i.(*gateway.Gateway), hangups, logs)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -151,7 +151,8 @@
 	g := &Gateway{
 		initial: s, platform: p, logs: logs, log: logs.Layer("gateway"), started: time.Now(),
 		fleet: fleet.New(registrationGrace), balancer: balance.New(s.Zone), peers: peer.NewClient(nil), resync: informer.NewResyncSignal(),
-		metrics: telemetry.NewMetrics(), spans: telemetry.NewSpanStore(s.Instance, traceCapacity), advisories: advisory.New(), budgets: map[string]*retry.WindowBudget{},
+		metrics: telemetry.NewMetrics(), spans: telemetry.NewSpanStore(s.Instance, traceCapacity), advisories: advisory.New(),
+		budgets: map[string]*retry.WindowBudget{},
 	}
 	g.current.Store(&s)
 	g.storeCalls = newCountedStore(p.Store, g.metrics, logs.Layer("store"))
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -131,18 +131,7 @@
 			err = errEarlierEra
 		}
 		if err == nil {
-			restored := i.listed > 0 && revision.Era() > i.listed.Era()
-			i.listed, i.newest = revision, max(i.newest, revision)
-			if restored {
-				i.Log.Warn("store restored from a copy, kind listed again", "kind", i.Kind, "era", revision.Era(), "revision", revision.Revision())
-			}
-			if state == storeUnreachable || restored {
-				i.Resync.trigger()
-			}
-			if state != storeAvailable {
-				i.Log.Info("store regained", "kind", i.Kind, "revision", revision, "objects", len(objects))
-			}
-			i.Handler.Replace(objects, state != storeAvailable || restored)
+			i.accept(objects, revision, state)
 			return revision, nil
 		}
 		state = state.afterError(err)
@@ -155,6 +144,22 @@
 	}
 }
 
+// accept passes on a list that was read in the given state of the store.
+func (i *Informer) accept(objects []bamboorail.Object, revision bamboorail.StoreVersion, state storeState) {
+	restored := i.listed > 0 && revision.Era() > i.listed.Era()
+	i.listed, i.newest = revision, max(i.newest, revision)
+	if restored {
+		i.Log.Warn("store restored from a copy, kind listed again", "kind", i.Kind, "era", revision.Era(), "revision", revision.Revision())
+	}
+	if state == storeUnreachable || restored {
+		i.Resync.trigger()
+	}
+	if state != storeAvailable {
+		i.Log.Info("store regained", "kind", i.Kind, "revision", revision, "objects", len(objects))
+	}
+	i.Handler.Replace(objects, state != storeAvailable || restored)
+}
+
 // watch processes changes until the history is gone, another informer triggers
 // Resync, or two consecutive calls fail. It returns the state of the store at
 // that time.
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -111,7 +111,10 @@
 		// An earlier process of this instance may have left placements open.
 		open[z.Zone] = &openPlacements{tickets: map[uint64]bool{}, lastPlaced: now}
 	}
-	return &Chooser{ChooserConfig: c, holderBackoffs: map[string]backoff{}, ended: map[string][]EndedPlacement{}, breaks: map[string][]quarantine.Break{}, open: open, suspects: map[string]backoff{}}
+	return &Chooser{
+		ChooserConfig: c, holderBackoffs: map[string]backoff{}, ended: map[string][]EndedPlacement{},
+		breaks: map[string][]quarantine.Break{}, open: open, suspects: map[string]backoff{},
+	}
 }
 
 // Choose selects a target for a call. If no engine has capacity, it retries
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -92,24 +92,9 @@
 				return err
 			}
 		}
-		h.mu.Lock()
-		number, known := h.planner.OrderNumber(o.Target)
-		hasSlot := o.Unload || h.planner.HasFreeSlot(o.Target, o.Key)
-		h.mu.Unlock()
-		switch {
-		case !known:
-			return fail(op, bamboorail.KindUnavailable, errEngineUnsynced)
-		case !hasSlot:
-			return fail(op, bamboorail.KindOverloaded, errNoCapacity)
-		}
-		if err := h.Permit(o.Target); err != nil {
+		if err := h.prepare(&o); err != nil {
 			return err
 		}
-		fencingToken, acting := h.Lease.Tenure()
-		if !acting {
-			return fail(op, bamboorail.KindNotOwner, errMayNotAct)
-		}
-		o.Orders, o.Holder, o.FencingToken = number, h.Instance, fencingToken
 		sendCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		sent := time.Now()
 		result, err := h.Engines.Order(sendCtx, o)
@@ -117,14 +102,14 @@
 		h.usage.recordOrder(time.Since(sent))
 		if err != nil {
 			h.Log.Warn("order not answered", "zone", h.Zone, "engine", o.Target.Name, "unload", o.Unload,
-				"adapter", o.Key.Adapter, "number", number, "fencing", fencingToken, "error", err)
+				"adapter", o.Key.Adapter, "number", o.Orders, "fencing", o.FencingToken, "error", err)
 			return err
 		}
 		done, err := h.recordOrderResult(o, result)
 		if done {
 			return err
 		}
-		h.Log.Info("order conflicts with engine state", "zone", h.Zone, "engine", o.Target.Name, "adapter", o.Key.Adapter, "number", number)
+		h.Log.Info("order conflicts with engine state", "zone", h.Zone, "engine", o.Target.Name, "adapter", o.Key.Adapter, "number", o.Orders)
 		if err := h.Permit(o.Target); err != nil {
 			return err
 		}
@@ -142,6 +127,31 @@
 	return fail(op, bamboorail.KindUnavailable, errEngineUnsynced)
 }
 
+// prepare numbers and signs an order, as the last step before it is sent. It returns
+// an error if the order must not be sent now.
+func (h *Holder) prepare(o *bamboorail.AdapterOrder) error {
+	const op = "send-order"
+	h.mu.Lock()
+	number, known := h.planner.OrderNumber(o.Target)
+	hasSlot := o.Unload || h.planner.HasFreeSlot(o.Target, o.Key)
+	h.mu.Unlock()
+	switch {
+	case !known:
+		return fail(op, bamboorail.KindUnavailable, errEngineUnsynced)
+	case !hasSlot:
+		return fail(op, bamboorail.KindOverloaded, errNoCapacity)
+	}
+	if err := h.Permit(o.Target); err != nil {
+		return err
+	}
+	fencingToken, acting := h.Lease.Tenure()
+	if !acting {
+		return fail(op, bamboorail.KindNotOwner, errMayNotAct)
+	}
+	o.Orders, o.Holder, o.FencingToken = number, h.Instance, fencingToken
+	return nil
+}
+
 // reevaluateUnload checks an unload against the engine state that was read
 // after a conflict. It reports true if the order must not be sent.
 func (h *Holder) reevaluateUnload(o bamboorail.AdapterOrder) (bool, error) {
--- a/internal/placer/quarantine.go
+++ b/internal/placer/quarantine.go
@@ -109,8 +109,12 @@
 // blockMessages returns the blocks in force.
 func (q *Quarantine) blockMessages() []*wire.SegmentBlock {
 	now := time.Now()
-	var list []*wire.SegmentBlock
-	for _, b := range q.registry.Blocks(now) {
+	blocks := q.registry.Blocks(now)
+	if len(blocks) == 0 {
+		return nil
+	}
+	list := make([]*wire.SegmentBlock, 0, len(blocks))
+	for _, b := range blocks {
 		list = append(list, &wire.SegmentBlock{Segment: b.Segment, RemainingMicros: b.Until.Sub(now).Microseconds(), Crashes: int32(b.Crashes)})
 	}
 	return list
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -46,16 +46,19 @@
 		// as if it were complete.
 		return balance.Failed, mayHaveRun(op, bamboorail.KindTargetFailed, fmt.Errorf("the target answered with status %d", resp.StatusCode))
 	}
-	body := io.TeeReader(resp.Body, &x.answer)
+	return x.forwardBuffered(ctx, resp, events)
+}
+
+// forwardBuffered forwards an answer once it is whole, or the first
+// maxBufferedAnswer bytes of it are.
+func (x *exchange) forwardBuffered(ctx context.Context, resp *http.Response, events bool) (balance.Result, error) {
+	const op = "pass-answer"
+	body := &answerReader{x: x, body: resp.Body, events: events}
 	head, err := io.ReadAll(io.LimitReader(body, maxBufferedAnswer))
-	whole := len(head) < maxBufferedAnswer
-	if err == nil && whole && events {
-		err = x.checkStreamEnd()
-	}
 	if err != nil {
 		return x.truncatedError(ctx, op, err)
 	}
-	result := balance.Answered
+	result, whole := balance.Answered, len(head) < maxBufferedAnswer
 	if resp.StatusCode >= http.StatusInternalServerError {
 		result = balance.Failed
 	}
@@ -69,16 +72,32 @@
 	if whole {
 		return result, nil
 	}
-	_, err = io.Copy(x.w, body)
-	if err == nil && events {
-		err = x.checkStreamEnd()
-	}
-	if err != nil {
+	if _, err := io.Copy(x.w, body); err != nil {
 		return x.truncatedError(ctx, op, err)
 	}
 	return result, nil
 }
 
+// answerReader reads the body of an answer and records it. A stream that ends
+// without being whole, whatever its framing says, ends with an error.
+type answerReader struct {
+	x      *exchange
+	body   io.Reader
+	events bool
+}
+
+// Read reads the next part of the body.
+func (r *answerReader) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	_, _ = r.x.answer.Write(p[:n]) // never fails
+	if errors.Is(err, io.EOF) && r.events {
+		if broken := r.x.answer.CheckEnd(r.x.framing == httpport.FramingClose); broken != nil {
+			return n, broken
+		}
+	}
+	return n, err
+}
+
 // isEventStream reports whether the response is a stream of events. On a
 // streaming route, a success without a content type is.
 func (x *exchange) isEventStream(resp *http.Response) bool {
@@ -89,11 +108,6 @@
 	return eventstream.IsEventStream(contentType) || x.route.Streaming && resp.StatusCode == http.StatusOK && contentType == ""
 }
 
-// checkStreamEnd returns an error if the stream that has ended is not whole.
-func (x *exchange) checkStreamEnd() error {
-	return x.answer.CheckEnd(x.framing == httpport.FramingClose)
-}
-
 // mayRetryAnswer reports whether a call that the target answered with a failure
 // may be run again.
 func (x *exchange) mayRetryAnswer() bool {
@@ -157,11 +171,10 @@
 		eventTimer.Stop()
 	}
 	x.events.discardPartial()
-	buffer := make([]byte, readSize)
+	body, buffer := &answerReader{x: x, body: resp.Body, events: events}, make([]byte, readSize)
 	for {
-		n, err := resp.Body.Read(buffer)
+		n, err := body.Read(buffer)
 		if n > 0 {
-			_, _ = x.answer.Write(buffer[:n]) // never fails
 			forwarded, sendErr := x.forwardChunk(flusher, buffer[:n], resumable)
 			if sendErr != nil {
 				return balance.Abandoned, mayHaveRun(op, bamboorail.KindCancelled, sendErr)
@@ -172,12 +185,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			if !events {
-				return balance.Answered, nil
-			}
-			if err = x.checkStreamEnd(); err == nil {
-				return balance.Answered, nil
-			}
+			return balance.Answered, nil
 		}
 		if err != nil {
 			return x.truncatedError(ctx, op, err)
