adapters: a report that is handled late drops no load that it could not list

The age is now taken when the report is asked for. TestReportHandledLateKeepsLoads failed in two cases before.

--- a/internal/adapters/engine.go
+++ b/internal/adapters/engine.go
@@ -77,8 +77,8 @@
 	}
 }
 
-// Sync applies the report of an engine.
-func (p *Planner) Sync(id bamboorail.TargetID, s bamboorail.EngineState, now time.Time) {
+// Sync applies a report of an engine that was asked for at the given time.
+func (p *Planner) Sync(id bamboorail.TargetID, s bamboorail.EngineState, asked, now time.Time) {
 	e := p.engine(id)
 	if e == nil {
 		return
@@ -116,7 +116,7 @@
 	for key, old := range e.adapters {
 		// A load that was accepted after the report was made is missing from
 		// it.
-		if states[key] == nil && old.loading && now.Sub(old.started) < maxReportLag {
+		if states[key] == nil && old.loading && asked.Sub(old.started) < maxReportLag {
 			states[key] = old
 		}
 	}
--- a/internal/adapters/loads_test.go
+++ b/internal/adapters/loads_test.go
@@ -38,7 +38,7 @@
 		"dropped by the engine unnoticed": {func(p *Planner, first Placement) {
 			p.End(first.Ticket)
 			p.RecordLoaded(first.Target.ID, testRequest(1).Key, start)
-			p.Sync(first.Target.ID, bamboorail.EngineState{Orders: 1, Models: map[string]map[string]int{"m": {}}}, start.Add(time.Second))
+			p.Sync(first.Target.ID, bamboorail.EngineState{Orders: 1, Models: map[string]map[string]int{"m": {}}}, start.Add(time.Second), start.Add(time.Second))
 		}, 1},
 	}
 	for name, c := range cases {
--- a/internal/adapters/planner_test.go
+++ b/internal/adapters/planner_test.go
@@ -33,7 +33,7 @@
 	}
 	p.SetEngines(entries, func(string) int { return slots }, start)
 	for n := range engines {
-		p.Sync(engineID(n), bamboorail.EngineState{Models: map[string]map[string]int{"m": {}}}, start)
+		p.Sync(engineID(n), bamboorail.EngineState{Models: map[string]map[string]int{"m": {}}}, start, start)
 	}
 	return p
 }
@@ -268,16 +268,43 @@
 	p := newTestPlanner(1, 21)
 	placeLoading(t, p, testRequest(1))
 	p.Desync(engineID(0), start)
-	p.Sync(engineID(0), bamboorail.EngineState{Orders: 0, Models: map[string]map[string]int{"m": {}}}, start.Add(50*time.Millisecond))
+	p.Sync(engineID(0), bamboorail.EngineState{Orders: 0, Models: map[string]map[string]int{"m": {}}}, start.Add(50*time.Millisecond), start.Add(50*time.Millisecond))
 	if _, synced := p.OrderNumber(engineID(0)); synced {
 		t.Error("a report without the accepted order was applied")
 	}
-	p.Sync(engineID(0), bamboorail.EngineState{Orders: 1, Models: map[string]map[string]int{"m": {"a1": 1}}}, start.Add(time.Second))
+	p.Sync(engineID(0), bamboorail.EngineState{Orders: 1, Models: map[string]map[string]int{"m": {"a1": 1}}}, start.Add(time.Second), start.Add(time.Second))
 	if n, synced := p.OrderNumber(engineID(0)); n != 1 || !synced {
 		t.Errorf("orders %d, synced %t", n, synced)
 	}
 }
 
+// TestReportHandledLateKeepsLoads guards against a slot that is counted free twice: a
+// holder short of processor time applies a report long after it was made, and takes a
+// load that began about then for one that failed.
+func TestReportHandledLateKeepsLoads(t *testing.T) {
+	cases := map[string]struct {
+		asked, handled time.Duration // after the load was accepted
+		free           bool          // the slot of the load
+	}{
+		"handled at once":            {100 * time.Millisecond, 110 * time.Millisecond, false},
+		"handled late":               {100 * time.Millisecond, 900 * time.Millisecond, false},
+		"asked long after the load":  {2 * maxReportLag, 2 * maxReportLag, true},
+		"and handled late":           {2 * maxReportLag, 4 * maxReportLag, true},
+		"asked for before the order": {-50 * time.Millisecond, 900 * time.Millisecond, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := newTestPlanner(1, 1)
+			placeLoading(t, p, testRequest(1))
+			p.Desync(engineID(0), start)
+			p.Sync(engineID(0), bamboorail.EngineState{Orders: 1, Models: map[string]map[string]int{"m": {}}}, start.Add(c.asked), start.Add(c.handled))
+			if free := p.HasFreeSlot(engineID(0), testRequest(2).Key); free != c.free {
+				t.Errorf("slot free: %t, want %t", free, c.free)
+			}
+		})
+	}
+}
+
 // TestRestartedEngineIsReset checks that an engine that restarts under its name
 // holds no adapters and has accepted no orders.
 func TestRestartedEngineIsReset(t *testing.T) {
@@ -289,7 +316,7 @@
 	if _, ok := p.Place(testRequest(1), start); ok {
 		t.Error("a call was placed on an engine whose state was not read")
 	}
-	p.Sync(engineID(0), bamboorail.EngineState{Models: map[string]map[string]int{"m": {"a1": 1}}}, start)
+	p.Sync(engineID(0), bamboorail.EngineState{Models: map[string]map[string]int{"m": {"a1": 1}}}, start, start)
 	if len(p.Unsynced()) != 1 {
 		t.Error("a report of the former start was applied to the new one")
 	}
@@ -309,7 +336,7 @@
 	if !ok || again.Target.ID == first.Target.ID {
 		t.Errorf("placed at %v after %v refused it, %t", again.Target.ID, first.Target.ID, ok)
 	}
-	p.Sync(first.Target.ID, bamboorail.EngineState{Models: map[string]map[string]int{"m": {}}}, start.Add(time.Second))
+	p.Sync(first.Target.ID, bamboorail.EngineState{Models: map[string]map[string]int{"m": {}}}, start.Add(time.Second), start.Add(time.Second))
 	for range 2 {
 		if again, _ = p.Place(r, start.Add(time.Second)); again.Target.ID == first.Target.ID {
 			return
--- a/internal/adapters/refusal_test.go
+++ b/internal/adapters/refusal_test.go
@@ -121,7 +121,7 @@
 		if n > 0 {
 			state.Active, state.Queued = slots, 6
 		}
-		p.Sync(engineID(n), state, start)
+		p.Sync(engineID(n), state, start, start)
 	}
 	for n := range slots {
 		r.CallID = fmt.Sprint(n)
--- a/internal/adapters/simulation_test.go
+++ b/internal/adapters/simulation_test.go
@@ -117,7 +117,7 @@
 		}
 		p.SetEngines(entries, func(string) int { return archiveAdapterSlots }, start)
 		for _, e := range entries {
-			p.Sync(e.ID, bamboorail.EngineState{Models: map[string]map[string]int{"m": {}}}, start)
+			p.Sync(e.ID, bamboorail.EngineState{Models: map[string]map[string]int{"m": {}}}, start, start)
 		}
 		l.zones, l.names = append(l.zones, p), append(l.names, fmt.Sprintf("z%d", z))
 		l.busyUntil, l.nextGrant = append(l.busyUntil, start), append(l.nextGrant, start)
--- a/internal/adapters/starvation_test.go
+++ b/internal/adapters/starvation_test.go
@@ -59,7 +59,7 @@
 	}
 	p.SetEngines(entries, func(string) int { return 8 }, start)
 	for _, e := range entries {
-		p.Sync(e.ID, bamboorail.EngineState{Models: map[string]map[string]int{"m": {}}}, start)
+		p.Sync(e.ID, bamboorail.EngineState{Models: map[string]map[string]int{"m": {}}}, start, start)
 	}
 	c := &hotLoad{t: t, planner: p, now: start, running: map[string][]uint64{}}
 	for full := false; !full; {
--- a/internal/adapters/wait_queue_test.go
+++ b/internal/adapters/wait_queue_test.go
@@ -27,7 +27,7 @@
 				for i := range slots {
 					held[fmt.Sprintf("held-%d-%d", n, i)] = 1
 				}
-				p.Sync(e.ID, bamboorail.EngineState{Models: map[string]map[string]int{"m": held}}, start)
+				p.Sync(e.ID, bamboorail.EngineState{Models: map[string]map[string]int{"m": held}}, start, start)
 			}
 			for n := range 15 {
 				p.Place(testRequest(n), start)
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -201,6 +201,7 @@
 	if h.Permit(e.ID) != nil {
 		return
 	}
+	asked := time.Now()
 	state, err := h.Engines.State(ctx, e.ID, e.Address)
 	if err != nil {
 		h.Log.Debug("failed to read engine state", "zone", h.Zone, "engine", e.ID.Name, "error", err)
@@ -210,7 +211,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	defer h.grantWaiting(now)
-	h.planner.Sync(e.ID, state, now)
+	h.planner.Sync(e.ID, state, asked, now)
 	h.Log.Info("engine state read", "zone", h.Zone, "engine", e.ID.Name, "born", e.ID.StartMillis, "orders", state.Orders,
 		"models", len(state.Models), "pending", len(state.Pending))
 }
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -113,6 +113,7 @@
 		if err := h.Permit(o.Target); err != nil {
 			return err
 		}
+		asked := time.Now()
 		state, err := h.Engines.State(ctx, o.Target, o.Address)
 		if err != nil {
 			return err
@@ -120,7 +121,7 @@
 		now := time.Now()
 		h.mu.Lock()
 		h.planner.Desync(o.Target, now)
-		h.planner.Sync(o.Target, state, now)
+		h.planner.Sync(o.Target, state, asked, now)
 		h.grantWaiting(now)
 		h.mu.Unlock()
 	}
