--- a/internal/advisory/advisory.go
+++ b/internal/advisory/advisory.go
@@ -147,6 +147,13 @@
 	return names
 }
 
+// IsEmpty reports whether no target said anything.
+func (r *Registry) IsEmpty() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.states) == 0
+}
+
 // IsLeaving reports whether a target said that it leaves.
 func (r *Registry) IsLeaving(id bamboorail.TargetID) bool {
 	r.mu.Lock()
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -282,6 +282,9 @@
 // checkQuiet returns an error if all targets of a service want no requests, with the
 // time until the first one does.
 func (c *Chooser) checkQuiet(service string, now time.Time) error {
+	if c.Advisories.IsEmpty() {
+		return nil
+	}
 	var first time.Time
 	for _, e := range c.Fleet.Service(service) {
 		reason, until := c.Advisories.Check(e.ID, now)
