mirror: a call that was canceled says nothing of the store or the holder

Cause: when one informer lists again, the others give their pending watches up to do the same. The canceled calls counted as failures: the store as unavailable for all kinds, the holder as one that does not answer. The next list was refused with that failure, counted as one after an outage, and made the others cancel theirs again. A list after an outage keeps entries that are missing for 2 s, here that of an engine that had left.

Change: calls whose context was ended by this instance prove nothing.

--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -149,10 +149,11 @@
 // deferToHolder allows the next call to the holder immediately, and the next call
 // to a store that is overloaded or unavailable only after a delay. A store rejects
 // calls when many instances read at once, for example after all were restarted;
-// the holder may have what is asked for by now.
-func (s *Store) deferToHolder(err error) {
+// the holder may have what is asked for by now. A call that this instance canceled
+// itself says nothing about the store.
+func (s *Store) deferToHolder(ctx context.Context, err error) {
 	kind := bamboorail.KindOf(err)
-	if s.holder.Leading() || (kind != bamboorail.KindOverloaded && kind != bamboorail.KindUnavailable) {
+	if ctx.Err() != nil || s.holder.Leading() || (kind != bamboorail.KindOverloaded && kind != bamboorail.KindUnavailable) {
 		return
 	}
 	s.mu.Lock()
@@ -197,7 +198,7 @@
 	}
 	objects, revision, err := s.ObjectStore.List(ctx, prefix)
 	if err != nil {
-		s.deferToHolder(err)
+		s.deferToHolder(ctx, err)
 		return nil, 0, err
 	}
 	s.cache.replace(kindOf(prefix), objects, revision)
@@ -216,7 +217,7 @@
 	}
 	events, err := s.ObjectStore.Watch(ctx, prefixes, revision, wait)
 	if err != nil {
-		s.deferToHolder(err)
+		s.deferToHolder(ctx, err)
 		return bamboorail.Events{}, err
 	}
 	if !s.cache.apply(kindOf(prefixes[0]), revision, events) && s.holder.Leading() {
@@ -256,11 +257,14 @@
 // ask sends a follow request to a holder. A holder that does not answer is not
 // asked again for a while.
 func (s *Store) ask(ctx context.Context, from source, prefix string, revision bamboorail.StoreVersion, wait time.Duration) (*wire.FollowReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+replyGrace)
+	askCtx, cancel := context.WithTimeout(ctx, wait+replyGrace)
 	defer cancel()
-	reply, err := s.peers.Follow(ctx, from.address, &wire.FollowRequest{
+	reply, err := s.peers.Follow(askCtx, from.address, &wire.FollowRequest{
 		Instance: s.instance, InstanceZone: s.zone, Zone: from.zone, Kind: kindOf(prefix), Revision: uint64(revision), WaitMicros: wait.Microseconds(),
 	})
+	if err != nil && ctx.Err() != nil {
+		return nil, err // canceled by this instance
+	}
 	if err != nil {
 		s.log.Info("follow request to holder failed", "kind", kindOf(prefix), "zone", from.zone, "address", from.address, "error", err)
 		s.pause(from.address)
