quarantine: instances that saw a segment answered lift its block

Cause: engines that break off a part of their calls for a while give many crashes in a minute, 12 and more on 117 engines, and each of 195 instances knows only a few of the answers: the largest number that one of them told was below the number of crashes.

Change: three answers at any instance prove a segment to be sound, however many crashes there are. An instance that saw them objects to a block that it hears of; the holders lift it, pass that on as they pass blocks on, and leave it so for a minute.

--- a/internal/placer/quarantine.go
+++ b/internal/placer/quarantine.go
@@ -92,9 +92,11 @@
 	now := time.Now()
 	blocks := make([]quarantine.Block, 0, len(messages))
 	for _, m := range messages {
-		blocks = append(blocks, quarantine.Block{
-			Segment: m.GetSegment(), Until: now.Add(time.Duration(m.GetRemainingMicros()) * time.Microsecond), Crashes: int(m.GetCrashes()),
-		})
+		b := quarantine.Block{Segment: m.GetSegment(), Crashes: int(m.GetCrashes())}
+		if remaining := m.GetRemainingMicros(); remaining > 0 {
+			b.Until = now.Add(time.Duration(remaining) * time.Microsecond)
+		}
+		blocks = append(blocks, b)
 	}
 	q.report(q.registry.AddBlocks(blocks, now), "holder of "+zone)
 }
@@ -115,7 +117,11 @@
 	}
 	list := make([]*wire.SegmentBlock, 0, len(blocks))
 	for _, b := range blocks {
-		list = append(list, &wire.SegmentBlock{Segment: b.Segment, RemainingMicros: b.Until.Sub(now).Microseconds(), Crashes: int32(b.Crashes)})
+		m := &wire.SegmentBlock{Segment: b.Segment, Crashes: int32(b.Crashes)}
+		if !b.Until.IsZero() {
+			m.RemainingMicros = max(b.Until.Sub(now).Microseconds(), 1)
+		}
+		list = append(list, m)
 	}
 	return list
 }
@@ -175,6 +181,15 @@
 	}
 }
 
+// object lifts the blocks of segments that this instance knows to be sound, and
+// queues the objection for the holders of all zones.
+func (c *Chooser) object() {
+	for _, b := range c.Quarantine.registry.Objections(time.Now()) {
+		c.Log.Info("block of prompt segment lifted", "segment", b.Segments[0], "answers", b.Answers[0])
+		c.addBreak(b)
+	}
+}
+
 // keepBreaks queues evidence for the holder of a zone. The caller holds the lock.
 func (c *Chooser) keepBreaks(zone string, list ...quarantine.Break) {
 	list = append(c.breaks[zone], list...)
--- a/internal/placer/settle.go
+++ b/internal/placer/settle.go
@@ -55,6 +55,7 @@
 // while this instance is a holder, until ctx ends.
 func (c *Chooser) Run(ctx context.Context) error {
 	return task.Every(ctx, settleInterval, func(ctx context.Context) {
+		c.object()
 		for _, z := range c.Zones {
 			c.settle(ctx, z)
 		}
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -45,7 +45,7 @@
 	for {
 		var worst suspicion
 		for _, s := range r.suspicions(now) {
-			if r.isCause(s) && s.isWorseThan(worst) {
+			if r.isCause(s, now) && s.isWorseThan(worst) {
 				worst = s
 			}
 		}
@@ -63,8 +63,8 @@
 
 // isCause reports whether a segment is to be blocked. One that was blocked before
 // is at its next crash.
-func (r *Registry) isCause(s suspicion) bool {
-	if s.answers >= s.crashes {
+func (r *Registry) isCause(s suspicion, now time.Time) bool {
+	if s.answers >= min(s.crashes, soundAnswers) || r.lifted[s.segment].After(now) {
 		return false
 	}
 	return r.terms[s.segment] > 0 || s.crashes >= minCrashes && s.last.Sub(s.first) >= minSpread
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -22,6 +22,10 @@
 	// reportDelay is the time after a crash until all instances have told of their
 	// calls.
 	reportDelay = 400 * time.Millisecond
+	// soundAnswers is the number of complete answers, at any instance, that prove a
+	// segment to be sound; liftTime is the time for which it is not blocked then.
+	soundAnswers = 3
+	liftTime     = time.Minute
 	// evidenceAge is the time for which a crash counts.
 	evidenceAge = time.Minute
 
@@ -47,7 +51,8 @@
 // Block keeps calls with a segment away from engines.
 type Block struct {
 	Segment string
-	Until   time.Time
+	// Until is the end of the block, zero if the block was lifted.
+	Until time.Time
 	// Crashes is the number of crashes that led to the block.
 	Crashes int
 }
@@ -68,6 +73,9 @@
 	blocks  map[string]Block
 	// terms counts the blocks that each segment had.
 	terms map[string]int
+	// lifted are the segments that some instance knows to be sound, with the time
+	// until which they are not blocked.
+	lifted map[string]time.Time
 	// answered counts the complete answers by segment, in two generations of
 	// which the older one is dropped when the newer one is full; reported is what
 	// other instances told.
@@ -76,7 +84,7 @@
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{blocks: map[string]Block{}, terms: map[string]int{}, answered: map[string]int{}, reported: map[string]int{}}
+	return &Registry{blocks: map[string]Block{}, terms: map[string]int{}, lifted: map[string]time.Time{}, answered: map[string]int{}, reported: map[string]int{}}
 }
 
 // RecordAnswer records a complete answer to a call with these segments.
@@ -114,8 +122,40 @@
 				r.reported[s] = max(r.reported[s], b.Answers[i])
 			}
 		}
-		r.add(b, now)
+		if len(b.Target.Name) > 0 {
+			r.add(b, now)
+		}
+		for _, s := range b.Segments {
+			if _, blocked := r.blocks[s]; blocked && r.answers(s) >= soundAnswers {
+				r.lift(s, now)
+			}
+		}
+	}
+}
+
+// lift ends the block of a sound segment. The caller holds the lock.
+func (r *Registry) lift(segment string, now time.Time) {
+	delete(r.blocks, segment)
+	delete(r.terms, segment)
+	maps.DeleteFunc(r.lifted, func(_ string, until time.Time) bool { return !until.After(now) })
+	if len(r.lifted) < maxBlocks {
+		r.lifted[segment] = now.Add(liftTime)
+	}
+}
+
+// Objections lifts the blocks of segments that this instance knows to be sound, and
+// returns what other instances should be told of them.
+func (r *Registry) Objections(now time.Time) []Break {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []Break
+	for s := range r.blocks {
+		if n := r.answered[s] + r.answeredBefore[s]; n >= soundAnswers {
+			r.lift(s, now)
+			list = append(list, Break{At: now, Segments: []string{s}, Answers: []int{n}})
+		}
 	}
+	return list
 }
 
 // add records a break. The caller holds the lock.
@@ -153,7 +193,11 @@
 	defer r.mu.Unlock()
 	var added []Block
 	for _, b := range blocks {
-		if !b.Until.After(now) || r.blocks[b.Segment].Until.After(now) {
+		if b.Until.IsZero() {
+			r.lift(b.Segment, now)
+			continue
+		}
+		if !b.Until.After(now) || r.blocks[b.Segment].Until.After(now) || r.lifted[b.Segment].After(now) {
 			continue
 		}
 		if r.set(b, now) {
@@ -163,11 +207,17 @@
 	return added
 }
 
-// Blocks returns the blocks in force.
+// Blocks returns the blocks in force, and those that were lifted.
 func (r *Registry) Blocks(now time.Time) []Block {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.DeleteFunc(slices.Collect(maps.Values(r.blocks)), func(b Block) bool { return !b.Until.After(now) })
+	list := slices.DeleteFunc(slices.Collect(maps.Values(r.blocks)), func(b Block) bool { return !b.Until.After(now) })
+	for s, until := range r.lifted {
+		if until.After(now) {
+			list = append(list, Block{Segment: s})
+		}
+	}
+	return list
 }
 
 // Check returns the block that applies to a call with these segments.
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -63,6 +63,12 @@
 		"a part that other instances saw answered": {
 			breaks: []Break{broken("a", 0, "x"), broken("b", 1, "x"), {Target: bamboorail.TargetID{Name: "c"}, At: at(2), Segments: []string{"x"}, Answers: []int{7}}},
 		},
+		"answered often, broken more often": {
+			answered: []string{"x", "x", "x"},
+			breaks: []Break{
+				broken("a", 0, "x"), broken("b", 1, "x"), broken("c", 2, "x"), broken("d", 3, "x"), broken("e", 4, "x"), broken("f", 5, "x"),
+			},
+		},
 		"more crashes than answers": {
 			answered: []string{"x"},
 			breaks:   []Break{broken("a", 0, "x"), broken("b", 1, "x"), broken("c", 2, "x")},
@@ -197,3 +203,34 @@
 		t.Errorf("%d blocks after others ended", len(r.blocks))
 	}
 }
+
+// TestSoundSegmentsAreUnblocked guards against a block of a segment that engines in
+// trouble broke off and others answer: the instances that saw the answers object.
+func TestSoundSegmentsAreUnblocked(t *testing.T) {
+	holder, other, third := New(), New(), New()
+	holder.Merge([]Break{broken("a", 0, "x"), broken("b", 1, "x"), broken("c", 2, "x")}, at(2))
+	if got := names(holder.Evaluate(at(3))); len(got) != 1 {
+		t.Fatalf("blocked %q", got)
+	}
+	for range soundAnswers {
+		other.RecordAnswer([]string{"x"})
+	}
+	for _, r := range []*Registry{other, third} {
+		r.AddBlocks(holder.Blocks(at(3)), at(3))
+	}
+	objections := other.Objections(at(3))
+	if len(objections) != 1 || len(third.Objections(at(3))) != 0 {
+		t.Fatalf("objections %+v", objections)
+	}
+	holder.Merge(objections, at(3))
+	third.AddBlocks(holder.Blocks(at(3)), at(3))
+	for name, r := range map[string]*Registry{"holder": holder, "other": other, "third": third} {
+		if _, blocked := r.Check([]string{"x"}, at(3)); blocked {
+			t.Errorf("%s still blocks the segment", name)
+		}
+	}
+	holder.Merge([]Break{broken("d", 3, "x"), broken("e", 4, "x"), broken("f", 5, "x")}, at(5))
+	if got := names(holder.Evaluate(at(6))); len(got) > 0 {
+		t.Errorf("blocked again %q", got)
+	}
+}
