platform, advisory: decode and log the limit that a target names

It is decoded, kept with the time of the answer, and logged as it changes; nothing acts on it yet. An answer that could not be decoded, or is not the answer to the call, does not end a limit.

--- a/internal/advisory/advisory.go
+++ b/internal/advisory/advisory.go
@@ -1,5 +1,5 @@
 // Package advisory tracks what targets say of themselves in their answers: that they
-// leave, and that they want no requests for a while. It decides what an instance may
+// leave, that they want no requests for a while, and the rate that they take. It decides what an instance may
 // send to a target; the time is passed in.
 package advisory
 
@@ -48,13 +48,17 @@
 	// trialUntil is the end of the trial that is under way.
 	returning  bool
 	trialUntil time.Time
-	lastSeen   time.Time
+	// limit is what it said last of its limit.
+	limit    Limit
+	lastSeen time.Time
 }
 
 // Registry holds the advisories of all targets.
 type Registry struct {
 	mu     sync.Mutex
 	states map[bamboorail.TargetID]*state
+	// limited counts the targets with a limit.
+	limited int
 	// delay draws a delay of up to its argument.
 	delay func(time.Duration) time.Duration
 }
@@ -168,6 +172,9 @@
 	defer r.mu.Unlock()
 	for id, s := range r.states {
 		if now.Sub(s.lastSeen) > retention && !live(id) {
+			if s.limit.Named {
+				r.limited--
+			}
 			delete(r.states, id)
 		}
 	}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -124,9 +124,10 @@
 		return x.transportError(ctx, op, err)
 	}
 	defer resp.Body.Close()
-	x.advise(reservation.Target.ID, resp)
+	class := x.h.Egress.Classify(resp, &x.call)
+	x.advise(reservation.Target.ID, resp, class)
 	x.h.pool.limitIdle(reservation.Target.ID, resp.Header.Get("Keep-Alive"))
-	switch x.h.Egress.Classify(resp, &x.call) {
+	switch class {
 	case bamboorail.ResponseNotRun:
 		return balance.Refused, x.refusedError(op, resp)
 	case bamboorail.ResponseMisdirected:
@@ -142,12 +143,13 @@
 
 // advise passes on what a target says of itself in its answer. A misdirected call
 // was answered by another target.
-func (x *exchange) advise(id bamboorail.TargetID, resp *http.Response) {
+func (x *exchange) advise(id bamboorail.TargetID, resp *http.Response, class bamboorail.ResponseClass) {
 	a, err := x.h.Egress.Advisory(resp)
 	if err != nil {
 		x.h.Log.Warn("advisory of target ignored", "id", x.call.ID, "target", id.Name, "error", err)
 	}
-	if resp.StatusCode != http.StatusMisdirectedRequest {
+	if class != bamboorail.ResponseMisdirected {
+		a.Partial = a.Partial || class == bamboorail.ResponseInvalid
 		x.h.Advise(id, a)
 	}
 }
