--- a/fleet.go
+++ b/fleet.go
@@ -169,6 +169,9 @@
 	// PromptSegments are the ids of the parts of the prompt that the call may share
 	// with others, in order.
 	PromptSegments []string
+	// Fingerprint is the same for calls that repeat one another: those of one caller
+	// with the same host, path and body. Call ids differ.
+	Fingerprint string
 	// Header holds the header fields that are forwarded to the target.
 	Header http.Header
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -274,6 +274,7 @@
 	if err != nil {
 		return notRun(op, bamboorail.KindBadRequest, 0, err)
 	}
+	x.call.Fingerprint = fingerprint(x.r, x.body)
 	return nil
 }
 
@@ -345,6 +346,9 @@
 		"model", x.call.Key.Model, "adapter", x.call.Key.Adapter, "status", x.status,
 		"took-ms", took.Milliseconds(), "first-ms", x.firstByte.Milliseconds(), "sent", x.sent, "trail", x.trail,
 	}
+	if x.call.Fingerprint != "" {
+		fields = append(fields, "fingerprint", x.call.Fingerprint)
+	}
 	if len(x.call.PromptSegments) > 0 {
 		fields = append(fields, "prompt", x.call.PromptSegments)
 	}
