ratelimit: instances together keep the limit that a target names

Callers saw nothing; a target in need got all the requests that it had got before. Cause: the limit was not read, and there was no way to count the requests of all instances to one target. The class of fault: a total that only single instances could keep.

The holder of a zone grants the requests to the zone's targets that named a limit: a token bucket, and a bound on what was sent in the last 4 s, with what was sent before the limit was named. Calls on engines take theirs as they are placed, orders and state queries count too; for targets of plain services, instances ask (Acquire). A limit, and its end, reach the holders with the reports of ended placements and all instances with what they follow, within about a second. Without a holder, all instances together use 0.4 of the limit.

--- a/internal/adapters/cost.go
+++ b/internal/adapters/cost.go
@@ -47,7 +47,7 @@
 	q := p.newRequestContext(r, now)
 	for _, name := range p.engineNames() {
 		e := p.engines[name]
-		if !e.usable(r) || slices.Contains(r.Avoid, name) {
+		if !e.usable(r) || slices.Contains(r.Avoid, name) || p.limitWait(e, now) > 0 {
 			continue
 		}
 		if o, ok := p.option(name, e, r, q, now); ok && (best.name == "" || o.cost < best.cost) {
@@ -114,6 +114,9 @@
 	}
 	o.load = true
 	o.cost += p.loadTime(e, r.Key) + time.Duration(q.ranks()[o.name])*p.tuning.RankCost
+	if p.isLimited(e) {
+		o.cost += limitedLoadCost
+	}
 	if held == nil && len(e.adapters) >= e.slots {
 		o.evict = true
 		return o, e.hasVictim(p.tuning.MinIdleTime, now)
@@ -159,6 +162,8 @@
 	// engines accept no load orders, AtLoadLimit engines load as many adapters
 	// as they may, and NoFreeSlot engines hold no adapter that can be evicted.
 	Engines, Unsynced, AtLoadLimit, NoFreeSlot int
+	// Throttled engines have had the requests that they take for now.
+	Throttled int
 	// ActiveFetches of FetchLimit fetches are active; AdaptersAhead adapters
 	// have precedence.
 	ActiveFetches, FetchLimit, AdaptersAhead int
@@ -166,8 +171,8 @@
 
 // String returns the obstacles in one line.
 func (o Obstacles) String() string {
-	return fmt.Sprintf("%d engines: %d unsynced, %d at load limit, %d without a free adapter slot; %d of %d fetches active, %d adapters ahead",
-		o.Engines, o.Unsynced, o.AtLoadLimit, o.NoFreeSlot, o.ActiveFetches, o.FetchLimit, o.AdaptersAhead)
+	return fmt.Sprintf("%d engines: %d unsynced, %d throttled, %d at load limit, %d without a free adapter slot; %d of %d fetches active, %d adapters ahead",
+		o.Engines, o.Unsynced, o.Throttled, o.AtLoadLimit, o.NoFreeSlot, o.ActiveFetches, o.FetchLimit, o.AdaptersAhead)
 }
 
 // Obstacles returns why a call was not placed.
@@ -179,6 +184,8 @@
 			continue
 		case !e.synced:
 			o.Unsynced++
+		case p.limitWait(e, now) > 0:
+			o.Throttled++
 		case e.activeLoads(now) >= p.tuning.MaxLoadsPerEngine:
 			o.AtLoadLimit++
 		case len(e.adapters) >= e.slots && !e.hasVictim(p.tuning.MinIdleTime, now):
--- a/internal/adapters/grants.go
+++ b/internal/adapters/grants.go
@@ -42,7 +42,7 @@
 		ahead := p.waiting.adaptersAhead(r.Key, len(p.waiting.list), now)
 		wait = time.Duration(ahead)*p.fetchTime()/time.Duration(p.fetchLimit()) + p.fetchTime()
 	}
-	return max(wait, p.slotWait(r))
+	return max(wait, p.slotWait(r), p.rateWait(r, now))
 }
 
 // slotWait returns the shortest wait for a slot of an engine, 0 if there is none.
@@ -65,7 +65,7 @@
 // a new call, go first itself, and be late all the same.
 func (p *Planner) CanWait(r Request, now time.Time) bool {
 	if r.Waited+p.fetchTime() > r.Objective {
-		return r.canWait(p.slotWait(r), now)
+		return r.canWait(max(p.slotWait(r), p.rateWait(r, now)), now)
 	}
 	return r.canWait(p.ExpectedWait(r, now), now)
 }
@@ -117,6 +117,7 @@
 func (p *Planner) GrantWaiting(mayLoad bool, now time.Time) GrantResult {
 	var result GrantResult
 	p.observeFetches(now)
+	p.markUnthrottled(now)
 	for len(p.available) > 0 {
 		key := p.available[0]
 		p.available = p.available[1:]
@@ -230,6 +231,9 @@
 		}
 	}
 	for _, e := range p.engines {
+		if w := p.limitWait(e, now); w > 0 {
+			earlier(now.Add(w))
+		}
 		for _, r := range e.adapters {
 			earlier(r.readyAt)
 			if r.running == 0 {
--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -79,6 +79,8 @@
 	unobserved   []unobservedFetch
 	// callTime is a moving average of the observed times of calls.
 	callTime time.Duration
+	// limits counts and limits the requests to each engine.
+	limits Limits
 }
 
 // ticket is a placement that has not ended.
@@ -108,7 +110,7 @@
 	return &Planner{
 		tuning: t, lastTicket: after, engines: map[string]*engine{}, demand: map[bamboorail.AdapterKey]*demand{}, tickets: map[uint64]ticket{},
 		lastContact: map[string]time.Time{},
-		waiting:     newWaitQueue(), fetchLimiter: fetchlimit.New(t.MinFetchLimit, t.FetchTime), callTime: t.CallTime,
+		waiting:     newWaitQueue(), fetchLimiter: fetchlimit.New(t.MinFetchLimit, t.FetchTime), callTime: t.CallTime, limits: unlimited{},
 	}
 }
 
@@ -245,6 +247,7 @@
 		placement.ReadyAt = at
 	}
 	e.running++
+	p.limits.Record(e.entry.ID, now)
 	p.lastTicket++
 	placement.Ticket = p.lastTicket
 	p.tickets[p.lastTicket] = ticket{id: e.entry.ID, key: r.Key, instance: r.Instance, issued: now, sent: latest(now, placement.ReadyAt), queued: queued}
--- a/internal/advisory/advisory.go
+++ b/internal/advisory/advisory.go
@@ -6,6 +6,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bamboorail.example/bamboorail"
@@ -58,7 +59,7 @@
 	mu     sync.Mutex
 	states map[bamboorail.TargetID]*state
 	// limited counts the targets with a limit.
-	limited int
+	limited atomic.Int32
 	// delay draws a delay of up to its argument.
 	delay func(time.Duration) time.Duration
 }
@@ -173,7 +174,7 @@
 	for id, s := range r.states {
 		if now.Sub(s.lastSeen) > retention && !live(id) {
 			if s.limit.Named {
-				r.limited--
+				r.limited.Add(-1)
 			}
 			delete(r.states, id)
 		}
--- a/internal/advisory/limits.go
+++ b/internal/advisory/limits.go
@@ -74,9 +74,9 @@
 	changed := l.Named != s.limit.Named || l.Rate != s.limit.Rate
 	if l.Named != s.limit.Named {
 		if l.Named {
-			r.limited++
+			r.limited.Add(1)
 		} else {
-			r.limited--
+			r.limited.Add(-1)
 		}
 	}
 	s.limit = l
@@ -97,11 +97,7 @@
 }
 
 // HasLimits reports whether any target has a limit.
-func (r *Registry) HasLimits() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.limited > 0
-}
+func (r *Registry) HasLimits() bool { return r.limited.Load() > 0 }
 
 // Limit returns the requests a second that a target takes from all instances
 // together, and false if it named no limit.
@@ -114,3 +110,15 @@
 	}
 	return s.limit.Rate, s.limit.Named
 }
+
+// LastLimit returns what a target said last of its limit, and false if it never named
+// one.
+func (r *Registry) LastLimit(id bamboorail.TargetID) (Limit, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.states[id]
+	if s == nil || s.limit.At.IsZero() {
+		return Limit{}, false
+	}
+	return s.limit, true
+}
--- a/internal/gateway/advisories.go
+++ b/internal/gateway/advisories.go
@@ -17,9 +17,7 @@
 // advise takes note of what a target says of itself.
 func (g *Gateway) advise(id bamboorail.TargetID, a bamboorail.Advisory) {
 	now := time.Now()
-	if limit, changed := g.advisories.ObserveLimit(id, a, now); changed {
-		g.reportLimit(limit)
-	}
+	g.chooser.Advise(id, a, now)
 	for _, reason := range g.advisories.Observe(id, a, now) {
 		g.metrics.TargetAdvised(string(reason))
 		if reason == advisory.ReasonLeaving {
@@ -31,16 +29,6 @@
 	}
 }
 
-// reportLimit logs a limit that is new to this instance.
-func (g *Gateway) reportLimit(l advisory.Limit) {
-	if !l.Named {
-		g.log.Info("target names no limit any more", "target", l.Target.Name, "born", l.Target.StartMillis)
-		return
-	}
-	g.metrics.TargetAdvised("limit")
-	g.log.Info("target names a limit", "target", l.Target.Name, "born", l.Target.StartMillis, "requests-per-second", l.Rate)
-}
-
 // permit returns an error while an engine wants no requests of this instance. An
 // engine that leaves still takes orders.
 func (g *Gateway) permit(id bamboorail.TargetID) error {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -116,6 +116,7 @@
 	// quarantine and advisories are shared by the chooser and the holders.
 	quarantine *placer.Quarantine
 	advisories *advisory.Registry
+	limits     *placer.Limits
 	holders    []placer.ZoneHolder
 	elector    *lease.Elector
 	peers      *peer.Client
@@ -188,8 +189,8 @@
 		candidates = append(candidates, lease.Candidate{Lease: l, CrossZone: zone != s.Zone, ClaimDelay: claimDelay(s.ProcessorShare)})
 		h := placer.NewHolder(placer.HolderConfig{
 			Zone: zone, Instance: s.Instance, Lease: l, Fleet: g.fleet, Table: g.table.Load, Engines: g.platform.Engines,
-			Tuning: g.tuning(), FetchShare: g.fetchShare, ModelLoadInterval: g.modelLoadInterval, Permit: g.permit, Metrics: g.metrics,
-			Log: g.logs.Layer("placer"),
+			Tuning: g.tuning(), FetchShare: g.fetchShare, ModelLoadInterval: g.modelLoadInterval, Permit: g.permit, Rates: g.advisories,
+			Metrics: g.metrics, Log: g.logs.Layer("placer"),
 		})
 		g.holders = append(g.holders, placer.ZoneHolder{Zone: zone, Local: h, Lease: l})
 	}
@@ -201,10 +202,13 @@
 	g.elector = lease.NewElector(leaseKind, g.platform.Store, candidates, timing, lease.BootTime, g.logs.Layer("lease"))
 	g.elector.SetReader(g.mirror)
 	g.quarantine = placer.NewQuarantine(g.metrics, g.logs.Layer("placer"))
+	g.limits = placer.NewLimits(g.advisories, g.metrics, g.logs.Layer("placer"))
 	g.chooser = placer.NewChooser(placer.ChooserConfig{
 		Instance: s.Instance, Zones: g.holders, Peers: g.peers, Fleet: g.fleet, Balancer: g.balancer,
-		Tracer: tracer, PollLease: g.elector.PollNow, Quarantine: g.quarantine, Advisories: g.advisories, Log: g.logs.Layer("placer"),
+		Tracer: tracer, PollLease: g.elector.PollNow, Quarantine: g.quarantine, Advisories: g.advisories, Limits: g.limits,
+		Instances: g.instances, Log: g.logs.Layer("placer"),
 	})
+	g.mirror.SetOnReply(g.chooser.Learn)
 	g.relay = relay.NewHandler(relay.Config{
 		Ingress: g.platform.Ingress, Egress: g.platform.Egress, Table: g.table.Load, Chooser: g.chooser, Budget: g.budget,
 		Dialer: relay.NewDialer(), Metrics: g.metrics, Tracer: tracer, Advise: g.advise, ShuttingDown: g.shuttingDown.Load,
@@ -233,11 +237,16 @@
 	if time.Since(g.started) < g.initial.RetryWindow {
 		return 0
 	}
+	return total * retrySlackShare / float64(g.instances())
+}
+
+// instances returns an estimate of the number of instances.
+func (g *Gateway) instances() int {
 	instances := g.mirror.ZoneSize()
 	if instances == 0 {
 		instances = defaultZoneSize
 	}
-	return total * retrySlackShare / float64(instances*len(g.initial.Zones))
+	return instances * len(g.initial.Zones)
 }
 
 // Run serves until stop is canceled, then shuts down gracefully. Canceling ctx
@@ -247,7 +256,7 @@
 	defer cancel()
 	tasks := task.NewGroup(ctx)
 	tasks.Start("peers", func(ctx context.Context) error {
-		return peer.ServePlacer(ctx, g.ports.peer, placer.NewServer(g.holders, g.fleet, g.mirror, g.quarantine), g.logs.Layer("peer"))
+		return peer.ServePlacer(ctx, g.ports.peer, placer.NewServer(g.holders, g.fleet, g.mirror, g.quarantine, g.limits), g.logs.Layer("peer"))
 	})
 	tasks.Start("readiness", g.ports.readiness.Serve)
 	tasks.Start("callers", g.ports.caller.Serve)
@@ -314,6 +323,7 @@
 	g.balancer.Retain(live)
 	g.relay.Retain(live)
 	g.advisories.Expire(live, time.Now())
+	g.chooser.Retain(live)
 	slack := g.retrySlack(g.current.Load().RetrySlack)
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -62,6 +62,8 @@
 	// this instance waits for a holder.
 	leases     Leases
 	startupEnd time.Time
+	// onReply is told of each reply of a holder, with its zone.
+	onReply func(zone string, r *wire.FollowReply)
 
 	mu sync.Mutex
 	// retryAt are the times until which a holder is not asked, by address.
@@ -82,10 +84,14 @@
 func NewStore(store bamboorail.ObjectStore, instance, zone string, h Holder, p Peers, d Digest, log hclog.Logger) *Store {
 	return &Store{
 		ObjectStore: store, instance: instance, zone: zone, holder: h, peers: p, log: log, cache: newCache(d),
-		followers: map[string]time.Time{}, retryAt: map[string]time.Time{},
+		followers: map[string]time.Time{}, retryAt: map[string]time.Time{}, onReply: func(string, *wire.FollowReply) {},
 	}
 }
 
+// SetOnReply sets the function that is told of each reply of a holder, with its zone.
+// It must be called before the store is used.
+func (s *Store) SetOnReply(f func(zone string, r *wire.FollowReply)) { s.onReply = f }
+
 // upstream is the holder of a zone.
 type upstream struct {
 	zone   string
@@ -271,6 +277,7 @@
 		return nil, err
 	}
 	s.observeEra(reply.GetRevision())
+	s.onReply(from.zone, reply)
 	if !reply.GetFresh() {
 		s.mu.Lock()
 		s.staleReplyAt = time.Now()
--- a/internal/peer/placer.go
+++ b/internal/peer/placer.go
@@ -17,6 +17,7 @@
 	Place(ctx context.Context, r *wire.PlaceRequest) (*wire.PlaceReply, error)
 	Settle(ctx context.Context, r *wire.SettleRequest) (*wire.SettleReply, error)
 	Follow(ctx context.Context, r *wire.FollowRequest) (*wire.FollowReply, error)
+	Acquire(ctx context.Context, r *wire.AcquireRequest) (*wire.AcquireReply, error)
 }
 
 // ServePlacer serves the placer protocol on the listener until ctx ends.
@@ -63,3 +64,12 @@
 	}
 	return reply, nil
 }
+
+// Acquire asks the instance at address for a request to a target with a limit.
+func (c *Client) Acquire(ctx context.Context, address string, r *wire.AcquireRequest) (*wire.AcquireReply, error) {
+	reply, err := wire.NewDRPCPlacerClient(c.pool.Get(ctx, address, c.dial)).Acquire(ctx, r)
+	if err != nil {
+		return nil, callError("acquire-request", err)
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/placer/acquire_test.go
@@ -0,0 +1,123 @@
+package placer
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/balance"
+	"bamboorail.example/bamboorail/internal/peer/wire"
+)
+
+// TestLimitedTargetsAreAskedFor checks what calls of a plain service get from targets
+// that named limits.
+func TestLimitedTargetsAreAskedFor(t *testing.T) {
+	const calls = 12
+	cases := map[string]struct {
+		// limit is the rate of target e in zone c, targets the number of targets.
+		limit   float64
+		targets int
+		// grants is what the holder of zone c grants, -1 if it does not answer.
+		grants int
+		// served calls are expected, of which limited reach e after at most asked
+		// questions; others are refused with the time of the holder.
+		served, limited, asked int
+	}{
+		"no limit":               {0, 1, 0, calls, calls, 0},
+		"all granted":            {50, 1, calls, calls, calls, calls},
+		"some granted":           {3, 1, 2, 2, 2, 3},
+		"another target":         {3, 2, 2, calls, 2, 3},
+		"holder does not answer": {3, 1, -1, 0, 0, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			chooser, peers, a := newTestChooser(t)
+			a.Service.Engine = false
+			if peers.grants = c.grants; c.grants >= 0 {
+				peers.replies["c"] = &wire.PlaceReply{}
+			}
+			chooser.Instances = func() int { return 1e6 } // without a share of its own
+			for n := 1; n < c.targets; n++ {
+				chooser.Fleet.Update(bamboorail.TargetEntry{ID: bamboorail.TargetID{Name: fmt.Sprint("other", n)}, Service: "s", Zone: "b"})
+			}
+			id := bamboorail.TargetID{Name: "e"}
+			if c.limit > 0 {
+				chooser.Advise(id, bamboorail.Advisory{Limited: true, Limit: c.limit}, time.Now())
+			}
+			served, limited := 0, 0
+			for range calls {
+				reservation, err := chooser.Choose(context.Background(), a)
+				switch {
+				case err == nil:
+					if served++; reservation.Target.ID == id {
+						limited++
+					}
+					reservation.Done(balance.Answered, time.Millisecond)
+				case bamboorail.KindOf(err) != bamboorail.KindOverloaded, bamboorail.FailureOf(err).RetryAfter <= 0:
+					t.Errorf("error %v", err)
+				case c.grants >= 0 && bamboorail.FailureOf(err).RetryAfter != 3*time.Second:
+					t.Errorf("retry after %s, want that of the holder", bamboorail.FailureOf(err).RetryAfter)
+				}
+			}
+			if served != c.served || limited != c.limited || len(peers.asked) > c.asked {
+				t.Errorf("%d served, %d of them at the limited target, %d questions", served, limited, len(peers.asked))
+			}
+			for _, r := range peers.asked {
+				if r.GetLimit().GetRate() != c.limit || r.GetLimit().GetTarget() != "e" || r.GetZone() != "c" {
+					t.Errorf("question %v", r)
+				}
+			}
+		})
+	}
+}
+
+// TestSharesWithoutHolderStayBelowLimit checks that what all instances send without a
+// holder stays below half of the limit, also if each gets few calls.
+func TestSharesWithoutHolderStayBelowLimit(t *testing.T) {
+	const seconds = 200
+	for _, instances := range []int{6, 195} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			chooser, _, _ := newTestChooser(t)
+			chooser.Instances = func() int { return instances }
+			start, sent := time.Now(), 0
+			const rate = 3
+			for n := range instances {
+				th := &throttle{}
+				for second := range seconds {
+					now := start.Add(time.Duration(second)*time.Second + time.Duration(n)*time.Millisecond)
+					if chooser.useShare(th, rate, now) {
+						sent++
+					}
+				}
+			}
+			if most, least := rate*seconds/2, rate*seconds/4; sent > most || sent < least {
+				t.Errorf("%d requests in %d s, want %d to %d", sent, seconds, least, most)
+			}
+		})
+	}
+}
+
+// TestLimitsReachOtherInstances checks that a limit, and its end, reach a holder, that
+// one's followers, and a holder that is asked for a request first.
+func TestLimitsReachOtherInstances(t *testing.T) {
+	first, _, _ := newTestChooser(t)
+	second, _, _ := newTestChooser(t)
+	id := bamboorail.TargetID{Name: "e", StartMillis: 7}
+	now := time.Now()
+	first.Advise(id, bamboorail.Advisory{Limited: true, Limit: 2}, now.Add(-time.Second))
+	second.Learn("a", &wire.FollowReply{Limits: first.Limits.messages()})
+	if rate, limited := second.Advisories.Limit(id); !limited || rate != 2 {
+		t.Errorf("limit %v, %t at a follower", rate, limited)
+	}
+	first.Advise(id, bamboorail.Advisory{}, now)
+	if list := first.takeLimits("b"); len(list) != 2 {
+		t.Errorf("%d limits for the holder of another zone, want the limit and its end", len(list))
+	}
+	second.Learn("a", &wire.FollowReply{Limits: first.Limits.messages()})
+	second.Learn("b", &wire.FollowReply{Limits: []*wire.TargetLimit{{Target: "e", Born: 7, Named: true, Rate: 2, AgeMicros: time.Minute.Microseconds()}}})
+	if _, limited := second.Advisories.Limit(id); limited || second.Advisories.HasLimits() {
+		t.Error("a late report revived a limit that ended")
+	}
+}
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -19,6 +19,7 @@
 	"bamboorail.example/bamboorail/internal/lease"
 	"bamboorail.example/bamboorail/internal/peer/wire"
 	"bamboorail.example/bamboorail/internal/quarantine"
+	"bamboorail.example/bamboorail/internal/ratelimit"
 	"bamboorail.example/bamboorail/internal/relay"
 	"bamboorail.example/bamboorail/internal/task"
 )
@@ -57,6 +58,7 @@
 type Peers interface {
 	Place(ctx context.Context, address string, r *wire.PlaceRequest) (*wire.PlaceReply, error)
 	Settle(ctx context.Context, address string, r *wire.SettleRequest) (*wire.SettleReply, error)
+	Acquire(ctx context.Context, address string, r *wire.AcquireRequest) (*wire.AcquireReply, error)
 }
 
 // ZoneHolder locates the holder of one zone.
@@ -80,7 +82,10 @@
 	PollLease  func()
 	Quarantine *Quarantine
 	Advisories *advisory.Registry
-	Log        hclog.Logger
+	Limits     *Limits
+	// Instances returns an estimate of the number of instances.
+	Instances func() int
+	Log       hclog.Logger
 }
 
 // Chooser selects targets: engines through the holder of a zone, other targets
@@ -95,6 +100,12 @@
 	ended map[string][]EndedPlacement
 	// breaks is the evidence that has not been reported, by zone.
 	breaks map[string][]quarantine.Break
+	// limits are the limits of targets that have not been reported, by zone.
+	limits map[string][]advisory.Limit
+	// throttles are the targets that named limits, ungranted counts what this
+	// instance sent to each target without asking.
+	throttles map[bamboorail.TargetID]*throttle
+	ungranted map[bamboorail.TargetID]*ratelimit.Window
 	// open are the placements made by the holders of other instances, by zone.
 	open map[string]*openPlacements
 	// suspects are the engines that this instance cannot reach; other instances
@@ -113,7 +124,8 @@
 	}
 	return &Chooser{
 		ChooserConfig: c, holderBackoffs: map[string]backoff{}, ended: map[string][]EndedPlacement{},
-		breaks: map[string][]quarantine.Break{}, open: open, suspects: map[string]backoff{},
+		breaks: map[string][]quarantine.Break{}, limits: map[string][]advisory.Limit{}, throttles: map[bamboorail.TargetID]*throttle{},
+		ungranted: map[bamboorail.TargetID]*ratelimit.Window{}, open: open, suspects: map[string]backoff{},
 	}
 }
 
@@ -121,7 +133,7 @@
 // until the time by which the call must start.
 func (c *Chooser) Choose(ctx context.Context, a relay.ChooseRequest) (relay.Reservation, error) {
 	if !a.Service.Engine || a.Call.Key.Model == "" {
-		return c.chooseBalanced(a)
+		return c.chooseBalanced(ctx, a)
 	}
 	if err := c.awaitReleases(ctx, a); err != nil {
 		return relay.Reservation{}, err
@@ -218,18 +230,32 @@
 	return relay.Reservation{}, retryAfter, failure
 }
 
-func (c *Chooser) chooseBalanced(a relay.ChooseRequest) (relay.Reservation, error) {
+func (c *Chooser) chooseBalanced(ctx context.Context, a relay.ChooseRequest) (relay.Reservation, error) {
 	now := time.Now()
 	if err := c.checkQuiet(a.Service.Name, now); err != nil {
 		return relay.Reservation{}, err
 	}
-	target, ok := c.Balancer.Choose(c.openTargets(a.Service.Name, now), a.Avoid, now)
-	if !ok {
-		return relay.Reservation{}, failRetry("choose-target", bamboorail.KindNoTarget, noEngineRetry, errNoTarget)
+	targets := c.openTargets(a.Service.Name, now)
+	for retryAfter := time.Duration(0); ; {
+		target, ok := c.Balancer.Choose(targets, a.Avoid, now)
+		if !ok && retryAfter > 0 {
+			return relay.Reservation{}, failRetry("choose-target", bamboorail.KindOverloaded, retryAfter, errTargetsLimited)
+		}
+		if !ok {
+			return relay.Reservation{}, failRetry("choose-target", bamboorail.KindNoTarget, noEngineRetry, errNoTarget)
+		}
+		granted, after := c.acquire(ctx, target, now)
+		if granted {
+			return relay.Reservation{Target: target, ReadyAt: now, Valid: c.valid(target), Done: func(r balance.Result, took time.Duration) {
+				c.Balancer.Done(target.ID, r, took, time.Now())
+			}}, nil
+		}
+		c.Balancer.Done(target.ID, balance.Abandoned, 0, now)
+		targets = slices.DeleteFunc(targets, func(e bamboorail.TargetEntry) bool { return e.ID == target.ID })
+		if retryAfter == 0 || after < retryAfter {
+			retryAfter = max(after, minRetryDelay)
+		}
 	}
-	return relay.Reservation{Target: target, ReadyAt: now, Valid: c.valid(target), Done: func(r balance.Result, took time.Duration) {
-		c.Balancer.Done(target.ID, r, took, time.Now())
-	}}, nil
 }
 
 // chooseLoaded selects an engine that already holds the adapter according to
@@ -248,6 +274,9 @@
 		if key.Adapter != "" && (!present || releases.OutdatedFor(version, now) > oldVersionGrace) {
 			continue
 		}
+		if rate, limited := c.Advisories.Limit(e.ID); limited && !c.useEngineShare(e.ID, rate, now) {
+			continue
+		}
 		engines = append(engines, e)
 	}
 	target, ok := c.Balancer.Choose(engines, a.Avoid, now)
--- a/internal/placer/chooser_test.go
+++ b/internal/placer/chooser_test.go
@@ -31,6 +31,10 @@
 	wait time.Duration
 	// broken are the calls that each zone was told of.
 	broken map[string][]*wire.BrokenCall
+	// grants are the requests that the holders still grant; asked are the questions
+	// for one.
+	grants int
+	asked  []*wire.AcquireRequest
 }
 
 var errHolderDown = errors.New("no answer")
@@ -51,10 +55,25 @@
 	return &wire.SettleReply{Holder: true}, nil
 }
 
+func (h *fakeHolders) Acquire(_ context.Context, address string, r *wire.AcquireRequest) (*wire.AcquireReply, error) {
+	h.asked = append(h.asked, r)
+	if h.replies[address] == nil {
+		return nil, errHolderDown
+	}
+	h.grants--
+	return &wire.AcquireReply{
+		Holder: true, Granted: h.grants >= 0, AgainMicros: time.Second.Microseconds(), RetryAfterMicros: (3 * time.Second).Microseconds(),
+	}, nil
+}
+
 func newTestQuarantine() *Quarantine {
 	return NewQuarantine(telemetry.NewMetrics(), hclog.NewNullLogger())
 }
 
+func newTestLimits(r *advisory.Registry) *Limits {
+	return NewLimits(r, telemetry.NewMetrics(), hclog.NewNullLogger())
+}
+
 // newTestChooser returns a chooser in zone a of zones a, b and c, whose holders
 // have the addresses a, b and c, and a request for an adapter whose home zone
 // is b.
@@ -79,10 +98,11 @@
 	f.MarkReleasesSynced()
 	f.Update(bamboorail.TargetEntry{ID: bamboorail.TargetID{Name: "e"}, Service: "s", Zone: "c"})
 	peers := &fakeHolders{replies: map[string]*wire.PlaceReply{}, broken: map[string][]*wire.BrokenCall{}}
+	advisories := advisory.New()
 	c := NewChooser(ChooserConfig{
 		Instance: "self", Zones: zones, Peers: peers, Fleet: f, Balancer: balance.New("a"),
 		Tracer: noop.NewTracerProvider().Tracer(""), PollLease: func() {}, Log: hclog.NewNullLogger(),
-		Quarantine: newTestQuarantine(), Advisories: advisory.New(),
+		Quarantine: newTestQuarantine(), Advisories: advisories, Limits: newTestLimits(advisories), Instances: func() int { return 6 },
 	})
 	key := bamboorail.AdapterKey{Model: "m"}
 	for n := 0; key.Adapter == "" || adapters.HomeZone(names, key) != "b"; n++ {
--- a/internal/placer/errors.go
+++ b/internal/placer/errors.go
@@ -22,6 +22,7 @@
 	errNotHolder       = errors.New("this instance does not hold the zone's lease")
 	errNoCapacity      = errors.New("no engine has capacity for the call")
 	errQueueFull       = errors.New("too many waiting calls; the call would be served too late")
+	errTargetsLimited  = errors.New("all targets have had the requests that they take for now")
 	errTargetsQuiet    = errors.New("all targets asked for a pause")
 	errNoTarget        = errors.New("no available target")
 	errNoHolder        = errors.New("no known holder of the zone")
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -15,9 +15,11 @@
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/adapters"
+	"bamboorail.example/bamboorail/internal/advisory"
 	"bamboorail.example/bamboorail/internal/balance"
 	"bamboorail.example/bamboorail/internal/fleet"
 	"bamboorail.example/bamboorail/internal/lease"
+	"bamboorail.example/bamboorail/internal/ratelimit"
 	"bamboorail.example/bamboorail/internal/route"
 	"bamboorail.example/bamboorail/internal/task"
 	"bamboorail.example/bamboorail/internal/telemetry"
@@ -57,7 +59,9 @@
 	ModelLoadInterval func() time.Duration
 	// Permit returns an error while an engine wants no requests of this instance;
 	// nil permits all.
-	Permit  func(id bamboorail.TargetID) error
+	Permit func(id bamboorail.TargetID) error
+	// Rates are the limits of targets; nil limits none.
+	Rates   ratelimit.Rates
 	Metrics *telemetry.Metrics
 	Log     hclog.Logger
 }
@@ -82,6 +86,8 @@
 	nextGrant time.Time
 	// engineLocks serializes the orders to each engine.
 	engineLocks map[bamboorail.TargetID]chan struct{}
+	// limits grants the requests to the targets of the zone.
+	limits *ratelimit.Table
 }
 
 // NewHolder returns a holder that does not lead.
@@ -89,11 +95,22 @@
 	if c.Permit == nil {
 		c.Permit = func(bamboorail.TargetID) error { return nil }
 	}
-	return &Holder{
-		HolderConfig: c, planner: adapters.NewPlanner(c.Tuning, 0), background: make(chan []bamboorail.AdapterOrder, backgroundQueueSize),
+	if c.Rates == nil {
+		c.Rates = advisory.New()
+	}
+	h := &Holder{
+		HolderConfig: c, limits: ratelimit.NewTable(c.Rates), background: make(chan []bamboorail.AdapterOrder, backgroundQueueSize),
 		usage: &usage{metrics: c.Metrics.Holder(c.Zone)}, engineLocks: map[bamboorail.TargetID]chan struct{}{},
 		waiters: map[uint64]chan adapters.Placement{}, timerReset: make(chan time.Time, 1),
 	}
+	h.setPlanner(0)
+	return h
+}
+
+// setPlanner begins with a planner that knows nothing of the engines.
+func (h *Holder) setPlanner(afterTicket uint64) {
+	h.planner = adapters.NewPlanner(h.Tuning, afterTicket)
+	h.planner.SetLimits(h.limits)
 }
 
 // Run maintains the state of the engines until ctx ends.
@@ -152,7 +169,8 @@
 	h.mu.Lock()
 	if leading != h.leading {
 		// The engine state of an earlier tenure is outdated.
-		h.planner = adapters.NewPlanner(h.Tuning, firstTicket(h.Lease.FencingToken()))
+		h.setPlanner(firstTicket(h.Lease.FencingToken()))
+		h.limits.Reset()
 		h.leading = leading
 		for number, w := range h.waiters {
 			close(w)
@@ -188,6 +206,10 @@
 	}, now)
 	h.planner.SetFetchLimit(h.FetchShare())
 	h.planner.Expire(now.Add(-placementExpiry), now)
+	h.limits.Retain(func(id bamboorail.TargetID) bool {
+		known, ok := h.Fleet.Target(id.Name)
+		return ok && known.ID == id
+	})
 	return h.planner.Unsynced()
 }
 
@@ -198,9 +220,10 @@
 		return
 	}
 	defer unlock()
-	if h.Permit(e.ID) != nil {
+	if h.Permit(e.ID) != nil || h.throttled(e.ID) {
 		return
 	}
+	h.recordRequest(e.ID)
 	asked := time.Now()
 	state, err := h.Engines.State(ctx, e.ID, e.Address)
 	if err != nil {
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -95,6 +95,7 @@
 		if err := h.prepare(&o); err != nil {
 			return err
 		}
+		h.recordRequest(o.Target)
 		sendCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		sent := time.Now()
 		result, err := h.Engines.Order(sendCtx, o)
@@ -113,6 +114,7 @@
 		if err := h.Permit(o.Target); err != nil {
 			return err
 		}
+		h.recordRequest(o.Target)
 		asked := time.Now()
 		state, err := h.Engines.State(ctx, o.Target, o.Address)
 		if err != nil {
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -28,12 +28,13 @@
 	zones      map[string]*Holder
 	fleet      *fleet.Fleet
 	quarantine *Quarantine
+	limits     *Limits
 }
 
 // NewServer returns a server for the holders of all zones. The local zone comes
 // first.
-func NewServer(zones []ZoneHolder, f *fleet.Fleet, follower Follower, q *Quarantine) *Server {
-	s := &Server{Follower: follower, localZone: zones[0].Zone, zones: map[string]*Holder{}, fleet: f, quarantine: q}
+func NewServer(zones []ZoneHolder, f *fleet.Fleet, follower Follower, q *Quarantine, l *Limits) *Server {
+	s := &Server{Follower: follower, localZone: zones[0].Zone, zones: map[string]*Holder{}, fleet: f, quarantine: q, limits: l}
 	for _, z := range zones {
 		s.zones[z.Zone] = z.Local
 	}
@@ -94,6 +95,7 @@
 // reconciles its open ones.
 func (s *Server) Settle(_ context.Context, r *wire.SettleRequest) (*wire.SettleReply, error) {
 	s.quarantine.merge(r.GetBroken())
+	s.limits.merge(r.GetLimits(), r.GetInstance())
 	blocks := s.quarantine.blockMessages()
 	h := s.zones[r.GetZone()]
 	if h == nil || !h.Lease.Leading() {
--- a/internal/placer/settle.go
+++ b/internal/placer/settle.go
@@ -66,9 +66,9 @@
 }
 
 func (c *Chooser) settle(ctx context.Context, z ZoneHolder) {
-	list, breaks := c.takeEnded(z.Zone), c.takeBreaks(z.Zone)
+	list, breaks, limits := c.takeEnded(z.Zone), c.takeBreaks(z.Zone), c.takeLimits(z.Zone)
 	open, reconcile := c.openReport(z.Zone, time.Now())
-	if len(list) == 0 && len(breaks) == 0 && !reconcile {
+	if len(list) == 0 && len(breaks) == 0 && len(limits) == 0 && !reconcile {
 		return
 	}
 	if z.Local != nil && z.Lease.Leading() {
@@ -78,6 +78,7 @@
 	requeue := func() {
 		c.requeueEnded(z.Zone, list)
 		c.requeueBreaks(z.Zone, breaks)
+		c.requeueLimits(z.Zone, limits)
 	}
 	_, address := z.Lease.Holder()
 	if address == "" || c.inBackoff(z) {
@@ -88,7 +89,7 @@
 	defer cancel()
 	reply, err := c.Peers.Settle(ctx, address, &wire.SettleRequest{
 		Zone: z.Zone, Instance: c.Instance, Ended: endedMessages(list), Reconcile: reconcile, Open: open,
-		Broken: breakMessages(breaks, time.Now()),
+		Broken: breakMessages(breaks, time.Now()), Limits: limitMessages(limits, time.Now()),
 	})
 	if err != nil {
 		requeue()
@@ -101,5 +102,6 @@
 		// A new holder does not know the placements of the previous one.
 		c.Log.Debug("ended placements dropped", "zone", z.Zone, "count", len(list))
 		c.requeueBreaks(z.Zone, breaks)
+		c.requeueLimits(z.Zone, limits)
 	}
 }
