quarantine: a request that comes again and crashes targets is refused

Cause: crashes were connected by the parts of prompts only, so that calls without a prompt, and repeats whose shared parts are sound, were never judged.

The fingerprint of a call is judged beside the parts of its prompt: three crashes, two of them by calls that were not sent before, and fewer answers than that. An instance that is no holder judges requests by what it saw itself, since nothing else is the same in all their calls. Blocks reach all instances with what they follow, also those that ask no holder for places.

--- a/failure.go
+++ b/failure.go
@@ -37,6 +37,7 @@
 	KindOverloaded       Kind = "overloaded"
 	KindNoTarget         Kind = "no-target"
 	KindPromptBlocked    Kind = "prompt-blocked"
+	KindRequestBlocked   Kind = "request-blocked"
 	KindNotOwner         Kind = "not-owner"
 	KindUnavailable      Kind = "unavailable"
 	KindDeadlineExceeded Kind = "deadline-exceeded"
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -182,6 +182,7 @@
 		bamboorail.KindOverloaded:       "no target had free capacity within the wait limit",
 		bamboorail.KindNoTarget:         "no target or no holder of its zone was known",
 		bamboorail.KindPromptBlocked:    "a part of the prompt crashed engines and is blocked",
+		bamboorail.KindRequestBlocked:   "the same request crashed targets before and is blocked",
 		bamboorail.KindUnavailable:      "the target or its holder could not be reached, or closed the connection",
 		bamboorail.KindTruncated:        "the target's answer broke off",
 		bamboorail.KindMismatch:         "the response did not belong to this request",
--- a/internal/placer/acquire.go
+++ b/internal/placer/acquire.go
@@ -52,6 +52,7 @@
 // Learn takes over what a holder told with what it read from the store.
 func (c *Chooser) Learn(zone string, r *wire.FollowReply) {
 	c.Limits.merge(r.GetLimits(), "holder of "+zone)
+	c.Quarantine.learn(zone, r.GetBlocks())
 }
 
 // Retain forgets what is kept for targets for which live returns false.
@@ -230,12 +231,12 @@
 	return &wire.AcquireReply{Holder: true, Granted: granted, AgainMicros: again.Microseconds(), RetryAfterMicros: retryAfter.Microseconds()}, nil
 }
 
-// Follow replies with what this instance read from the store, and the limits that it
-// knows.
+// Follow replies with what this instance read from the store, and the limits and
+// blocks that it knows.
 func (s *Server) Follow(ctx context.Context, r *wire.FollowRequest) (*wire.FollowReply, error) {
 	reply, err := s.Follower.Follow(ctx, r)
 	if err == nil && reply != nil {
-		reply.Limits = s.limits.messages()
+		reply.Limits, reply.Blocks = s.limits.messages(), s.quarantine.blockMessages()
 	}
 	return reply, err
 }
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -232,6 +232,9 @@
 
 func (c *Chooser) chooseBalanced(ctx context.Context, a relay.ChooseRequest) (relay.Reservation, error) {
 	now := time.Now()
+	if err := c.Quarantine.check(a.Call); err != nil {
+		return relay.Reservation{}, err
+	}
 	if err := c.checkQuiet(a.Service.Name, now); err != nil {
 		return relay.Reservation{}, err
 	}
@@ -246,9 +249,9 @@
 		}
 		granted, after := c.acquire(ctx, target, now)
 		if granted {
-			return relay.Reservation{Target: target, ReadyAt: now, Valid: c.valid(target), Done: func(r balance.Result, took time.Duration) {
+			return c.observe(a, relay.Reservation{Target: target, ReadyAt: now, Valid: c.valid(target), Done: func(r balance.Result, took time.Duration) {
 				c.Balancer.Done(target.ID, r, took, time.Now())
-			}}, nil
+			}}), nil
 		}
 		c.Balancer.Done(target.ID, balance.Abandoned, 0, now)
 		targets = slices.DeleteFunc(targets, func(e bamboorail.TargetEntry) bool { return e.ID == target.ID })
--- a/internal/placer/quarantine.go
+++ b/internal/placer/quarantine.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -21,7 +22,10 @@
 // answer.
 const maxPendingBreaks = 64
 
-var errPromptBlocked = errors.New("a segment of the prompt crashes engines")
+var (
+	errPromptBlocked  = errors.New("a segment of the prompt crashes engines")
+	errRequestBlocked = errors.New("the request crashes targets")
+)
 
 // Quarantine exchanges the evidence and the blocks of the registry of this instance
 // with other instances.
@@ -36,25 +40,38 @@
 	return &Quarantine{registry: quarantine.New(), metrics: m, log: log}
 }
 
-// check returns an error if the call must not be sent to an engine.
+// segmentsOf returns what a call may have in common with others.
+func segmentsOf(call *bamboorail.Call) []string {
+	if call.Fingerprint == "" {
+		return call.PromptSegments
+	}
+	return append(slices.Clip(call.PromptSegments), quarantine.Request(call.Fingerprint))
+}
+
+// check returns an error if the call must not be sent to a target.
 func (q *Quarantine) check(call *bamboorail.Call) error {
 	now := time.Now()
-	b, blocked := q.registry.Check(call.PromptSegments, now)
+	b, blocked := q.registry.Check(segmentsOf(call), now)
 	if !blocked {
 		return nil
 	}
-	return failRetry("choose-engine", bamboorail.KindPromptBlocked, b.Until.Sub(now), fmt.Errorf("%w: %s, %d crashes", errPromptBlocked, b.Segment, b.Crashes))
+	kind, err := bamboorail.KindPromptBlocked, errPromptBlocked
+	if quarantine.IsRequest(b.Segment) {
+		kind, err = bamboorail.KindRequestBlocked, errRequestBlocked
+	}
+	return failRetry("choose-target", kind, b.Until.Sub(now), fmt.Errorf("%w: %s, %d crashes", err, b.Segment, b.Crashes))
 }
 
 // record records the result of a call. It returns what other instances should be
 // told about it, and false if there is nothing.
-func (q *Quarantine) record(call *bamboorail.Call, target bamboorail.TargetID, r balance.Result) (quarantine.Break, bool) {
+func (q *Quarantine) record(a relay.ChooseRequest, target bamboorail.TargetID, r balance.Result) (quarantine.Break, bool) {
+	segments := segmentsOf(a.Call)
 	switch {
-	case len(call.PromptSegments) == 0:
+	case len(segments) == 0:
 	case r == balance.Answered:
-		q.registry.RecordAnswer(call.PromptSegments)
+		q.registry.RecordAnswer(segments)
 	case r.BrokeAtStart():
-		return q.registry.RecordBreak(target, call.PromptSegments, time.Now()), true
+		return q.registry.RecordBreak(target, segments, a.Runs > 0, time.Now()), true
 	}
 	return quarantine.Break{}, false
 }
@@ -70,7 +87,7 @@
 		b := quarantine.Break{
 			Target:   bamboorail.TargetID{Name: m.GetTarget(), StartMillis: m.GetBorn()},
 			At:       now.Add(-time.Duration(m.GetAgeMicros()) * time.Microsecond),
-			Segments: m.GetSegments(),
+			Segments: m.GetSegments(), Retried: m.GetRetried(),
 		}
 		for _, n := range m.GetAnswers() {
 			b.Answers = append(b.Answers, int(n))
@@ -80,9 +97,15 @@
 	q.registry.Merge(breaks, now)
 }
 
-// decide blocks the segments that the evidence names. Only a holder is told of all
-// evidence.
-func (q *Quarantine) decide() { q.report(q.registry.Evaluate(time.Now()), "evidence") }
+// decide blocks what the evidence names. Only a holder is told of all evidence;
+// another instance decides about whole requests alone.
+func (q *Quarantine) decide(holder bool) {
+	if holder {
+		q.report(q.registry.Evaluate(time.Now()), "evidence")
+		return
+	}
+	q.report(q.registry.EvaluateRequests(time.Now()), "own evidence")
+}
 
 // learn takes over the blocks of a holder.
 func (q *Quarantine) learn(zone string, messages []*wire.SegmentBlock) {
@@ -104,7 +127,11 @@
 func (q *Quarantine) report(blocks []quarantine.Block, source string) {
 	for _, b := range blocks {
 		q.metrics.PromptSegmentBlocked()
-		q.log.Warn("prompt segment blocked", "segment", b.Segment, "crashes", b.Crashes, "for", time.Until(b.Until).Round(time.Second).String(), "source", source)
+		message := "prompt segment blocked"
+		if quarantine.IsRequest(b.Segment) {
+			message = "request blocked"
+		}
+		q.log.Warn(message, "segment", b.Segment, "crashes", b.Crashes, "for", time.Until(b.Until).Round(time.Second).String(), "source", source)
 	}
 }
 
@@ -129,7 +156,7 @@
 func breakMessages(breaks []quarantine.Break, now time.Time) []*wire.BrokenCall {
 	list := make([]*wire.BrokenCall, 0, len(breaks))
 	for _, b := range breaks {
-		m := &wire.BrokenCall{Target: b.Target.Name, Born: b.Target.StartMillis, AgeMicros: now.Sub(b.At).Microseconds(), Segments: b.Segments}
+		m := &wire.BrokenCall{Target: b.Target.Name, Born: b.Target.StartMillis, AgeMicros: now.Sub(b.At).Microseconds(), Segments: b.Segments, Retried: b.Retried}
 		for _, n := range b.Answers {
 			m.Answers = append(m.Answers, int32(min(n, math.MaxInt32)))
 		}
@@ -145,7 +172,7 @@
 	r.Valid = func() bool { return valid() && c.Quarantine.check(a.Call) == nil }
 	r.Done = func(result balance.Result, took time.Duration) {
 		done(result, took)
-		if broken, ok := c.Quarantine.record(a.Call, target, result); ok {
+		if broken, ok := c.Quarantine.record(a, target, result); ok {
 			c.addBreak(broken)
 		}
 	}
--- a/internal/placer/quarantine_test.go
+++ b/internal/placer/quarantine_test.go
@@ -8,6 +8,7 @@
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/balance"
 	"bamboorail.example/bamboorail/internal/peer/wire"
+	"bamboorail.example/bamboorail/internal/quarantine"
 )
 
 // TestBlockInAnswerOfHolderRefusesCall guards against a call that is sent although
@@ -70,3 +71,32 @@
 		t.Error("a placed call is valid after the block")
 	}
 }
+
+// TestBlockedRequestsAreRefused checks that an instance that is told of a block with
+// what it follows refuses the request at targets of plain services and at engines, and
+// no other request.
+func TestBlockedRequestsAreRefused(t *testing.T) {
+	for name, engine := range map[string]bool{"plain service": false, "engines": true} {
+		t.Run(name, func(t *testing.T) {
+			c, holders, a := newTestChooser(t)
+			holders.replies["a"] = &wire.PlaceReply{Holder: true, Target: "e", Ticket: 7}
+			a.Service.Engine, a.Call.Fingerprint = engine, "f"
+			waiting, err := c.Choose(context.Background(), a)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.Learn("b", &wire.FollowReply{Blocks: []*wire.SegmentBlock{{Segment: quarantine.Request("f"), RemainingMicros: 1e9, Crashes: 3}}})
+			if waiting.Valid() {
+				t.Error("a call that was placed before the block is valid")
+			}
+			_, err = c.Choose(context.Background(), a)
+			if f := bamboorail.FailureOf(err); f.Kind != bamboorail.KindRequestBlocked || f.Outcome != bamboorail.OutcomeNotRun || f.RetryAfter <= 0 {
+				t.Errorf("error %v, outcome %s, retry after %s", err, f.Outcome, f.RetryAfter)
+			}
+			a.Call.Fingerprint = "g"
+			if _, err := c.Choose(context.Background(), a); err != nil {
+				t.Errorf("another request: %v", err)
+			}
+		})
+	}
+}
--- a/internal/placer/settle.go
+++ b/internal/placer/settle.go
@@ -51,17 +51,15 @@
 	return out
 }
 
-// Run reports ended and open placements, and blocks prompts that crash engines
-// while this instance is a holder, until ctx ends.
+// Run reports ended and open placements, and blocks what crashes targets, until ctx
+// ends.
 func (c *Chooser) Run(ctx context.Context) error {
 	return task.Every(ctx, settleInterval, func(ctx context.Context) {
 		c.object()
 		for _, z := range c.Zones {
 			c.settle(ctx, z)
 		}
-		if slices.ContainsFunc(c.Zones, func(z ZoneHolder) bool { return z.Local != nil && z.Lease.Leading() }) {
-			c.Quarantine.decide()
-		}
+		c.Quarantine.decide(slices.ContainsFunc(c.Zones, func(z ZoneHolder) bool { return z.Local != nil && z.Lease.Leading() }))
 	})
 }
 
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -13,6 +13,10 @@
 	// minSpread is the time that these crashes must span: engines that are lost
 	// together have another cause.
 	minSpread = 500 * time.Millisecond
+	// minFirstTries is the number of these crashes in which a request that is blocked
+	// as a whole must have come from a caller: one call that is sent from target to
+	// target may meet three that are lost for another reason.
+	minFirstTries = 2
 	// firstBlock is the duration of the first block of a segment; each further one
 	// lasts twice as long, up to longestBlock.
 	firstBlock   = 10 * time.Minute
@@ -25,6 +29,7 @@
 type suspicion struct {
 	segment     string
 	crashes     int
+	firstTries  int // crashes in which the call was not sent before
 	answers     int
 	depth       int // largest position in a prompt
 	first, last time.Time
@@ -35,17 +40,27 @@
 // segments. It returns the new blocks. It must run only where the evidence of all
 // instances arrives.
 func (r *Registry) Evaluate(now time.Time) []Block {
+	return r.evaluate(&r.pending, func(string) bool { return true }, now)
+}
+
+// EvaluateRequests is Evaluate for whole requests. The evidence of one instance
+// suffices for them: nothing else is the same in all calls of one request.
+func (r *Registry) EvaluateRequests(now time.Time) []Block {
+	return r.evaluate(&r.requestsPending, IsRequest, now)
+}
+
+func (r *Registry) evaluate(pending *bool, mayBlock func(segment string) bool, now time.Time) []Block {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.pending {
+	if !*pending {
 		return nil
 	}
-	r.pending = slices.ContainsFunc(r.crashes, func(c crash) bool { return !c.isComplete(now) })
+	*pending = slices.ContainsFunc(r.crashes, func(c crash) bool { return !c.isComplete(now) })
 	var blocks []Block
 	for {
 		var worst suspicion
 		for _, s := range r.suspicions(now) {
-			if r.isCause(s, now) && s.isWorseThan(worst) {
+			if mayBlock(s.segment) && r.isCause(s, now) && s.isWorseThan(worst) {
 				worst = s
 			}
 		}
@@ -67,7 +82,15 @@
 	if s.answers >= min(s.crashes, soundAnswers) || r.lifted[s.segment].After(now) {
 		return false
 	}
-	return r.terms[s.segment] > 0 || s.crashes >= minCrashes && s.last.Sub(s.first) >= minSpread
+	switch {
+	case r.terms[s.segment] > 0:
+		return true
+	case s.crashes < minCrashes:
+		return false
+	case IsRequest(s.segment):
+		return s.firstTries >= minFirstTries
+	}
+	return s.last.Sub(s.first) >= minSpread
 }
 
 // isWorseThan orders suspicions by the number of crashes. Of two segments that
@@ -94,13 +117,16 @@
 		if !c.isComplete(now) || r.isExplained(c, now) {
 			continue
 		}
-		for segment, depth := range c.suspects() {
+		for segment, suspect := range c.suspects() {
 			s := all[segment]
 			if s.segment == "" {
 				s = suspicion{segment: segment, answers: r.answers(segment), first: c.at, last: c.at}
 			}
 			s.crashes++
-			s.depth = max(s.depth, depth)
+			if suspect.firstTry {
+				s.firstTries++
+			}
+			s.depth = max(s.depth, suspect.depth)
 			if c.at.Before(s.first) {
 				s.first = c.at
 			}
@@ -116,16 +142,22 @@
 // isComplete reports whether all instances had the time to tell of their calls.
 func (c *crash) isComplete(now time.Time) bool { return now.Sub(c.at) >= reportDelay }
 
-// suspects returns the segments of the calls that broke off with the crash, with
-// their positions.
-func (c *crash) suspects() map[string]int {
-	segments := map[string]int{}
+// suspect is a segment of calls that broke off with a crash.
+type suspect struct {
+	depth    int // position in the prompt
+	firstTry bool
+}
+
+// suspects returns the segments of the calls that broke off with the crash.
+func (c *crash) suspects() map[string]suspect {
+	segments := map[string]suspect{}
 	for _, b := range c.breaks {
 		if b.At.Sub(c.at) > breakWindow {
 			continue
 		}
-		for depth, s := range b.Segments {
-			segments[s] = max(segments[s], depth)
+		for depth, name := range b.Segments {
+			s := segments[name]
+			segments[name] = suspect{depth: max(s.depth, depth), firstTry: s.firstTry || !b.Retried}
 		}
 	}
 	return segments
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,11 +1,12 @@
-// Package quarantine finds the segments of prompts that crash engines and blocks
-// the calls that contain them. Its decisions depend only on what is recorded and
+// Package quarantine finds the requests, and the segments of prompts, that crash
+// targets and blocks the calls that contain them. Its decisions depend only on what is recorded and
 // the times passed in.
 package quarantine
 
 import (
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -38,11 +39,23 @@
 	maxAnswered = 4096
 )
 
-// Break is a call that an engine broke off before or as it began to answer.
+// requestPrefix tells a segment that stands for a whole request from one of a prompt.
+const requestPrefix = "request:"
+
+// Request returns the segment that stands for the request with a fingerprint. It
+// follows the segments of the prompt.
+func Request(fingerprint string) string { return requestPrefix + fingerprint }
+
+// IsRequest reports whether a segment stands for a whole request.
+func IsRequest(segment string) bool { return strings.HasPrefix(segment, requestPrefix) }
+
+// Break is a call that a target broke off before or as it began to answer.
 type Break struct {
 	Target   bamboorail.TargetID
 	At       time.Time
 	Segments []string
+	// Retried is set if the call may have run at another target before.
+	Retried bool
 	// Answers are the numbers of complete answers to calls with each segment that
 	// the reporting instance knows.
 	Answers []int
@@ -68,9 +81,10 @@
 type Registry struct {
 	mu      sync.Mutex
 	crashes []crash
-	// pending is set if there are crashes that were not evaluated.
-	pending bool
-	blocks  map[string]Block
+	// pending is set if there are crashes that were not evaluated, requestsPending if
+	// they were not evaluated for whole requests.
+	pending, requestsPending bool
+	blocks                   map[string]Block
 	// terms counts the blocks that each segment had.
 	terms map[string]int
 	// lifted are the segments that some instance knows to be sound, with the time
@@ -101,10 +115,10 @@
 
 // RecordBreak records a break of this instance and returns it as other instances
 // should be told.
-func (r *Registry) RecordBreak(target bamboorail.TargetID, segments []string, now time.Time) Break {
+func (r *Registry) RecordBreak(target bamboorail.TargetID, segments []string, retried bool, now time.Time) Break {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b := Break{Target: target, At: now, Segments: segments}
+	b := Break{Target: target, At: now, Segments: segments, Retried: retried}
 	for _, s := range segments {
 		b.Answers = append(b.Answers, r.answers(s))
 	}
@@ -167,7 +181,7 @@
 	if now.Sub(b.At) > evidenceAge {
 		return
 	}
-	r.pending = true
+	r.pending, r.requestsPending = true, true
 	for i := range r.crashes {
 		c := &r.crashes[i]
 		if c.target != b.Target || b.At.Sub(c.at).Abs() > crashWindow {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -20,6 +20,13 @@
 	return Break{Target: bamboorail.TargetID{Name: engine}, At: at(seconds), Segments: segments}
 }
 
+// retried is broken for a call that another target may have run before.
+func retried(target string, seconds float64, segments ...string) Break {
+	b := broken(target, seconds, segments...)
+	b.Retried = true
+	return b
+}
+
 func names(blocks []Block) []string {
 	list := []string{}
 	for _, b := range blocks {
@@ -104,6 +111,29 @@
 		"old crashes": {
 			breaks: []Break{broken("a", -70, "x"), broken("b", -65, "x"), broken("c", 2, "x"), broken("d", 3, "x")},
 		},
+		"a request that comes again": {
+			answered: []string{"common", "common", "common"},
+			breaks: []Break{
+				broken("a", 0, "common", "request:r"), broken("b", 0.1, "common", "request:r"), broken("c", 0.2, "common", "request:s"),
+				broken("c", 0.2, "common", "request:r"),
+			},
+			want: []string{"request:r"},
+		},
+		"a part of requests that differ": {
+			breaks: []Break{broken("a", 0, "x", "request:r"), broken("b", 1, "x", "request:s"), broken("c", 2, "x", "request:t")},
+			want:   []string{"x"},
+		},
+		"one call sent from target to target": {
+			breaks: []Break{broken("a", 0, "request:r"), retried("b", 0.1, "request:r"), retried("c", 0.2, "request:r")},
+		},
+		"two calls sent from target to target": {
+			breaks: []Break{broken("a", 0, "request:r"), retried("b", 0.1, "request:r"), broken("c", 3, "request:r"), retried("d", 3.1, "request:r")},
+			want:   []string{"request:r"},
+		},
+		"a request that was answered": {
+			answered: []string{"request:r", "request:r", "request:r"},
+			breaks:   []Break{broken("a", 0, "request:r"), broken("b", 1, "request:r"), broken("c", 2, "request:r")},
+		},
 		"calls without segments": {breaks: []Break{broken("a", 0), broken("b", 1), broken("c", 2)}},
 	}
 	for name, c := range cases {
@@ -156,7 +186,7 @@
 	if _, ok := r.Check([]string{"x"}, end); ok || len(r.Blocks(end)) > 0 {
 		t.Error("the block does not end")
 	}
-	r.RecordBreak(bamboorail.TargetID{Name: "d"}, []string{"x"}, end)
+	r.RecordBreak(bamboorail.TargetID{Name: "d"}, []string{"x"}, false, end)
 	second := r.Evaluate(end.Add(time.Second))
 	if len(second) != 1 || second[0].Until.Sub(end.Add(time.Second)) != 2*firstBlock {
 		t.Errorf("blocks %+v", second)
@@ -234,3 +264,18 @@
 		t.Errorf("blocked again %q", got)
 	}
 }
+
+// TestRequestsAreBlockedByOwnEvidence checks that an instance that is no holder blocks
+// a request, and nothing else, by what it saw itself.
+func TestRequestsAreBlockedByOwnEvidence(t *testing.T) {
+	r := New()
+	for n := range 3 {
+		r.RecordBreak(bamboorail.TargetID{Name: fmt.Sprint(n)}, []string{"x", Request("r")}, false, at(float64(n)))
+	}
+	if got := names(r.EvaluateRequests(at(3))); !slices.Equal(got, []string{Request("r")}) {
+		t.Errorf("blocked %q", got)
+	}
+	if _, blocked := r.Check([]string{"x", Request("s")}, at(3)); blocked {
+		t.Error("another request with the segment is blocked")
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -63,7 +63,7 @@
 	const op = "await-adapter"
 	for {
 		reservation, err := x.h.Chooser.Choose(ctx, ChooseRequest{
-			Call: &x.call, Route: x.route, Service: x.service, Avoid: x.avoid,
+			Call: &x.call, Route: x.route, Service: x.service, Avoid: x.avoid, Runs: x.runs,
 			Received: x.received, StartBy: x.startBy,
 		})
 		if err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -48,6 +48,8 @@
 	Service bamboorail.ServiceSpec
 	// Avoid names the targets that failed or refused this call.
 	Avoid []string
+	// Runs is the number of targets that may have run the call.
+	Runs int
 	// Received is the time at which the call arrived, StartBy the latest time
 	// at which it may be sent to a target.
 	Received, StartBy time.Time
