quarantine: other breaks of a target hide no request that crashes it

For requests the place in the window does not matter: they count once for each crash. The new case of TestBlocksNameTheCauseOfCrashes failed before.

--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -152,10 +152,11 @@
 func (c *crash) suspects() map[string]suspect {
 	segments := map[string]suspect{}
 	for _, b := range c.breaks {
-		if b.At.Sub(c.at) > breakWindow {
-			continue
-		}
+		late := b.At.Sub(c.at) > breakWindow
 		for depth, name := range b.Segments {
+			if late && !IsRequest(name) {
+				continue
+			}
 			s := segments[name]
 			segments[name] = suspect{depth: max(s.depth, depth), firstTry: s.firstTry || !b.Retried}
 		}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -130,6 +130,13 @@
 			breaks: []Break{broken("a", 0, "request:r"), retried("b", 0.1, "request:r"), broken("c", 3, "request:r"), retried("d", 3.1, "request:r")},
 			want:   []string{"request:r"},
 		},
+		"a request on targets that break off other calls before": {
+			breaks: []Break{
+				broken("a", 0, "request:s"), broken("a", 1, "request:r"), broken("b", 2, "request:t"), broken("b", 3, "request:r"),
+				broken("c", 4, "request:u"), broken("c", 5, "request:r"),
+			},
+			want: []string{"request:r"},
+		},
 		"a request that was answered": {
 			answered: []string{"request:r", "request:r", "request:r"},
 			breaks:   []Break{broken("a", 0, "request:r"), broken("b", 1, "request:r"), broken("c", 2, "request:r")},
--- a/internal/relay/fingerprint_test.go
+++ b/internal/relay/fingerprint_test.go
@@ -9,21 +9,21 @@
 	request := func(method, host, uri, credentials string) *http.Request {
 		return &http.Request{Method: method, Host: host, RequestURI: uri, Header: http.Header{"Authorization": {credentials}, "Bamboorail-Request-Id": {host + uri}}}
 	}
-	first := fingerprint(request("POST", "h", "/a/b?c", "k"), []byte("body"))
+	first := fingerprint(request(http.MethodPost, "h", "/a/b?c", "k"), []byte("body"))
 	cases := map[string]struct {
 		request *http.Request
 		body    string
 		same    bool
 	}{
-		"repeated":             {&http.Request{Method: "POST", Host: "h", RequestURI: "/a/b?c", Header: http.Header{"Authorization": {"k"}, "Bamboorail-Request-Id": {"2"}}}, "body", true},
-		"other method":         {request("PUT", "h", "/a/b?c", "k"), "body", false},
-		"other host":           {request("POST", "h2", "/a/b?c", "k"), "body", false},
-		"other path":           {request("POST", "h", "/a/b", "k"), "body", false},
-		"other query":          {request("POST", "h", "/a/b?d", "k"), "body", false},
-		"other credentials":    {request("POST", "h", "/a/b?c", "l"), "body", false},
-		"other body":           {request("POST", "h", "/a/b?c", "k"), "body2", false},
-		"fields run together":  {request("POST", "h/", "a/b?c", "k"), "body", false},
-		"body in another part": {request("POST", "h", "/a/b?c", "kb"), "ody", false},
+		"repeated":             {&http.Request{Method: http.MethodPost, Host: "h", RequestURI: "/a/b?c", Header: http.Header{"Authorization": {"k"}, "Bamboorail-Request-Id": {"2"}}}, "body", true},
+		"other method":         {request(http.MethodPut, "h", "/a/b?c", "k"), "body", false},
+		"other host":           {request(http.MethodPost, "h2", "/a/b?c", "k"), "body", false},
+		"other path":           {request(http.MethodPost, "h", "/a/b", "k"), "body", false},
+		"other query":          {request(http.MethodPost, "h", "/a/b?d", "k"), "body", false},
+		"other credentials":    {request(http.MethodPost, "h", "/a/b?c", "l"), "body", false},
+		"other body":           {request(http.MethodPost, "h", "/a/b?c", "k"), "body2", false},
+		"fields run together":  {request(http.MethodPost, "h/", "a/b?c", "k"), "body", false},
+		"body in another part": {request(http.MethodPost, "h", "/a/b?c", "kb"), "ody", false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
