--- a/internal/mirror/fallback_test.go
+++ b/internal/mirror/fallback_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -81,3 +82,36 @@
 		})
 	}
 }
+
+// silentPeers never answer.
+type silentPeers struct{}
+
+func (silentPeers) Follow(ctx context.Context, _ string, _ *wire.FollowRequest) (*wire.FollowReply, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// TestTwoSilentHoldersDelayNoChange guards against changes that take effect too late
+// because a follower waits for one silent holder after the other.
+func TestTwoSilentHoldersDelayNoChange(t *testing.T) {
+	// maxDelay leaves 300 ms of the 2 s within which a change must take effect (limits
+	// config_apply_ms, drain_ms).
+	const maxDelay = 1700 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		_, follower := newPair(t)
+		follower.Store = NewStore(countingStore{follower.objects, follower}, "follower", "z", address("own"), silentPeers{}, nil, hclog.NewNullLogger())
+		follower.AddFallback("y", address("other"))
+		list, revision, err := follower.objects.List(context.Background(), "k/")
+		if err != nil || len(list) != 1 {
+			t.Fatal(list, err)
+		}
+		changed := time.Now()
+		if _, err := follower.objects.Put(context.Background(), "k/b", []byte("2"), 0); err != nil {
+			t.Fatal(err)
+		}
+		events, err := follower.Watch(context.Background(), []string{"k/"}, revision, time.Second)
+		if took := time.Since(changed); err != nil || len(events.Objects) != 1 || took > maxDelay {
+			t.Errorf("events %+v, %v, after %s, want at most %s", events, err, took, maxDelay)
+		}
+	})
+}
--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -244,6 +244,9 @@
 		}
 		reply, err := s.ask(ctx, from, prefix, revision, wait)
 		if err != nil {
+			// The changes that a silent holder did not pass on must not wait for the
+			// next one too.
+			wait = 0
 			continue
 		}
 		if !reply.GetFresh() {
