--- a/fleet.go
+++ b/fleet.go
@@ -196,12 +196,12 @@
 	// QuietFor is the time for which the target wants no requests of this instance,
 	// 0 if it does not say.
 	QuietFor time.Duration
-	// Limited is set if the target takes only Limit requests a second from all
+	// Limited is set if the target accepts at most Limit requests a second from all
 	// instances together.
 	Limited bool
 	Limit   float64
-	// Partial is set if something of the answer could not be decoded: that it names
-	// no limit does not end an earlier one then.
+	// Partial is set if a part of the answer could not be decoded. It does not end an
+	// earlier limit then.
 	Partial bool
 }
 
--- a/internal/adapters/limits.go
+++ b/internal/adapters/limits.go
@@ -6,7 +6,7 @@
 	"bamboorail.example/bamboorail"
 )
 
-// Limits counts the requests to engines and limits those to engines that ask for it.
+// Limits counts the requests to engines and limits their rates.
 type Limits interface {
 	// HasLimits reports whether any target has a limit.
 	HasLimits() bool
@@ -30,7 +30,8 @@
 // SetLimits sets what counts and limits the requests to engines.
 func (p *Planner) SetLimits(l Limits) { p.limits = l }
 
-// limitedLoadCost is added for the orders that a load costs an engine with a limit.
+// limitedLoadCost is added to a load on an engine with a limit, to which its orders
+// count too.
 const limitedLoadCost = time.Second
 
 // limitWait returns the time until an engine may get its next call.
@@ -49,8 +50,8 @@
 	return limited
 }
 
-// rateWait returns the time until a call is served if all engines that can run it
-// limit their rates: the calls that wait go first.
+// rateWait returns the time until a call can be placed if all engines that could run it
+// have limits, behind the calls that wait already.
 func (p *Planner) rateWait(r Request, now time.Time) time.Duration {
 	if !p.limits.HasLimits() {
 		return 0
--- a/internal/advisory/advisory.go
+++ b/internal/advisory/advisory.go
@@ -1,5 +1,5 @@
 // Package advisory tracks what targets say of themselves in their answers: that they
-// leave, that they want no requests for a while, and the rate that they take. It decides what an instance may
+// leave, that they want no requests for a while, and the rate that they accept. It decides what an instance may
 // send to a target; the time is passed in.
 package advisory
 
@@ -49,7 +49,7 @@
 	// trialUntil is the end of the trial that is under way.
 	returning  bool
 	trialUntil time.Time
-	// limit is what it said last of its limit.
+	// limit is as of its latest answer.
 	limit    Limit
 	lastSeen time.Time
 }
--- a/internal/advisory/limits.go
+++ b/internal/advisory/limits.go
@@ -10,12 +10,12 @@
 	// endedLimitRetention is the time for which the end of a limit is remembered, so
 	// that a late report of an earlier answer does not revive it.
 	endedLimitRetention = 30 * time.Second
-	// maxStates bounds the targets that other instances may tell of.
+	// maxStates bounds the targets that other instances may report.
 	maxStates = 4096
 )
 
-// Limit is what a target said last of the rate that it takes from all instances
-// together.
+// Limit is the rate of requests that a target accepts from all instances together, as
+// of its latest answer.
 type Limit struct {
 	Target bamboorail.TargetID
 	// Named is set if there is a limit, Rate is that limit in requests a second.
@@ -42,8 +42,8 @@
 	return l, r.setLimit(s, l, now)
 }
 
-// MergeLimits records limits of which other instances told, and returns those that
-// are new.
+// MergeLimits records limits that other instances reported, and returns those that are
+// new.
 func (r *Registry) MergeLimits(list []Limit, now time.Time) []Limit {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -64,7 +64,7 @@
 	return changed
 }
 
-// setLimit records a limit unless a later answer is known. It reports whether that
+// setLimit records a limit unless a later answer was recorded. It reports whether that
 // changes the limit. The caller holds the lock.
 func (r *Registry) setLimit(s *state, l Limit, now time.Time) bool {
 	s.lastSeen = now
@@ -111,8 +111,8 @@
 	return s.limit.Rate, s.limit.Named
 }
 
-// LastLimit returns what a target said last of its limit, and false if it never named
-// one.
+// LastLimit returns the limit of a target as of its latest answer, and false if it never
+// named one.
 func (r *Registry) LastLimit(id bamboorail.TargetID) (Limit, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/mirror/fallback_test.go
+++ b/internal/mirror/fallback_test.go
@@ -91,8 +91,7 @@
 	return nil, ctx.Err()
 }
 
-// TestTwoSilentHoldersDelayNoChange guards against changes that take effect too late
-// because a follower waits for one silent holder after the other.
+// TestTwoSilentHoldersDelayNoChange guards against waiting for one silent holder after the other.
 func TestTwoSilentHoldersDelayNoChange(t *testing.T) {
 	// maxDelay leaves 300 ms of the 2 s within which a change must take effect (limits
 	// config_apply_ms, drain_ms).
--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -62,7 +62,7 @@
 	// this instance waits for a holder.
 	leases     Leases
 	startupEnd time.Time
-	// onReply is told of each reply of a holder, with its zone.
+	// onReply is called with each reply of a holder and its zone.
 	onReply func(zone string, r *wire.FollowReply)
 
 	mu sync.Mutex
@@ -88,8 +88,8 @@
 	}
 }
 
-// SetOnReply sets the function that is told of each reply of a holder, with its zone.
-// It must be called before the store is used.
+// SetOnReply sets the function that is called with each reply of a holder and its zone.
+// It must be set before the store is used.
 func (s *Store) SetOnReply(f func(zone string, r *wire.FollowReply)) { s.onReply = f }
 
 // upstream is the holder of a zone.
--- a/internal/placer/acquire.go
+++ b/internal/placer/acquire.go
@@ -13,30 +13,29 @@
 )
 
 const (
-	// acquireTimeout bounds a question for a request to a target with a limit.
+	// acquireTimeout bounds an acquire request.
 	acquireTimeout = 150 * time.Millisecond
-	// minAcquireRetry is the minimum time between two questions for one target.
+	// minAcquireRetry is the minimum time between two acquire requests for one target.
 	minAcquireRetry = 20 * time.Millisecond
-	// unledShare is the part of a limit that all instances use together without the
-	// holder, which may grant the limit to those that reach it. Together they stay
-	// below one and a half times the limit.
-	unledShare = 0.4
-	// maxUnledWait bounds the time for which an unused share counts.
-	maxUnledWait = time.Second
+	// fallbackShare is the part of a limit that the instances without access to the
+	// holder use together, in addition to what the holder grants to the others.
+	fallbackShare = 0.4
+	// maxShareTime bounds the time for which an unused share accumulates.
+	maxShareTime = time.Second
 )
 
-// throttle is what an instance knows of the requests to a target with a limit.
+// throttle is the state of an instance for one target with a limit.
 type throttle struct {
 	// deniedUntil is the time until which the holder is not asked again, retryAfter
-	// what it suggested to callers.
+	// the delay that it suggested to callers.
 	deniedUntil time.Time
 	retryAfter  time.Duration
 	// shareUsed is the last time at which this instance considered its own share.
 	shareUsed time.Time
 }
 
-// Advise takes note of the limit that a target names in an answer, or that it names
-// none, for the holders of all zones.
+// Advise records the limit that a target names in an answer, or that it names none, and
+// queues changes for the holders of all zones.
 func (c *Chooser) Advise(id bamboorail.TargetID, a bamboorail.Advisory, now time.Time) {
 	limit, changed := c.Limits.observe(id, a, now)
 	if !changed {
@@ -49,7 +48,7 @@
 	}
 }
 
-// Learn takes over what a holder told with what it read from the store.
+// Learn merges the limits and blocks in a holder's reply to a follow request.
 func (c *Chooser) Learn(zone string, r *wire.FollowReply) {
 	c.Limits.merge(r.GetLimits(), "holder of "+zone)
 	c.Quarantine.learn(zone, r.GetBlocks())
@@ -84,7 +83,7 @@
 }
 
 // acquire asks for permission to send a request to a target of a plain service. If it
-// is denied, it returns the time after which the caller should come back.
+// is denied, it returns the time after which the caller should retry.
 func (c *Chooser) acquire(ctx context.Context, t bamboorail.TargetEntry, now time.Time) (bool, time.Duration) {
 	rate, limited := c.Advisories.Limit(t.ID)
 	if !limited {
@@ -102,16 +101,16 @@
 		if z.Zone != t.Zone {
 			continue
 		}
-		granted, again, retryAfter, answered := c.askForRequest(ctx, z, t.ID, now)
+		grant, answered := c.askForRequest(ctx, z, t.ID, now)
 		if !answered {
 			break
 		}
-		if !granted {
+		if !grant.Granted {
 			c.mu.Lock()
-			th.deniedUntil, th.retryAfter = now.Add(max(again, minAcquireRetry)), retryAfter
+			th.deniedUntil, th.retryAfter = now.Add(max(grant.Again, minAcquireRetry)), grant.RetryAfter
 			c.mu.Unlock()
 		}
-		return granted, retryAfter
+		return grant.Granted, grant.RetryAfter
 	}
 	if !c.useShare(th, rate, now) {
 		return false, time.Duration(float64(time.Second) / rate)
@@ -131,14 +130,14 @@
 }
 
 // useShare reports whether this instance may use its share of a limit without a
-// holder. Shares are small and not kept: the instances do not know one another's
-// requests, and would send what they kept together.
+// holder. The decision is random and unused shares expire: instances that accumulated
+// them could spend them at the same time.
 func (c *Chooser) useShare(th *throttle, rate float64, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	unused := min(now.Sub(th.shareUsed), maxUnledWait)
+	unused := min(now.Sub(th.shareUsed), maxShareTime)
 	th.shareUsed = now
-	return rand.Float64() < unledShare*rate/float64(max(c.Instances(), 1))*unused.Seconds()
+	return rand.Float64() < fallbackShare*rate/float64(max(c.Instances(), 1))*unused.Seconds()
 }
 
 // useEngineShare is useShare for an engine that is chosen without a holder.
@@ -160,10 +159,9 @@
 	w.Add(1, now)
 }
 
-// askForRequest asks the holder of a zone. It reports whether that answered.
-func (c *Chooser) askForRequest(
-	ctx context.Context, z ZoneHolder, id bamboorail.TargetID, now time.Time,
-) (granted bool, again, retryAfter time.Duration, answered bool) {
+// askForRequest asks the holder of a zone for a request. It returns false if there was
+// no answer.
+func (c *Chooser) askForRequest(ctx context.Context, z ZoneHolder, id bamboorail.TargetID, now time.Time) (ratelimit.Grant, bool) {
 	c.mu.Lock()
 	var ungranted []int32
 	if w := c.ungranted[id]; w != nil {
@@ -171,12 +169,11 @@
 	}
 	c.mu.Unlock()
 	if z.Local != nil && z.Lease.Leading() {
-		granted, again, retryAfter = z.Local.Acquire(id, c.Instance, ungranted)
-		return granted, again, retryAfter, true
+		return z.Local.Acquire(id, c.Instance, ungranted), true
 	}
 	_, address := z.Lease.Holder()
 	if address == "" || c.inBackoff(z) {
-		return false, 0, 0, false
+		return ratelimit.Grant{}, false
 	}
 	limit, _ := c.Advisories.LastLimit(id)
 	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
@@ -187,15 +184,17 @@
 	if err != nil || !reply.GetHolder() {
 		c.backOff(z)
 		c.Log.Info("holder grants no requests", "zone", z.Zone, "address", address, "target", id.Name, "error", err)
-		return false, 0, 0, false
+		return ratelimit.Grant{}, false
 	}
-	return reply.GetGranted(), time.Duration(reply.GetAgainMicros()) * time.Microsecond, time.Duration(reply.GetRetryAfterMicros()) * time.Microsecond, true
+	return ratelimit.Grant{
+		Granted: reply.GetGranted(), Again: time.Duration(reply.GetAgainMicros()) * time.Microsecond,
+		RetryAfter: time.Duration(reply.GetRetryAfterMicros()) * time.Microsecond,
+	}, true
 }
 
-// Acquire grants a request to a target of the zone, or returns the times after which
-// to ask again and after which a caller that is refused should come back. The
-// instance has sent the ungranted requests without asking.
-func (h *Holder) Acquire(id bamboorail.TargetID, instance string, ungranted []int32) (granted bool, again, retryAfter time.Duration) {
+// Acquire grants or denies a request to a target of the zone. ungranted counts the
+// requests that the instance sent without a grant, by age.
+func (h *Holder) Acquire(id bamboorail.TargetID, instance string, ungranted []int32) ratelimit.Grant {
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -203,8 +202,7 @@
 	return h.limits.Acquire(id, now)
 }
 
-// recordRequest counts a request of this holder to an engine, beside the calls that
-// it places.
+// recordRequest counts an order or a state query to an engine.
 func (h *Holder) recordRequest(id bamboorail.TargetID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -227,12 +225,13 @@
 	limit := r.GetLimit()
 	s.limits.merge([]*wire.TargetLimit{limit}, r.GetInstance())
 	id := bamboorail.TargetID{Name: limit.GetTarget(), StartMillis: limit.GetBorn()}
-	granted, again, retryAfter := h.Acquire(id, r.GetInstance(), r.GetUngranted())
-	return &wire.AcquireReply{Holder: true, Granted: granted, AgainMicros: again.Microseconds(), RetryAfterMicros: retryAfter.Microseconds()}, nil
+	g := h.Acquire(id, r.GetInstance(), r.GetUngranted())
+	return &wire.AcquireReply{
+		Holder: true, Granted: g.Granted, AgainMicros: g.Again.Microseconds(), RetryAfterMicros: g.RetryAfter.Microseconds(),
+	}, nil
 }
 
-// Follow replies with what this instance read from the store, and the limits and
-// blocks that it knows.
+// Follow adds the limits and blocks of this instance to the follower's reply.
 func (s *Server) Follow(ctx context.Context, r *wire.FollowRequest) (*wire.FollowReply, error) {
 	reply, err := s.Follower.Follow(ctx, r)
 	if err == nil && reply != nil {
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -100,10 +100,10 @@
 	ended map[string][]EndedPlacement
 	// breaks is the evidence that has not been reported, by zone.
 	breaks map[string][]quarantine.Break
-	// limits are the limits of targets that have not been reported, by zone.
+	// limits are the changed limits that have not been reported, by zone.
 	limits map[string][]advisory.Limit
-	// throttles are the targets that named limits, ungranted counts what this
-	// instance sent to each target without asking.
+	// throttles holds the state for targets with limits, ungranted counts the requests
+	// that this instance sent to each target without a grant.
 	throttles map[bamboorail.TargetID]*throttle
 	ungranted map[bamboorail.TargetID]*ratelimit.Window
 	// open are the placements made by the holders of other instances, by zone.
--- a/internal/placer/errors.go
+++ b/internal/placer/errors.go
@@ -22,7 +22,7 @@
 	errNotHolder       = errors.New("this instance does not hold the zone's lease")
 	errNoCapacity      = errors.New("no engine has capacity for the call")
 	errQueueFull       = errors.New("too many waiting calls; the call would be served too late")
-	errTargetsLimited  = errors.New("all targets have had the requests that they take for now")
+	errTargetsLimited  = errors.New("all targets are at the limits of their request rates")
 	errTargetsQuiet    = errors.New("all targets asked for a pause")
 	errNoTarget        = errors.New("no available target")
 	errNoHolder        = errors.New("no known holder of the zone")
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -86,7 +86,7 @@
 	nextGrant time.Time
 	// engineLocks serializes the orders to each engine.
 	engineLocks map[bamboorail.TargetID]chan struct{}
-	// limits grants the requests to the targets of the zone.
+	// limits counts and grants the requests to the targets of the zone.
 	limits *ratelimit.Table
 }
 
@@ -107,7 +107,7 @@
 	return h
 }
 
-// setPlanner begins with a planner that knows nothing of the engines.
+// setPlanner replaces the planner with one without engines.
 func (h *Holder) setPlanner(afterTicket uint64) {
 	h.planner = adapters.NewPlanner(h.Tuning, afterTicket)
 	h.planner.SetLimits(h.limits)
--- a/internal/placer/limits.go
+++ b/internal/placer/limits.go
@@ -27,7 +27,7 @@
 }
 
 // observe records the limit that an answer names, or that it names none. It reports
-// whether other instances should be told.
+// whether the limit changed.
 func (l *Limits) observe(id bamboorail.TargetID, a bamboorail.Advisory, now time.Time) (advisory.Limit, bool) {
 	limit, changed := l.registry.ObserveLimit(id, a, now)
 	if changed {
@@ -36,7 +36,7 @@
 	return limit, changed
 }
 
-// merge records limits of which another instance told.
+// merge records limits that another instance reported.
 func (l *Limits) merge(messages []*wire.TargetLimit, source string) {
 	if len(messages) == 0 {
 		return
@@ -63,7 +63,7 @@
 	l.log.Info("target names a limit", "target", limit.Target.Name, "born", limit.Target.StartMillis, "requests-per-second", limit.Rate, "source", source)
 }
 
-// messages returns all that is known of limits.
+// messages returns all limits, and those that ended lately.
 func (l *Limits) messages() []*wire.TargetLimit {
 	now := time.Now()
 	return limitMessages(l.registry.Limits(now), now)
--- a/internal/placer/quarantine.go
+++ b/internal/placer/quarantine.go
@@ -40,7 +40,7 @@
 	return &Quarantine{registry: quarantine.New(), metrics: m, log: log}
 }
 
-// segmentsOf returns what a call may have in common with others.
+// segmentsOf returns the segments that a call may have in common with others.
 func segmentsOf(call *bamboorail.Call) []string {
 	if call.Fingerprint == "" {
 		return call.PromptSegments
@@ -97,8 +97,8 @@
 	q.registry.Merge(breaks, now)
 }
 
-// decide blocks what the evidence names. Only a holder is told of all evidence;
-// another instance decides about whole requests alone.
+// decide blocks what the evidence names. Only holders receive the evidence of all
+// instances; others evaluate repeated requests only.
 func (q *Quarantine) decide(holder bool) {
 	if holder {
 		q.report(q.registry.Evaluate(time.Now()), "evidence")
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -13,9 +13,9 @@
 	// minSpread is the time that these crashes must span: engines that are lost
 	// together have another cause.
 	minSpread = 500 * time.Millisecond
-	// minFirstTries is the number of these crashes in which a request that is blocked
-	// as a whole must have come from a caller: one call that is sent from target to
-	// target may meet three that are lost for another reason.
+	// minFirstTries is the number of these crashes that a repeated request must have
+	// caused as a first attempt: the attempts of one call may meet three targets that
+	// fail for another reason.
 	minFirstTries = 2
 	// firstBlock is the duration of the first block of a segment; each further one
 	// lasts twice as long, up to longestBlock.
@@ -29,7 +29,7 @@
 type suspicion struct {
 	segment     string
 	crashes     int
-	firstTries  int // crashes in which the call was not sent before
+	firstTries  int // crashes by first attempts
 	answers     int
 	depth       int // largest position in a prompt
 	first, last time.Time
@@ -43,8 +43,8 @@
 	return r.evaluate(&r.pending, func(string) bool { return true }, now)
 }
 
-// EvaluateRequests is Evaluate for whole requests. The evidence of one instance
-// suffices for them: nothing else is the same in all calls of one request.
+// EvaluateRequests is Evaluate for repeated requests, for which the evidence of one
+// instance suffices: a fingerprint is not shared with other calls as a segment is.
 func (r *Registry) EvaluateRequests(now time.Time) []Block {
 	return r.evaluate(&r.requestsPending, IsRequest, now)
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -39,14 +39,14 @@
 	maxAnswered = 4096
 )
 
-// requestPrefix tells a segment that stands for a whole request from one of a prompt.
+// requestPrefix distinguishes segments that stand for a request from those of prompts.
 const requestPrefix = "request:"
 
 // Request returns the segment that stands for the request with a fingerprint. It
 // follows the segments of the prompt.
 func Request(fingerprint string) string { return requestPrefix + fingerprint }
 
-// IsRequest reports whether a segment stands for a whole request.
+// IsRequest reports whether a segment stands for a request.
 func IsRequest(segment string) bool { return strings.HasPrefix(segment, requestPrefix) }
 
 // Break is a call that a target broke off before or as it began to answer.
@@ -82,7 +82,7 @@
 	mu      sync.Mutex
 	crashes []crash
 	// pending is set if there are crashes that were not evaluated, requestsPending if
-	// they were not evaluated for whole requests.
+	// they were not evaluated for repeated requests.
 	pending, requestsPending bool
 	blocks                   map[string]Block
 	// terms counts the blocks that each segment had.
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -12,12 +12,12 @@
 )
 
 const (
-	// minRate lets a target that wants no requests at all get one now and then, whose
-	// answer tells whether that still holds.
+	// minRate applies to lower limits too: without any request there would be no answer
+	// that ends the limit.
 	minRate = 0.1
 	// maxRate bounds what a target may name, in requests a second.
 	maxRate = 1e6
-	// burstTime is the time for which unused requests of a target are kept.
+	// burstTime is the capacity of a token bucket, as time at the full rate.
 	burstTime = 250 * time.Millisecond
 )
 
@@ -29,7 +29,7 @@
 	Limit(id bamboorail.TargetID) (float64, bool)
 }
 
-// Table grants the requests to the targets of one zone.
+// Table counts and grants the requests to the targets of one zone.
 type Table struct {
 	rates    Rates
 	limiters map[bamboorail.TargetID]*limiter
@@ -42,19 +42,19 @@
 type limiter struct {
 	tokens  float64
 	updated time.Time
-	// ungranted counts what instances sent without asking, by instance; denied
-	// counts what they were denied.
+	// ungranted counts the requests that each instance sent without a grant, denied
+	// those that were denied.
 	ungranted map[string]*Window
 	denied    Window
 }
 
-// NewTable returns a table that counted no requests.
+// NewTable returns an empty table.
 func NewTable(r Rates) *Table {
 	return &Table{rates: r, limiters: map[bamboorail.TargetID]*limiter{}, sent: map[bamboorail.TargetID]*Window{}}
 }
 
-// Reset drops what was granted. A new holder begins without unused requests, since
-// its predecessor may have just granted some.
+// Reset empties the token buckets for a new term of the holder, since its predecessor
+// may have granted requests just before.
 func (t *Table) Reset() { clear(t.limiters) }
 
 // Retain forgets the targets for which live returns false.
@@ -89,8 +89,8 @@
 	}
 }
 
-// RecordUngranted sets what an instance sent to a target without asking, by age as
-// returned by Window.Counts.
+// RecordUngranted sets the counts of the requests that an instance sent to a target
+// without a grant, by age as returned by Window.Counts.
 func (t *Table) RecordUngranted(id bamboorail.TargetID, instance string, counts []int32, now time.Time) {
 	rate, limited := t.Rate(id)
 	if !limited {
@@ -121,31 +121,37 @@
 	return wait
 }
 
-// Acquire grants a request to a target, or returns the times after which to ask again
-// and after which a caller that is refused should come back.
-func (t *Table) Acquire(id bamboorail.TargetID, now time.Time) (granted bool, again, retryAfter time.Duration) {
+// Grant is the result of Acquire.
+type Grant struct {
+	Granted bool
+	// Again is the time after which a denied request may be granted, RetryAfter the
+	// delay to suggest to its caller.
+	Again, RetryAfter time.Duration
+}
+
+// Acquire grants a request to a target, and counts it, or denies it.
+func (t *Table) Acquire(id bamboorail.TargetID, now time.Time) Grant {
 	wait := t.Wait(id, now)
 	if wait == 0 {
 		t.Record(id, now)
-		return true, 0, 0
+		return Grant{Granted: true}
 	}
 	rate, _ := t.Rate(id)
 	l := t.limiter(id, rate, now)
 	l.denied.Add(1, now)
-	// Those that were denied within the last second come back before.
+	// The callers that were denied within a second are expected to retry first.
 	backlog := float64(l.denied.Count(now)) / Span.Seconds()
 	after := wait + time.Duration(backlog/rate*float64(time.Second))
-	return false, wait, after + rand.N(after/retrySpread+1)
+	return Grant{Again: wait, RetryAfter: after + rand.N(after/retrySpread+1)}
 }
 
 // retrySpread is the divisor of a retry time that gives its random part.
 const retrySpread = 4
 
-// burst returns the number of unused requests that are kept.
+// burst returns the capacity of a token bucket.
 func burst(rate float64) float64 { return max(1, rate*burstTime.Seconds()) }
 
-// maxCount returns the number of requests that a window may hold. It leaves room for
-// requests that are not asked for, such as orders.
+// maxCount returns the bound on the requests in a window.
 func maxCount(rate float64) int {
 	return int(rate*(Span+bucketSpan).Seconds()+burst(rate)) + 1
 }
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -78,11 +78,11 @@
 				for n, w := range instances {
 					table.RecordUngranted(id, fmt.Sprint(n), w.Counts(now), now)
 				}
-				if granted, again, retryAfter := table.Acquire(id, now); granted {
+				if g := table.Acquire(id, now); g.Granted {
 					sent = append(sent, at)
 					after++
-				} else if again <= 0 || retryAfter < again {
-					t.Fatalf("denied with %s and %s", again, retryAfter)
+				} else if g.Again <= 0 || g.RetryAfter < g.Again {
+					t.Fatalf("denied with %s and %s", g.Again, g.RetryAfter)
 				}
 			}
 			if got, want := most(sent), int(1.5*c.rate*Span.Seconds()+5); got > want {
--- a/internal/relay/fingerprint.go
+++ b/internal/relay/fingerprint.go
@@ -1,20 +1,25 @@
 package relay
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
 	"net/http"
 	"strconv"
-
-	"github.com/cespare/xxhash/v2"
 )
 
+// fingerprintBytes is the length of a fingerprint.
+const fingerprintBytes = 8
+
 // fingerprint returns a digest of what a repeated call has in common with the first
-// one: host, method, path, query, credentials and body.
+// one: host, method, path, query, credentials and body. It is a cryptographic one, so
+// that no caller can have the requests of another one blocked.
 func fingerprint(r *http.Request, body []byte) string {
-	d := xxhash.New()
+	d := sha256.New()
 	for _, field := range []string{r.Host, r.Method, r.RequestURI, r.Header.Get("Authorization")} {
-		// Lengths keep the fields apart.
-		_, _ = d.WriteString(strconv.Itoa(len(field)) + ":" + field)
+		// Lengths keep the fields apart. A hash returns no error.
+		_, _ = io.WriteString(d, strconv.Itoa(len(field))+":"+field)
 	}
 	_, _ = d.Write(body)
-	return strconv.FormatUint(d.Sum64(), 16)
+	return hex.EncodeToString(d.Sum(nil)[:fingerprintBytes])
 }
