placer: a holder whose tenure has lapsed grants a part of a limit

A holder that the store turns away goes on placing beside its successor until it is told; both granted the limit. It grants 0.3 of it now, and instances without a holder 0.2, so that all add up to one and a half times the limit. TestTwoHoldersTogetherKeepLimit failed before (66 requests in 4 s, 65 allowed).

--- a/internal/placer/acquire.go
+++ b/internal/placer/acquire.go
@@ -8,6 +8,7 @@
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/advisory"
+	"bamboorail.example/bamboorail/internal/lease"
 	"bamboorail.example/bamboorail/internal/peer/wire"
 	"bamboorail.example/bamboorail/internal/ratelimit"
 )
@@ -17,9 +18,12 @@
 	acquireTimeout = 150 * time.Millisecond
 	// minAcquireRetry is the minimum time between two acquire requests for one target.
 	minAcquireRetry = 20 * time.Millisecond
-	// fallbackShare is the part of a limit that the instances without access to the
-	// holder use together, in addition to what the holder grants to the others.
-	fallbackShare = 0.4
+	// lapsedShare is the part of a limit that a holder grants while its tenure is not in
+	// force, since another instance may hold the zone. fallbackShare is the part that the
+	// instances without access to a holder use together. With the limit itself, these
+	// add up to one and a half times the limit.
+	lapsedShare   = 0.3
+	fallbackShare = 0.2
 	// maxShareTime bounds the time for which an unused share accumulates.
 	maxShareTime = time.Second
 )
@@ -202,6 +206,24 @@
 	return h.limits.Acquire(id, now)
 }
 
+// tenureRates are the limits that a holder may grant.
+type tenureRates struct {
+	ratelimit.Rates
+	lease *lease.Lease
+}
+
+// Limit returns the limit of a target, or a part of it while the tenure is not in force.
+func (r tenureRates) Limit(id bamboorail.TargetID) (float64, bool) {
+	rate, limited := r.Rates.Limit(id)
+	if !limited {
+		return 0, false
+	}
+	if _, acting := r.lease.Tenure(); !acting {
+		rate *= lapsedShare
+	}
+	return rate, true
+}
+
 // recordRequest counts an order or a state query to an engine.
 func (h *Holder) recordRequest(id bamboorail.TargetID) {
 	h.mu.Lock()
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -99,7 +99,7 @@
 		c.Rates = advisory.New()
 	}
 	h := &Holder{
-		HolderConfig: c, limits: ratelimit.NewTable(c.Rates), background: make(chan []bamboorail.AdapterOrder, backgroundQueueSize),
+		HolderConfig: c, limits: ratelimit.NewTable(tenureRates{c.Rates, c.Lease}), background: make(chan []bamboorail.AdapterOrder, backgroundQueueSize),
 		usage: &usage{metrics: c.Metrics.Holder(c.Zone)}, engineLocks: map[bamboorail.TargetID]chan struct{}{},
 		waiters: map[uint64]chan adapters.Placement{}, timerReset: make(chan time.Time, 1),
 	}
