mutants of limits, repeated requests and silent holders; four patches renewed

TestOrdersCountAgainstLimit, TestOwnEvidenceBlocksRequestsWithoutHolder and TestLimitsOfAnswers cover three of them.

--- a/internal/advisory/advisory_test.go
+++ b/internal/advisory/advisory_test.go
@@ -125,3 +125,45 @@
 		t.Error("not forgotten")
 	}
 }
+
+// TestLimitsOfAnswers checks which limit holds after a series of answers.
+func TestLimitsOfAnswers(t *testing.T) {
+	named := func(rate float64) bamboorail.Advisory { return bamboorail.Advisory{Limited: true, Limit: rate} }
+	cases := map[string]struct {
+		answers []bamboorail.Advisory
+		rate    float64
+		limited bool
+		changes int
+	}{
+		"none":                         {[]bamboorail.Advisory{{}}, 0, false, 0},
+		"one":                          {[]bamboorail.Advisory{named(3)}, 3, true, 1},
+		"the same again":               {[]bamboorail.Advisory{named(3), named(3)}, 3, true, 1},
+		"a higher one":                 {[]bamboorail.Advisory{named(3), named(5)}, 5, true, 2},
+		"none any more":                {[]bamboorail.Advisory{named(3), {}}, 0, false, 2},
+		"an answer that was not read":  {[]bamboorail.Advisory{named(3), {Partial: true}}, 3, true, 1},
+		"one beside what was not read": {[]bamboorail.Advisory{named(3), {Partial: true, Limited: true, Limit: 2}}, 2, true, 2},
+		"zero":                         {[]bamboorail.Advisory{named(0)}, 0, true, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r, now, changes := New(), time.Now(), 0
+			id := bamboorail.TargetID{Name: "e", StartMillis: 1}
+			for n, a := range c.answers {
+				if _, changed := r.ObserveLimit(id, a, now.Add(time.Duration(n)*time.Second)); changed {
+					changes++
+				}
+			}
+			rate, limited := r.Limit(id)
+			if rate != c.rate || limited != c.limited || changes != c.changes || r.HasLimits() != c.limited {
+				t.Errorf("limit %v, %t after %d changes", rate, limited, changes)
+			}
+			if _, limited := r.Limit(bamboorail.TargetID{Name: "e", StartMillis: 2}); limited {
+				t.Error("the next start of the target has the limit")
+			}
+			r.Expire(func(bamboorail.TargetID) bool { return false }, now.Add(2*retention))
+			if r.HasLimits() {
+				t.Error("a target that is not live any more has a limit")
+			}
+		})
+	}
+}
--- a/internal/placer/acquire_test.go
+++ b/internal/placer/acquire_test.go
@@ -160,3 +160,25 @@
 		}
 	})
 }
+
+// TestOrdersCountAgainstLimit checks that a load order takes one of the requests that an
+// engine accepts, beside the call that needs it.
+func TestOrdersCountAgainstLimit(t *testing.T) {
+	const rate = 5
+	synctest.Test(t, func(t *testing.T) {
+		b, r := newTestHolder(t), advisory.New()
+		b.Rates = r
+		b.Holder = NewHolder(b.HolderConfig)
+		b.upkeep(context.Background())
+		id := bamboorail.TargetID{Name: "e"}
+		r.ObserveLimit(id, bamboorail.Advisory{Limited: true, Limit: rate}, time.Now())
+		b.Acquire(id, "i", nil) // denied, but starts the token bucket
+		time.Sleep(time.Second / rate)
+		if err := b.placeAndEnd(1); err != nil {
+			t.Fatal(err)
+		}
+		if wait, want := b.limits.Wait(id, time.Now()), 2*time.Second/rate-2*time.Millisecond; wait != want {
+			t.Errorf("next request after %s, want %s", wait, want)
+		}
+	})
+}
--- a/internal/placer/quarantine_test.go
+++ b/internal/placer/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"bamboorail.example/bamboorail"
@@ -100,3 +101,25 @@
 		})
 	}
 }
+
+// TestOwnEvidenceBlocksRequestsWithoutHolder checks that an instance that reaches no
+// holder refuses a request that crashed three targets.
+func TestOwnEvidenceBlocksRequestsWithoutHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, _, a := newTestChooser(t)
+		a.Service.Engine, a.Call.Fingerprint = false, "f"
+		for n := range 3 {
+			c.Fleet.Update(bamboorail.TargetEntry{ID: bamboorail.TargetID{Name: "e", StartMillis: int64(n)}, Service: "s", Zone: "c"})
+			reservation, err := c.Choose(context.Background(), a)
+			if err != nil {
+				t.Fatal(err)
+			}
+			reservation.Done(balance.Dropped, time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		c.Quarantine.decide(false)
+		if _, err := c.Choose(context.Background(), a); bamboorail.KindOf(err) != bamboorail.KindRequestBlocked {
+			t.Errorf("error %v", err)
+		}
+	})
+}
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -49,8 +49,8 @@
 		"three a second":            {3, 0, 0, 20},
 		"thirty a second":           {30, 0, 0, 200},
 		"three hundred a second":    {300, 0, 0, 1000},
-		"fast before, by holder":    {1.5, 3, 0, 20},
-		"fast before, by instances": {1.5, 0, 3, 20},
+		"fast before, by holder":    {1.5, 12, 0, 20},
+		"fast before, by instances": {1.5, 0, 12, 20},
 		"less than a tenth":         {0.01, 0, 0, 5},
 	}
 	for name, c := range cases {
