quarantine: a lifted block is not renewed by each exchange

Found by review: two holders that told each other of a lifted block renewed the minute for which the segment is not blocked, so that a segment, or a request, that was lifted once could not be blocked again while they exchanged reports. The time travels with the message now. TestLiftedBlocksExpireWhileHoldersExchangeThem failed before (still exchanged after 240 s).

--- a/internal/placer/quarantine.go
+++ b/internal/placer/quarantine.go
@@ -118,6 +118,8 @@
 		b := quarantine.Block{Segment: m.GetSegment(), Crashes: int(m.GetCrashes())}
 		if remaining := m.GetRemainingMicros(); remaining > 0 {
 			b.Until = now.Add(time.Duration(remaining) * time.Microsecond)
+		} else {
+			b.Lifted = now.Add(time.Duration(m.GetLiftedMicros()) * time.Microsecond)
 		}
 		blocks = append(blocks, b)
 	}
@@ -145,7 +147,9 @@
 	list := make([]*wire.SegmentBlock, 0, len(blocks))
 	for _, b := range blocks {
 		m := &wire.SegmentBlock{Segment: b.Segment, Crashes: int32(b.Crashes)}
-		if !b.Until.IsZero() {
+		if b.Until.IsZero() {
+			m.LiftedMicros = b.Lifted.Sub(now).Microseconds()
+		} else {
 			m.RemainingMicros = max(b.Until.Sub(now).Microseconds(), 1)
 		}
 		list = append(list, m)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -64,8 +64,9 @@
 // Block keeps calls with a segment away from engines.
 type Block struct {
 	Segment string
-	// Until is the end of the block, zero if the block was lifted.
-	Until time.Time
+	// Until is the end of the block, zero if the block was lifted. Lifted is then the
+	// time until which the segment is not blocked.
+	Until, Lifted time.Time
 	// Crashes is the number of crashes that led to the block.
 	Crashes int
 }
@@ -141,19 +142,20 @@
 		}
 		for _, s := range b.Segments {
 			if _, blocked := r.blocks[s]; blocked && r.answers(s) >= soundAnswers {
-				r.lift(s, now)
+				r.lift(s, now.Add(liftTime), now)
 			}
 		}
 	}
 }
 
-// lift ends the block of a sound segment. The caller holds the lock.
-func (r *Registry) lift(segment string, now time.Time) {
+// lift ends the block of a sound segment, which is not blocked until a time. The caller
+// holds the lock.
+func (r *Registry) lift(segment string, until, now time.Time) {
 	delete(r.blocks, segment)
 	delete(r.terms, segment)
 	maps.DeleteFunc(r.lifted, func(_ string, until time.Time) bool { return !until.After(now) })
 	if len(r.lifted) < maxBlocks {
-		r.lifted[segment] = now.Add(liftTime)
+		r.lifted[segment] = until
 	}
 }
 
@@ -165,7 +167,7 @@
 	var list []Break
 	for s := range r.blocks {
 		if n := r.answered[s] + r.answeredBefore[s]; n >= soundAnswers {
-			r.lift(s, now)
+			r.lift(s, now.Add(liftTime), now)
 			list = append(list, Break{At: now, Segments: []string{s}, Answers: []int{n}})
 		}
 	}
@@ -208,7 +210,9 @@
 	var added []Block
 	for _, b := range blocks {
 		if b.Until.IsZero() {
-			r.lift(b.Segment, now)
+			if b.Lifted.After(now) {
+				r.lift(b.Segment, b.Lifted, now)
+			}
 			continue
 		}
 		if !b.Until.After(now) || r.blocks[b.Segment].Until.After(now) || r.lifted[b.Segment].After(now) {
@@ -228,7 +232,7 @@
 	list := slices.DeleteFunc(slices.Collect(maps.Values(r.blocks)), func(b Block) bool { return !b.Until.After(now) })
 	for s, until := range r.lifted {
 		if until.After(now) {
-			list = append(list, Block{Segment: s})
+			list = append(list, Block{Segment: s, Lifted: until})
 		}
 	}
 	return list
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -286,3 +286,22 @@
 		t.Error("another request with the segment is blocked")
 	}
 }
+
+// TestLiftedBlocksExpireWhileHoldersExchangeThem guards against segments that can never be blocked again.
+func TestLiftedBlocksExpireWhileHoldersExchangeThem(t *testing.T) {
+	first, second := New(), New()
+	first.RecordAnswer([]string{"x", "x", "x"})
+	first.AddBlocks([]Block{{Segment: "x", Until: at(100), Crashes: 3}}, at(0))
+	if len(first.Objections(at(0))) != 1 {
+		t.Fatal("no objection")
+	}
+	const exchanges = 4 * liftTime / time.Second
+	for n := range exchanges {
+		now := at(float64(n))
+		second.AddBlocks(first.Blocks(now), now)
+		first.AddBlocks(second.Blocks(now), now)
+	}
+	if list := append(first.Blocks(at(float64(exchanges))), second.Blocks(at(float64(exchanges)))...); len(list) > 0 {
+		t.Errorf("still exchanged after %d s: %+v", exchanges, list)
+	}
+}
