--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -140,3 +140,15 @@
 		t.Errorf("wait of %s at a new holder, want 500ms", wait)
 	}
 }
+
+// BenchmarkAcquire measures a decision about a target that 195 instances sent requests
+// to without a grant.
+func BenchmarkAcquire(b *testing.B) {
+	table, id, now := NewTable(&fakeRates{30}), bamboorail.TargetID{Name: "e"}, time.Now()
+	for n := range 195 {
+		table.RecordUngranted(id, fmt.Sprint(n), []int32{1, 0, 1}, now)
+	}
+	for b.Loop() {
+		_ = table.Acquire(id, now)
+	}
+}
