advisory: TestTargetsAreForgotten has a registry for each case

Cause: the cases shared one registry and ran in the order of a map; after 'long gone' the target was rightly forgotten, and the other cases failed. The fault is in the test, not in the registry.

--- a/internal/advisory/advisory_test.go
+++ b/internal/advisory/advisory_test.go
@@ -108,21 +108,19 @@
 
 // TestTargetsAreForgotten guards against a registry that grows with every target.
 func TestTargetsAreForgotten(t *testing.T) {
-	r := New()
-	r.Observe(target, leaves(), start)
 	for name, c := range map[string]struct {
 		live  bool
 		after time.Duration
 		kept  bool
 	}{"live": {true, 2 * retention, true}, "gone": {false, retention, true}, "long gone": {false, 2 * retention, false}} {
-		r.Expire(func(bamboorail.TargetID) bool { return c.live }, start.Add(c.after))
-		if name != "long gone" && !r.IsLeaving(target) {
-			t.Errorf("%s: forgotten", name)
-		}
-	}
-	r.Expire(func(bamboorail.TargetID) bool { return false }, start.Add(2*retention))
-	if r.IsLeaving(target) {
-		t.Error("not forgotten")
+		t.Run(name, func(t *testing.T) {
+			r := New()
+			r.Observe(target, leaves(), start)
+			r.Expire(func(bamboorail.TargetID) bool { return c.live }, start.Add(c.after))
+			if kept := r.IsLeaving(target); kept != c.kept {
+				t.Errorf("kept: %t, want %t", kept, c.kept)
+			}
+		})
 	}
 }
 
