placer: TestNoOrdersAfterLeaseExpiry also sends an order that was decided before

The mutant lapsed-holders-order survived, on too: calls are refused by the wait of a lapsed holder before they reach the check of the tenure. The test now sends an order that was decided in time; the mutant is killed.

--- a/internal/placer/holder_test.go
+++ b/internal/placer/holder_test.go
@@ -191,6 +191,11 @@
 	if err := b.placeAndEnd(2); err == nil {
 		t.Error("a call that needs a load was placed")
 	}
+	// An order that was decided before the lease lapsed.
+	late := bamboorail.AdapterOrder{Target: bamboorail.TargetID{Name: "e"}, Key: bamboorail.AdapterKey{Model: "m", Adapter: "a2"}}
+	if err := b.execute(context.Background(), []bamboorail.AdapterOrder{late}); bamboorail.KindOf(err) != bamboorail.KindNotOwner {
+		t.Errorf("an order that is late: %v", err)
+	}
 	if b.engine.sent != sent {
 		t.Error("an order was sent")
 	}
