relay: log the software versions of targets and what a call resumes

Entries of targets carry their software version, calls the id that they resume; nothing decides on them yet.

--- a/fleet.go
+++ b/fleet.go
@@ -106,6 +106,9 @@
 	Zone    string
 	Slots   int
 	Leaving bool
+	// Software is the version of the target's software, empty if it names none. What
+	// different versions generate does not fit together in one stream.
+	Software string
 	// HeartbeatSeq counts the heartbeats since the start of the target.
 	HeartbeatSeq uint64
 	// Models maps loaded base models to the versions of their adapters.
@@ -166,6 +169,9 @@
 	Key AdapterKey
 	// LastEvent is the id of the event after which the caller resumes a stream.
 	LastEvent string
+	// Resumes is the id of the call that brought the first event of the resumed
+	// stream, empty if the caller does not say.
+	Resumes string
 	// PromptSegments are the ids of the parts of the prompt that the call may share
 	// with others, in order.
 	PromptSegments []string
--- a/internal/gateway/records.go
+++ b/internal/gateway/records.go
@@ -74,7 +74,7 @@
 	h.g.fleet.Update(e)
 	if !found || known.ID != e.ID || known.Leaving != e.Leaving {
 		h.g.log.Info("target changed", "target", name, "service", e.Service, "address", e.Address, "zone", e.Zone,
-			"born", e.ID.StartMillis, "leaving", e.Leaving, "revision", o.Version)
+			"born", e.ID.StartMillis, "software", e.Software, "leaving", e.Leaving, "revision", o.Version)
 	}
 }
 
@@ -91,7 +91,7 @@
 		return "", false
 	}
 	models := slices.Sorted(maps.Keys(e.Models))
-	return fmt.Sprint(e.ID, e.Service, e.Address, e.Zone, e.Slots, e.Leaving, models), true
+	return fmt.Sprint(e.ID, e.Service, e.Address, e.Zone, e.Slots, e.Leaving, e.Software, models), true
 }
 
 func (h *targetHandler) name(o bamboorail.Object) string {
--- a/internal/placer/queries.go
+++ b/internal/placer/queries.go
@@ -162,6 +162,9 @@
 		ID: bamboorail.TargetID{Name: reply.GetTarget(), StartMillis: reply.GetBorn()}, Service: a.Service.Name,
 		Address: reply.GetAddress(), Zone: reply.GetZone(),
 	}
+	if known, ok := c.Fleet.Target(target.ID.Name); ok && known.ID == target.ID {
+		target.Software = known.Software
+	}
 	ready := received.Add(time.Duration(reply.GetReadyInMicros()) * time.Microsecond)
 	return relay.Reservation{
 		Target: target, Version: int(reply.GetVersion()), ReadyAt: ready, Valid: c.valid(target),
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -49,8 +49,8 @@
 	endSpan(span, err)
 	reservation.Done(result, time.Since(sent))
 	x.attempts++
-	x.trail = append(x.trail, fmt.Sprintf("%s@%d wait=%d took=%d %s", reservation.Target.ID.Name, reservation.Version,
-		sent.Sub(started).Milliseconds(), time.Since(sent).Milliseconds(), outcome(err)))
+	x.trail = append(x.trail, fmt.Sprintf("%s@%d software=%s wait=%d took=%d %s", reservation.Target.ID.Name, reservation.Version,
+		reservation.Target.Software, sent.Sub(started).Milliseconds(), time.Since(sent).Milliseconds(), outcome(err)))
 	if err != nil && (result != balance.Misdirected || reservation.Assumed) {
 		x.avoid = append(x.avoid, reservation.Target.ID.Name)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -351,6 +351,9 @@
 	if x.call.Fingerprint != "" {
 		fields = append(fields, "fingerprint", x.call.Fingerprint)
 	}
+	if x.call.LastEvent != "" {
+		fields = append(fields, "resumes", x.call.Resumes, "after-event", x.call.LastEvent)
+	}
 	if len(x.call.PromptSegments) > 0 {
 		fields = append(fields, "prompt", x.call.PromptSegments)
 	}
