origin: a stream continues only at the software version that began it

Cause: nothing read the version of a target, so that a stream was continued by whatever engine was chosen: within its answer, and for callers that came back.

A call that resumes a stream is now restricted to the service and software version that began it. The instance knows those of the streams that it began. While several versions serve, or did within the last minute, instances send them each 0.3 s to the holder of a zone, which writes them to the store in segments; an instance that does not know a stream reads these. An unknown stream is refused at once, as not run, unless its service had one version only.

--- a/failure.go
+++ b/failure.go
@@ -36,6 +36,7 @@
 	KindConflict         Kind = "conflict"
 	KindOverloaded       Kind = "overloaded"
 	KindNoTarget         Kind = "no-target"
+	KindUnknownOrigin    Kind = "unknown-origin"
 	KindPromptBlocked    Kind = "prompt-blocked"
 	KindRequestBlocked   Kind = "request-blocked"
 	KindNotOwner         Kind = "not-owner"
--- a/fleet.go
+++ b/fleet.go
@@ -106,8 +106,8 @@
 	Zone    string
 	Slots   int
 	Leaving bool
-	// Software is the version of the target's software, empty if it names none. What
-	// different versions generate does not fit together in one stream.
+	// Software is the version of the target's software. What different versions
+	// generate does not fit together in one stream.
 	Software string
 	// HeartbeatSeq counts the heartbeats since the start of the target.
 	HeartbeatSeq uint64
--- a/internal/adapters/cost.go
+++ b/internal/adapters/cost.go
@@ -72,7 +72,7 @@
 }
 
 func (e *engine) usable(r Request) bool {
-	if e.entry.Leaving || !e.stateRead || e.entry.Service != r.Service {
+	if e.entry.Leaving || !e.stateRead || e.entry.Service != r.Service || r.Software != "" && e.entry.Software != r.Software {
 		return false
 	}
 	_, loaded := e.models[r.Key.Model]
--- a/internal/adapters/request.go
+++ b/internal/adapters/request.go
@@ -10,6 +10,9 @@
 type Request struct {
 	Key     bamboorail.AdapterKey
 	Service string
+	// Software is the software version that the engine must have, empty if any is
+	// acceptable.
+	Software string
 	// Version is the newest version of the adapter, 0 if any version is
 	// acceptable; Releases are the releases up to it.
 	Version  int
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -22,6 +22,9 @@
 	// leaving are the targets that said themselves that they leave, with the time.
 	leaving  map[bamboorail.TargetID]time.Time
 	releases map[bamboorail.AdapterKey]bamboorail.ReleaseHistory
+	software softwareHistory
+	// listedSince is the time of the first list of targets.
+	listedSince time.Time
 	// releasesSynced is closed once all releases were read.
 	releasesSynced chan struct{}
 	changed        chan struct{}
@@ -57,7 +60,8 @@
 func New(returnGrace time.Duration) *Fleet {
 	return &Fleet{
 		returnGrace: returnGrace, targets: map[string]*trackedTarget{}, departed: map[string]departedTarget{}, leaving: map[bamboorail.TargetID]time.Time{},
-		releases: map[bamboorail.AdapterKey]bamboorail.ReleaseHistory{}, releasesSynced: make(chan struct{}), changed: make(chan struct{}),
+		releases: map[bamboorail.AdapterKey]bamboorail.ReleaseHistory{}, releasesSynced: make(chan struct{}), software: softwareHistory{},
+		changed: make(chan struct{}),
 	}
 }
 
@@ -83,6 +87,7 @@
 	if _, ok := f.leaving[e.ID]; ok {
 		e.Leaving = true
 	}
+	f.software.observe(e, time.Now())
 	return &trackedTarget{entry: e}
 }
 
@@ -122,6 +127,7 @@
 // depart records that a target is gone. The caller holds the lock.
 func (f *Fleet) depart(name string, now time.Time) {
 	if k := f.targets[name]; k != nil {
+		f.software.observe(k.entry, now)
 		f.departed[name] = departedTarget{entry: k.entry, at: now}
 		delete(f.targets, name)
 	}
@@ -142,6 +148,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	previous := f.targets
+	if f.listedSince.IsZero() {
+		f.listedSince = now
+	}
 	f.targets = make(map[string]*trackedTarget, len(entries))
 	for _, e := range entries {
 		switch k := previous[e.ID.Name]; {
@@ -155,6 +164,7 @@
 		if f.targets[name] != nil {
 			continue
 		}
+		f.software.observe(k.entry, now)
 		if !afterOutage && k.missingSince.IsZero() {
 			f.departed[name] = departedTarget{entry: k.entry, at: now}
 			continue
@@ -171,7 +181,9 @@
 func (f *Fleet) Expire(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.software.expire(now)
 	for name, k := range f.targets {
+		f.software.observe(k.entry, now)
 		if !k.missingSince.IsZero() && now.Sub(k.missingSince) > f.returnGrace {
 			f.depart(name, now)
 			f.notify()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"bamboorail.example/bamboorail/internal/lease"
 	"bamboorail.example/bamboorail/internal/logflags"
 	"bamboorail.example/bamboorail/internal/mirror"
+	"bamboorail.example/bamboorail/internal/origin"
 	"bamboorail.example/bamboorail/internal/peer"
 	"bamboorail.example/bamboorail/internal/placer"
 	"bamboorail.example/bamboorail/internal/relay"
@@ -37,6 +38,8 @@
 const (
 	// leaseKind is the object kind under which leases are stored.
 	leaseKind = "order-leases"
+	// originKind is the object kind under which the origins of streams are stored.
+	originKind = "stream-origins"
 	// renewInterval and leaseTerm allow two renewals in a row to fail before a
 	// lease expires.
 	renewInterval = time.Second
@@ -117,6 +120,7 @@
 	quarantine *placer.Quarantine
 	advisories *advisory.Registry
 	limits     *placer.Limits
+	origins    *origin.Registry
 	holders    []placer.ZoneHolder
 	elector    *lease.Elector
 	peers      *peer.Client
@@ -209,9 +213,13 @@
 		Instances: g.instances, Log: g.logs.Layer("placer"),
 	})
 	g.mirror.SetOnReply(g.chooser.Learn)
+	g.origins = origin.New(origin.Config{
+		Instance: s.Instance, Zones: originZones(g.holders), Peers: g.peers, Store: g.platform.Store, Kind: originKind, Fleet: g.fleet,
+		Log: g.logs.Layer("origin"),
+	})
 	g.relay = relay.NewHandler(relay.Config{
 		Ingress: g.platform.Ingress, Egress: g.platform.Egress, Table: g.table.Load, Chooser: g.chooser, Budget: g.budget,
-		Dialer: relay.NewDialer(), Metrics: g.metrics, Tracer: tracer, Advise: g.advise, ShuttingDown: g.shuttingDown.Load,
+		Dialer: relay.NewDialer(), Metrics: g.metrics, Tracer: tracer, Advise: g.advise, Origins: g.origins, ShuttingDown: g.shuttingDown.Load,
 		Log: g.logs.Layer("relay"),
 	})
 }
@@ -256,7 +264,7 @@
 	defer cancel()
 	tasks := task.NewGroup(ctx)
 	tasks.Start("peers", func(ctx context.Context) error {
-		return peer.ServePlacer(ctx, g.ports.peer, placer.NewServer(g.holders, g.fleet, g.mirror, g.quarantine, g.limits), g.logs.Layer("peer"))
+		return peer.ServePlacer(ctx, g.ports.peer, placer.NewServer(g.holders, g.fleet, g.mirror, g.origins, g.quarantine, g.limits), g.logs.Layer("peer"))
 	})
 	tasks.Start("readiness", g.ports.readiness.Serve)
 	tasks.Start("callers", g.ports.caller.Serve)
@@ -266,6 +274,7 @@
 	}
 	tasks.Start("leases", g.elector.Run)
 	tasks.Start("settle", g.chooser.Run)
+	tasks.Start("origins", g.origins.Run)
 	tasks.Start("store calls", g.storeCalls.run)
 	tasks.Start("pulse", g.measureTimerDelay)
 	tasks.Start("expiry", func(ctx context.Context) error { return task.Every(ctx, expireInterval, g.expireTargets) })
--- /dev/null
+++ b/internal/origin/journal.go
@@ -0,0 +1,145 @@
+package origin
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"bamboorail.example/bamboorail"
+)
+
+// journal writes the origins of the streams of one zone to the store, in segments.
+type journal struct {
+	kind, zone string
+	store      bamboorail.ObjectStore
+	log        hclog.Logger
+
+	mu      sync.Mutex
+	pending batch
+
+	// The fields below belong to flush, which runs in one goroutine.
+
+	// versions are the segments in the store by key; listed is set while they are
+	// known.
+	versions map[string]bamboorail.StoreVersion
+	listed   bool
+	current  segment
+	opened   time.Time
+	// written is the time of the last write, or of the list.
+	written time.Time
+}
+
+func newJournal(kind, zone string, store bamboorail.ObjectStore, log hclog.Logger) *journal {
+	return &journal{kind: kind, zone: zone, store: store, log: log, pending: batch{}}
+}
+
+// add queues origins for the next flush.
+func (j *journal) add(b batch) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.pending.add(b)
+}
+
+func (j *journal) takePending() batch {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	b := j.pending
+	j.pending = batch{}
+	return b
+}
+
+// flush writes what is queued. The holder of the zone also removes the segments that
+// no stream needs any more.
+func (j *journal) flush(ctx context.Context, leading bool) {
+	pending := j.takePending()
+	now := time.Now()
+	switch {
+	case len(pending) > 0:
+		if err := j.write(ctx, pending, now); err != nil {
+			j.add(pending)
+			j.log.Warn("origins of streams not stored", "zone", j.zone, "streams", pending.size(), "error", err)
+		}
+	case !leading:
+		// The next holder changes the segments.
+		j.listed = false
+	case !j.listed:
+		if err := j.list(ctx, now); err != nil {
+			j.log.Debug("origins of streams not listed", "zone", j.zone, "error", err)
+		}
+	case len(j.versions) > 0 && now.Sub(j.written) > bamboorail.StreamLifetime:
+		j.remove(ctx)
+	}
+}
+
+// list reads which segments the store has.
+func (j *journal) list(ctx context.Context, now time.Time) error {
+	objects, _, err := j.store.List(ctx, j.kind+"/")
+	if err != nil {
+		return err
+	}
+	j.versions, j.current = map[string]bamboorail.StoreVersion{}, segment{streams: batch{}}
+	for _, o := range objects {
+		if !isSegmentOf(o.Key, j.kind, j.zone) {
+			continue
+		}
+		j.versions[o.Key] = o.Version
+		stored, err := decodeSegment(o.Value)
+		if err != nil {
+			j.log.Warn("failed to decode origins of streams", "key", o.Key, "error", err)
+			continue
+		}
+		j.current.sequence = max(j.current.sequence, stored.sequence+1)
+	}
+	j.listed, j.opened, j.written = true, now, now
+	return nil
+}
+
+// write adds origins to the current segment. If another instance has written it, they
+// go to a new one.
+func (j *journal) write(ctx context.Context, b batch, now time.Time) error {
+	if !j.listed {
+		if err := j.list(ctx, now); err != nil {
+			return err
+		}
+	}
+	next := segment{sequence: j.current.sequence, streams: batch{}}
+	if now.Sub(j.opened) > segmentTime || j.current.streams.size() > maxSegmentStreams {
+		next.sequence++
+		j.opened = now
+	} else {
+		next.streams.add(j.current.streams)
+	}
+	next.streams.add(b)
+	value, err := next.encode()
+	if err != nil {
+		return err
+	}
+	key := segmentKey(j.kind, j.zone, next.sequence)
+	version, err := j.store.Put(ctx, key, value, j.versions[key])
+	if err != nil {
+		// The write may have taken effect, or another instance has written.
+		j.listed = false
+		return err
+	}
+	if len(j.versions) == 0 {
+		j.log.Info("origins of streams are stored", "zone", j.zone, "streams", b.size())
+	}
+	j.versions[key], j.current, j.written = version, next, now
+	return nil
+}
+
+// remove removes one segment.
+func (j *journal) remove(ctx context.Context) {
+	key := slices.Min(slices.Collect(maps.Keys(j.versions)))
+	if err := j.store.Delete(ctx, key, j.versions[key]); err != nil {
+		j.listed = false
+		j.log.Debug("origins of streams not removed", "key", key, "error", err)
+		return
+	}
+	delete(j.versions, key)
+	j.current.streams = batch{}
+}
--- /dev/null
+++ b/internal/origin/origin.go
@@ -0,0 +1,124 @@
+// Package origin records at which software version each stream began, so that only
+// targets of that version continue it. Instances know the streams that they began
+// themselves. While targets of several versions serve, they also send their origins to
+// the holder of a zone, which writes them to the object store: an origin outlives the
+// instance that recorded it.
+package origin
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/fleet"
+	"bamboorail.example/bamboorail/internal/lease"
+	"bamboorail.example/bamboorail/internal/peer/wire"
+)
+
+// unknownRetry is the delay to suggest to the caller of a stream that cannot be
+// continued now.
+const unknownRetry = time.Second
+
+// Error is the error type of the package.
+type Error struct{ bamboorail.Failure }
+
+var (
+	errNotRecorded = errors.New("targets of several software versions serve, and none is recorded for the stream")
+	errNoTargets   = errors.New("no targets of the service are known")
+	errNoHistory   = errors.New("the earlier software versions of the service are not known")
+)
+
+func unknown(cause error) error {
+	return &Error{bamboorail.Failure{
+		Op: "find-origin", Kind: bamboorail.KindUnknownOrigin, Outcome: bamboorail.OutcomeNotRun, RetryAfter: unknownRetry, Err: cause,
+	}}
+}
+
+// Peers sends origins to other instances.
+type Peers interface {
+	RecordOrigins(ctx context.Context, address string, r *wire.RecordOriginsRequest) (*wire.RecordOriginsReply, error)
+}
+
+// Config configures a registry.
+type Config struct {
+	Instance string
+	// Zones are the availability zones with their leases, the local zone first.
+	Zones []Zone
+	Peers Peers
+	Store bamboorail.ObjectStore
+	// Kind is the kind of the objects in the store.
+	Kind  string
+	Fleet *fleet.Fleet
+	Log   hclog.Logger
+}
+
+// Zone is an availability zone.
+type Zone struct {
+	Name  string
+	Lease *lease.Lease
+}
+
+// Registry holds the origins that an instance knows.
+type Registry struct {
+	Config
+	table    *table
+	reader   *reader
+	journals map[string]*journal
+}
+
+var _ bamboorail.StreamOrigins = (*Registry)(nil)
+
+// New returns a registry that knows no origins.
+func New(c Config) *Registry {
+	r := &Registry{Config: c, table: newTable(), journals: map[string]*journal{}}
+	r.reader = newReader(c.Store, c.Kind, c.Log)
+	for _, z := range c.Zones {
+		r.journals[z.Name] = newJournal(c.Kind, z.Name, c.Store, c.Log)
+	}
+	return r
+}
+
+// Record records where the stream of a call began.
+func (r *Registry) Record(call string, o bamboorail.StreamOrigin) {
+	r.table.record(newStreamID(call), o, time.Now())
+}
+
+// Find returns where the stream of a call began. It reads the store if this instance
+// does not know it. An unknown stream has the only version that its service had within
+// the lifetime of a stream, if there is no other.
+func (r *Registry) Find(ctx context.Context, call, service string) (bamboorail.StreamOrigin, error) {
+	id := newStreamID(call)
+	if o, ok := r.table.find(id); ok && call != "" {
+		return o, nil
+	}
+	if versions, _ := r.Fleet.Software(service, time.Now()); call == "" && len(versions) > 1 {
+		return bamboorail.StreamOrigin{}, unknown(errNotRecorded)
+	}
+	stored, storeErr := r.reader.read(ctx)
+	if storeErr == nil {
+		r.table.merge(stored, time.Now())
+	}
+	if o, ok := r.table.find(id); ok && call != "" {
+		r.Log.Info("origin of stream found in the store", "call", call, "service", o.Service, "software", o.Software)
+		return o, nil
+	}
+	versions, complete := r.Fleet.Software(service, time.Now())
+	for o := range stored {
+		if o.Service == service && !slices.Contains(versions, o.Software) {
+			versions = append(versions, o.Software)
+		}
+	}
+	switch {
+	case len(versions) == 0:
+		return bamboorail.StreamOrigin{}, unknown(errNoTargets)
+	case len(versions) > 1:
+		return bamboorail.StreamOrigin{}, unknown(errNotRecorded)
+	case storeErr != nil && !complete:
+		return bamboorail.StreamOrigin{}, unknown(errors.Join(errNoHistory, storeErr))
+	}
+	return bamboorail.StreamOrigin{Service: service, Software: versions[0]}, nil
+}
--- /dev/null
+++ b/internal/origin/share.go
@@ -0,0 +1,115 @@
+package origin
+
+import (
+	"context"
+	"time"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/peer/wire"
+	"bamboorail.example/bamboorail/internal/task"
+)
+
+const (
+	// shareInterval is the interval between messages to a holder, and between writes
+	// of a holder.
+	shareInterval = 300 * time.Millisecond
+	// shareTimeout bounds a message to a holder.
+	shareTimeout = 300 * time.Millisecond
+	// lastWriteTimeout bounds the write of an instance that stops.
+	lastWriteTimeout = 150 * time.Millisecond
+)
+
+// Run shares the origins that this instance records, and stores those that others
+// send to it as a holder, until ctx ends.
+func (r *Registry) Run(ctx context.Context) error {
+	tasks := task.NewGroup(ctx)
+	tasks.Start("share", func(ctx context.Context) error { return task.Every(ctx, shareInterval, r.share) })
+	tasks.Start("store", func(ctx context.Context) error { return task.Every(ctx, shareInterval, r.flush) })
+	err := tasks.Wait()
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastWriteTimeout)
+	defer cancel()
+	r.flush(last)
+	return err
+}
+
+// share sends the origins of streams at services with several software versions to
+// the first holder that takes them.
+func (r *Registry) share(ctx context.Context) {
+	now := time.Now()
+	r.table.expire(now)
+	b := r.table.unsharedBatch(func(service string) bool {
+		versions, _ := r.Fleet.Software(service, now)
+		return len(versions) > 1
+	})
+	if len(b) == 0 {
+		return
+	}
+	for _, z := range r.Zones {
+		if r.send(ctx, z, b) {
+			r.table.markShared(b)
+			return
+		}
+	}
+}
+
+// send sends origins to the holder of a zone, and reports whether it took them.
+func (r *Registry) send(ctx context.Context, z Zone, b batch) bool {
+	if z.Lease.Leading() {
+		r.journals[z.Name].add(b)
+		return true
+	}
+	_, address := z.Lease.Holder()
+	if address == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	reply, err := r.Peers.RecordOrigins(ctx, address, &wire.RecordOriginsRequest{Zone: z.Name, Instance: r.Instance, Origins: messages(b)})
+	if err != nil {
+		r.Log.Debug("origins of streams not sent", "zone", z.Name, "streams", b.size(), "error", err)
+		return false
+	}
+	return reply.GetHolder()
+}
+
+// RecordOrigins stores the origins that another instance recorded.
+func (r *Registry) RecordOrigins(_ context.Context, m *wire.RecordOriginsRequest) (*wire.RecordOriginsReply, error) {
+	for _, z := range r.Zones {
+		if z.Name == m.GetZone() && z.Lease.Leading() {
+			b := fromMessages(m.GetOrigins())
+			r.table.merge(b, time.Now())
+			r.journals[z.Name].add(b)
+			return &wire.RecordOriginsReply{Holder: true}, nil
+		}
+	}
+	return &wire.RecordOriginsReply{}, nil
+}
+
+func (r *Registry) flush(ctx context.Context) {
+	for _, z := range r.Zones {
+		r.journals[z.Name].flush(ctx, z.Lease.Leading())
+	}
+}
+
+func messages(b batch) []*wire.StreamOrigins {
+	list := make([]*wire.StreamOrigins, 0, len(b))
+	for o, streams := range b {
+		m := &wire.StreamOrigins{Service: o.Service, Software: o.Software, Streams: make([]uint64, 0, len(streams))}
+		for _, id := range streams {
+			m.Streams = append(m.Streams, uint64(id))
+		}
+		list = append(list, m)
+	}
+	return list
+}
+
+func fromMessages(list []*wire.StreamOrigins) batch {
+	b := batch{}
+	for _, m := range list {
+		o := bamboorail.StreamOrigin{Service: m.GetService(), Software: m.GetSoftware()}
+		for _, id := range m.GetStreams() {
+			b[o] = append(b[o], streamID(id))
+		}
+	}
+	return b
+}
--- a/internal/peer/placer.go
+++ b/internal/peer/placer.go
@@ -18,6 +18,7 @@
 	Settle(ctx context.Context, r *wire.SettleRequest) (*wire.SettleReply, error)
 	Follow(ctx context.Context, r *wire.FollowRequest) (*wire.FollowReply, error)
 	Acquire(ctx context.Context, r *wire.AcquireRequest) (*wire.AcquireReply, error)
+	RecordOrigins(ctx context.Context, r *wire.RecordOriginsRequest) (*wire.RecordOriginsReply, error)
 }
 
 // ServePlacer serves the placer protocol on the listener until ctx ends.
@@ -73,3 +74,12 @@
 	}
 	return reply, nil
 }
+
+// RecordOrigins sends origins of streams to the instance at address.
+func (c *Client) RecordOrigins(ctx context.Context, address string, r *wire.RecordOriginsRequest) (*wire.RecordOriginsReply, error) {
+	reply, err := wire.NewDRPCPlacerClient(c.pool.Get(ctx, address, c.dial)).RecordOrigins(ctx, r)
+	if err != nil {
+		return nil, callError("record-origins", err)
+	}
+	return reply, nil
+}
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -132,6 +132,9 @@
 // Choose selects a target for a call. If no engine has capacity, it retries
 // until the time by which the call must start.
 func (c *Chooser) Choose(ctx context.Context, a relay.ChooseRequest) (relay.Reservation, error) {
+	if err := c.checkSoftware(a); err != nil {
+		return relay.Reservation{}, err
+	}
 	if !a.Service.Engine || a.Call.Key.Model == "" {
 		return c.chooseBalanced(ctx, a)
 	}
@@ -193,7 +196,7 @@
 	roundCtx, cancel := context.WithDeadline(ctx, a.StartBy.Add(dispatchMargin))
 	defer cancel()
 	for _, q := range c.holderQueries(a.Call.Key) {
-		if c.inBackoff(q.zone) {
+		if c.inBackoff(q.zone) || !c.hasSoftware(a, q.zone.Zone) {
 			continue
 		}
 		reservation, err := c.askHolder(roundCtx, q.zone, a, q.policy)
@@ -238,7 +241,7 @@
 	if err := c.checkQuiet(a.Service.Name, now); err != nil {
 		return relay.Reservation{}, err
 	}
-	targets := c.openTargets(a.Service.Name, now)
+	targets := slices.DeleteFunc(c.openTargets(a.Service.Name, now), func(e bamboorail.TargetEntry) bool { return !hasSoftware(e, a) })
 	var retryAfter time.Duration
 	for {
 		target, ok := c.Balancer.Choose(targets, a.Avoid, now)
@@ -271,7 +274,7 @@
 	var engines []bamboorail.TargetEntry
 	for _, e := range c.openTargets(a.Service.Name, now) {
 		held, loaded := e.Models[key.Model]
-		if !loaded || slices.Contains(a.Avoid, e.ID.Name) {
+		if !loaded || slices.Contains(a.Avoid, e.ID.Name) || !hasSoftware(e, a) {
 			continue
 		}
 		version, present := held[key.Adapter]
--- a/internal/placer/errors.go
+++ b/internal/placer/errors.go
@@ -25,6 +25,7 @@
 	errTargetsLimited  = errors.New("all targets are at the limits of their request rates")
 	errTargetsQuiet    = errors.New("all targets asked for a pause")
 	errNoTarget        = errors.New("no available target")
+	errNoSoftware      = errors.New("no available target with the software version that began the stream")
 	errNoHolder        = errors.New("no known holder of the zone")
 	errReleasesUnknown = errors.New("adapter releases have not been read yet")
 	errMayNotAct       = errors.New("the lease does not currently permit orders")
--- a/internal/placer/queries.go
+++ b/internal/placer/queries.go
@@ -90,7 +90,7 @@
 	newest := releases.Newest()
 	if z.Local != nil && z.Lease.Leading() {
 		p, err := z.Local.Place(ctx, adapters.Request{
-			Key: a.Call.Key, Service: a.Service.Name, Version: newest, Releases: releases, Avoid: a.Avoid,
+			Key: a.Call.Key, Service: a.Service.Name, Software: a.Software, Version: newest, Releases: releases, Avoid: a.Avoid,
 			Loads: loads, CallID: a.Call.ID, Waited: time.Since(a.Received), Objective: a.Route.Objective, Priority: a.Route.Priority,
 			StartBy: a.StartBy,
 		})
@@ -132,6 +132,7 @@
 		Version: int64(newest), Avoid: a.Avoid, Ended: endedMessages(ended), Loads: int32(loads),
 		CallId: a.Call.ID, WaitedMicros: time.Since(a.Received).Microseconds(), ObjectiveMicros: a.Route.Objective.Microseconds(),
 		Priority: int32(a.Route.Priority), InstanceZone: c.Zones[0].Zone, RemainingMicros: time.Until(a.StartBy).Microseconds(),
+		Software: a.Software,
 	})
 	received := time.Now()
 	c.Quarantine.learn(z.Zone, reply.GetBlocks())
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -19,10 +19,16 @@
 	Follow(ctx context.Context, r *wire.FollowRequest) (*wire.FollowReply, error)
 }
 
+// OriginRecorder stores where the streams of other instances began.
+type OriginRecorder interface {
+	RecordOrigins(ctx context.Context, r *wire.RecordOriginsRequest) (*wire.RecordOriginsReply, error)
+}
+
 // Server answers requests of other instances for the zones whose lease this
 // instance holds.
 type Server struct {
 	Follower
+	OriginRecorder
 	// localZone is the availability zone of this instance.
 	localZone  string
 	zones      map[string]*Holder
@@ -33,8 +39,8 @@
 
 // NewServer returns a server for the holders of all zones. The local zone comes
 // first.
-func NewServer(zones []ZoneHolder, f *fleet.Fleet, follower Follower, q *Quarantine, l *Limits) *Server {
-	s := &Server{Follower: follower, localZone: zones[0].Zone, zones: map[string]*Holder{}, fleet: f, quarantine: q, limits: l}
+func NewServer(zones []ZoneHolder, f *fleet.Fleet, follower Follower, o OriginRecorder, q *Quarantine, l *Limits) *Server {
+	s := &Server{Follower: follower, OriginRecorder: o, localZone: zones[0].Zone, zones: map[string]*Holder{}, fleet: f, quarantine: q, limits: l}
 	for _, z := range zones {
 		s.zones[z.Zone] = z.Local
 	}
@@ -70,7 +76,7 @@
 		startBy = time.Now().Add(time.Duration(remaining) * time.Microsecond)
 	}
 	p, err := h.Place(ctx, adapters.Request{
-		Key: key, Service: r.GetService(), Version: releases.Newest(), Releases: releases, Avoid: r.GetAvoid(),
+		Key: key, Service: r.GetService(), Software: r.GetSoftware(), Version: releases.Newest(), Releases: releases, Avoid: r.GetAvoid(),
 		Loads: adapters.LoadPolicy(r.GetLoads()), Instance: r.GetInstance(), CallID: r.GetCallId(), Waited: time.Duration(r.GetWaitedMicros()) * time.Microsecond,
 		Objective: time.Duration(r.GetObjectiveMicros()) * time.Microsecond, Priority: int(r.GetPriority()), StartBy: startBy,
 	})
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -29,7 +29,9 @@
 )
 
 // forwardAnswer forwards the response of a target to the caller.
-func (x *exchange) forwardAnswer(ctx context.Context, cancel context.CancelCauseFunc, resp *http.Response) (balance.Result, error) {
+func (x *exchange) forwardAnswer(
+	ctx context.Context, cancel context.CancelCauseFunc, target bamboorail.TargetEntry, resp *http.Response,
+) (balance.Result, error) {
 	const op = "pass-answer"
 	x.framing, x.answer = httpport.FramingOf(resp), eventstream.Tracker{}
 	events := x.isEventStream(resp)
@@ -39,6 +41,7 @@
 		resp.ContentLength = -1
 	}
 	if x.route.Streaming && resp.StatusCode == http.StatusOK && (events || !x.committed) {
+		x.recordOrigin(target)
 		return x.forwardStream(ctx, cancel, resp, events)
 	}
 	if x.committed || (resp.StatusCode >= http.StatusInternalServerError && x.mayRetryAnswer()) {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -63,7 +63,7 @@
 	const op = "await-adapter"
 	for {
 		reservation, err := x.h.Chooser.Choose(ctx, ChooseRequest{
-			Call: &x.call, Route: x.route, Service: x.service, Avoid: x.avoid, Runs: x.runs,
+			Call: &x.call, Route: x.route, Service: x.service, Avoid: x.avoid, Software: x.software, Runs: x.runs,
 			Received: x.received, StartBy: x.startBy,
 		})
 		if err != nil {
@@ -78,7 +78,7 @@
 			reservation.Done(balance.Abandoned, 0)
 			return Reservation{}, notRun(op, bamboorail.KindDeadlineExceeded, defaultRetryAfter, err)
 		}
-		if reservation.Valid() {
+		if reservation.Valid() && (x.software == "" || reservation.Target.Software == x.software) {
 			return reservation, nil
 		}
 		reservation.Done(balance.Abandoned, 0)
@@ -138,7 +138,7 @@
 	}
 	x.runs++
 	watchdog.Stop()
-	return x.forwardAnswer(ctx, cancel, resp)
+	return x.forwardAnswer(ctx, cancel, reservation.Target, resp)
 }
 
 // advise passes on what a target says of itself in its answer. A misdirected call
--- /dev/null
+++ b/internal/relay/origin.go
@@ -0,0 +1,41 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"bamboorail.example/bamboorail"
+)
+
+var errOtherService = errors.New("the stream began at a service that the route no longer names")
+
+// findOrigin restricts a call that resumes a stream to the service and the software
+// version that began it.
+func (x *exchange) findOrigin(ctx context.Context) error {
+	if !x.route.Streaming || x.call.LastEvent == "" {
+		return nil
+	}
+	origin, err := x.h.Origins.Find(ctx, x.call.Resumes, x.service.Name)
+	if err != nil {
+		return err
+	}
+	if origin.Service != x.service.Name {
+		if !slices.ContainsFunc(x.route.Shares, func(s bamboorail.ServiceShare) bool { return s.Service == origin.Service }) {
+			return notRun("find-origin", bamboorail.KindUnknownOrigin, defaultRetryAfter, errOtherService)
+		}
+		x.setService(origin.Service)
+	}
+	x.software = origin.Software
+	return nil
+}
+
+// recordOrigin records where the stream of the call began. From then on, only targets
+// with the same software version may continue it.
+func (x *exchange) recordOrigin(target bamboorail.TargetEntry) {
+	if x.software != "" || x.committed {
+		return
+	}
+	x.software = target.Software
+	x.h.Origins.Record(x.call.ID, bamboorail.StreamOrigin{Service: x.service.Name, Software: target.Software})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -48,6 +48,9 @@
 	Service bamboorail.ServiceSpec
 	// Avoid names the targets that failed or refused this call.
 	Avoid []string
+	// Software is the software version that the target must have, empty if any is
+	// acceptable.
+	Software string
 	// Runs is the number of targets that may have run the call.
 	Runs int
 	// Received is the time at which the call arrived, StartBy the latest time
@@ -93,6 +96,8 @@
 	Tracer  trace.Tracer
 	// Advise is told what targets say of themselves in their answers.
 	Advise func(id bamboorail.TargetID, a bamboorail.Advisory)
+	// Origins records where streams began.
+	Origins bamboorail.StreamOrigins
 	// ShuttingDown reports whether the instance is shutting down.
 	ShuttingDown func() bool
 	Log          hclog.Logger
@@ -143,6 +148,7 @@
 	call     bamboorail.Call
 	route    bamboorail.RouteSpec
 	service  bamboorail.ServiceSpec
+	table    *route.Table
 	version  uint64
 	body     []byte
 	startBy  time.Time
@@ -155,6 +161,9 @@
 	// target can continue.
 	resumable bool
 	events    eventBuffer
+	// software is the version of the targets that may continue the stream, empty
+	// before it begins.
+	software string
 	// framing and answer describe the body of the last response.
 	framing httpport.Framing
 	answer  eventstream.Tracker
@@ -175,6 +184,9 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.budget().RecordRequest(x.received)
+	if err := x.findOrigin(ctx); err != nil {
+		return err
+	}
 	for {
 		sentBefore := x.sent
 		found, err := x.attempt(ctx)
@@ -207,10 +219,8 @@
 		return notRun(op, bamboorail.KindNotFound, 0, errNoRoute)
 	}
 	x.route = spec
-	x.service = bamboorail.ServiceSpec{Name: route.PickService(spec, rand.Float64())}
-	if declared, ok := table.Service(x.service.Name); ok {
-		x.service = declared
-	}
+	x.table = table
+	x.setService(route.PickService(spec, rand.Float64()))
 	x.deadline = x.received.Add(callTimeout(x.call.Timeout, x.route.Timeout))
 	x.startBy = x.startDeadline()
 	if err := httpport.SetDeadlines(x.w, x.r, x.deadline, x.deadline.Add(deliveryTime)); err != nil {
@@ -219,6 +229,13 @@
 	return x.readBody(table.Limits().MaxBodyBytes)
 }
 
+func (x *exchange) setService(name string) {
+	x.service = bamboorail.ServiceSpec{Name: name}
+	if declared, ok := x.table.Service(name); ok {
+		x.service = declared
+	}
+}
+
 const (
 	// firstEventFactor times the objective, but at least minFirstEventTimeout,
 	// is the time for which callers of streams wait for the first event (page
--- a/internal/relay/testrelay_test.go
+++ b/internal/relay/testrelay_test.go
@@ -29,7 +29,7 @@
 type testDialect struct{}
 
 func (testDialect) Decode(r *http.Request) (bamboorail.Call, error) {
-	c := bamboorail.Call{ID: r.Header.Get("Id"), LastEvent: r.Header.Get("Last-Event-Id"), Header: r.Header.Clone()}
+	c := bamboorail.Call{ID: r.Header.Get("Id"), LastEvent: r.Header.Get("Last-Event-Id"), Resumes: r.Header.Get("Resumes"), Header: r.Header.Clone()}
 	if ms, err := strconv.Atoi(r.Header.Get("Timeout-Ms")); err == nil {
 		c.Timeout = time.Duration(ms) * time.Millisecond
 	}
@@ -249,6 +249,20 @@
 	// advisories are what the targets said, by target.
 	advisories map[string][]bamboorail.Advisory
 	spans      *telemetry.SpanStore
+	// origins are where streams began, by call.
+	origins fakeOrigins
+}
+
+// fakeOrigins knows the origins in the map only.
+type fakeOrigins map[string]bamboorail.StreamOrigin
+
+func (o fakeOrigins) Record(call string, origin bamboorail.StreamOrigin) { o[call] = origin }
+
+func (o fakeOrigins) Find(_ context.Context, call, _ string) (bamboorail.StreamOrigin, error) {
+	if origin, ok := o[call]; ok {
+		return origin, nil
+	}
+	return bamboorail.StreamOrigin{}, notRun("find-origin", bamboorail.KindUnknownOrigin, time.Second, errNoTargetLeft)
 }
 
 func newTestRelay(t *testing.T, spec bamboorail.RouteSpec, targets ...*fakeTarget) *testRelay {
@@ -260,7 +274,7 @@
 	}
 	table := route.NewTable(bamboorail.Configuration{Version: 1, Routes: []bamboorail.RouteSpec{spec}})
 	budget := retry.NewWindowBudget(1, 100, 10*time.Second)
-	b := &testRelay{chooser: &fakeChooser{targets: targets}, advisories: map[string][]bamboorail.Advisory{}, spans: telemetry.NewSpanStore("i", 64)}
+	b := &testRelay{origins: fakeOrigins{}, chooser: &fakeChooser{targets: targets}, advisories: map[string][]bamboorail.Advisory{}, spans: telemetry.NewSpanStore("i", 64)}
 	handler := NewHandler(Config{
 		Tracer:  telemetry.NewTracer(b.spans),
 		Ingress: testDialect{}, Egress: testDialect{}, Table: func() *route.Table { return table }, Chooser: b.chooser,
@@ -268,7 +282,7 @@
 		Advise: func(id bamboorail.TargetID, a bamboorail.Advisory) {
 			b.advisories[id.Name] = append(b.advisories[id.Name], a)
 		},
-		ShuttingDown: func() bool { return false }, Log: hclog.NewNullLogger(),
+		Origins: b.origins, ShuttingDown: func() bool { return false }, Log: hclog.NewNullLogger(),
 	})
 	b.Server = httptest.NewServer(handler)
 	t.Cleanup(b.Close)
