--- a/internal/origin/journal.go
+++ b/internal/origin/journal.go
@@ -75,7 +75,7 @@
 	}
 }
 
-// list reads which segments the store has.
+// list reads which segments the store has, and goes on with the newest one.
 func (j *journal) list(ctx context.Context, now time.Time) error {
 	objects, _, err := j.store.List(ctx, j.kind+"/")
 	if err != nil {
@@ -92,14 +92,19 @@
 			j.log.Warn("failed to decode origins of streams", "key", o.Key, "error", err)
 			continue
 		}
-		j.current.sequence = max(j.current.sequence, stored.sequence+1)
+		if stored.sequence >= j.current.sequence {
+			j.current = stored
+		}
+	}
+	if j.opened.IsZero() {
+		j.opened = now
 	}
-	j.listed, j.opened, j.written = true, now, now
+	j.listed, j.written = true, now
 	return nil
 }
 
-// write adds origins to the current segment. If another instance has written it, they
-// go to a new one.
+// write adds origins to the current segment. After a failure it is read again, since
+// the write may have taken effect, or another instance may have written.
 func (j *journal) write(ctx context.Context, b batch, now time.Time) error {
 	if !j.listed {
 		if err := j.list(ctx, now); err != nil {
@@ -121,7 +126,6 @@
 	key := segmentKey(j.kind, j.zone, next.sequence)
 	version, err := j.store.Put(ctx, key, value, j.versions[key])
 	if err != nil {
-		// The write may have taken effect, or another instance has written.
 		j.listed = false
 		return err
 	}
--- a/internal/origin/segment.go
+++ b/internal/origin/segment.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -60,7 +61,7 @@
 	w := wireSegment{Sequence: s.sequence, Origins: make([]wireOrigins, 0, len(s.streams))}
 	for o, streams := range s.streams {
 		data := make([]byte, 0, streamIDBytes*len(streams))
-		for _, id := range streams {
+		for _, id := range slices.Compact(slices.Sorted(slices.Values(streams))) {
 			data = binary.BigEndian.AppendUint64(data, uint64(id))
 		}
 		w.Origins = append(w.Origins, wireOrigins{Service: o.Service, Software: o.Software, Streams: base64.StdEncoding.EncodeToString(data)})
