--- /dev/null
+++ b/internal/relay/origin_test.go
@@ -0,0 +1,76 @@
+package relay
+
+import (
+	"net/http"
+	"testing"
+
+	"bamboorail.example/bamboorail"
+)
+
+// TestStreamsKeepTheirSoftwareVersion guards against streams joined from two versions (incident archive-software-versions).
+func TestStreamsKeepTheirSoftwareVersion(t *testing.T) {
+	rest := stream(true, event(3), event(4))
+	broken := stream(false, event(1), event(2))
+	origin := func(service, software string) fakeOrigins {
+		return fakeOrigins{"first": {Service: service, Software: software}}
+	}
+	cases := map[string]struct {
+		first   script
+		spares  [2]string // software versions of the second and third target
+		origins fakeOrigins
+		header  []string
+		status  int
+		broken  bool
+		// target is the one that must have generated the last part, if any.
+		target string
+	}{
+		"resumed within the answer":      {first: broken, spares: [2]string{"v2", "v1"}, status: http.StatusOK, target: "third"},
+		"no other target of the kind":    {first: broken, spares: [2]string{"v2", "v3"}, status: http.StatusOK, broken: true},
+		"resumed by its caller":          {first: rest, origins: origin("s", "v2"), spares: [2]string{"v2", "v1"}, header: []string{"Last-Event-Id", "2", "Resumes", "first"}, status: http.StatusOK, target: "second"},
+		"origin gone":                    {first: rest, origins: origin("s", "v9"), spares: [2]string{"v2", "v1"}, header: []string{"Last-Event-Id", "2", "Resumes", "first"}, status: http.StatusServiceUnavailable},
+		"origin at another service":      {first: rest, origins: origin("t", "v1"), spares: [2]string{"v2", "v1"}, header: []string{"Last-Event-Id", "2", "Resumes", "first"}, status: http.StatusServiceUnavailable},
+		"origin unknown":                 {first: rest, spares: [2]string{"v2", "v1"}, header: []string{"Last-Event-Id", "2", "Resumes", "first"}, status: http.StatusServiceUnavailable},
+		"nothing named":                  {first: rest, spares: [2]string{"v2", "v1"}, header: []string{"Last-Event-Id", "2"}, status: http.StatusServiceUnavailable},
+		"resumed twice":                  {first: broken, origins: origin("s", "v1"), spares: [2]string{"v2", "v1"}, header: []string{"Last-Event-Id", "1", "Resumes", "first"}, status: http.StatusOK, target: "third"},
+		"refused before it began":        {first: raw("HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"), spares: [2]string{"v2", "v1"}, status: http.StatusOK, target: "second"},
+		"broken off before it began":     {first: raw(""), spares: [2]string{"v2", "v1"}, status: http.StatusOK, target: "second"},
+		"a new stream that names a call": {first: rest, spares: [2]string{"v2", "v1"}, header: []string{"Resumes", "first"}, status: http.StatusOK, target: "first"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			targets := []*fakeTarget{newTarget(t, "first", c.first), newTarget(t, "second", rest), newTarget(t, "third", rest)}
+			for n, software := range []string{"v1", c.spares[0], c.spares[1]} {
+				targets[n].entry.Software = software
+			}
+			b := newTestRelay(t, resumable, targets...)
+			for call, o := range c.origins {
+				b.origins.Record(call, o)
+			}
+			r := b.call(t, http.MethodPost, "/p/x", "body", c.header...)
+			if r.status != c.status || r.broken != c.broken {
+				t.Fatalf("answer %+v", r)
+			}
+			for n, g := range targets {
+				reached := len(g.seen()) > 0
+				if g.entry.ID.Name == c.target && !reached || g.entry.ID.Name != c.target && reached && n > 0 {
+					t.Errorf("target %s reached: %t, want the answer of %q", g.entry.ID.Name, reached, c.target)
+				}
+			}
+			if c.status == http.StatusServiceUnavailable && (len(targets[0].seen()) > 0 || r.header.Get("Retry-After") == "") {
+				t.Errorf("refused after it was sent, or without Retry-After: %+v", r)
+			}
+		})
+	}
+}
+
+// TestOriginIsRecordedOnce checks that the first target of a stream is its origin,
+// whoever continues it.
+func TestOriginIsRecordedOnce(t *testing.T) {
+	first, second := newTarget(t, "first", stream(false, event(1))), newTarget(t, "second", stream(true, event(2)))
+	first.entry.Software, second.entry.Software = "v1", "v1"
+	b := newTestRelay(t, resumable, first, second)
+	b.call(t, http.MethodPost, "/p/x", "body")
+	if got := b.origins["id-1"]; got != (bamboorail.StreamOrigin{Service: "s", Software: "v1"}) || len(b.origins) != 1 {
+		t.Errorf("origins %v", b.origins)
+	}
+}
