--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,6 +88,8 @@
 	Ingress bamboorail.Ingress
 	Egress  bamboorail.Egress
 	Engines bamboorail.EngineController
+	// Dialer opens the connections for calls to targets.
+	Dialer relay.Dialer
 	// ConfigurationKind, TargetKind and ReleaseKind are the kinds of the
 	// objects that operators and targets write; ConfigurationKey is the key of
 	// the current configuration.
@@ -219,7 +221,7 @@
 	})
 	g.relay = relay.NewHandler(relay.Config{
 		Ingress: g.platform.Ingress, Egress: g.platform.Egress, Table: g.table.Load, Chooser: g.chooser, Budget: g.budget,
-		Dialer: relay.NewDialer(), Metrics: g.metrics, Tracer: tracer, Advise: g.advise, Origins: g.origins, ShuttingDown: g.shuttingDown.Load,
+		Dialer: g.platform.Dialer, Metrics: g.metrics, Tracer: tracer, Advise: g.advise, Origins: g.origins, ShuttingDown: g.shuttingDown.Load,
 		Log: g.logs.Layer("relay"),
 	})
 }
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -58,7 +58,7 @@
 
 // pool keeps separate connections for each incarnation of a target.
 type pool struct {
-	dialer *net.Dialer
+	dialer Dialer
 
 	mu      sync.Mutex
 	targets map[bamboorail.TargetID]*connections
@@ -72,7 +72,7 @@
 	idle    time.Duration
 }
 
-func newPool(d *net.Dialer) *pool {
+func newPool(d Dialer) *pool {
 	return &pool{dialer: d, targets: map[bamboorail.TargetID]*connections{}}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -82,6 +82,11 @@
 	Choose(ctx context.Context, req ChooseRequest) (Reservation, error)
 }
 
+// Dialer opens the connections to targets.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Config configures a handler.
 type Config struct {
 	Ingress bamboorail.Ingress
@@ -91,7 +96,7 @@
 	Chooser Chooser
 	// Budget returns the retry budget of a service.
 	Budget  func(service string) *retry.WindowBudget
-	Dialer  *net.Dialer
+	Dialer  Dialer
 	Metrics *telemetry.Metrics
 	Tracer  trace.Tracer
 	// Advise is told what targets say of themselves in their answers.
