detour: instances that reach no target forward their calls

Cause: a call had no way but the direct one to its target, and a holder without links kept the lease of its zone.

An instance learns from the connections that its calls open, and from probes of four targets once one fails, that it reaches none. It then sends whole calls to instances that do, over drpc; these run them as their own. Holders know which instances of their zones reach targets, from the follow requests. A partitioned instance leaves its leases to others after a second, if there are any. New connections decide: old ones may live on while new ones are refused.

--- a/fleet.go
+++ b/fleet.go
@@ -242,6 +242,8 @@
 type Egress interface {
 	// Encode sets the header fields of a request to a target.
 	Encode(r *http.Request, c *Call, s Attempt)
+	// SetLastEvent sets the event after which a stream resumes in the header of a call.
+	SetLastEvent(h http.Header, id string)
 	// Classify classifies the status and header of a response.
 	Classify(r *http.Response, c *Call) ResponseClass
 	// Advisory returns what the target says of itself. A value that cannot be
--- /dev/null
+++ b/internal/detour/forward.go
@@ -0,0 +1,167 @@
+package detour
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/peer"
+	"bamboorail.example/bamboorail/internal/peer/wire"
+	"bamboorail.example/bamboorail/internal/relay"
+)
+
+// Error is the error type of the package.
+type Error struct{ bamboorail.Failure }
+
+var (
+	errNoHead      = errors.New("the answer begins without a head")
+	errUnreachable = errors.New("this instance reaches no target either")
+)
+
+// Forward runs a call at the instance at address.
+func (d *Detour) Forward(ctx context.Context, address string, c relay.ForwardCall) (relay.ForwardedAnswer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	stream, err := d.Peers.Forward(ctx, address, requestMessage(c))
+	if err != nil {
+		cancel()
+		return relay.ForwardedAnswer{}, d.pathFailed(ctx, address, err)
+	}
+	body := &answerBody{stream: stream, cancel: cancel}
+	event, err := stream.Recv()
+	switch {
+	case event == nil:
+		err = d.pathFailed(ctx, address, err)
+	case err == nil && event.GetHead() == nil:
+		err = d.pathFailed(ctx, address, errNoHead)
+	}
+	if err != nil {
+		return relay.ForwardedAnswer{}, errors.Join(err, body.Close())
+	}
+	head := event.GetHead()
+	return relay.ForwardedAnswer{
+		Response: &http.Response{
+			Status: http.StatusText(int(head.GetStatus())), StatusCode: int(head.GetStatus()), Header: peer.DecodeHeader(head.GetHeader()), Body: body,
+			Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: -1, TransferEncoding: []string{"chunked"},
+		},
+		Target: head.GetTarget(), Origin: bamboorail.StreamOrigin{Service: head.GetService(), Software: head.GetSoftware()},
+	}, nil
+}
+
+// pathFailed returns the failure of the way to another instance, which is not used for
+// a while.
+func (d *Detour) pathFailed(ctx context.Context, address string, err error) error {
+	if ctx.Err() == nil {
+		d.avoid(address)
+		d.Log.Info("instance does not run forwarded calls", "address", address, "error", err)
+	}
+	return relay.NeighborFailed(err)
+}
+
+// answerBody is the body of the answer to a forwarded call.
+type answerBody struct {
+	stream *peer.ForwardStream
+	cancel context.CancelFunc
+	rest   []byte
+	err    error
+}
+
+// Read returns the next part of the answer. An answer that broke off ends with an error.
+func (b *answerBody) Read(p []byte) (int, error) {
+	for len(b.rest) == 0 && b.err == nil {
+		event, err := b.stream.Recv()
+		switch {
+		case err != nil:
+			b.err = err
+		case event.GetEnd() != nil:
+			b.err = io.EOF
+		default:
+			b.rest = event.GetChunk()
+		}
+	}
+	if len(b.rest) == 0 {
+		return 0, b.err
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+// Close ends the call at the other instance if it still runs.
+func (b *answerBody) Close() error {
+	b.cancel()
+	return b.stream.Close()
+}
+
+func requestMessage(c relay.ForwardCall) *wire.ForwardRequest {
+	return &wire.ForwardRequest{
+		Instance: c.Instance, Method: c.Method, Uri: c.URI, Host: c.Host, Header: peer.EncodeHeader(c.Header), Body: c.Body,
+		RemainingMicros: c.Remaining.Microseconds(), StartMicros: c.StartWithin.Microseconds(), Service: c.Service, Software: c.Software,
+		Runs: int32(c.Runs),
+	}
+}
+
+// Server runs the calls that other instances forward.
+type Server struct {
+	detour *Detour
+	relay  *relay.Handler
+}
+
+// NewServer returns a server that runs calls with a relay.
+func NewServer(d *Detour, h *relay.Handler) *Server { return &Server{detour: d, relay: h} }
+
+// Forward runs a call of another instance.
+func (s *Server) Forward(m *wire.ForwardRequest, stream wire.DRPCPlacer_ForwardStream) error {
+	if s.detour.IsPartitioned() {
+		return stream.Send(peer.EncodeEnd(&Error{bamboorail.Failure{
+			Op: "forward-call", Kind: bamboorail.KindNoTarget, Outcome: bamboorail.OutcomeNotRun, RetryAfter: avoidTime, Err: errUnreachable,
+		}}))
+	}
+	err := s.relay.ServeForwarded(stream.Context(), relay.ForwardCall{
+		Instance: m.GetInstance(), Method: m.GetMethod(), URI: m.GetUri(), Host: m.GetHost(), Header: peer.DecodeHeader(m.GetHeader()), Body: m.GetBody(),
+		Remaining: microseconds(m.GetRemainingMicros()), StartWithin: microseconds(m.GetStartMicros()),
+		Service: m.GetService(), Software: m.GetSoftware(), Runs: int(m.GetRuns()),
+	}, &streamWriter{stream})
+	if err := stream.Send(peer.EncodeEnd(err)); err != nil {
+		return fmt.Errorf("send end of forwarded call: %w", err)
+	}
+	return nil
+}
+
+func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
+// streamWriter sends an answer to the instance that forwarded the call.
+type streamWriter struct{ stream wire.DRPCPlacer_ForwardStream }
+
+// Begin sends the head of the answer.
+func (w *streamWriter) Begin(status int, header http.Header, target string, o bamboorail.StreamOrigin) error {
+	return w.stream.Send(&wire.ForwardEvent{Head: &wire.ForwardHead{
+		Status: int32(status), Header: peer.EncodeHeader(header), Target: target, Service: o.Service, Software: o.Software,
+	}})
+}
+
+// Write sends a part of the answer.
+func (w *streamWriter) Write(chunk []byte) error {
+	return w.stream.Send(&wire.ForwardEvent{Chunk: chunk})
+}
+
+// Neighbors returns the instances of the local zone that reach the targets, with this
+// one.
+func (s *Server) Neighbors(_ context.Context, m *wire.NeighborsRequest) (*wire.NeighborsReply, error) {
+	d := s.detour
+	if m.GetZone() != d.Zones[0].Name || !d.Zones[0].Lease.Leading() {
+		reply := &wire.NeighborsReply{}
+		if !d.IsPartitioned() {
+			reply.Addresses = []string{d.Address}
+		}
+		return reply, nil
+	}
+	addresses := d.Members()
+	if !d.IsPartitioned() {
+		addresses = append(addresses, d.Address)
+	}
+	return &wire.NeighborsReply{Holder: true, Addresses: addresses}, nil
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -220,6 +220,11 @@
 	return f.filter(func(e *bamboorail.TargetEntry) bool { return e.Service == service && !e.Leaving })
 }
 
+// Targets returns the targets of all services that accept new calls.
+func (f *Fleet) Targets() []bamboorail.TargetEntry {
+	return f.filter(func(e *bamboorail.TargetEntry) bool { return !e.Leaving })
+}
+
 // Engines returns the targets of a service in a zone, including leaving ones.
 func (f *Fleet) Engines(service, zone string) []bamboorail.TargetEntry {
 	return f.filter(func(e *bamboorail.TargetEntry) bool { return e.Service == service && e.Zone == zone })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/advisory"
 	"bamboorail.example/bamboorail/internal/balance"
+	"bamboorail.example/bamboorail/internal/detour"
 	"bamboorail.example/bamboorail/internal/fleet"
 	"bamboorail.example/bamboorail/internal/httpport"
 	"bamboorail.example/bamboorail/internal/informer"
@@ -123,6 +124,7 @@
 	advisories *advisory.Registry
 	limits     *placer.Limits
 	origins    *origin.Registry
+	detour     *detour.Detour
 	holders    []placer.ZoneHolder
 	elector    *lease.Elector
 	peers      *peer.Client
@@ -219,9 +221,13 @@
 		Instance: s.Instance, Zones: originZones(g.holders), Peers: g.peers, Store: g.platform.Store, Kind: originKind, Fleet: g.fleet,
 		Log: g.logs.Layer("origin"),
 	})
+	g.detour = g.newDetour()
+	g.mirror.SetReachability(s.PeerAddress, g.detour.IsPartitioned)
+	g.elector.SetResigned(g.detour.ShouldResign)
 	g.relay = relay.NewHandler(relay.Config{
+		Instance: s.Instance, Detour: g.detour,
 		Ingress: g.platform.Ingress, Egress: g.platform.Egress, Table: g.table.Load, Chooser: g.chooser, Budget: g.budget,
-		Dialer: g.platform.Dialer, Metrics: g.metrics, Tracer: tracer, Advise: g.advise, Origins: g.origins, ShuttingDown: g.shuttingDown.Load,
+		Dialer: g.detour, Metrics: g.metrics, Tracer: tracer, Advise: g.advise, Origins: g.origins, ShuttingDown: g.shuttingDown.Load,
 		Log: g.logs.Layer("relay"),
 	})
 }
@@ -266,7 +272,8 @@
 	defer cancel()
 	tasks := task.NewGroup(ctx)
 	tasks.Start("peers", func(ctx context.Context) error {
-		return peer.ServePlacer(ctx, g.ports.peer, placer.NewServer(g.holders, g.fleet, g.mirror, g.origins, g.quarantine, g.limits), g.logs.Layer("peer"))
+		forwarder := detour.NewServer(g.detour, g.relay)
+		return peer.ServePlacer(ctx, g.ports.peer, placer.NewServer(g.holders, g.fleet, g.mirror, g.origins, forwarder, g.quarantine, g.limits), g.logs.Layer("peer"))
 	})
 	tasks.Start("readiness", g.ports.readiness.Serve)
 	tasks.Start("callers", g.ports.caller.Serve)
@@ -277,6 +284,7 @@
 	tasks.Start("leases", g.elector.Run)
 	tasks.Start("settle", g.chooser.Run)
 	tasks.Start("origins", g.origins.Run)
+	tasks.Start("detour", g.detour.Run)
 	tasks.Start("store calls", g.storeCalls.run)
 	tasks.Start("pulse", g.measureTimerDelay)
 	tasks.Start("expiry", func(ctx context.Context) error { return task.Every(ctx, expireInterval, g.expireTargets) })
--- a/internal/lease/elector.go
+++ b/internal/lease/elector.go
@@ -75,6 +75,8 @@
 	clock      Clock
 	log        hclog.Logger
 	wake       chan struct{}
+	// resigned reports whether this instance should leave the leases to others.
+	resigned func() bool
 	// claimingStopped is set once no more leases are claimed.
 	claimingStopped atomic.Bool
 }
@@ -93,6 +95,7 @@
 func NewElector(kind string, store bamboorail.StaleLister, list []Candidate, t Timing, c Clock, log hclog.Logger) *Elector {
 	e := &Elector{
 		kind: kind, store: store, reader: store, candidates: map[string]*candidate{}, timing: t, clock: c, log: log, wake: make(chan struct{}, 1),
+		resigned: func() bool { return false },
 	}
 	for _, entry := range list {
 		e.candidates[entry.Lease.key] = &candidate{Candidate: entry}
@@ -104,6 +107,10 @@
 // the store is not polled by every instance. It must be called before Run.
 func (e *Elector) SetReader(r bamboorail.StaleLister) { e.reader = r }
 
+// SetResigned sets the function that reports whether this instance should leave the
+// leases to others. It must be called before Run.
+func (e *Elector) SetResigned(f func() bool) { e.resigned = f }
+
 // PollNow triggers a poll of the leases before the next one is due, such as
 // after an instance has answered that it no longer holds the local zone's
 // lease.
@@ -180,6 +187,10 @@
 			return
 		}
 	}
+	if e.resigned() {
+		e.resign(ctx)
+		return
+	}
 	for _, c := range e.candidates {
 		e.yield(ctx, c)
 		if !c.Lease.Claimable() {
@@ -228,7 +239,7 @@
 // progress. An instance that shuts down still polls, because its calls have to
 // find the next holder.
 func (e *Elector) claim(ctx context.Context, c *candidate) {
-	if e.claimingStopped.Load() {
+	if e.claimingStopped.Load() || e.resigned() {
 		return
 	}
 	if err := c.Lease.Claim(ctx); err != nil {
@@ -251,6 +262,17 @@
 	e.release(ctx, c)
 }
 
+// resign releases the held leases, which others may claim.
+func (e *Elector) resign(ctx context.Context) {
+	for _, c := range e.candidates {
+		c.freeSince = 0
+		if c.Lease.Leading() {
+			e.log.Info("lease left to others", "key", c.Lease.key)
+			e.release(ctx, c)
+		}
+	}
+}
+
 // StopClaiming keeps the held leases and claims no others.
 func (e *Elector) StopClaiming() { e.claimingStopped.Store(true) }
 
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -154,7 +154,7 @@
 	if holder.ZoneSize() != 2 || follower.ZoneSize() != 2 {
 		t.Errorf("%d and %d instances", holder.ZoneSize(), follower.ZoneSize())
 	}
-	holder.followers["follower"] = time.Now().Add(-2 * followerExpiry)
+	holder.followers["follower"] = followerState{lastRequest: time.Now().Add(-2 * followerExpiry)}
 	if n := holder.ZoneSize(); n != 1 {
 		t.Errorf("%d instances after one expired", n)
 	}
--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -62,6 +62,10 @@
 	// this instance waits for a holder.
 	leases     Leases
 	startupEnd time.Time
+	// address is the address of this instance for others; unreachable reports whether
+	// it does not reach the targets.
+	address     string
+	unreachable func() bool
 	// onReply is called with each reply of a holder and its zone.
 	onReply func(zone string, r *wire.FollowReply)
 
@@ -75,16 +79,25 @@
 	storeRetryAt, staleReplyAt time.Time
 	// followers maps the following instances to the time of their last request.
 	// instances is the number of instances reported by the holder.
-	followers map[string]time.Time
+	followers map[string]followerState
 	instances int
 }
 
+// followerState is what is known of another instance of the zone that reads through this one.
+type followerState struct {
+	lastRequest time.Time
+	address     string
+	// unreachable is set while it does not reach the targets.
+	unreachable bool
+}
+
 // NewStore returns a store through which an instance reads by way of the holder
 // of its zone. With a nil digest all changes are forwarded immediately.
 func NewStore(store bamboorail.ObjectStore, instance, zone string, h Holder, p Peers, d Digest, log hclog.Logger) *Store {
 	return &Store{
 		ObjectStore: store, instance: instance, zone: zone, holder: h, peers: p, log: log, cache: newCache(d),
-		followers: map[string]time.Time{}, retryAt: map[string]time.Time{}, onReply: func(string, *wire.FollowReply) {},
+		followers: map[string]followerState{}, retryAt: map[string]time.Time{}, unreachable: func() bool { return false },
+		onReply: func(string, *wire.FollowReply) {},
 	}
 }
 
@@ -92,6 +105,30 @@
 // It must be set before the store is used.
 func (s *Store) SetOnReply(f func(zone string, r *wire.FollowReply)) { s.onReply = f }
 
+// SetReachability sets what this instance tells its holder of itself. It must be called
+// before the store is used.
+func (s *Store) SetReachability(address string, unreachable func() bool) {
+	s.address, s.unreachable = address, unreachable
+}
+
+// maxMembers bounds the addresses in one list of members.
+const maxMembers = 16
+
+// Members returns the addresses of instances of the zone that read through this one
+// and reach the targets.
+func (s *Store) Members() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.countFollowers(time.Now())
+	var list []string
+	for _, f := range s.followers {
+		if !f.unreachable && f.address != "" && len(list) < maxMembers {
+			list = append(list, f.address)
+		}
+	}
+	return list
+}
+
 // upstream is the holder of a zone.
 type upstream struct {
 	zone   string
@@ -118,8 +155,8 @@
 // countFollowers removes expired followers and returns the number of the others.
 // The caller holds the lock.
 func (s *Store) countFollowers(now time.Time) int {
-	for name, at := range s.followers {
-		if now.Sub(at) > followerExpiry {
+	for name, f := range s.followers {
+		if now.Sub(f.lastRequest) > followerExpiry {
 			delete(s.followers, name)
 		}
 	}
@@ -270,6 +307,7 @@
 	defer cancel()
 	reply, err := s.peers.Follow(askCtx, from.address, &wire.FollowRequest{
 		Instance: s.instance, InstanceZone: s.zone, Zone: from.zone, Kind: kindOf(prefix), Revision: uint64(revision), WaitMicros: wait.Microseconds(),
+		Address: s.address, TargetsUnreachable: s.unreachable(),
 	})
 	if err != nil && ctx.Err() != nil {
 		return nil, err // canceled by this instance
@@ -317,7 +355,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	if from := r.GetInstanceZone(); from == "" || from == s.zone {
-		s.followers[r.GetInstance()] = now
+		s.followers[r.GetInstance()] = followerState{lastRequest: now, address: r.GetAddress(), unreachable: r.GetTargetsUnreachable()}
 	}
 	instances := s.countFollowers(now) + 1
 	s.mu.Unlock()
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -8,7 +8,8 @@
 	"bamboorail.example/bamboorail/internal/peer/wire"
 )
 
-func encodeHeader(h http.Header) []*wire.HeaderField {
+// EncodeHeader returns the message of a header.
+func EncodeHeader(h http.Header) []*wire.HeaderField {
 	fields := make([]*wire.HeaderField, 0, len(h))
 	for k, v := range h {
 		fields = append(fields, &wire.HeaderField{Name: k, Values: v})
@@ -16,7 +17,8 @@
 	return fields
 }
 
-func decodeHeader(fields []*wire.HeaderField) http.Header {
+// DecodeHeader returns the header of a message.
+func DecodeHeader(fields []*wire.HeaderField) http.Header {
 	h := make(http.Header, len(fields))
 	for _, f := range fields {
 		h[f.GetName()] = f.GetValues()
@@ -31,7 +33,7 @@
 		RequestId: request.RequestID, Target: request.Target, Term: request.Term, Caller: request.Caller,
 		Weight: int32(request.Weight), Priority: int32(request.Priority), TimeoutMicros: request.Deadline.Sub(now).Microseconds(),
 		Adapter: request.Model.Adapter(), Version: request.Model.Version(), Chat: request.Chat, Tokens: int32(request.Tokens),
-		Service: request.Service, Method: request.Method, Path: request.Path, Header: encodeHeader(request.Header),
+		Service: request.Service, Method: request.Method, Path: request.Path, Header: EncodeHeader(request.Header),
 		Repeatable: request.Repeatable, Body: request.Body, Zone: request.Zone, Forwarded: request.Forwarded,
 		MaxAttempts: int32(request.MaxAttempts),
 	}
@@ -47,7 +49,7 @@
 		Weight: int(r.GetWeight()), Priority: decodePriority(r.GetPriority()),
 		Deadline: now.Add(time.Duration(r.GetTimeoutMicros()) * time.Microsecond),
 		Chat:     r.GetChat(), Tokens: int(r.GetTokens()),
-		Service: r.GetService(), Method: r.GetMethod(), Path: r.GetPath(), Header: decodeHeader(r.GetHeader()),
+		Service: r.GetService(), Method: r.GetMethod(), Path: r.GetPath(), Header: DecodeHeader(r.GetHeader()),
 		Repeatable: r.GetRepeatable(), Body: r.GetBody(), Zone: r.GetZone(), Forwarded: r.GetForwarded(),
 		MaxAttempts: int(r.GetMaxAttempts()),
 	}
@@ -71,14 +73,14 @@
 
 func encodeHead(h bamboorail.ResponseHead) *wire.Head {
 	return &wire.Head{
-		Status: int32(h.Status), Header: encodeHeader(h.Header), Target: h.Target,
+		Status: int32(h.Status), Header: EncodeHeader(h.Header), Target: h.Target,
 		WaitedMicros: h.QueueWait.Microseconds(), LoadWaitMicros: h.LoadWait.Microseconds(),
 	}
 }
 
 func decodeHead(h *wire.Head) bamboorail.ResponseHead {
 	return bamboorail.ResponseHead{
-		Status: int(h.GetStatus()), Header: decodeHeader(h.GetHeader()), Target: h.GetTarget(),
+		Status: int(h.GetStatus()), Header: DecodeHeader(h.GetHeader()), Target: h.GetTarget(),
 		QueueWait: time.Duration(h.GetWaitedMicros()) * time.Microsecond,
 		LoadWait:  time.Duration(h.GetLoadWaitMicros()) * time.Microsecond,
 	}
--- a/internal/peer/placer.go
+++ b/internal/peer/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 
@@ -19,6 +20,8 @@
 	Follow(ctx context.Context, r *wire.FollowRequest) (*wire.FollowReply, error)
 	Acquire(ctx context.Context, r *wire.AcquireRequest) (*wire.AcquireReply, error)
 	RecordOrigins(ctx context.Context, r *wire.RecordOriginsRequest) (*wire.RecordOriginsReply, error)
+	Forward(r *wire.ForwardRequest, stream wire.DRPCPlacer_ForwardStream) error
+	Neighbors(ctx context.Context, r *wire.NeighborsRequest) (*wire.NeighborsReply, error)
 }
 
 // ServePlacer serves the placer protocol on the listener until ctx ends.
@@ -83,3 +86,47 @@
 	}
 	return reply, nil
 }
+
+// Neighbors asks the instance at address for others of its zone.
+func (c *Client) Neighbors(ctx context.Context, address string, r *wire.NeighborsRequest) (*wire.NeighborsReply, error) {
+	reply, err := wire.NewDRPCPlacerClient(c.pool.Get(ctx, address, c.dial)).Neighbors(ctx, r)
+	if err != nil {
+		return nil, callError("list-neighbors", err)
+	}
+	return reply, nil
+}
+
+// ForwardStream is the answer to a forwarded call.
+type ForwardStream struct {
+	stream wire.DRPCPlacer_ForwardClient
+	close  func() error
+}
+
+// Forward sends a call to the instance at address. The answer ends with ctx, and must be
+// closed.
+func (c *Client) Forward(ctx context.Context, address string, r *wire.ForwardRequest) (*ForwardStream, error) {
+	conn := c.pool.Get(ctx, address, c.dial)
+	stream, err := wire.NewDRPCPlacerClient(conn).Forward(ctx, r)
+	if err != nil {
+		return nil, errors.Join(callError("forward-call", err), conn.Close())
+	}
+	return &ForwardStream{stream: stream, close: conn.Close}, nil
+}
+
+// Recv returns the next part of the answer, or the failure with which it ended.
+func (s *ForwardStream) Recv() (*wire.ForwardEvent, error) {
+	event, err := s.stream.Recv()
+	if err != nil {
+		return nil, callError("forward-call", err)
+	}
+	if end := event.GetEnd(); end != nil {
+		return event, decodeEnd(end)
+	}
+	return event, nil
+}
+
+// Close releases the connection.
+func (s *ForwardStream) Close() error { return errors.Join(s.stream.Close(), s.close()) }
+
+// EncodeEnd returns the last event of an answer.
+func EncodeEnd(err error) *wire.ForwardEvent { return &wire.ForwardEvent{End: encodeEnd(err)} }
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -24,11 +24,18 @@
 	RecordOrigins(ctx context.Context, r *wire.RecordOriginsRequest) (*wire.RecordOriginsReply, error)
 }
 
+// Forwarder runs calls of instances that reach no target.
+type Forwarder interface {
+	Forward(r *wire.ForwardRequest, stream wire.DRPCPlacer_ForwardStream) error
+	Neighbors(ctx context.Context, r *wire.NeighborsRequest) (*wire.NeighborsReply, error)
+}
+
 // Server answers requests of other instances for the zones whose lease this
 // instance holds.
 type Server struct {
 	Follower
 	OriginRecorder
+	Forwarder
 	// localZone is the availability zone of this instance.
 	localZone  string
 	zones      map[string]*Holder
@@ -39,8 +46,8 @@
 
 // NewServer returns a server for the holders of all zones. The local zone comes
 // first.
-func NewServer(zones []ZoneHolder, f *fleet.Fleet, follower Follower, o OriginRecorder, q *Quarantine, l *Limits) *Server {
-	s := &Server{Follower: follower, OriginRecorder: o, localZone: zones[0].Zone, zones: map[string]*Holder{}, fleet: f, quarantine: q, limits: l}
+func NewServer(zones []ZoneHolder, f *fleet.Fleet, follower Follower, o OriginRecorder, w Forwarder, q *Quarantine, l *Limits) *Server {
+	s := &Server{Follower: follower, OriginRecorder: o, Forwarder: w, localZone: zones[0].Zone, zones: map[string]*Holder{}, fleet: f, quarantine: q, limits: l}
 	for _, z := range zones {
 		s.zones[z.Zone] = z.Local
 	}
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -123,6 +123,7 @@
 func (x *exchange) truncatedError(ctx context.Context, op string, err error) (balance.Result, error) {
 	switch {
 	case errors.Is(context.Cause(ctx), errEventTimeout):
+		x.h.Detour.RecordSilence()
 		return balance.Unreachable, mayHaveRun(op, bamboorail.KindTruncated, errEventTimeout)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return balance.Abandoned, mayHaveRun(op, bamboorail.KindDeadlineExceeded, err)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -137,6 +137,7 @@
 		return balance.Failed, mayHaveRun(op, bamboorail.KindMismatch, errInvalidResponse)
 	}
 	x.runs++
+	x.target = reservation.Target.ID.Name
 	watchdog.Stop()
 	return x.forwardAnswer(ctx, cancel, reservation.Target, resp)
 }
@@ -194,6 +195,7 @@
 	x.runs++
 	switch {
 	case errors.Is(context.Cause(ctx), errAttemptTimeout):
+		x.h.Detour.RecordSilence()
 		return balance.Unreachable, mayHaveRun(op, bamboorail.KindDeadlineExceeded, errAttemptTimeout)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return balance.Abandoned, mayHaveRun(op, bamboorail.KindDeadlineExceeded, err)
--- /dev/null
+++ b/internal/relay/detour.go
@@ -0,0 +1,215 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"slices"
+	"time"
+
+	"bamboorail.example/bamboorail"
+)
+
+// ForwardCall is a call that an instance forwards to another one, which reaches the
+// targets.
+type ForwardCall struct {
+	// Instance is the name of the forwarding instance.
+	Instance          string
+	Method, URI, Host string
+	Header            http.Header
+	Body              []byte
+	// Remaining is the time until the deadline of the call, StartWithin that until it
+	// must be sent to a target.
+	Remaining, StartWithin time.Duration
+	// Service is the service that the forwarding instance chose; Software is set for a
+	// stream that has begun there.
+	Service, Software string
+	// Runs is the number of targets that may have run the call.
+	Runs int
+}
+
+// ForwardedAnswer is the answer of a target to a forwarded call.
+type ForwardedAnswer struct {
+	Response *http.Response
+	Target   string
+	Origin   bamboorail.StreamOrigin
+}
+
+// Detour forwards calls through other instances while this one reaches no target.
+type Detour interface {
+	// Next returns the address of an instance that is not among those tried. It
+	// returns false if the targets are reachable or no such instance is known.
+	Next(tried []string) (address string, ok bool)
+	// Forward runs a call at the instance at address. An error tells whether the call
+	// may have run.
+	Forward(ctx context.Context, address string, c ForwardCall) (ForwardedAnswer, error)
+	// RecordSilence records that a target did not answer.
+	RecordSilence()
+}
+
+// forwardTimeoutFactor times the attempt timeout is the time after which another
+// instance that does not answer is given up. That instance tries two targets.
+const forwardTimeoutFactor = 2
+
+// errNeighborFailed marks a failure of the path to another instance, in contrast to one
+// that the instance reports.
+var errNeighborFailed = errors.New("the instance that the call was forwarded to did not answer")
+
+// NeighborFailed returns the failure of the path to another instance.
+func NeighborFailed(err error) error {
+	outcome := bamboorail.OutcomeMayHaveRun
+	if bamboorail.NotRun(err) {
+		outcome = bamboorail.OutcomeNotRun
+	}
+	return &Error{bamboorail.Failure{Op: "forward-call", Kind: bamboorail.KindUnavailable, Outcome: outcome, Err: errors.Join(errNeighborFailed, err)}}
+}
+
+// forward runs the call through the instance at address. It reports whether another
+// attempt is useful: the other instance has already made its own.
+func (x *exchange) forward(ctx context.Context, address string) (bool, error) {
+	const op = "forward-call"
+	started := time.Now()
+	x.neighbors = append(x.neighbors, address)
+	sendCtx, span := startSpan(ctx, x.h.Tracer, "instance "+address)
+	err := x.exchangeForward(sendCtx, address)
+	endSpan(span, err)
+	x.attempts++
+	if !bamboorail.NotRun(err) {
+		x.sent++
+	}
+	x.trail = append(x.trail, fmt.Sprintf("via %s took=%d %s", address, time.Since(started).Milliseconds(), outcome(err)))
+	if err == nil {
+		return true, nil
+	}
+	again := errors.Is(err, errNeighborFailed) || bamboorail.KindOf(err) == bamboorail.KindTruncated || bamboorail.KindOf(err) == bamboorail.KindNoTarget
+	if x.runs > 0 && bamboorail.NotRun(err) {
+		err = mayHaveRun(op, bamboorail.KindOf(err), err)
+	}
+	return again, err
+}
+
+func (x *exchange) exchangeForward(ctx context.Context, address string) error {
+	const op = "forward-call"
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(min(time.Until(x.deadline), forwardTimeoutFactor*x.attemptTimeout()), func() { cancel(errAttemptTimeout) })
+	defer watchdog.Stop()
+	answer, err := x.h.Detour.Forward(ctx, address, x.forwardCall())
+	if err != nil {
+		if !bamboorail.NotRun(err) {
+			x.runs++
+		}
+		return err
+	}
+	watchdog.Stop()
+	defer answer.Response.Body.Close()
+	x.runs++
+	if x.h.Egress.Classify(answer.Response, &x.call) != bamboorail.ResponseValid {
+		return mayHaveRun(op, bamboorail.KindMismatch, errInvalidResponse)
+	}
+	if !x.committed && answer.Origin.Service != "" && answer.Origin.Service != x.service.Name {
+		x.setService(answer.Origin.Service)
+	}
+	target := bamboorail.TargetEntry{ID: bamboorail.TargetID{Name: answer.Target}, Software: answer.Origin.Software}
+	_, err = x.forwardAnswer(ctx, cancel, target, answer.Response)
+	return err
+}
+
+func (x *exchange) forwardCall() ForwardCall {
+	header := x.call.Header
+	if x.events.lastID != "" {
+		header = header.Clone()
+		x.h.Egress.SetLastEvent(header, x.events.lastID)
+	}
+	return ForwardCall{
+		Instance: x.h.Instance, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: header, Body: x.body,
+		Remaining: time.Until(x.deadline), StartWithin: time.Until(x.startBy), Service: x.service.Name, Software: x.software, Runs: x.runs,
+	}
+}
+
+// ForwardWriter receives the answer to a forwarded call.
+type ForwardWriter interface {
+	// Begin receives the head of an answer of a target.
+	Begin(status int, header http.Header, target string, origin bamboorail.StreamOrigin) error
+	Write(chunk []byte) error
+}
+
+// ServeForwarded runs a call that another instance forwarded. Without an answer of a
+// target, it returns the failure; an answer that broke off ends with an error too.
+func (h *Handler) ServeForwarded(ctx context.Context, c ForwardCall, to ForwardWriter) error {
+	target, err := url.ParseRequestURI(c.URI)
+	if err != nil {
+		return notRun("serve-forwarded", bamboorail.KindBadRequest, 0, err)
+	}
+	w := &forwardWriter{to: to, header: http.Header{}}
+	r := (&http.Request{
+		Method: c.Method, URL: target, RequestURI: c.URI, Host: c.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: c.Header, Body: http.NoBody, ContentLength: int64(len(c.Body)),
+	}).WithContext(ctx)
+	x := &exchange{h: h, w: w, r: r, received: time.Now(), forwarded: &c, body: c.Body, runs: c.Runs, software: c.Software}
+	w.x = x
+	span := x.startTrace()
+	err = x.run()
+	x.report(err)
+	x.endTrace(span, err)
+	return err
+}
+
+// acceptForwarded applies what the forwarding instance decided.
+func (x *exchange) acceptForwarded() {
+	c := x.forwarded
+	if c == nil {
+		return
+	}
+	if slices.ContainsFunc(x.route.Shares, func(s bamboorail.ServiceShare) bool { return s.Service == c.Service }) {
+		x.setService(c.Service)
+	}
+	x.deadline = earliest(x.deadline, x.received.Add(c.Remaining))
+	x.startBy = earliest(x.startBy, x.received.Add(c.StartWithin))
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// forwardWriter is the response writer of a forwarded call.
+type forwardWriter struct {
+	x      *exchange
+	to     ForwardWriter
+	header http.Header
+	err    error
+}
+
+// Header returns the header of the answer.
+func (w *forwardWriter) Header() http.Header { return w.header }
+
+// WriteHeader sends the head of the answer.
+func (w *forwardWriter) WriteHeader(status int) {
+	w.err = w.to.Begin(status, w.header, w.x.target, bamboorail.StreamOrigin{Service: w.x.service.Name, Software: w.x.software})
+}
+
+// maxForwardChunk is the largest part of an answer in one message.
+const maxForwardChunk = 256 << 10
+
+// Write sends a part of the answer.
+func (w *forwardWriter) Write(p []byte) (int, error) {
+	written := 0
+	for chunk := range slices.Chunk(p, maxForwardChunk) {
+		if w.err == nil {
+			w.err = w.to.Write(chunk)
+		}
+		if w.err != nil {
+			return written, w.err
+		}
+		written += len(chunk)
+	}
+	return written, nil
+}
+
+// FlushError does nothing: each part is sent at once.
+func (w *forwardWriter) FlushError() error { return w.err }
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -13,7 +13,7 @@
 // findOrigin restricts a call that resumes a stream to the service and the software
 // version that began it.
 func (x *exchange) findOrigin(ctx context.Context) error {
-	if !x.route.Streaming || x.call.LastEvent == "" {
+	if !x.route.Streaming || x.call.LastEvent == "" || x.software != "" {
 		return nil
 	}
 	origin, err := x.h.Origins.Find(ctx, x.call.Resumes, x.service.Name)
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -136,6 +136,15 @@
 	return 0, false
 }
 
+// closeIdle closes all idle connections.
+func (p *pool) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.targets {
+		c.reused.CloseIdleConnections()
+	}
+}
+
 // retain closes the connections of targets for which live returns false.
 func (p *pool) retain(live func(bamboorail.TargetID) bool) {
 	p.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -89,8 +89,10 @@
 
 // Config configures a handler.
 type Config struct {
-	Ingress bamboorail.Ingress
-	Egress  bamboorail.Egress
+	// Instance is the name of this instance.
+	Instance string
+	Ingress  bamboorail.Ingress
+	Egress   bamboorail.Egress
 	// Table returns the current routes, or nil if none are known.
 	Table   func() *route.Table
 	Chooser Chooser
@@ -103,6 +105,7 @@
 	Advise func(id bamboorail.TargetID, a bamboorail.Advisory)
 	// Origins records where streams began.
 	Origins bamboorail.StreamOrigins
+	Detour  Detour
 	// ShuttingDown reports whether the instance is shutting down.
 	ShuttingDown func() bool
 	Log          hclog.Logger
@@ -122,6 +125,9 @@
 // Retain closes the connections to targets for which live returns false.
 func (h *Handler) Retain(live func(bamboorail.TargetID) bool) { h.pool.retain(live) }
 
+// CloseIdle closes the idle connections to all targets.
+func (h *Handler) CloseIdle() { h.pool.closeIdle() }
+
 // ServeHTTP serves one call.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{h: h, w: w, r: r, received: time.Now()}
@@ -174,10 +180,15 @@
 	answer  eventstream.Tracker
 	// attempts counts the targets chosen, sent those that the call reached, and
 	// runs those that may have run it.
-	attempts  int
-	sent      int
-	runs      int
-	avoid     []string
+	attempts int
+	sent     int
+	runs     int
+	avoid    []string
+	// target is the one whose answer is forwarded. neighbors are the instances to which
+	// the call was forwarded, forwarded is the call of another instance.
+	target    string
+	neighbors []string
+	forwarded *ForwardCall
 	trail     []string
 	firstByte time.Duration
 }
@@ -188,13 +199,21 @@
 	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
-	x.budget().RecordRequest(x.received)
 	if err := x.findOrigin(ctx); err != nil {
 		return err
 	}
-	for {
+	for first := true; ; first = false {
 		sentBefore := x.sent
-		found, err := x.attempt(ctx)
+		neighbor, detour := x.neighbor()
+		if first && !detour {
+			// The instance that sends the call to a target counts it.
+			x.budget().RecordRequest(x.received)
+		}
+		try := x.attempt
+		if detour {
+			try = func(ctx context.Context) (bool, error) { return x.forward(ctx, neighbor) }
+		}
+		found, err := try(ctx)
 		if err == nil || !found || !x.mayRepeat(ctx, err) {
 			return err
 		}
@@ -205,6 +224,14 @@
 	}
 }
 
+// neighbor returns the instance to which the call is forwarded, if it is.
+func (x *exchange) neighbor() (string, bool) {
+	if x.forwarded != nil {
+		return "", false
+	}
+	return x.h.Detour.Next(x.neighbors)
+}
+
 func (x *exchange) budget() *retry.WindowBudget { return x.h.Budget(x.service.Name) }
 
 // admit reads the call, finds its route and reads its body.
@@ -228,9 +255,14 @@
 	x.setService(route.PickService(spec, rand.Float64()))
 	x.deadline = x.received.Add(callTimeout(x.call.Timeout, x.route.Timeout))
 	x.startBy = x.startDeadline()
+	x.acceptForwarded()
 	if err := httpport.SetDeadlines(x.w, x.r, x.deadline, x.deadline.Add(deliveryTime)); err != nil {
 		return notRun(op, bamboorail.KindUnavailable, defaultRetryAfter, err)
 	}
+	if x.forwarded != nil {
+		x.call.Fingerprint = fingerprint(x.r, x.body)
+		return nil
+	}
 	return x.readBody(table.Limits().MaxBodyBytes)
 }
 
@@ -321,73 +353,3 @@
 	}
 	return false
 }
-
-// statusOf maps a failure to an HTTP status. Statuses that imply that the call
-// was not run are used only if that is certain.
-func statusOf(f *bamboorail.Failure) int {
-	switch f.Kind {
-	case bamboorail.KindBadRequest, bamboorail.KindBadDeadline:
-		return http.StatusBadRequest
-	case bamboorail.KindNotFound:
-		return http.StatusNotFound
-	case bamboorail.KindTooLarge:
-		return http.StatusRequestEntityTooLarge
-	}
-	switch {
-	case f.Outcome == bamboorail.OutcomeNotRun:
-		return http.StatusServiceUnavailable
-	case f.Kind == bamboorail.KindDeadlineExceeded:
-		return http.StatusGatewayTimeout
-	}
-	return http.StatusBadGateway
-}
-
-// writeFailure answers a call for which there is no answer of a target.
-func (x *exchange) writeFailure(err error) {
-	f := bamboorail.FailureOf(err)
-	header := x.w.Header()
-	x.status = statusOf(f)
-	after := time.Duration(0)
-	if x.status == http.StatusServiceUnavailable {
-		after = max(f.RetryAfter, time.Millisecond)
-		if f.RetryAfter <= 0 {
-			after = defaultRetryAfter
-		}
-	}
-	x.h.Ingress.SetErrorHeaders(header, &x.call, after)
-	header.Set("Content-Type", "text/plain; charset=utf-8")
-	x.w.WriteHeader(x.status)
-	// A write error means that the caller has disconnected.
-	_, _ = io.WriteString(x.w, f.Error()+"\n")
-}
-
-// report logs the call in one line and records its metrics.
-func (x *exchange) report(err error) {
-	took := time.Since(x.received)
-	x.h.Metrics.Request(x.route.Name, took, err)
-	fields := []any{
-		"id", x.call.ID, "route", x.route.Name, "config", x.version, "service", x.service.Name,
-		"model", x.call.Key.Model, "adapter", x.call.Key.Adapter, "status", x.status,
-		"took-ms", took.Milliseconds(), "first-ms", x.firstByte.Milliseconds(), "sent", x.sent, "trail", x.trail,
-	}
-	if x.call.Fingerprint != "" {
-		fields = append(fields, "fingerprint", x.call.Fingerprint)
-	}
-	if x.call.LastEvent != "" {
-		fields = append(fields, "resumes", x.call.Resumes, "after-event", x.call.LastEvent)
-	}
-	if len(x.call.PromptSegments) > 0 {
-		fields = append(fields, "prompt", x.call.PromptSegments)
-	}
-	if x.framing != "" {
-		fields = append(fields, "framing", string(x.framing), "answer-bytes", x.answer.Bytes())
-		if x.route.Streaming {
-			fields = append(fields, "inside-event", x.answer.InsideEvent())
-		}
-	}
-	if err != nil {
-		f := bamboorail.FailureOf(err)
-		fields = append(fields, "kind", string(f.Kind), "outcome", string(f.Outcome), "error", err.Error())
-	}
-	x.h.Log.Info("call ended", fields...)
-}
--- a/internal/relay/testrelay_test.go
+++ b/internal/relay/testrelay_test.go
@@ -52,6 +52,8 @@
 	}
 }
 
+func (testDialect) SetLastEvent(h http.Header, id string) { h.Set("Last-Event-Id", id) }
+
 func (testDialect) Advisory(r *http.Response) (bamboorail.Advisory, error) {
 	quiet, err := time.ParseDuration(r.Header.Get("Quiet"))
 	if r.Header.Get("Quiet") == "" {
@@ -251,6 +253,7 @@
 	spans      *telemetry.SpanStore
 	// origins are where streams began, by call.
 	origins fakeOrigins
+	detour  fakeDetour
 }
 
 // fakeOrigins knows the origins in the map only.
@@ -282,7 +285,7 @@
 		Advise: func(id bamboorail.TargetID, a bamboorail.Advisory) {
 			b.advisories[id.Name] = append(b.advisories[id.Name], a)
 		},
-		Origins: b.origins, ShuttingDown: func() bool { return false }, Log: hclog.NewNullLogger(),
+		Origins: b.origins, Detour: &b.detour, ShuttingDown: func() bool { return false }, Log: hclog.NewNullLogger(),
 	})
 	b.Server = httptest.NewServer(handler)
 	t.Cleanup(b.Close)
