detour: forwarded calls are awaited at a stop; tests

Found by review: an instance that stops waited for its own callers only, so that calls which others had forwarded to it were cut off. It accepts no more of them and waits for those that run. TestCallerThatLeavesEndsForwardedCall covers it.

--- a/internal/detour/forward.go
+++ b/internal/detour/forward.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/peer"
 	"bamboorail.example/bamboorail/internal/peer/wire"
 	"bamboorail.example/bamboorail/internal/relay"
+	"bamboorail.example/bamboorail/internal/task"
 )
 
 // Error is the error type of the package.
@@ -19,13 +21,13 @@
 
 var (
 	errNoHead      = errors.New("the answer begins without a head")
-	errUnreachable = errors.New("this instance reaches no target either")
+	errUnreachable = errors.New("the instance reaches no target either, or leaves")
 )
 
 // Forward runs a call at the instance at address.
 func (d *Detour) Forward(ctx context.Context, address string, c relay.ForwardCall) (relay.ForwardedAnswer, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	stream, err := d.Peers.Forward(ctx, address, requestMessage(c))
+	callCtx, cancel := context.WithCancel(ctx)
+	stream, err := d.Peers.Forward(callCtx, address, requestMessage(c))
 	if err != nil {
 		cancel()
 		return relay.ForwardedAnswer{}, d.pathFailed(ctx, address, err)
@@ -104,23 +106,48 @@
 	}
 }
 
+// Runner runs forwarded calls.
+type Runner interface {
+	ServeForwarded(ctx context.Context, c relay.ForwardCall, to relay.ForwardWriter) error
+}
+
 // Server runs the calls that other instances forward.
 type Server struct {
 	detour *Detour
-	relay  *relay.Handler
+	runner Runner
+	// closed is set once no more calls are accepted, running counts those accepted.
+	closed  atomic.Bool
+	running atomic.Int64
 }
 
-// NewServer returns a server that runs calls with a relay.
-func NewServer(d *Detour, h *relay.Handler) *Server { return &Server{detour: d, relay: h} }
+// NewServer returns a server that runs calls with a runner.
+func NewServer(d *Detour, r Runner) *Server { return &Server{detour: d, runner: r} }
+
+// drainInterval is the interval at which the end of the running calls is awaited.
+const drainInterval = 20 * time.Millisecond
+
+// Drain accepts no more calls and waits for those that run, or for the end of ctx, whose
+// error it returns.
+func (s *Server) Drain(ctx context.Context) error {
+	s.closed.Store(true)
+	for s.running.Load() > 0 {
+		if err := task.Sleep(ctx, drainInterval); err != nil {
+			return err
+		}
+	}
+	return nil
+}
 
 // Forward runs a call of another instance.
 func (s *Server) Forward(m *wire.ForwardRequest, stream wire.DRPCPlacer_ForwardStream) error {
-	if s.detour.IsPartitioned() {
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	if s.closed.Load() || s.detour.IsPartitioned() {
 		return stream.Send(peer.EncodeEnd(&Error{bamboorail.Failure{
 			Op: "forward-call", Kind: bamboorail.KindNoTarget, Outcome: bamboorail.OutcomeNotRun, RetryAfter: avoidTime, Err: errUnreachable,
 		}}))
 	}
-	err := s.relay.ServeForwarded(stream.Context(), relay.ForwardCall{
+	err := s.runner.ServeForwarded(stream.Context(), relay.ForwardCall{
 		Instance: m.GetInstance(), Method: m.GetMethod(), URI: m.GetUri(), Host: m.GetHost(), Header: peer.DecodeHeader(m.GetHeader()), Body: m.GetBody(),
 		Remaining: microseconds(m.GetRemainingMicros()), StartWithin: microseconds(m.GetStartMicros()),
 		Service: m.GetService(), Software: m.GetSoftware(), Runs: int(m.GetRuns()),
--- /dev/null
+++ b/internal/detour/forward_test.go
@@ -0,0 +1,165 @@
+package detour
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/peer"
+	"bamboorail.example/bamboorail/internal/placer"
+	"bamboorail.example/bamboorail/internal/relay"
+	"bamboorail.example/bamboorail/internal/task"
+)
+
+var relayCall = relay.ForwardCall{
+	Method: http.MethodPost, URI: "/p/x?q=1", Host: "h", Header: http.Header{"Id": {"c"}}, Body: []byte("body"),
+	Remaining: 5 * time.Second, StartWithin: time.Second, Service: "s", Software: "v1", Runs: 1,
+}
+
+// scriptedRunner answers with parts and an error.
+type scriptedRunner struct {
+	parts []string
+	err   error
+	// got is the last call; block keeps it running until its context ends.
+	got   chan relay.ForwardCall
+	block bool
+	ended chan error
+}
+
+func (r *scriptedRunner) ServeForwarded(ctx context.Context, c relay.ForwardCall, to relay.ForwardWriter) error {
+	r.got <- c
+	for n, part := range r.parts {
+		if n == 0 {
+			if err := to.Begin(http.StatusOK, http.Header{"Stamp": {"t"}}, "t", bamboorail.StreamOrigin{Service: "s", Software: "v1"}); err != nil {
+				return err
+			}
+		}
+		if err := to.Write([]byte(part)); err != nil {
+			return err
+		}
+	}
+	if r.block {
+		<-ctx.Done()
+		r.ended <- ctx.Err()
+	}
+	return r.err
+}
+
+// forwardTo returns a detour and the address of a server that runs its calls.
+func forwardTo(t *testing.T, r *scriptedRunner) (*Detour, *Server, string) {
+	t.Helper()
+	r.got, r.ended = make(chan relay.ForwardCall, 1), make(chan error, 1)
+	d, _ := newTestDetour(t)
+	server := NewServer(d, r)
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := peer.NewClient(nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	serving := task.Start(ctx, "peers", func(ctx context.Context) error {
+		return peer.ServePlacer(ctx, l, &placer.Server{Forwarder: server}, hclog.NewNullLogger())
+	})
+	t.Cleanup(func() {
+		_ = client.Close()
+		cancel()
+		serving.Join()
+	})
+	d.Peers = client
+	return d, server, l.Addr().String()
+}
+
+func TestForwardedCalls(t *testing.T) {
+	failure := &Error{bamboorail.Failure{Op: "x", Kind: bamboorail.KindOverloaded, Outcome: bamboorail.OutcomeNotRun, RetryAfter: 2 * time.Second, Err: errTest}}
+	unknown := &Error{bamboorail.Failure{Op: "x", Kind: bamboorail.KindTargetFailed, Outcome: bamboorail.OutcomeMayHaveRun, Err: errTest}}
+	cases := map[string]struct {
+		runner scriptedRunner
+		// body is the answer as it arrives; broken is set if it ends with an error.
+		body   string
+		broken bool
+		// kind and notRun describe the failure without an answer.
+		kind   bamboorail.Kind
+		notRun bool
+	}{
+		"whole answer":              {runner: scriptedRunner{parts: []string{"a", "b"}}, body: "ab"},
+		"answer that broke off":     {runner: scriptedRunner{parts: []string{"a", "b"}, err: unknown}, body: "ab", broken: true},
+		"refused":                   {runner: scriptedRunner{err: failure}, kind: bamboorail.KindOverloaded, notRun: true},
+		"failed, may have run":      {runner: scriptedRunner{err: unknown}, kind: bamboorail.KindTargetFailed},
+		"nothing at all":            {runner: scriptedRunner{}, kind: bamboorail.KindUnavailable},
+		"an error of another type":  {runner: scriptedRunner{err: errTest}, kind: bamboorail.KindInternal},
+		"large answer, many pieces": {runner: scriptedRunner{parts: []string{string(make([]byte, 1<<20)), "x"}}, body: string(make([]byte, 1<<20)) + "x"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d, _, address := forwardTo(t, &c.runner)
+			answer, err := d.Forward(t.Context(), address, relayCall)
+			if got := <-c.runner.got; got.URI != relayCall.URI || string(got.Body) != "body" || got.Header.Get("Id") != "c" || got.Runs != 1 || got.Software != "v1" {
+				t.Errorf("call %+v", got)
+			}
+			if c.kind != "" {
+				if bamboorail.KindOf(err) != c.kind || bamboorail.NotRun(err) != c.notRun {
+					t.Errorf("error %v", err)
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(answer.Response.Body)
+			if string(body) != c.body || (err != nil) != c.broken || answer.Target != "t" || answer.Origin.Software != "v1" {
+				t.Errorf("%d bytes, %v, of %+v", len(body), err, answer)
+			}
+			if err := answer.Response.Body.Close(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// TestCallerThatLeavesEndsForwardedCall checks that the other instance learns of it.
+func TestCallerThatLeavesEndsForwardedCall(t *testing.T) {
+	r := &scriptedRunner{parts: []string{"a"}, block: true}
+	d, server, address := forwardTo(t, r)
+	answer, err := d.Forward(t.Context(), address, relayCall)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if err := server.Drain(ctx); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("drained while a call runs: %v", err)
+	}
+	if err := answer.Response.Body.Close(); err != nil {
+		t.Error(err)
+	}
+	if err := <-r.ended; !errors.Is(err, context.Canceled) {
+		t.Errorf("ended with %v", err)
+	}
+	if err := server.Drain(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if _, err := d.Forward(t.Context(), address, relayCall); bamboorail.KindOf(err) != bamboorail.KindNoTarget || !bamboorail.NotRun(err) {
+		t.Errorf("a server that drains answers with %v", err)
+	}
+}
+
+// TestDeadInstanceRunsNothing checks that a call to an instance that is gone has not run.
+func TestDeadInstanceRunsNothing(t *testing.T) {
+	d, _, _ := forwardTo(t, &scriptedRunner{})
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	if _, err := d.Forward(t.Context(), address, relayCall); !bamboorail.NotRun(err) {
+		t.Errorf("error %v", err)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,6 +125,7 @@
 	limits     *placer.Limits
 	origins    *origin.Registry
 	detour     *detour.Detour
+	forwarder  *detour.Server
 	holders    []placer.ZoneHolder
 	elector    *lease.Elector
 	peers      *peer.Client
@@ -222,7 +223,7 @@
 		Log: g.logs.Layer("origin"),
 	})
 	g.detour = g.newDetour()
-	g.mirror.SetReachability(s.PeerAddress, g.detour.IsPartitioned)
+	g.mirror.SetReachability(s.PeerAddress, func() bool { return g.shuttingDown.Load() || g.detour.IsPartitioned() })
 	g.elector.SetResigned(g.detour.ShouldResign)
 	g.relay = relay.NewHandler(relay.Config{
 		Instance: s.Instance, Detour: g.detour,
@@ -230,6 +231,7 @@
 		Dialer: g.detour, Metrics: g.metrics, Tracer: tracer, Advise: g.advise, Origins: g.origins, ShuttingDown: g.shuttingDown.Load,
 		Log: g.logs.Layer("relay"),
 	})
+	g.forwarder = detour.NewServer(g.detour, g.relay)
 }
 
 // budget returns the retry budget of a service, which it creates on first use.
@@ -272,8 +274,8 @@
 	defer cancel()
 	tasks := task.NewGroup(ctx)
 	tasks.Start("peers", func(ctx context.Context) error {
-		forwarder := detour.NewServer(g.detour, g.relay)
-		return peer.ServePlacer(ctx, g.ports.peer, placer.NewServer(g.holders, g.fleet, g.mirror, g.origins, forwarder, g.quarantine, g.limits), g.logs.Layer("peer"))
+		server := placer.NewServer(g.holders, g.fleet, g.mirror, g.origins, g.forwarder, g.quarantine, g.limits)
+		return peer.ServePlacer(ctx, g.ports.peer, server, g.logs.Layer("peer"))
 	})
 	tasks.Start("readiness", g.ports.readiness.Serve)
 	tasks.Start("callers", g.ports.caller.Serve)
@@ -384,6 +386,9 @@
 	if err := g.ports.caller.Drain(draining); err != nil {
 		g.log.Warn("drain timeout reached with calls still in flight", "error", err)
 	}
+	if err := g.forwarder.Drain(draining); err != nil {
+		g.log.Warn("drain timeout reached with forwarded calls still in flight", "error", err)
+	}
 	releasing, cancelRelease := context.WithTimeout(ctx, leaseReleaseTimeout)
 	defer cancelRelease()
 	g.elector.Release(releasing)
