--- a/internal/detour/forward.go
+++ b/internal/detour/forward.go
@@ -95,7 +95,10 @@
 // Close ends the call at the other instance if it still runs.
 func (b *answerBody) Close() error {
 	b.cancel()
-	return b.stream.Close()
+	if err := b.stream.Close(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
 }
 
 func requestMessage(c relay.ForwardCall) *wire.ForwardRequest {
