detour: a round of probes that reaches a target proves the links

Found by TestPartitionIsNoticedAndEnds (three of six targets down): attempts that ended after another target had been reached, but had begun before, added up to a verdict, and calls were forwarded for a moment. Only attempts count that began after a target was reached last; two probes go to the local zone, so that a partition between zones is not taken for one from all targets. Tests of forwarded calls on each kind of route.

--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -23,10 +23,12 @@
 
 const (
 	// probeInterval is the interval between two rounds of probes, probeTimeout bounds
-	// one. A round connects to probeCount targets; it sends no requests.
+	// one. A round connects to probeCount targets, of which localProbes are in the local
+	// zone, so that a partition between zones is told apart; it sends no requests.
 	probeInterval = 250 * time.Millisecond
 	probeTimeout  = 300 * time.Millisecond
 	probeCount    = 4
+	localProbes   = 2
 	// neighborInterval is the interval at which a partitioned instance asks the holders
 	// for others, neighborTimeout bounds a question.
 	neighborInterval = time.Second
@@ -94,12 +96,13 @@
 
 // DialContext connects to a target and records whether that is possible.
 func (d *Detour) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	began := time.Now()
 	c, err := d.Dialer.DialContext(ctx, network, address)
 	switch {
 	case err == nil:
 		d.recordConnected()
 	case ctx.Err() == nil:
-		d.links.recordFailure(address, time.Now())
+		d.links.recordFailure(address, began)
 		d.wakeUp()
 	}
 	return c, err
@@ -110,7 +113,7 @@
 		d.Log.Info("targets reachable again")
 		defer d.OnChange()
 	}
-	d.links.recordConnected()
+	d.links.recordConnected(time.Now())
 }
 
 // RecordSilence records that a target did not answer, on whatever connection.
@@ -165,14 +168,27 @@
 	}
 }
 
-// probe connects to some targets, those of most services first, and decides.
+// probeTargets returns the targets of a round of probes.
+func (d *Detour) probeTargets(targets []bamboorail.TargetEntry) []bamboorail.TargetEntry {
+	rand.Shuffle(len(targets), func(a, b int) { targets[a], targets[b] = targets[b], targets[a] })
+	var list, rest []bamboorail.TargetEntry
+	for _, t := range targets {
+		if t.Zone == d.Zones[0].Name && len(list) < localProbes {
+			list = append(list, t)
+		} else {
+			rest = append(rest, t)
+		}
+	}
+	return append(list, rest[:min(len(rest), probeCount-len(list))]...)
+}
+
+// probe connects to some targets and decides.
 func (d *Detour) probe(ctx context.Context) {
 	targets := d.Targets()
-	rand.Shuffle(len(targets), func(a, b int) { targets[a], targets[b] = targets[b], targets[a] })
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout+probeInterval)
 	defer cancel()
 	probes := make([]*task.Task, 0, probeCount)
-	for _, t := range targets[:min(len(targets), probeCount)] {
+	for _, t := range d.probeTargets(targets) {
 		probes = append(probes, task.Start(ctx, "probe "+t.ID.Name, func(ctx context.Context) error {
 			c, err := d.DialContext(ctx, "tcp", t.Address)
 			if err != nil {
--- a/internal/detour/links.go
+++ b/internal/detour/links.go
@@ -18,9 +18,10 @@
 // live on while new ones are refused. It is safe for concurrent use.
 type links struct {
 	mu sync.Mutex
-	// failed are the targets that could not be reached, with the time, since one was
-	// reached last.
-	failed map[string]time.Time
+	// failed are the targets that could not be reached, with the time of the attempt.
+	// Only attempts that began after a target was reached last count.
+	failed      map[string]time.Time
+	lastReached time.Time
 	// suspected is set if a target failed since the last verdict.
 	suspected bool
 	// partitionedAt is the time since which no target can be reached, zero if some can.
@@ -30,22 +31,27 @@
 func newLinks() *links { return &links{failed: map[string]time.Time{}} }
 
 // recordConnected records that a target was reached.
-func (l *links) recordConnected() {
+func (l *links) recordConnected(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	clear(l.failed)
+	l.lastReached = now
 	l.suspected = false
 	l.partitionedAt = time.Time{}
 }
 
-// recordFailure records that a target could not be reached. An empty address means that
-// it is not known whether it was the target or the path.
-func (l *links) recordFailure(address string, now time.Time) {
+// recordFailure records that a target could not be reached by an attempt that began at a
+// time. An empty address means that it is not known whether it was the target or the
+// path.
+func (l *links) recordFailure(address string, began time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !began.After(l.lastReached) {
+		return
+	}
 	l.suspected = true
 	if address != "" {
-		l.failed[address] = now
+		l.failed[address] = began
 	}
 }
 
--- a/internal/relay/detour_test.go
+++ b/internal/relay/detour_test.go
@@ -2,7 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+	"net/http"
 	"slices"
+	"testing"
+	"time"
+
+	"bamboorail.example/bamboorail"
 )
 
 // fakeDetour forwards calls to other relays in the same process.
@@ -28,3 +35,150 @@
 }
 
 func (d *fakeDetour) RecordSilence() { d.silences++ }
+
+// recordedAnswer is a forward writer that keeps the answer.
+type recordedAnswer struct {
+	status int
+	header http.Header
+	target string
+	origin bamboorail.StreamOrigin
+	body   []byte
+}
+
+func (a *recordedAnswer) Begin(status int, header http.Header, target string, o bamboorail.StreamOrigin) error {
+	a.status, a.header, a.target, a.origin = status, header.Clone(), target, o
+	return nil
+}
+
+func (a *recordedAnswer) Write(p []byte) error {
+	a.body = append(a.body, p...)
+	return nil
+}
+
+// bodyThen returns a body that ends with an error.
+func bodyThen(data []byte, err error) io.ReadCloser {
+	r, w := io.Pipe()
+	go func() {
+		_, _ = w.Write(data)
+		_ = w.CloseWithError(err)
+	}()
+	return r
+}
+
+// through returns an instance that runs forwarded calls at its own targets.
+func (b *testRelay) through(ctx context.Context, c ForwardCall) (ForwardedAnswer, error) {
+	got := &recordedAnswer{}
+	err := b.handler.ServeForwarded(ctx, c, got)
+	if got.status == 0 {
+		return ForwardedAnswer{}, err
+	}
+	end := io.EOF
+	if err != nil {
+		end = err
+	}
+	return ForwardedAnswer{
+		Response: &http.Response{StatusCode: got.status, Header: got.header, Body: bodyThen(got.body, end), ContentLength: -1, TransferEncoding: []string{"chunked"}},
+		Target:   got.target, Origin: got.origin,
+	}, nil
+}
+
+var errPath = errors.New("connection reset")
+
+// TestForwardedCallsKeepTheRules checks what callers get, and what targets run, if calls
+// are forwarded: each kind of route, instances that fail before or while they answer.
+func TestForwardedCallsKeepTheRules(t *testing.T) {
+	once := bamboorail.RouteSpec{Repeat: bamboorail.RepeatNever, MaxAttempts: 1}
+	always := bamboorail.RouteSpec{Repeat: bamboorail.RepeatAlways, MaxAttempts: 2}
+	const (
+		works = iota
+		gone  // refuses the connection
+		lost  // ends without an answer
+		cutsOff
+	)
+	refusal := raw("HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	whole := event(1) + event(2) + event(3)
+	cases := map[string]struct {
+		route bamboorail.RouteSpec
+		// neighbors are the states of the two instances, in order.
+		neighbors [2]int
+		// targets are the scripts of the targets of the two instances.
+		targets [2]script
+		status  int
+		body    string
+		broken  bool
+		// arrived is the number of requests that reached each target.
+		arrived [2]int
+	}{
+		"answered":                     {route: once, targets: [2]script{answer("a"), answer("b")}, status: 200, body: "a", arrived: [2]int{1, 0}},
+		"first gone":                   {route: once, neighbors: [2]int{gone, works}, targets: [2]script{answer("a"), answer("b")}, status: 200, body: "b", arrived: [2]int{0, 1}},
+		"may have run, not repeatable": {route: once, neighbors: [2]int{lost, works}, targets: [2]script{answer("a"), answer("b")}, status: 502, arrived: [2]int{1, 0}},
+		"may have run, repeatable":     {route: always, neighbors: [2]int{lost, works}, targets: [2]script{answer("a"), answer("b")}, status: 200, body: "b", arrived: [2]int{1, 1}},
+		"refused by the target":        {route: once, targets: [2]script{refusal, answer("b")}, status: 200, body: "b", arrived: [2]int{1, 1}},
+		"target breaks off":            {route: once, targets: [2]script{reset(""), answer("b")}, status: 502, arrived: [2]int{1, 0}},
+		"both gone, sent directly":     {route: once, neighbors: [2]int{gone, gone}, targets: [2]script{answer("a"), answer("b")}, status: 200, body: "direct"},
+		"stream":                       {route: resumable, targets: [2]script{stream(true, event(1), event(2), event(3)), answer("b")}, status: 200, body: whole, arrived: [2]int{1, 0}},
+		"stream goes on at the next":   {route: resumable, neighbors: [2]int{cutsOff, works}, targets: [2]script{stream(true, event(1), event(2)), stream(true, event(3))}, status: 200, body: whole, arrived: [2]int{1, 1}},
+		"stream that may not":          {route: oneStream, neighbors: [2]int{cutsOff, works}, targets: [2]script{stream(true, event(1)), answer("b")}, status: 200, broken: true, arrived: [2]int{1, 0}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newTestRelay(t, c.route, newTarget(t, "direct", answer("direct")))
+			b.detour.neighbors = map[string]func(ctx context.Context, f ForwardCall) (ForwardedAnswer, error){}
+			var targets []*fakeTarget
+			for n, state := range c.neighbors {
+				targets = append(targets, newTarget(t, []string{"a", "b"}[n], c.targets[n]))
+				targets[n].entry.Software = "v1"
+				other := newTestRelay(t, c.route, targets[n])
+				address := []string{"first", "second"}[n]
+				b.detour.order = append(b.detour.order, address)
+				b.detour.neighbors[address] = func(ctx context.Context, f ForwardCall) (ForwardedAnswer, error) {
+					if state == gone {
+						return ForwardedAnswer{}, NeighborFailed(notRun("dial", bamboorail.KindUnavailable, 0, errPath))
+					}
+					a, err := other.through(ctx, f)
+					switch {
+					case state == lost:
+						return ForwardedAnswer{}, NeighborFailed(errPath)
+					case err == nil && state == cutsOff:
+						data, _ := io.ReadAll(a.Response.Body)
+						a.Response.Body = bodyThen(data, errPath)
+					}
+					return a, err
+				}
+			}
+			r := b.call(t, http.MethodPost, "/p/x?q=1", "body")
+			if r.status != c.status || r.broken != c.broken || (!c.broken && c.status == 200 && r.body != c.body) {
+				t.Errorf("answer %+v", r)
+			}
+			for n, g := range targets {
+				got := g.seen()
+				if len(got) != c.arrived[n] {
+					t.Errorf("%d requests reached target %d, want %d", len(got), n, c.arrived[n])
+				}
+				if len(got) > 0 && (got[0].uri != "/p/x?q=1" || got[0].body != "body" || got[0].method != http.MethodPost) {
+					t.Errorf("target got %+v", got[0])
+				}
+			}
+			if len(b.detour.calls) > 0 && (b.detour.calls[0].Remaining <= 0 || b.detour.calls[0].Remaining > 5*time.Second) {
+				t.Errorf("time left %s", b.detour.calls[0].Remaining)
+			}
+		})
+	}
+}
+
+// TestForwardedCallIsNotForwardedAgain checks that a call makes one detour at most, and
+// that the service and software version of the forwarding instance hold.
+func TestForwardedCallIsNotForwardedAgain(t *testing.T) {
+	wrong, right := newTarget(t, "wrong"), newTarget(t, "right", stream(true, event(2)))
+	wrong.entry.Software, right.entry.Software = "v1", "v2"
+	b := newTestRelay(t, resumable, wrong, right)
+	b.detour.order = []string{"elsewhere"}
+	got := &recordedAnswer{}
+	err := b.handler.ServeForwarded(t.Context(), ForwardCall{
+		Instance: "other", Method: http.MethodPost, URI: "/p/x", Host: "host.example", Header: http.Header{"Id": {"c"}, "Last-Event-Id": {"1"}},
+		Remaining: time.Second, StartWithin: time.Second, Service: "s", Software: "v2",
+	}, got)
+	if err != nil || string(got.body) != event(2) || len(b.detour.calls) != 0 || got.origin.Software != "v2" || got.target != "right" {
+		t.Errorf("answer %+v, %v, forwarded %d times", got, err, len(b.detour.calls))
+	}
+}
--- a/internal/relay/testrelay_test.go
+++ b/internal/relay/testrelay_test.go
@@ -254,6 +254,7 @@
 	// origins are where streams began, by call.
 	origins fakeOrigins
 	detour  fakeDetour
+	handler *Handler
 }
 
 // fakeOrigins knows the origins in the map only.
@@ -287,6 +288,7 @@
 		},
 		Origins: b.origins, Detour: &b.detour, ShuttingDown: func() bool { return false }, Log: hclog.NewNullLogger(),
 	})
+	b.handler = handler
 	b.Server = httptest.NewServer(handler)
 	t.Cleanup(b.Close)
 	return b
