--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -213,3 +213,25 @@
 		t.Errorf("%d calls to the store for a kind without a response to the holder for 3 s", follower.storeCalls)
 	}
 }
+
+// TestMembersReachTheTargets checks that a holder names the instances of its zone that
+// still read through it and reach the targets.
+func TestMembersReachTheTargets(t *testing.T) {
+	holder, follower := newPair(t)
+	unreachable := false
+	follower.SetReachability("follower:1", func() bool { return unreachable })
+	holder.mustList(t)
+	follower.mustList(t)
+	if got := holder.Members(); len(got) != 1 || got[0] != "follower:1" {
+		t.Errorf("members %v", got)
+	}
+	unreachable = true
+	follower.mustList(t)
+	if got := holder.Members(); len(got) != 0 {
+		t.Errorf("members %v, none reaches the targets", got)
+	}
+	holder.followers["follower"] = followerState{lastRequest: time.Now().Add(-2 * followerExpiry), address: "follower:1"}
+	if got := holder.Members(); len(got) != 0 {
+		t.Errorf("members %v, none has read for long", got)
+	}
+}
