advisory: targets that fall over if they refuse too much are not overfilled

Engines may say that they are brittle (Server-Brittle): one that turns more than so many requests away in a second for want of room falls over. Nothing read the header, so that a crowd brought such targets down.

Holders send a brittle engine no more calls than it has slots. For plain services, an instance keeps its share of the slots in flight, waits a moment for one, and pauses after a refusal so that all instances together stay within the number named.

--- a/fleet.go
+++ b/fleet.go
@@ -206,6 +206,10 @@
 	// instances together.
 	Limited bool
 	Limit   float64
+	// Brittle is set if the target fails once it has to turn more than MaxRefusals
+	// requests away in a second for want of room.
+	Brittle     bool
+	MaxRefusals float64
 	// Partial is set if a part of the answer could not be decoded. It does not end an
 	// earlier limit then.
 	Partial bool
--- a/internal/adapters/software_test.go
+++ b/internal/adapters/choice_test.go
@@ -48,3 +48,32 @@
 		})
 	}
 }
+
+// TestBrittleEnginesAreNotOverfilled checks that a brittle engine gets no more calls than
+// it has slots, and that the calls beyond wait for one.
+func TestBrittleEnginesAreNotOverfilled(t *testing.T) {
+	for name, brittle := range map[string]bool{"brittle": true, "sound": false} {
+		t.Run(name, func(t *testing.T) {
+			p := newTestPlanner(1, 8)
+			p.SetBrittle(func(bamboorail.TargetID) bool { return brittle })
+			now := start
+			placeAndLoad(t, p, testRequest(1), now)
+			placed := 1
+			for range 80 {
+				now = now.Add(time.Millisecond)
+				if _, ok := p.Place(testRequest(1), now); ok {
+					placed++
+				}
+			}
+			if slots := 64; brittle && placed != slots || !brittle && placed <= slots {
+				t.Errorf("%d calls placed at %d slots", placed, slots)
+			}
+			if _, ok := p.End(1); !ok {
+				t.Fatal("no first placement")
+			}
+			if _, ok := p.Place(testRequest(1), now); !ok {
+				t.Error("not placed after a call has ended")
+			}
+		})
+	}
+}
--- a/internal/adapters/cost.go
+++ b/internal/adapters/cost.go
@@ -47,7 +47,7 @@
 	q := p.newRequestContext(r, now)
 	for _, name := range p.engineNames() {
 		e := p.engines[name]
-		if !e.usable(r) || slices.Contains(r.Avoid, name) || p.limitWait(e, now) > 0 {
+		if !e.usable(r) || slices.Contains(r.Avoid, name) || p.limitWait(e, now) > 0 || !p.hasRoom(e) {
 			continue
 		}
 		if o, ok := p.option(name, e, r, q, now); ok && (best.name == "" || o.cost < best.cost) {
--- a/internal/adapters/limits.go
+++ b/internal/adapters/limits.go
@@ -30,6 +30,17 @@
 // SetLimits sets what counts and limits the requests to engines.
 func (p *Planner) SetLimits(l Limits) { p.limits = l }
 
+// SetBrittle sets the function that reports whether an engine must not be sent more
+// calls than it has slots; nil changes nothing.
+func (p *Planner) SetBrittle(f func(id bamboorail.TargetID) bool) {
+	if f != nil {
+		p.brittle = f
+	}
+}
+
+// hasRoom reports whether an engine may be sent a call that could wait there.
+func (p *Planner) hasRoom(e *engine) bool { return !e.isFull() || !p.brittle(e.entry.ID) }
+
 // limitedLoadCost is added to a load on an engine with a limit, to which its orders
 // count too.
 const limitedLoadCost = time.Second
--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -81,6 +81,8 @@
 	callTime time.Duration
 	// limits counts and limits the requests to each engine.
 	limits Limits
+	// brittle reports whether an engine must not be sent more calls than it has slots.
+	brittle func(id bamboorail.TargetID) bool
 }
 
 // ticket is a placement that has not ended.
@@ -111,6 +113,7 @@
 		tuning: t, lastTicket: after, engines: map[string]*engine{}, demand: map[bamboorail.AdapterKey]*demand{}, tickets: map[uint64]ticket{},
 		lastContact: map[string]time.Time{},
 		waiting:     newWaitQueue(), fetchLimiter: fetchlimit.New(t.MinFetchLimit, t.FetchTime), callTime: t.CallTime, limits: unlimited{},
+		brittle: func(bamboorail.TargetID) bool { return false },
 	}
 }
 
--- a/internal/advisory/advisory.go
+++ b/internal/advisory/advisory.go
@@ -51,6 +51,7 @@
 	trialUntil time.Time
 	// limit is as of its latest answer.
 	limit    Limit
+	brittle  brittleness
 	lastSeen time.Time
 }
 
@@ -60,6 +61,8 @@
 	states map[bamboorail.TargetID]*state
 	// limited counts the targets with a limit.
 	limited atomic.Int32
+	// brittle counts the targets that say that they are.
+	brittle atomic.Int32
 	// delay draws a delay of up to its argument.
 	delay func(time.Duration) time.Duration
 }
@@ -176,6 +179,9 @@
 			if s.limit.Named {
 				r.limited.Add(-1)
 			}
+			if s.brittle.named {
+				r.brittle.Add(-1)
+			}
 			delete(r.states, id)
 		}
 	}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -148,6 +148,13 @@
 	}
 }
 
+// InFlight returns the number of calls that this instance has at a target.
+func (b *Balancer) InFlight(id bamboorail.TargetID) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state(id).inFlight
+}
+
 // Retain removes the statistics of targets for which live returns false.
 func (b *Balancer) Retain(live func(bamboorail.TargetID) bool) {
 	b.mu.Lock()
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -241,7 +241,14 @@
 	if err := c.checkQuiet(a.Service.Name, now); err != nil {
 		return relay.Reservation{}, err
 	}
-	targets := slices.DeleteFunc(c.openTargets(a.Service.Name, now), func(e bamboorail.TargetEntry) bool { return !hasSoftware(e, a) })
+	open := func(now time.Time) []bamboorail.TargetEntry {
+		return slices.DeleteFunc(c.openTargets(a.Service.Name, now), func(e bamboorail.TargetEntry) bool { return !hasSoftware(e, a) })
+	}
+	targets := c.awaitRoom(ctx, a, open)
+	now = time.Now()
+	if len(targets) == 0 && len(open(now)) > 0 {
+		return relay.Reservation{}, failRetry("choose-target", bamboorail.KindOverloaded, noCapacityRetry+rand.N(noCapacityRetry/retrySpread), errTargetsBusy)
+	}
 	var retryAfter time.Duration
 	for {
 		target, ok := c.Balancer.Choose(targets, a.Avoid, now)
@@ -253,9 +260,7 @@
 		}
 		granted, after := c.acquire(ctx, target, now)
 		if granted {
-			return c.observe(a, relay.Reservation{Target: target, ReadyAt: now, Valid: c.valid(target), Done: func(r balance.Result, took time.Duration) {
-				c.Balancer.Done(target.ID, r, took, time.Now())
-			}}), nil
+			return c.observe(a, relay.Reservation{Target: target, ReadyAt: now, Valid: c.valid(target), Done: c.balancedDone(target.ID)}), nil
 		}
 		c.Balancer.Done(target.ID, balance.Abandoned, 0, now)
 		targets = slices.DeleteFunc(targets, func(e bamboorail.TargetEntry) bool { return e.ID == target.ID })
@@ -274,7 +279,7 @@
 	var engines []bamboorail.TargetEntry
 	for _, e := range c.openTargets(a.Service.Name, now) {
 		held, loaded := e.Models[key.Model]
-		if !loaded || slices.Contains(a.Avoid, e.ID.Name) || !hasSoftware(e, a) {
+		if !loaded || slices.Contains(a.Avoid, e.ID.Name) || !hasSoftware(e, a) || !c.hasRoom(e, now) {
 			continue
 		}
 		version, present := held[key.Adapter]
@@ -293,7 +298,7 @@
 	c.Log.Info("engine chosen without a holder", "id", a.Call.ID, "engine", target.ID.Name, "adapter", key.Adapter)
 	return relay.Reservation{
 		Target: target, Version: target.Models[key.Model][key.Adapter], ReadyAt: now, Assumed: true, Valid: c.valid(target),
-		Done: func(r balance.Result, took time.Duration) { c.Balancer.Done(target.ID, r, took, time.Now()) },
+		Done: c.balancedDone(target.ID),
 	}, true
 }
 
--- a/internal/placer/errors.go
+++ b/internal/placer/errors.go
@@ -23,6 +23,7 @@
 	errNoCapacity      = errors.New("no engine has capacity for the call")
 	errQueueFull       = errors.New("too many waiting calls; the call would be served too late")
 	errTargetsLimited  = errors.New("all targets are at the limits of their request rates")
+	errTargetsBusy     = errors.New("all targets are busy and fail if they have to refuse")
 	errTargetsQuiet    = errors.New("all targets asked for a pause")
 	errNoTarget        = errors.New("no available target")
 	errNoSoftware      = errors.New("no available target with the software version that began the stream")
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -61,7 +61,10 @@
 	// nil permits all.
 	Permit func(id bamboorail.TargetID) error
 	// Rates are the limits of targets; nil limits none.
-	Rates   ratelimit.Rates
+	Rates ratelimit.Rates
+	// Brittle reports whether an engine must not be sent more calls than it has slots;
+	// nil is never.
+	Brittle func(id bamboorail.TargetID) bool
 	Metrics *telemetry.Metrics
 	Log     hclog.Logger
 }
@@ -111,6 +114,7 @@
 func (h *Holder) setPlanner(afterTicket uint64) {
 	h.planner = adapters.NewPlanner(h.Tuning, afterTicket)
 	h.planner.SetLimits(h.limits)
+	h.planner.SetBrittle(h.Brittle)
 }
 
 // Run maintains the state of the engines until ctx ends.
