origin, detour: one look at the versions a round; bodies beyond a message are not forwarded

The calls of a partitioned instance are shared by instances of all zones, as few may be left in its own.

--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -78,7 +78,7 @@
 	wake  chan struct{}
 
 	mu sync.Mutex
-	// neighbors are the instances that reach the targets, the local zone's first.
+	// neighbors are the instances of all zones that reach the targets.
 	neighbors   []string
 	neighborsAt time.Time
 	avoided     map[string]time.Time
@@ -230,7 +230,6 @@
 	}
 	var list []string
 	for _, addresses := range found {
-		rand.Shuffle(len(addresses), func(a, b int) { addresses[a], addresses[b] = addresses[b], addresses[a] })
 		list = append(list, addresses...)
 	}
 	list = slices.DeleteFunc(list, func(address string) bool { return address == d.Address })
@@ -256,7 +255,8 @@
 	return reply.GetAddresses()
 }
 
-// Next returns an instance to forward a call to: one of the local zone, if any.
+// Next returns an instance to forward a call to. Those of all zones share the calls, as
+// few may be left in the local one.
 func (d *Detour) Next(tried []string) (string, bool) {
 	now := time.Now()
 	if d.links.partitionedFor(now) == 0 {
--- a/internal/origin/share.go
+++ b/internal/origin/share.go
@@ -37,9 +37,15 @@
 func (r *Registry) share(ctx context.Context) {
 	now := time.Now()
 	r.table.expire(now)
+	mixed := map[string]bool{}
 	b := r.table.unsharedBatch(func(service string) bool {
-		versions, _ := r.Fleet.Software(service, now)
-		return len(versions) > 1
+		several, known := mixed[service]
+		if !known {
+			versions, _ := r.Fleet.Software(service, now)
+			several = len(versions) > 1
+			mixed[service] = several
+		}
+		return several
 	})
 	if len(b) == 0 {
 		return
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -49,6 +49,9 @@
 	RecordSilence()
 }
 
+// maxForwardBody is the largest body of a forwarded call, which is one message.
+const maxForwardBody = 4 << 20
+
 // forwardTimeoutFactor times the attempt timeout is the time after which another
 // instance that does not answer is given up. That instance tries two targets.
 const forwardTimeoutFactor = 2
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -226,7 +226,7 @@
 
 // neighbor returns the instance to which the call is forwarded, if it is.
 func (x *exchange) neighbor() (string, bool) {
-	if x.forwarded != nil {
+	if x.forwarded != nil || len(x.body) > maxForwardBody {
 		return "", false
 	}
 	return x.h.Detour.Next(x.neighbors)
