--- a/fleet.go
+++ b/fleet.go
@@ -207,7 +207,7 @@
 	Limited bool
 	Limit   float64
 	// Brittle is set if the target fails once it has to turn more than MaxRefusals
-	// requests away in a second for want of room.
+	// requests away in a second because it is full.
 	Brittle     bool
 	MaxRefusals float64
 	// Partial is set if a part of the answer could not be decoded. It does not end an
--- a/internal/advisory/brittle_test.go
+++ b/internal/advisory/brittle_test.go
@@ -39,14 +39,14 @@
 				t.Errorf("brittle: %t", got)
 			}
 			if got := r.RefusalPause(id, now); got != c.pause {
-				t.Errorf("pause %s, want %s", got, c.pause)
+				t.Errorf("pause %s, expected %s", got, c.pause)
 			}
 			if got := r.RefusalPause(id, now.Add(maxRefusalPause)); got != 0 {
 				t.Errorf("pause %s after the longest", got)
 			}
 			r.Expire(func(bamboorail.TargetID) bool { return false }, now.Add(2*retention))
 			if r.brittle.Load() != 0 {
-				t.Errorf("%d brittle targets after all are gone", r.brittle.Load())
+				t.Errorf("%d brittle targets after all were removed", r.brittle.Load())
 			}
 		})
 	}
--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -24,13 +24,13 @@
 const (
 	// probeInterval is the interval between two rounds of probes, probeTimeout bounds
 	// one. A round connects to probeCount targets, of which localProbes are in the local
-	// zone, so that a partition between zones is told apart; it sends no requests.
+	// zone, which a partition between zones does not affect; it sends no requests.
 	probeInterval = 250 * time.Millisecond
 	probeTimeout  = 300 * time.Millisecond
 	probeCount    = 4
 	localProbes   = 2
-	// neighborInterval is the interval at which a partitioned instance asks the holders
-	// for others, neighborTimeout bounds a question.
+	// neighborInterval is the interval at which a partitioned instance lists its
+	// neighbors, neighborTimeout bounds a list request.
 	neighborInterval = time.Second
 	neighborTimeout  = 300 * time.Millisecond
 	// avoidTime is the time for which an instance that did not answer is not used.
@@ -132,7 +132,7 @@
 // IsPartitioned reports whether this instance reaches no target.
 func (d *Detour) IsPartitioned() bool { return d.links.partitionedFor(time.Now()) > 0 }
 
-// ShouldResign reports whether this instance should leave its duties to others that
+// ShouldResign reports whether this instance should release its leases because others
 // reach the targets.
 func (d *Detour) ShouldResign() bool {
 	if d.links.partitionedFor(time.Now()) < resignDelay {
@@ -207,7 +207,7 @@
 	}
 }
 
-// findNeighbors asks the holders of all zones which instances reach the targets.
+// findNeighbors lists the instances that reach the targets, by the holders of all zones.
 func (d *Detour) findNeighbors(ctx context.Context) {
 	d.mu.Lock()
 	recent := time.Since(d.neighborsAt) < neighborInterval
--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -109,9 +109,9 @@
 func TestPartitionIsNoticedAndEnds(t *testing.T) {
 	cases := map[string]struct {
 		down []string
-		// silence is set if the call failed on an old connection.
-		silence bool
-		want    bool
+		// silent is set if the call failed on an old connection.
+		silent bool
+		want   bool
 	}{
 		"no target reachable":              {[]string{"all"}, false, true},
 		"no target reachable, old failed":  {[]string{"all"}, true, true},
@@ -132,7 +132,7 @@
 				if c.down != nil && c.down[0] != "all" {
 					target = c.down[0]
 				}
-				if c.silence {
+				if c.silent {
 					d.RecordSilence()
 				} else if _, err := d.DialContext(ctx, "tcp", target); err == nil {
 					t.Error("connected to a target that is down")
@@ -169,7 +169,7 @@
 				time.Sleep(time.Minute)
 				n.mu.Lock()
 				if n.dials != dials || n.asked != asked {
-					t.Errorf("%d probes and %d questions without trouble", n.dials-dials, n.asked-asked)
+					t.Errorf("%d probes and %d list requests without a failure", n.dials-dials, n.asked-asked)
 				}
 				n.mu.Unlock()
 				cancel()
@@ -180,7 +180,7 @@
 }
 
 // TestUnansweringNeighborIsAvoided checks that an instance that does not answer is not
-// used again at once, and that its failure tells whether the call may have run.
+// used again at once, and that its failure states whether the call may have run.
 func TestUnansweringNeighborIsAvoided(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d, n := newTestDetour(t)
--- a/internal/detour/forward_test.go
+++ b/internal/detour/forward_test.go
@@ -123,7 +123,7 @@
 	}
 }
 
-// TestCallerThatLeavesEndsForwardedCall checks that the other instance learns of it.
+// TestCallerThatLeavesEndsForwardedCall checks that the other instance cancels it.
 func TestCallerThatLeavesEndsForwardedCall(t *testing.T) {
 	r := &scriptedRunner{parts: []string{"a"}, block: true}
 	d, server, address := forwardTo(t, r)
@@ -150,7 +150,7 @@
 	}
 }
 
-// TestDeadInstanceRunsNothing checks that a call to an instance that is gone has not run.
+// TestDeadInstanceRunsNothing checks that a call to a closed port has not run.
 func TestDeadInstanceRunsNothing(t *testing.T) {
 	d, _, _ := forwardTo(t, &scriptedRunner{})
 	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
--- a/internal/detour/links.go
+++ b/internal/detour/links.go
@@ -15,7 +15,7 @@
 )
 
 // links tracks whether any target can be reached. New connections decide: old ones may
-// live on while new ones are refused. It is safe for concurrent use.
+// still work while new ones are refused. It is safe for concurrent use.
 type links struct {
 	mu sync.Mutex
 	// failed are the targets that could not be reached, with the time of the attempt.
--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -105,7 +105,7 @@
 // It must be set before the store is used.
 func (s *Store) SetOnReply(f func(zone string, r *wire.FollowReply)) { s.onReply = f }
 
-// SetReachability sets what this instance tells its holder of itself. It must be called
+// SetReachability sets what this instance reports of itself to its holder. It must be called
 // before the store is used.
 func (s *Store) SetReachability(address string, unreachable func() bool) {
 	s.address, s.unreachable = address, unreachable
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -1,5 +1,5 @@
 // Package origin records at which software version each stream began, so that only
-// targets of that version continue it. Instances know the streams that they began
+// targets of that version continue it. Instances keep the origins of the streams that they began
 // themselves. While targets of several versions serve, they also send their origins to
 // the holder of a zone, which writes them to the object store: an origin outlives the
 // instance that recorded it.
@@ -62,7 +62,7 @@
 	Lease *lease.Lease
 }
 
-// Registry holds the origins that an instance knows.
+// Registry holds the origins of streams in one instance.
 type Registry struct {
 	Config
 	table    *table
@@ -72,7 +72,7 @@
 
 var _ bamboorail.StreamOrigins = (*Registry)(nil)
 
-// New returns a registry that knows no origins.
+// New returns an empty registry.
 func New(c Config) *Registry {
 	r := &Registry{Config: c, table: newTable(), journals: map[string]*journal{}}
 	r.reader = newReader(c.Store, c.Kind, c.Log)
@@ -88,7 +88,7 @@
 }
 
 // Find returns where the stream of a call began. It reads the store if this instance
-// does not know it. An unknown stream has the only version that its service had within
+// has no record of it. An unknown stream has the only version that its service had within
 // the lifetime of a stream, if there is no other.
 func (r *Registry) Find(ctx context.Context, call, service string) (bamboorail.StreamOrigin, error) {
 	id := newStreamID(call)
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -113,7 +113,7 @@
 				}
 				got, err := r.Find(t.Context(), c.call, "s")
 				if got != c.want || (err == nil) != (c.want != bamboorail.StreamOrigin{}) {
-					t.Errorf("origin %+v, %v, want %+v", got, err, c.want)
+					t.Errorf("origin %+v, %v, expected %+v", got, err, c.want)
 				}
 				if err != nil && (!bamboorail.NotRun(err) || bamboorail.KindOf(err) != bamboorail.KindUnknownOrigin) {
 					t.Errorf("error %v", err)
@@ -164,7 +164,7 @@
 			r := newTestRegistry(t, store, "v1", "v2")
 			for call, o := range recorded {
 				if got, err := r.Find(t.Context(), call, "s"); got != o {
-					t.Errorf("seed %d: %s began at %+v, want %+v, %v", seed, call, got, o, err)
+					t.Errorf("seed %d: %s began at %+v, expected %+v, %v", seed, call, got, o, err)
 				}
 			}
 		})
--- a/internal/peer/placer.go
+++ b/internal/peer/placer.go
@@ -87,7 +87,7 @@
 	return reply, nil
 }
 
-// Neighbors asks the instance at address for others of its zone.
+// Neighbors lists the instances of a zone by the holder at address.
 func (c *Client) Neighbors(ctx context.Context, address string, r *wire.NeighborsRequest) (*wire.NeighborsReply, error) {
 	reply, err := wire.NewDRPCPlacerClient(c.pool.Get(ctx, address, c.dial)).Neighbors(ctx, r)
 	if err != nil {
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -42,8 +42,8 @@
 	// Next returns the address of an instance that is not among those tried. It
 	// returns false if the targets are reachable or no such instance is known.
 	Next(tried []string) (address string, ok bool)
-	// Forward runs a call at the instance at address. An error tells whether the call
-	// may have run.
+	// Forward runs a call at the instance at address. The outcome of an error states
+	// whether the call may have run.
 	Forward(ctx context.Context, address string, c ForwardCall) (ForwardedAnswer, error)
 	// RecordSilence records that a target did not answer.
 	RecordSilence()
--- a/internal/relay/detour_test.go
+++ b/internal/relay/detour_test.go
@@ -153,7 +153,7 @@
 			for n, g := range targets {
 				got := g.seen()
 				if len(got) != c.arrived[n] {
-					t.Errorf("%d requests reached target %d, want %d", len(got), n, c.arrived[n])
+					t.Errorf("%d requests reached target %d, expected %d", len(got), n, c.arrived[n])
 				}
 				if len(got) > 0 && (got[0].uri != "/p/x?q=1" || got[0].body != "body" || got[0].method != http.MethodPost) {
 					t.Errorf("target got %+v", got[0])
--- a/internal/relay/origin_test.go
+++ b/internal/relay/origin_test.go
@@ -53,7 +53,7 @@
 			for n, g := range targets {
 				reached := len(g.seen()) > 0
 				if g.entry.ID.Name == c.target && !reached || g.entry.ID.Name != c.target && reached && n > 0 {
-					t.Errorf("target %s reached: %t, want the answer of %q", g.entry.ID.Name, reached, c.target)
+					t.Errorf("target %s reached: %t, expected the answer of %q", g.entry.ID.Name, reached, c.target)
 				}
 			}
 			if c.status == http.StatusServiceUnavailable && (len(targets[0].seen()) > 0 || r.header.Get("Retry-After") == "") {
--- a/internal/relay/testrelay_test.go
+++ b/internal/relay/testrelay_test.go
@@ -257,7 +257,7 @@
 	handler *Handler
 }
 
-// fakeOrigins knows the origins in the map only.
+// fakeOrigins are the origins of streams by call.
 type fakeOrigins map[string]bamboorail.StreamOrigin
 
 func (o fakeOrigins) Record(call string, origin bamboorail.StreamOrigin) { o[call] = origin }
