--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -31,7 +31,7 @@
 	dials int
 	// neighbors are the replies of holders, by address.
 	neighbors map[string][]string
-	asked     int
+	lists     int
 }
 
 func (n *fakeNetwork) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
@@ -54,7 +54,7 @@
 func (n *fakeNetwork) Neighbors(_ context.Context, address string, _ *wire.NeighborsRequest) (*wire.NeighborsReply, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.asked++
+	n.lists++
 	list, ok := n.neighbors[address]
 	if !ok {
 		return nil, errTest
@@ -164,12 +164,12 @@
 					t.Error("partitioned after the end")
 				}
 				n.mu.Lock()
-				dials, asked := n.dials, n.asked
+				dials, lists := n.dials, n.lists
 				n.mu.Unlock()
 				time.Sleep(time.Minute)
 				n.mu.Lock()
-				if n.dials != dials || n.asked != asked {
-					t.Errorf("%d probes and %d list requests without a failure", n.dials-dials, n.asked-asked)
+				if n.dials != dials || n.lists != lists {
+					t.Errorf("%d probes and %d list requests without a failure", n.dials-dials, n.lists-lists)
 				}
 				n.mu.Unlock()
 				cancel()
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -66,25 +66,25 @@
 		follows time.Duration
 		down    bool
 		// later are the versions that serve when the stream is resumed.
-		later []string
-		want  bamboorail.StreamOrigin
+		later  []string
+		origin bamboorail.StreamOrigin
 	}{
-		"own stream":                       {versions: []string{"v1", "v2"}, call: "a", own: map[string]bamboorail.StreamOrigin{"a": v2}, want: v2},
-		"own stream, store down":           {versions: []string{"v1", "v2"}, call: "a", own: map[string]bamboorail.StreamOrigin{"a": v1}, down: true, want: v1},
-		"stored stream":                    {versions: []string{"v1", "v2"}, call: "a", stored: map[string]bamboorail.StreamOrigin{"a": v2}, want: v2},
-		"stored stream, version gone":      {versions: []string{"v1"}, call: "a", stored: map[string]bamboorail.StreamOrigin{"a": v2}, want: v2},
+		"own stream":                       {versions: []string{"v1", "v2"}, call: "a", own: map[string]bamboorail.StreamOrigin{"a": v2}, origin: v2},
+		"own stream, store down":           {versions: []string{"v1", "v2"}, call: "a", own: map[string]bamboorail.StreamOrigin{"a": v1}, down: true, origin: v1},
+		"stored stream":                    {versions: []string{"v1", "v2"}, call: "a", stored: map[string]bamboorail.StreamOrigin{"a": v2}, origin: v2},
+		"stored stream, version gone":      {versions: []string{"v1"}, call: "a", stored: map[string]bamboorail.StreamOrigin{"a": v2}, origin: v2},
 		"stored stream, store down":        {versions: []string{"v1", "v2"}, call: "a", stored: map[string]bamboorail.StreamOrigin{"a": v2}, down: true},
 		"unknown, two versions":            {versions: []string{"v1", "v2"}, call: "a"},
-		"unknown, one version":             {versions: []string{"v1", "v1"}, call: "a", want: v1},
+		"unknown, one version":             {versions: []string{"v1", "v1"}, call: "a", origin: v1},
 		"unknown, no targets":              {call: "a"},
 		"unnamed, two versions":            {versions: []string{"v1", "v2"}, own: map[string]bamboorail.StreamOrigin{"": v1}},
-		"unnamed, one version":             {versions: []string{"v1"}, want: v1},
+		"unnamed, one version":             {versions: []string{"v1"}, origin: v1},
 		"unknown, another version stored":  {versions: []string{"v1"}, call: "a", stored: map[string]bamboorail.StreamOrigin{"b": v2}},
-		"unknown, another service stored":  {versions: []string{"v1"}, call: "a", stored: map[string]bamboorail.StreamOrigin{"b": {Service: "t", Software: "v2"}}, want: v1},
+		"unknown, another service stored":  {versions: []string{"v1"}, call: "a", stored: map[string]bamboorail.StreamOrigin{"b": {Service: "t", Software: "v2"}}, origin: v1},
 		"unknown, store down, new process": {versions: []string{"v1"}, call: "a", down: true},
-		"unknown, store down, followed":    {versions: []string{"v1"}, call: "a", down: true, follows: bamboorail.StreamLifetime, want: v1},
+		"unknown, store down, followed":    {versions: []string{"v1"}, call: "a", down: true, follows: bamboorail.StreamLifetime, origin: v1},
 		"unknown, version just replaced":   {versions: []string{"v1"}, call: "a", later: []string{"v2"}},
-		"unknown, replaced long ago":       {versions: []string{"v1"}, call: "a", later: []string{"v2"}, follows: 2 * bamboorail.StreamLifetime, want: v2},
+		"unknown, replaced long ago":       {versions: []string{"v1"}, call: "a", later: []string{"v2"}, follows: 2 * bamboorail.StreamLifetime, origin: v2},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -112,8 +112,8 @@
 					store.SetHook(func(string, string) error { return errDown })
 				}
 				got, err := r.Find(t.Context(), c.call, "s")
-				if got != c.want || (err == nil) != (c.want != bamboorail.StreamOrigin{}) {
-					t.Errorf("origin %+v, %v, expected %+v", got, err, c.want)
+				if got != c.origin || (err == nil) != (c.origin != bamboorail.StreamOrigin{}) {
+					t.Errorf("origin %+v, %v, expected %+v", got, err, c.origin)
 				}
 				if err != nil && (!bamboorail.NotRun(err) || bamboorail.KindOf(err) != bamboorail.KindUnknownOrigin) {
 					t.Errorf("error %v", err)
