--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -49,6 +49,17 @@
 	RecordSilence()
 }
 
+// noDetour forwards no calls.
+type noDetour struct{}
+
+func (noDetour) Next([]string) (string, bool) { return "", false }
+
+func (noDetour) Forward(context.Context, string, ForwardCall) (ForwardedAnswer, error) {
+	return ForwardedAnswer{}, notRun("forward-call", bamboorail.KindNoTarget, 0, errNeighborFailed)
+}
+
+func (noDetour) RecordSilence() {}
+
 // maxForwardBody is the largest body of a forwarded call, which is one message.
 const maxForwardBody = 4 << 20
 
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -8,7 +8,19 @@
 	"bamboorail.example/bamboorail"
 )
 
-var errOtherService = errors.New("the stream began at a service that the route no longer names")
+var (
+	errOtherService = errors.New("the stream began at a service that the route no longer names")
+	errNoOrigins    = errors.New("this instance keeps no origins of streams")
+)
+
+// noOrigins has no origins.
+type noOrigins struct{}
+
+func (noOrigins) Record(string, bamboorail.StreamOrigin) {}
+
+func (noOrigins) Find(context.Context, string, string) (bamboorail.StreamOrigin, error) {
+	return bamboorail.StreamOrigin{}, notRun("find-origin", bamboorail.KindUnknownOrigin, defaultRetryAfter, errNoOrigins)
+}
 
 // findOrigin restricts a call that resumes a stream to the service and the software
 // version that began it.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -117,8 +117,15 @@
 	pool *pool
 }
 
-// NewHandler returns a handler.
+// NewHandler returns a handler. Without origins no stream is resumed by its caller, and
+// without a detour no call is forwarded.
 func NewHandler(c Config) *Handler {
+	if c.Origins == nil {
+		c.Origins = noOrigins{}
+	}
+	if c.Detour == nil {
+		c.Detour = noDetour{}
+	}
 	return &Handler{Config: c, pool: newPool(c.Dialer)}
 }
 
