--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -46,19 +46,13 @@
 	Neighbors(ctx context.Context, address string, r *wire.NeighborsRequest) (*wire.NeighborsReply, error)
 }
 
-// Zone is an availability zone.
-type Zone struct {
-	Name  string
-	Lease *lease.Lease
-}
-
 // Config configures a detour.
 type Config struct {
 	Instance string
 	// Address is the address of this instance for others.
 	Address string
 	// Zones are the availability zones with their leases, the local zone first.
-	Zones  []Zone
+	Zones  []lease.Zone
 	Peers  Peers
 	Dialer relay.Dialer
 	// Targets returns all known targets.
@@ -239,7 +233,7 @@
 }
 
 // neighborsOf returns the instances of a zone that reach the targets.
-func (d *Detour) neighborsOf(ctx context.Context, z Zone) []string {
+func (d *Detour) neighborsOf(ctx context.Context, z lease.Zone) []string {
 	if z.Name == d.Zones[0].Name && z.Lease.Leading() {
 		return d.Members()
 	}
--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -75,7 +75,7 @@
 func newTestDetour(t *testing.T) (*Detour, *fakeNetwork) {
 	t.Helper()
 	store := memory.NewStore()
-	var zones []Zone
+	var zones []lease.Zone
 	for _, name := range []string{"a", "b"} {
 		key := "leases/" + name
 		if _, err := store.Put(t.Context(), key, fmt.Appendf(nil, `{"holder":"x","address":%q}`, "holder-"+name), 0); err != nil {
@@ -87,7 +87,7 @@
 			t.Fatal(err)
 		}
 		l.Observe(o)
-		zones = append(zones, Zone{Name: name, Lease: l})
+		zones = append(zones, lease.Zone{Name: name, Lease: l})
 	}
 	n := &fakeNetwork{neighbors: map[string][]string{"holder-a": {"a1", "self"}, "holder-b": {"b1"}}}
 	d := New(Config{
--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -2,16 +2,31 @@
 
 import (
 	"bamboorail.example/bamboorail/internal/detour"
+	"bamboorail.example/bamboorail/internal/lease"
+	"bamboorail.example/bamboorail/internal/origin"
 )
 
-// newDetour returns the detour of this instance.
-func (g *Gateway) newDetour() *detour.Detour {
-	zones := make([]detour.Zone, 0, len(g.holders))
+// leaseZones returns the availability zones with their leases, the local one first.
+func (g *Gateway) leaseZones() []lease.Zone {
+	zones := make([]lease.Zone, 0, len(g.holders))
 	for _, h := range g.holders {
-		zones = append(zones, detour.Zone{Name: h.Zone, Lease: h.Lease})
+		zones = append(zones, lease.Zone{Name: h.Zone, Lease: h.Lease})
 	}
+	return zones
+}
+
+// newOrigins returns the origins of streams that this instance records and stores.
+func (g *Gateway) newOrigins() *origin.Registry {
+	return origin.New(origin.Config{
+		Instance: g.initial.Instance, Zones: g.leaseZones(), Peers: g.peers, Store: g.platform.Store, Kind: originKind, Fleet: g.fleet,
+		Log: g.logs.Layer("origin"),
+	})
+}
+
+// newDetour returns the detour of this instance.
+func (g *Gateway) newDetour() *detour.Detour {
 	return detour.New(detour.Config{
-		Instance: g.initial.Instance, Address: g.initial.PeerAddress, Zones: zones, Peers: g.peers, Dialer: g.platform.Dialer,
+		Instance: g.initial.Instance, Address: g.initial.PeerAddress, Zones: g.leaseZones(), Peers: g.peers, Dialer: g.platform.Dialer,
 		Targets: g.fleet.Targets, Members: g.mirror.Members, OnChange: g.reachabilityChanged, Log: g.logs.Layer("detour"),
 	})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -218,10 +218,7 @@
 		Instances: g.instances, Log: g.logs.Layer("placer"),
 	})
 	g.mirror.SetOnReply(g.chooser.Learn)
-	g.origins = origin.New(origin.Config{
-		Instance: s.Instance, Zones: originZones(g.holders), Peers: g.peers, Store: g.platform.Store, Kind: originKind, Fleet: g.fleet,
-		Log: g.logs.Layer("origin"),
-	})
+	g.origins = g.newOrigins()
 	g.detour = g.newDetour()
 	g.mirror.SetReachability(s.PeerAddress, func() bool { return g.shuttingDown.Load() || g.detour.IsPartitioned() })
 	g.elector.SetResigned(g.detour.ShouldResign)
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -47,7 +47,7 @@
 type Config struct {
 	Instance string
 	// Zones are the availability zones with their leases, the local zone first.
-	Zones []Zone
+	Zones []lease.Zone
 	Peers Peers
 	Store bamboorail.ObjectStore
 	// Kind is the kind of the objects in the store.
@@ -56,12 +56,6 @@
 	Log   hclog.Logger
 }
 
-// Zone is an availability zone.
-type Zone struct {
-	Name  string
-	Lease *lease.Lease
-}
-
 // Registry holds the origins of streams in one instance.
 type Registry struct {
 	Config
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -51,7 +51,7 @@
 		t.Log("not a holder:", err)
 	}
 	return New(Config{
-		Instance: "self", Zones: []Zone{{Name: "z", Lease: l}}, Peers: noPeers{}, Store: store, Kind: testKind, Fleet: f, Log: hclog.NewNullLogger(),
+		Instance: "self", Zones: []lease.Zone{{Name: "z", Lease: l}}, Peers: noPeers{}, Store: store, Kind: testKind, Fleet: f, Log: hclog.NewNullLogger(),
 	})
 }
 
--- a/internal/origin/share.go
+++ b/internal/origin/share.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/lease"
 	"bamboorail.example/bamboorail/internal/peer/wire"
 	"bamboorail.example/bamboorail/internal/task"
 )
@@ -59,7 +60,7 @@
 }
 
 // send sends origins to the holder of a zone, and reports whether it took them.
-func (r *Registry) send(ctx context.Context, z Zone, b batch) bool {
+func (r *Registry) send(ctx context.Context, z lease.Zone, b batch) bool {
 	if z.Lease.Leading() {
 		r.journals[z.Name].add(b)
 		return true
