--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -50,7 +50,7 @@
 	reservation.Done(result, time.Since(sent))
 	x.attempts++
 	x.trail = append(x.trail, fmt.Sprintf("%s@%d software=%s wait=%d took=%d %s", reservation.Target.ID.Name, reservation.Version,
-		reservation.Target.Software, sent.Sub(started).Milliseconds(), time.Since(sent).Milliseconds(), outcome(err)))
+		reservation.Target.Software, sent.Sub(started).Milliseconds(), time.Since(sent).Milliseconds(), outcome(err)+causeOf(err)))
 	if err != nil && (result != balance.Misdirected || reservation.Assumed) {
 		x.avoid = append(x.avoid, reservation.Target.ID.Name)
 	}
@@ -95,6 +95,20 @@
 	return string(f.Kind) + "/" + string(f.Outcome)
 }
 
+// causeOf names what ended an attempt without an answer, to tell a timeout of this
+// instance from a failure of the target or of the connection.
+func causeOf(err error) string {
+	switch {
+	case errors.Is(err, errEventTimeout), errors.Is(err, errAttemptTimeout):
+		return " silent"
+	case errors.Is(err, syscall.ETIMEDOUT):
+		return " unacknowledged"
+	case closedByTarget(err):
+		return " closed"
+	}
+	return ""
+}
+
 // withEarlierAttempts adjusts a failure to the earlier attempts: a call that
 // was sent once may have run, whatever prevented the next attempt.
 func (x *exchange) withEarlierAttempts(ctx context.Context, err error, op string) error {
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -93,7 +93,7 @@
 	if !bamboorail.NotRun(err) {
 		x.sent++
 	}
-	x.trail = append(x.trail, fmt.Sprintf("via %s took=%d %s", address, time.Since(started).Milliseconds(), outcome(err)))
+	x.trail = append(x.trail, fmt.Sprintf("via %s took=%d %s", address, time.Since(started).Milliseconds(), outcome(err)+causeOf(err)))
 	if err == nil {
 		return true, nil
 	}
