--- a/internal/relay/testrelay_test.go
+++ b/internal/relay/testrelay_test.go
@@ -208,6 +208,8 @@
 	// leaving names a target that starts to leave while the call waits for it.
 	leaving string
 	wait    time.Duration
+	// spareWait is the wait for targets other than the first.
+	spareWait time.Duration
 	// assumed sets Assumed in all reservations.
 	assumed bool
 
@@ -216,7 +218,7 @@
 }
 
 func (c *fakeChooser) Choose(_ context.Context, req ChooseRequest) (Reservation, error) {
-	for _, g := range c.targets {
+	for n, g := range c.targets {
 		avoided := false
 		for _, name := range req.Avoid {
 			avoided = avoided || name == g.entry.ID.Name
@@ -224,9 +226,12 @@
 		if avoided {
 			continue
 		}
-		name := g.entry.ID.Name
+		name, wait := g.entry.ID.Name, c.wait
+		if n > 0 {
+			wait = max(wait, c.spareWait)
+		}
 		return Reservation{
-			Target: g.entry, ReadyAt: time.Now().Add(c.wait), Assumed: c.assumed, Valid: func() bool { return name != c.leaving },
+			Target: g.entry, ReadyAt: time.Now().Add(wait), Assumed: c.assumed, Valid: func() bool { return name != c.leaving },
 			Done: func(r balance.Result, _ time.Duration) {
 				c.mu.Lock()
 				defer c.mu.Unlock()
@@ -255,6 +260,7 @@
 	origins fakeOrigins
 	detour  fakeDetour
 	handler *Handler
+	budget  *retry.WindowBudget
 }
 
 // fakeOrigins are the origins of streams by call.
@@ -277,12 +283,11 @@
 		spec.Timeout = 5 * time.Second
 	}
 	table := route.NewTable(bamboorail.Configuration{Version: 1, Routes: []bamboorail.RouteSpec{spec}})
-	budget := retry.NewWindowBudget(1, 100, 10*time.Second)
-	b := &testRelay{origins: fakeOrigins{}, chooser: &fakeChooser{targets: targets}, advisories: map[string][]bamboorail.Advisory{}, spans: telemetry.NewSpanStore("i", 64)}
+	b := &testRelay{budget: retry.NewWindowBudget(1, 100, 10*time.Second), origins: fakeOrigins{}, chooser: &fakeChooser{targets: targets}, advisories: map[string][]bamboorail.Advisory{}, spans: telemetry.NewSpanStore("i", 64)}
 	handler := NewHandler(Config{
 		Tracer:  telemetry.NewTracer(b.spans),
 		Ingress: testDialect{}, Egress: testDialect{}, Table: func() *route.Table { return table }, Chooser: b.chooser,
-		Budget: func(string) *retry.WindowBudget { return budget }, Dialer: NewDialer(), Metrics: telemetry.NewMetrics(),
+		Budget: func(string) *retry.WindowBudget { return b.budget }, Dialer: NewDialer(), Metrics: telemetry.NewMetrics(),
 		Advise: func(id bamboorail.TargetID, a bamboorail.Advisory) {
 			b.advisories[id.Name] = append(b.advisories[id.Name], a)
 		},
