relay: an attempt is given up only for one that was answered

Callers saw: resumable streams cut in the middle of the answer, and idempotent calls answered 502 or 504, while their target was silent for a second or so and would have continued.

Cause: after 1.2 s without an event, or some objectives without a head, the attempt was canceled first. Only then the retry budget was asked, a target chosen and the call sent. Any failure of these steps ended the call.

Change: a silent attempt goes on. Another leg starts beside it if route and budget permit one, and takes its place once it is answered (a stream: once its first bytes are there); the first event or head of the silent one ends the other leg. If no leg may start or it fails, another one is tried 300 ms later. The time in which a caller does not read no longer counts as silence of the target.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -28,11 +27,14 @@
 	readSize = 16 << 10
 )
 
-// forwardAnswer forwards the response of a target to the caller.
-func (x *exchange) forwardAnswer(
-	ctx context.Context, cancel context.CancelCauseFunc, target bamboorail.TargetEntry, resp *http.Response,
-) (balance.Result, error) {
+// forwardAnswer forwards the answer of a leg to the caller.
+func (x *exchange) forwardAnswer(l *leg) (balance.Result, error) {
 	const op = "pass-answer"
+	resp := l.response
+	if !x.committed && l.origin.Service != "" && l.origin.Service != x.service.Name {
+		x.setService(l.origin.Service)
+	}
+	x.target = l.target.ID.Name
 	x.framing, x.answer = httpport.FramingOf(resp), eventstream.Tracker{}
 	events := x.isEventStream(resp)
 	if events {
@@ -41,25 +43,26 @@
 		resp.ContentLength = -1
 	}
 	if x.route.Streaming && resp.StatusCode == http.StatusOK && (events || !x.committed) {
-		x.recordOrigin(target)
-		return x.forwardStream(ctx, cancel, resp, events)
+		x.recordOrigin(l.target)
+		return x.forwardStream(l, events)
 	}
 	if x.committed || (resp.StatusCode >= http.StatusInternalServerError && x.mayRetryAnswer()) {
 		// The failure of a second target must not end the stream of the first
 		// as if it were complete.
 		return balance.Failed, mayHaveRun(op, bamboorail.KindTargetFailed, fmt.Errorf("the target answered with status %d", resp.StatusCode))
 	}
-	return x.forwardBuffered(ctx, resp, events)
+	return x.forwardBuffered(l, events)
 }
 
 // forwardBuffered forwards an answer once it is whole, or the first
 // maxBufferedAnswer bytes of it are.
-func (x *exchange) forwardBuffered(ctx context.Context, resp *http.Response, events bool) (balance.Result, error) {
+func (x *exchange) forwardBuffered(l *leg, events bool) (balance.Result, error) {
 	const op = "pass-answer"
+	resp := l.response
 	body := &answerReader{x: x, body: resp.Body, events: events}
 	head, err := io.ReadAll(io.LimitReader(body, maxBufferedAnswer))
 	if err != nil {
-		return x.truncatedError(ctx, op, err)
+		return x.truncatedError(l, op, err)
 	}
 	result, whole := balance.Answered, len(head) < maxBufferedAnswer
 	if resp.StatusCode >= http.StatusInternalServerError {
@@ -76,7 +79,7 @@
 		return result, nil
 	}
 	if _, err := io.Copy(x.w, body); err != nil {
-		return x.truncatedError(ctx, op, err)
+		return x.truncatedError(l, op, err)
 	}
 	return result, nil
 }
@@ -114,21 +117,15 @@
 // mayRetryAnswer reports whether a call that the target answered with a failure
 // may be run again.
 func (x *exchange) mayRetryAnswer() bool {
-	return x.route.Repeat != bamboorail.RepeatNever && x.runs < x.route.MaxAttempts && x.sent < maxSent &&
+	return x.route.Repeat != bamboorail.RepeatNever && x.attempted.runs < x.route.MaxAttempts && x.attempted.sent < maxSent &&
 		time.Until(x.deadline) > x.route.Objective/2 && x.budget().Available(time.Now())
 }
 
 // truncatedError returns the failure of an answer that did not arrive
 // completely.
-func (x *exchange) truncatedError(ctx context.Context, op string, err error) (balance.Result, error) {
-	switch {
-	case errors.Is(context.Cause(ctx), errEventTimeout):
-		x.h.Detour.RecordSilence()
-		return balance.Unreachable, mayHaveRun(op, bamboorail.KindTruncated, errEventTimeout)
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return balance.Abandoned, mayHaveRun(op, bamboorail.KindDeadlineExceeded, err)
-	case ctx.Err() != nil:
-		return balance.Abandoned, mayHaveRun(op, bamboorail.KindCancelled, err)
+func (x *exchange) truncatedError(l *leg, op string, err error) (balance.Result, error) {
+	if result, err := l.canceledError(op, bamboorail.KindTruncated, err); err != nil {
+		return result, err
 	}
 	result := balance.Failed
 	if x.answer.Bytes() <= startBytes && (closedByTarget(err) || errors.Is(err, eventstream.ErrNoEvent) || errors.Is(err, eventstream.ErrInsideEvent)) {
@@ -162,53 +159,60 @@
 }
 
 // forwardStream forwards the parts of a stream as they arrive.
-func (x *exchange) forwardStream(ctx context.Context, cancel context.CancelCauseFunc, resp *http.Response, events bool) (balance.Result, error) {
+func (x *exchange) forwardStream(l *leg, events bool) (balance.Result, error) {
 	const op = "pass-stream"
 	resumable := events && x.route.Repeat == bamboorail.RepeatResume
 	x.resumable = x.resumable || resumable
-	x.commit(resp)
+	x.commit(l.response)
 	flusher := http.NewResponseController(x.w)
-	watched := resumable && x.runs < x.route.MaxAttempts
-	eventTimer := time.AfterFunc(eventTimeout, func() { cancel(errEventTimeout) })
-	defer eventTimer.Stop()
-	if !watched {
-		eventTimer.Stop()
+	if resumable && x.attempted.runs < x.route.MaxAttempts {
+		x.standby.watch(eventTimeout, errEventTimeout, x.legStart(), x.attempted)
 	}
 	x.events.discardPartial()
-	body, buffer := &answerReader{x: x, body: resp.Body, events: events}, make([]byte, readSize)
+	body, buffer := &answerReader{x: x, body: l.response.Body, events: events}, make([]byte, readSize)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
-			forwarded, sendErr := x.forwardChunk(flusher, buffer[:n], resumable)
-			if sendErr != nil {
-				return balance.Abandoned, mayHaveRun(op, bamboorail.KindCancelled, sendErr)
-			}
-			if watched && forwarded {
-				// A byte now and then is no event.
-				eventTimer.Reset(eventTimeout)
+			if sendErr := x.forwardChunk(flusher, buffer[:n], resumable); sendErr != nil {
+				return x.chunkError(op, sendErr)
 			}
 		}
+		if err == nil {
+			continue
+		}
 		if errors.Is(err, io.EOF) {
 			return balance.Answered, nil
 		}
-		if err != nil {
-			return x.truncatedError(ctx, op, err)
-		}
+		return x.truncatedError(l, op, err)
 	}
 }
 
+// chunkError returns the failure to forward a part of a stream.
+func (x *exchange) chunkError(op string, err error) (balance.Result, error) {
+	if errors.Is(err, errEventTimeout) {
+		return balance.Unreachable, mayHaveRun(op, bamboorail.KindTruncated, err)
+	}
+	return balance.Abandoned, mayHaveRun(op, bamboorail.KindCancelled, err)
+}
+
 // forwardChunk forwards bytes of a stream. Of a resumable stream it forwards
 // only complete events, so that another target can continue after the last one. It
-// reports whether anything was forwarded.
-func (x *exchange) forwardChunk(flusher *http.ResponseController, data []byte, resumable bool) (bool, error) {
+// returns errEventTimeout if another target already does.
+func (x *exchange) forwardChunk(flusher *http.ResponseController, data []byte, resumable bool) error {
 	if resumable {
 		var err error
+		// A byte now and then is no event, and no progress.
 		if data, err = x.events.add(data); err != nil || len(data) == 0 {
-			return false, err
+			return err
+		}
+		if !x.standby.progress(x.events.lastID) {
+			return errEventTimeout
 		}
+		// The time in which the caller does not read is not the target's.
+		defer x.standby.resume()
 	}
 	if _, err := x.w.Write(data); err != nil {
-		return false, err
+		return err
 	}
-	return true, flusher.Flush()
+	return flusher.Flush()
 }
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"net/url"
 	"slices"
 	"time"
 
 	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/balance"
 )
 
 // ForwardCall is a call that an instance forwards to another one, which reaches the
@@ -80,66 +80,62 @@
 	return &Error{bamboorail.Failure{Op: "forward-call", Kind: bamboorail.KindUnavailable, Outcome: outcome, Err: errors.Join(errNeighborFailed, err)}}
 }
 
-// forward runs the call through the instance at address. It reports whether another
-// attempt is useful: the other instance has already made its own.
-func (x *exchange) forward(ctx context.Context, address string) (bool, error) {
-	const op = "forward-call"
-	started := time.Now()
-	x.neighbors = append(x.neighbors, address)
-	sendCtx, span := startSpan(ctx, x.h.Tracer, "instance "+address)
-	err := x.exchangeForward(sendCtx, address)
-	endSpan(span, err)
-	x.attempts++
-	if !bamboorail.NotRun(err) {
-		x.sent++
-	}
-	x.trail = append(x.trail, fmt.Sprintf("via %s took=%d %s", address, time.Since(started).Milliseconds(), outcome(err)+causeOf(err)))
-	if err == nil {
-		return true, nil
+// neighbor returns the address of the instance to which the call is forwarded, empty if it
+// is not.
+func (x *exchange) neighbor(tried []string) string {
+	if x.forwarded != nil || len(x.body) > maxForwardBody {
+		return ""
 	}
-	again := errors.Is(err, errNeighborFailed) || bamboorail.KindOf(err) == bamboorail.KindTruncated || bamboorail.KindOf(err) == bamboorail.KindNoTarget
-	if x.runs > 0 && bamboorail.NotRun(err) {
-		err = mayHaveRun(op, bamboorail.KindOf(err), err)
+	address, ok := x.h.Detour.Next(tried)
+	if !ok {
+		return ""
 	}
-	return again, err
+	return address
 }
 
-func (x *exchange) exchangeForward(ctx context.Context, address string) error {
+// openThrough runs the call through another instance, which makes its own attempts.
+func (l *leg) openThrough() {
 	const op = "forward-call"
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	watchdog := time.AfterFunc(min(time.Until(x.deadline), forwardTimeoutFactor*x.attemptTimeout()), func() { cancel(errAttemptTimeout) })
-	defer watchdog.Stop()
-	answer, err := x.h.Detour.Forward(ctx, address, x.forwardCall())
+	sendCtx, span := startSpan(l.ctx, l.x.h.Tracer, "instance "+l.neighbor)
+	l.span = span
+	if l.err = l.admit(); l.err != nil {
+		l.result = balance.Abandoned
+		return
+	}
+	answer, err := l.x.h.Detour.Forward(sendCtx, l.neighbor, l.forwardCall())
 	if err != nil {
-		if !bamboorail.NotRun(err) {
-			x.runs++
+		l.ran, l.sent = !bamboorail.NotRun(err), !bamboorail.NotRun(err)
+		l.found = useful(err)
+		if l.start.runs > 0 && bamboorail.NotRun(err) {
+			err = mayHaveRun(op, bamboorail.KindOf(err), err)
 		}
-		return err
-	}
-	watchdog.Stop()
-	defer answer.Response.Body.Close()
-	x.runs++
-	if x.h.Egress.Classify(answer.Response, &x.call) != bamboorail.ResponseValid {
-		return mayHaveRun(op, bamboorail.KindMismatch, errInvalidResponse)
+		l.err = err
+		return
 	}
-	if !x.committed && answer.Origin.Service != "" && answer.Origin.Service != x.service.Name {
-		x.setService(answer.Origin.Service)
+	l.response, l.origin, l.sent, l.ran, l.found = answer.Response, answer.Origin, true, true, true
+	l.target = bamboorail.TargetEntry{ID: bamboorail.TargetID{Name: answer.Target}, Software: answer.Origin.Software}
+	if l.x.h.Egress.Classify(answer.Response, &l.x.call) != bamboorail.ResponseValid {
+		l.err = mayHaveRun(op, bamboorail.KindMismatch, errInvalidResponse)
 	}
-	target := bamboorail.TargetEntry{ID: bamboorail.TargetID{Name: answer.Target}, Software: answer.Origin.Software}
-	_, err = x.forwardAnswer(ctx, cancel, target, answer.Response)
-	return err
 }
 
-func (x *exchange) forwardCall() ForwardCall {
+// useful reports whether another attempt is useful after one through another instance,
+// which has already made its own.
+func useful(err error) bool {
+	kind := bamboorail.KindOf(err)
+	return errors.Is(err, errNeighborFailed) || kind == bamboorail.KindTruncated || kind == bamboorail.KindNoTarget
+}
+
+func (l *leg) forwardCall() ForwardCall {
+	x := l.x
 	header := x.call.Header
-	if x.events.lastID != "" {
+	if l.start.lastEvent != "" {
 		header = header.Clone()
-		x.h.Egress.SetLastEvent(header, x.events.lastID)
+		x.h.Egress.SetLastEvent(header, l.start.lastEvent)
 	}
 	return ForwardCall{
 		Instance: x.h.Instance, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: header, Body: x.body,
-		Remaining: time.Until(x.deadline), StartWithin: time.Until(x.startBy), Service: x.service.Name, Software: x.software, Runs: x.runs,
+		Remaining: time.Until(x.deadline), StartWithin: time.Until(l.start.startBy), Service: l.start.service.Name, Software: l.start.software, Runs: l.start.runs,
 	}
 }
 
@@ -162,7 +158,7 @@
 		Method: c.Method, URL: target, RequestURI: c.URI, Host: c.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: c.Header, Body: http.NoBody, ContentLength: int64(len(c.Body)),
 	}).WithContext(ctx)
-	x := &exchange{h: h, w: w, r: r, received: time.Now(), forwarded: &c, body: c.Body, runs: c.Runs, software: c.Software}
+	x := &exchange{h: h, w: w, r: r, received: time.Now(), forwarded: &c, body: c.Body, attempted: counts{runs: c.Runs}, software: c.Software}
 	w.x = x
 	span := x.startTrace()
 	err = x.run()
--- /dev/null
+++ b/internal/relay/leg.go
@@ -0,0 +1,320 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"go.opentelemetry.io/otel/trace"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/balance"
+	"bamboorail.example/bamboorail/internal/task"
+)
+
+// legStart is the state of a call in which a leg starts.
+type legStart struct {
+	service   bamboorail.ServiceSpec
+	software  string
+	lastEvent string
+	// committed and resumable are those of the exchange.
+	committed, resumable bool
+
+	avoid     []string
+	neighbors []string
+	runs      int
+	startBy   time.Time
+}
+
+// legStart returns the current state of the call.
+func (x *exchange) legStart() legStart {
+	start := legStart{
+		service: x.service, software: x.software, lastEvent: x.events.lastID, committed: x.committed, resumable: x.resumable,
+		avoid: x.avoid, neighbors: x.neighbors, runs: x.attempted.runs, startBy: x.startBy,
+	}
+	if x.committed {
+		start.startBy = time.Now().Add(resumeTimeout)
+	}
+	return start
+}
+
+// leg is one attempt to run a call, at a target or through another instance. It does not
+// change its exchange, so that two legs can run at the same time.
+type leg struct {
+	x      *exchange
+	start  legStart
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// neighbor is the address of the instance that runs the call, empty for a target.
+	neighbor string
+	// admit is called when the call is about to be sent. The leg ends if it returns an
+	// error.
+	admit func() error
+	// standby is set for a leg that started beside another one.
+	standby bool
+
+	reservation     Reservation
+	origin          bamboorail.StreamOrigin
+	target          bamboorail.TargetEntry
+	response        *http.Response
+	span            trace.Span
+	started, sentAt time.Time
+	// admitted is set once a standby leg is counted as sent.
+	admitted bool
+	// found is set if another attempt is useful after this one, sent if the call may
+	// have reached a target, and ran if a target may have run it.
+	found, sent, ran bool
+	result           balance.Result
+	err              error
+	// avoid and trail are what the leg adds to those of the call.
+	avoid, trail []string
+}
+
+// newLeg returns a leg that has not been opened.
+func (x *exchange) newLeg(ctx context.Context, start legStart) *leg {
+	l := &leg{x: x, start: start, neighbor: x.neighbor(start.neighbors), admit: func() error { return nil }}
+	l.ctx, l.cancel = context.WithCancelCause(ctx)
+	return l
+}
+
+// open sends the call and waits for the head of the answer. If there is none, or one that
+// is not the answer to the call, the leg ends with an error.
+func (l *leg) open() {
+	l.started = time.Now()
+	l.sentAt = l.started
+	if l.neighbor != "" {
+		l.openThrough()
+	} else {
+		l.openDirect()
+	}
+	if l.err != nil {
+		l.end(l.result, l.err)
+	}
+}
+
+func (l *leg) openDirect() {
+	chooseCtx, span := startSpan(l.ctx, l.x.h.Tracer, "choose")
+	err := l.reserve(chooseCtx)
+	endSpan(span, err)
+	if err == nil {
+		err = l.admit()
+	}
+	if err != nil {
+		l.result, l.err = balance.Abandoned, err
+		return
+	}
+	l.found, l.sentAt = true, time.Now()
+	sendCtx, span := startSpan(l.ctx, l.x.h.Tracer, "target "+l.target.ID.Name)
+	l.span = span
+	l.send(sendCtx)
+}
+
+// reserve chooses a target and waits until it can run the call. If the target starts to
+// leave meanwhile, another one is chosen.
+func (l *leg) reserve(ctx context.Context) error {
+	const op = "await-adapter"
+	x := l.x
+	for {
+		reservation, err := x.h.Chooser.Choose(ctx, ChooseRequest{
+			Call: &x.call, Route: x.route, Service: l.start.service, Avoid: l.start.avoid, Software: l.start.software, Runs: l.start.runs,
+			Received: x.received, StartBy: l.start.startBy,
+		})
+		if err != nil {
+			l.trail = append(l.trail, "no-place")
+			return err
+		}
+		if reservation.ReadyAt.After(l.start.startBy) {
+			reservation.Done(balance.Abandoned, 0)
+			return notRun(op, bamboorail.KindOverloaded, time.Until(reservation.ReadyAt), errTooLate)
+		}
+		if err := task.Sleep(ctx, time.Until(reservation.ReadyAt)); err != nil {
+			reservation.Done(balance.Abandoned, 0)
+			return notRun(op, bamboorail.KindDeadlineExceeded, defaultRetryAfter, err)
+		}
+		if reservation.Valid() && (l.start.software == "" || reservation.Target.Software == l.start.software) {
+			l.reservation, l.target = reservation, reservation.Target
+			return nil
+		}
+		reservation.Done(balance.Abandoned, 0)
+		name := reservation.Target.ID.Name
+		l.start.avoid = append(slices.Clip(l.start.avoid), name)
+		l.avoid = append(l.avoid, name)
+		l.trail = append(l.trail, name+" left")
+	}
+}
+
+// send runs the call at the reserved target.
+func (l *leg) send(ctx context.Context) {
+	const op = "send-call"
+	x := l.x
+	l.sent = true
+	single := x.route.Repeat == bamboorail.RepeatNever && !x.route.Streaming
+	resp, err := x.h.pool.transport(l.target, single).RoundTrip(l.newRequest().WithContext(ctx)) //nolint:bodyclose // closed by end
+	if err != nil {
+		l.result, l.err = l.transportError(op, err)
+		return
+	}
+	class := x.h.Egress.Classify(resp, &x.call)
+	x.advise(l.target.ID, resp, class)
+	x.h.pool.limitIdle(l.target.ID, resp.Header.Get("Keep-Alive"))
+	l.response = resp
+	switch class {
+	case bamboorail.ResponseNotRun:
+		l.result, l.err = balance.Refused, l.refusedError(op, resp)
+		return
+	case bamboorail.ResponseMisdirected:
+		l.result, l.err = balance.Misdirected, l.refusedError(op, resp)
+		return
+	}
+	l.ran = true
+	if class == bamboorail.ResponseInvalid {
+		l.result, l.err = balance.Failed, mayHaveRun(op, bamboorail.KindMismatch, errInvalidResponse)
+	}
+}
+
+// end releases what the leg holds. It is called once.
+func (l *leg) end(result balance.Result, err error) {
+	l.result, l.err = result, err
+	if l.response != nil {
+		l.response.Body.Close()
+	}
+	l.cancel(nil)
+	if l.span != nil {
+		endSpan(l.span, err)
+	}
+	took := time.Since(l.sentAt)
+	if l.reservation.Done != nil {
+		l.reservation.Done(result, took)
+	}
+	if entry := l.describe(took); entry != "" {
+		l.trail = append(l.trail, entry)
+	}
+	if err != nil && l.sent && l.neighbor == "" && (result != balance.Misdirected || l.reservation.Assumed) {
+		l.avoid = append(l.avoid, l.target.ID.Name)
+	}
+}
+
+// describe returns the entry of the leg in the trail, empty if nothing was sent.
+func (l *leg) describe(took time.Duration) string {
+	suffix := outcome(l.err) + causeOf(l.err)
+	if l.standby {
+		suffix += " standby"
+	}
+	switch {
+	case l.neighbor != "":
+		return fmt.Sprintf("via %s took=%d %s", l.neighbor, took.Milliseconds(), suffix)
+	case !l.found:
+		return ""
+	}
+	return fmt.Sprintf("%s@%d software=%s wait=%d took=%d %s", l.target.ID.Name, l.reservation.Version,
+		l.target.Software, l.sentAt.Sub(l.started).Milliseconds(), took.Milliseconds(), suffix)
+}
+
+func outcome(err error) string {
+	if err == nil {
+		return "answered"
+	}
+	f := bamboorail.FailureOf(err)
+	return string(f.Kind) + "/" + string(f.Outcome)
+}
+
+// causeOf names what ended an attempt without an answer, to tell a timeout of this
+// instance from a failure of the target or of the connection.
+func causeOf(err error) string {
+	switch {
+	case errors.Is(err, errEventTimeout), errors.Is(err, errAttemptTimeout):
+		return " silent"
+	case errors.Is(err, errSuperseded):
+		return " superseded"
+	case errors.Is(err, syscall.ETIMEDOUT):
+		return " unacknowledged"
+	case closedByTarget(err):
+		return " closed"
+	}
+	return ""
+}
+
+// refusedError returns the failure of a call that the target refused to run.
+func (l *leg) refusedError(op string, resp *http.Response) error {
+	err := fmt.Errorf("the target refused with status %d", resp.StatusCode)
+	if l.start.runs > 0 {
+		return mayHaveRun(op, bamboorail.KindOverloaded, err)
+	}
+	return notRun(op, bamboorail.KindOverloaded, defaultRetryAfter, err)
+}
+
+// transportError returns the failure of a call without a response. Only a
+// connection that could not be established proves that the target did not run
+// the call.
+func (l *leg) transportError(op string, err error) (balance.Result, error) {
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		// The call did not reach the target, so it does not count against the
+		// budget.
+		l.sent = false
+		if l.start.runs > 0 {
+			return balance.Unreachable, mayHaveRun(op, bamboorail.KindUnavailable, err)
+		}
+		return balance.Unreachable, notRun(op, bamboorail.KindUnavailable, defaultRetryAfter, err)
+	}
+	l.ran = true
+	if result, err := l.canceledError(op, bamboorail.KindDeadlineExceeded, err); err != nil {
+		return result, err
+	}
+	if closedByTarget(err) {
+		return balance.Dropped, mayHaveRun(op, bamboorail.KindUnavailable, err)
+	}
+	return balance.Unreachable, mayHaveRun(op, bamboorail.KindUnavailable, err)
+}
+
+// canceledError returns the failure of a leg whose context ended, or no error. A leg that
+// was replaced because of its silence has the given kind.
+func (l *leg) canceledError(op string, silent bamboorail.Kind, err error) (balance.Result, error) {
+	cause := context.Cause(l.ctx)
+	switch {
+	case errors.Is(cause, errAttemptTimeout), errors.Is(cause, errEventTimeout):
+		return balance.Unreachable, mayHaveRun(op, silent, cause)
+	case errors.Is(cause, errSuperseded):
+		return balance.Abandoned, mayHaveRun(op, bamboorail.KindCancelled, cause)
+	case errors.Is(l.ctx.Err(), context.DeadlineExceeded):
+		return balance.Abandoned, mayHaveRun(op, bamboorail.KindDeadlineExceeded, err)
+	case l.ctx.Err() != nil:
+		return balance.Abandoned, mayHaveRun(op, bamboorail.KindCancelled, err)
+	}
+	return balance.Answered, nil
+}
+
+// closedByTarget reports whether the target ended the connection, in contrast to a
+// connection that timed out.
+func closedByTarget(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// newRequest builds the request to the target. Method, path and body are byte
+// for byte those of the caller.
+func (l *leg) newRequest() *http.Request {
+	x := l.x
+	target := &url.URL{Scheme: "http", Host: l.target.Address, RawQuery: x.r.URL.RawQuery, ForceQuery: x.r.URL.ForceQuery}
+	if path := x.path(); strings.HasPrefix(path, "//") {
+		target.Path, target.RawPath = x.r.URL.Path, x.r.URL.RawPath
+	} else {
+		target.Opaque = path
+	}
+	req := &http.Request{
+		Method: x.r.Method, URL: target, Host: x.r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Body: newSingleUseBody(x.body), ContentLength: int64(len(x.body)),
+	}
+	x.h.Egress.Encode(req, &x.call, bamboorail.Attempt{
+		Target: l.target.ID, Remaining: time.Until(x.deadline), AdapterVersion: l.reservation.Version,
+		LastEvent: l.start.lastEvent, Priority: x.route.Priority,
+	})
+	return req
+}
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -54,7 +54,7 @@
 	fields := []any{
 		"id", x.call.ID, "route", x.route.Name, "config", x.version, "service", x.service.Name,
 		"model", x.call.Key.Model, "adapter", x.call.Key.Adapter, "status", x.status,
-		"took-ms", took.Milliseconds(), "first-ms", x.firstByte.Milliseconds(), "sent", x.sent, "trail", x.trail,
+		"took-ms", took.Milliseconds(), "first-ms", x.firstByte.Milliseconds(), "sent", x.attempted.sent, "trail", x.trail,
 	}
 	if x.call.Fingerprint != "" {
 		fields = append(fields, "fingerprint", x.call.Fingerprint)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -183,14 +183,11 @@
 	// before it begins.
 	software string
 	// framing and answer describe the body of the last response.
-	framing httpport.Framing
-	answer  eventstream.Tracker
-	// attempts counts the targets chosen, sent those that the call reached, and
-	// runs those that may have run it.
-	attempts int
-	sent     int
-	runs     int
-	avoid    []string
+	framing   httpport.Framing
+	answer    eventstream.Tracker
+	attempted counts
+	avoid     []string
+	standby   *standby
 	// target is the one whose answer is forwarded. neighbors are the instances to which
 	// the call was forwarded, forwarded is the call of another instance.
 	target    string
@@ -209,34 +206,7 @@
 	if err := x.findOrigin(ctx); err != nil {
 		return err
 	}
-	for first := true; ; first = false {
-		sentBefore := x.sent
-		neighbor, detour := x.neighbor()
-		if first && !detour {
-			// The instance that sends the call to a target counts it.
-			x.budget().RecordRequest(x.received)
-		}
-		try := x.attempt
-		if detour {
-			try = func(ctx context.Context) (bool, error) { return x.forward(ctx, neighbor) }
-		}
-		found, err := try(ctx)
-		if err == nil || !found || !x.mayRepeat(ctx, err) {
-			return err
-		}
-		if x.sent > sentBefore && !x.budget().Take(time.Now()) {
-			x.trail = append(x.trail, "no-budget")
-			return err
-		}
-	}
-}
-
-// neighbor returns the instance to which the call is forwarded, if it is.
-func (x *exchange) neighbor() (string, bool) {
-	if x.forwarded != nil || len(x.body) > maxForwardBody {
-		return "", false
-	}
-	return x.h.Detour.Next(x.neighbors)
+	return x.concluded(ctx, x.runLegs(ctx))
 }
 
 func (x *exchange) budget() *retry.WindowBudget { return x.h.Budget(x.service.Name) }
@@ -340,23 +310,3 @@
 	x.call.Fingerprint = fingerprint(x.r, x.body)
 	return nil
 }
-
-// mayRepeat reports whether the call may be sent to another target after err.
-func (x *exchange) mayRepeat(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || x.attempts >= maxAttempts || x.sent >= maxSent {
-		return false
-	}
-	if bamboorail.NotRun(err) {
-		return true
-	}
-	if x.runs >= x.route.MaxAttempts {
-		return false
-	}
-	switch x.route.Repeat {
-	case bamboorail.RepeatAlways:
-		return !x.committed
-	case bamboorail.RepeatResume:
-		return !x.committed || x.resumable
-	}
-	return false
-}
--- a/internal/relay/tracing.go
+++ b/internal/relay/tracing.go
@@ -24,7 +24,7 @@
 // endTrace ends the span of the whole call.
 func (x *exchange) endTrace(span trace.Span, err error) {
 	span.SetName("entry " + x.route.Name)
-	span.SetAttributes(telemetry.RequestIDKey.String(x.call.ID), attribute.Int("status", x.status), attribute.Int("sent", x.sent))
+	span.SetAttributes(telemetry.RequestIDKey.String(x.call.ID), attribute.Int("status", x.status), attribute.Int("sent", x.attempted.sent))
 	endSpan(span, err)
 }
 
