relay: the name of a silent leg is read by one goroutine only

Cause: the timer of a standby read the target of a forwarded leg, which its call sets when the answer begins: a data race, found by reading. Change: the name is taken when the watch begins.

--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -68,9 +69,11 @@
 	// end of the current one, zero while the current leg is not watched.
 	wait time.Duration
 	due  time.Time
-	// cause is the reason for which the current leg is given up.
-	cause error
-	start legStart
+	// silent is the name of the target or instance of the current leg, cause the reason for
+	// which that leg is given up.
+	silent string
+	cause  error
+	start  legStart
 	// counts are the attempts so far, with the current one.
 	counts counts
 	// next is the leg that runs, or that was answered if won is set.
@@ -98,6 +101,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.wait, s.cause, s.start, s.counts = wait, cause, start, c
+	s.silent = cmp.Or(s.current.neighbor, s.current.target.ID.Name)
 	s.exclude(s.current)
 	s.arm(wait)
 }
@@ -171,7 +175,7 @@
 	if start.committed {
 		start.startBy = now.Add(resumeTimeout)
 	}
-	s.x.h.Log.Info("target is silent, another attempt starts", "id", s.x.call.ID, "target", s.current.target.ID.Name,
+	s.x.h.Log.Info("target is silent, another attempt starts", "id", s.x.call.ID, "target", s.silent,
 		"silent-ms", s.wait.Milliseconds(), "after-event", start.lastEvent)
 	l := s.x.newLeg(s.ctx, start)
 	l.standby = true
