relay: the test harness records under a lock

Cause: two legs of a call may be answered at once, and the harness wrote what targets say of themselves, and forwarded calls, without a lock. Change: locks; no check is changed.

--- a/internal/relay/detour_test.go
+++ b/internal/relay/detour_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,8 +17,10 @@
 type fakeDetour struct {
 	neighbors map[string]func(ctx context.Context, c ForwardCall) (ForwardedAnswer, error)
 	order     []string
-	calls     []ForwardCall
-	silences  int
+
+	mu       sync.Mutex
+	calls    []ForwardCall
+	silences int
 }
 
 func (d *fakeDetour) Next(tried []string) (string, bool) {
@@ -30,11 +33,17 @@
 }
 
 func (d *fakeDetour) Forward(ctx context.Context, address string, c ForwardCall) (ForwardedAnswer, error) {
+	d.mu.Lock()
 	d.calls = append(d.calls, c)
+	d.mu.Unlock()
 	return d.neighbors[address](ctx, c)
 }
 
-func (d *fakeDetour) RecordSilence() { d.silences++ }
+func (d *fakeDetour) RecordSilence() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.silences++
+}
 
 // recordedAnswer is a forward writer that keeps the answer.
 type recordedAnswer struct {
