relay: a target that accepts no connection is not tried again by the call

Cause: the fix of silent targets put a target on the list to avoid only if the call had reached it. Evidence: TestUnreachableTargetIsNotTriedAgain failed for all three kinds of route, passes now.

--- a/internal/relay/leg.go
+++ b/internal/relay/leg.go
@@ -197,7 +197,7 @@
 	if entry := l.describe(took); entry != "" {
 		l.trail = append(l.trail, entry)
 	}
-	if err != nil && l.sent && l.neighbor == "" && (result != balance.Misdirected || l.reservation.Assumed) {
+	if err != nil && l.found && l.neighbor == "" && (result != balance.Misdirected || l.reservation.Assumed) {
 		l.avoid = append(l.avoid, l.target.ID.Name)
 	}
 }
