relay: standby attempts win by an event, and count in every way

Callers would have seen (review of, shown by its trial tests): a stream cut, or an answer lost, because a standby attempt won by its head or half an event and broke; a 502 in place of a target's own 500 or of the answer of a standby under way; with three attempts, two silent targets that kept a call from the third one.

Cause: the first bytes decided; a failure of the silent target superseded its standby; a silent standby was never given up. Attempts that ended before the head of the answer were not counted for the rest of the call, so that max-attempts could be exceeded by one; the retry budget was charged for targets that accept no connection; a superseded target was rated as failed and avoided later.

Change: a standby wins with a complete event, or a complete body of a plain answer. Several run at once where the route permits more attempts. A failure of the silent target waits for a standby under way for one attempt timeout. Searches for another target back off. An instance that runs a forwarded call leaves standbys to the one that forwarded it.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -29,7 +29,6 @@
 
 // forwardAnswer forwards the answer of a leg to the caller.
 func (x *exchange) forwardAnswer(l *leg) (balance.Result, error) {
-	const op = "pass-answer"
 	resp := l.response
 	if !x.committed && l.origin.Service != "" && l.origin.Service != x.service.Name {
 		x.setService(l.origin.Service)
@@ -49,11 +48,15 @@
 	if x.committed || (resp.StatusCode >= http.StatusInternalServerError && x.mayRetryAnswer()) {
 		// The failure of a second target must not end the stream of the first
 		// as if it were complete.
-		return balance.Failed, mayHaveRun(op, bamboorail.KindTargetFailed, fmt.Errorf("the target answered with status %d", resp.StatusCode))
+		return balance.Failed, targetFailed(resp)
 	}
 	return x.forwardBuffered(l, events)
 }
 
+func targetFailed(resp *http.Response) error {
+	return mayHaveRun("pass-answer", bamboorail.KindTargetFailed, fmt.Errorf("the target answered with status %d", resp.StatusCode))
+}
+
 // forwardBuffered forwards an answer once it is whole, or the first
 // maxBufferedAnswer bytes of it are.
 func (x *exchange) forwardBuffered(l *leg, events bool) (balance.Result, error) {
@@ -117,7 +120,8 @@
 // mayRetryAnswer reports whether a call that the target answered with a failure
 // may be run again.
 func (x *exchange) mayRetryAnswer() bool {
-	return x.route.Repeat != bamboorail.RepeatNever && x.attempted.runs < x.route.MaxAttempts && x.attempted.sent < maxSent &&
+	attempts := x.attempted.add(x.standby.attempts())
+	return x.route.Repeat != bamboorail.RepeatNever && attempts.runs < x.route.MaxAttempts && attempts.sent < maxSent &&
 		time.Until(x.deadline) > x.route.Objective/2 && x.budget().Available(time.Now())
 }
 
@@ -165,7 +169,7 @@
 	x.resumable = x.resumable || resumable
 	x.commit(l.response)
 	flusher := http.NewResponseController(x.w)
-	if resumable && x.attempted.runs < x.route.MaxAttempts {
+	if resumable {
 		x.standby.watch(eventTimeout, errEventTimeout, x.legStart(), x.attempted)
 	}
 	x.events.discardPartial()
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -52,12 +52,12 @@
 	}
 }
 
-// runLeg runs one leg to its end. If another leg was answered meanwhile or still may be,
-// that one is returned with the error.
+// runLeg runs one leg to its end. If another leg was answered meanwhile, that one is
+// returned with the error.
 func (x *exchange) runLeg(ctx context.Context, l *leg) (*leg, error) {
 	s := x.newStandby(ctx, l)
 	x.standby = s
-	defer func() { x.standby = nil }()
+	defer s.end()
 	if l.response == nil {
 		l.admit = func() error {
 			s.watch(x.attemptTimeout(l), errAttemptTimeout, l.start, x.attempted.add(admittedCounts))
@@ -65,38 +65,60 @@
 		}
 		l.open()
 	}
-	if l.err == nil && !s.progress(l.start.lastEvent) {
-		l.end(balance.Unreachable, mayHaveRun("send-call", bamboorail.KindDeadlineExceeded, errAttemptTimeout))
-	}
 	x.attempted = x.attempted.add(l.counts())
 	if l.neighbor != "" {
 		x.neighbors = append(x.neighbors, l.neighbor)
 	}
+	next := x.replaceFailure(ctx, l)
+	if l.err == nil && !s.progress(l.start.lastEvent) {
+		l.end(balance.Unreachable, mayHaveRun("send-call", bamboorail.KindDeadlineExceeded, errAttemptTimeout))
+	}
 	if l.err == nil {
 		l.end(x.forwardAnswer(l))
 		l.found = l.neighbor == "" || useful(l.err)
 	}
 	x.record(l)
-	var next *leg
-	if l.err == nil || ctx.Err() != nil {
-		s.end()
-	} else {
-		next = s.takeOver()
+	if l.err != nil && next == nil {
+		next = s.takeOver(ctx)
+	}
+	s.end()
+	x.recordStandbys(next)
+	if next != nil {
+		x.events = eventBuffer{lastID: next.start.lastEvent}
+	}
+	return next, l.err
+}
+
+// replaceFailure returns the standby leg that replaces the failure with which the target of
+// l answered, if one is answered in time.
+func (x *exchange) replaceFailure(ctx context.Context, l *leg) *leg {
+	if l.err != nil || l.response.StatusCode < http.StatusInternalServerError || !x.standby.isRunning() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, x.attemptTimeout(l))
+	defer cancel()
+	next := x.standby.takeOver(ctx)
+	if next != nil {
+		l.end(balance.Failed, targetFailed(l.response))
 	}
-	for _, other := range s.legs {
-		if other == next {
+	return next
+}
+
+// recordStandbys takes over what the standby legs other than the next current one tell.
+func (x *exchange) recordStandbys(next *leg) {
+	for _, l := range x.standby.legs {
+		if l == next {
 			continue
 		}
-		x.attempted = x.attempted.add(other.counts())
-		if other.neighbor != "" {
-			x.neighbors = append(x.neighbors, other.neighbor)
+		x.attempted = x.attempted.add(l.counts())
+		if l.neighbor != "" && !l.unsent {
+			x.neighbors = append(x.neighbors, l.neighbor)
 		}
-		x.record(other)
+		x.record(l)
 	}
-	if next != nil {
-		x.events = eventBuffer{lastID: next.start.lastEvent}
+	if x.standby.noBudget {
+		x.trail = append(x.trail, "no-budget standby")
 	}
-	return next, l.err
 }
 
 // record takes over what a leg that has ended tells of its targets.
@@ -154,9 +176,6 @@
 	if x.route.Streaming {
 		factor = streamAttemptTimeoutFactor
 	}
-	if l.neighbor != "" {
-		factor *= forwardTimeoutFactor
-	}
 	return time.Duration(factor * float64(x.route.Objective))
 }
 
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -63,10 +63,6 @@
 // maxForwardBody is the largest body of a forwarded call, which is one message.
 const maxForwardBody = 4 << 20
 
-// forwardTimeoutFactor times the attempt timeout is the time after which another
-// instance that does not answer is given up. That instance tries two targets.
-const forwardTimeoutFactor = 2
-
 // errNeighborFailed marks a failure of the path to another instance, in contrast to one
 // that the instance reports.
 var errNeighborFailed = errors.New("the instance that the call was forwarded to did not answer")
@@ -99,7 +95,7 @@
 	sendCtx, span := startSpan(l.ctx, l.x.h.Tracer, "instance "+l.neighbor)
 	l.span = span
 	if l.err = l.admit(); l.err != nil {
-		l.result = balance.Abandoned
+		l.result, l.unsent = balance.Abandoned, true
 		return
 	}
 	answer, err := l.x.h.Detour.Forward(sendCtx, l.neighbor, l.forwardCall())
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -53,3 +53,13 @@
 	}
 	return id, found
 }
+
+// hasEvent reports whether data begins with a complete event. Comments are none.
+func hasEvent(data []byte) bool {
+	for line := range bytes.Lines(data[:eventstream.Complete(data)]) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/relay/leg.go
+++ b/internal/relay/leg.go
@@ -46,6 +46,15 @@
 	return start
 }
 
+// exclude keeps legs that start in s from the target or instance of l.
+func (s *legStart) exclude(l *leg) {
+	if l.neighbor != "" {
+		s.neighbors = append(slices.Clip(s.neighbors), l.neighbor)
+		return
+	}
+	s.avoid = append(slices.Clip(s.avoid), l.target.ID.Name)
+}
+
 // leg is one attempt to run a call, at a target or through another instance. It does not
 // change its exchange, so that two legs can run at the same time.
 type leg struct {
@@ -67,8 +76,9 @@
 	response        *http.Response
 	span            trace.Span
 	started, sentAt time.Time
-	// admitted is set once a standby leg is counted as sent.
-	admitted bool
+	// admitted is set once a standby leg is counted as sent, unsent if admit returned an
+	// error.
+	admitted, unsent bool
 	// found is set if another attempt is useful after this one, sent if the call may
 	// have reached a target, and ran if a target may have run it.
 	found, sent, ran bool
@@ -106,6 +116,7 @@
 	endSpan(span, err)
 	if err == nil {
 		err = l.admit()
+		l.unsent = err != nil
 	}
 	if err != nil {
 		l.result, l.err = balance.Abandoned, err
@@ -128,7 +139,7 @@
 			Received: x.received, StartBy: l.start.startBy,
 		})
 		if err != nil {
-			l.trail = append(l.trail, "no-place")
+			l.recordNoPlace()
 			return err
 		}
 		if reservation.ReadyAt.After(l.start.startBy) {
@@ -151,6 +162,16 @@
 	}
 }
 
+// recordNoPlace adds to the trail that no target was found, unless the search was canceled.
+func (l *leg) recordNoPlace() {
+	switch {
+	case !l.standby:
+		l.trail = append(l.trail, "no-place")
+	case l.ctx.Err() == nil:
+		l.trail = append(l.trail, "no-place standby")
+	}
+}
+
 // send runs the call at the reserved target.
 func (l *leg) send(ctx context.Context) {
 	const op = "send-call"
@@ -197,7 +218,10 @@
 	if entry := l.describe(took); entry != "" {
 		l.trail = append(l.trail, entry)
 	}
-	if err != nil && l.found && l.neighbor == "" && (result != balance.Misdirected || l.reservation.Assumed) {
+	if err == nil || !l.found || l.neighbor != "" || result == balance.Abandoned {
+		return
+	}
+	if result != balance.Misdirected || l.reservation.Assumed {
 		l.avoid = append(l.avoid, l.target.ID.Name)
 	}
 }
@@ -209,7 +233,7 @@
 		suffix += " standby"
 	}
 	switch {
-	case l.neighbor != "":
+	case l.neighbor != "" && !l.unsent:
 		return fmt.Sprintf("via %s took=%d %s", l.neighbor, took.Milliseconds(), suffix)
 	case !l.found:
 		return ""
--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"io"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -15,49 +13,22 @@
 	"bamboorail.example/bamboorail/internal/task"
 )
 
-// standbyRetryDelay is the time after which another standby leg starts if the last one
-// failed or could not be started.
-const standbyRetryDelay = 300 * time.Millisecond
+const (
+	// standbyRetryDelay is the time after which another standby leg starts if the last one
+	// failed or could not be started. It doubles with each of these.
+	standbyRetryDelay   = 300 * time.Millisecond
+	maxStandbyDoublings = 3
+)
 
 var (
-	errSuperseded   = errors.New("another attempt was answered first")
-	errNoBudget     = errors.New("the retry budget is used up")
-	errNotContinued = errors.New("the answer does not continue the stream")
+	errSuperseded = errors.New("another attempt was answered first")
+	errNoAttempts = errors.New("the route permits no more attempts")
+	errNoBudget   = errors.New("the retry budget is used up")
 )
 
-// counts are the attempts of a call: the targets chosen, those that the call reached, and
-// those that may have run it.
-type counts struct{ attempts, sent, runs int }
-
-func (c counts) add(other counts) counts {
-	return counts{c.attempts + other.attempts, c.sent + other.sent, c.runs + other.runs}
-}
-
-func (c counts) subtract(other counts) counts {
-	return counts{c.attempts - other.attempts, c.sent - other.sent, c.runs - other.runs}
-}
-
-// admittedCounts are those of a leg that was sent and whose result is not known.
-var admittedCounts = counts{attempts: 1, sent: 1, runs: 1}
-
-// counts returns what the leg adds to the attempts of its call.
-func (l *leg) counts() counts {
-	c := counts{}
-	if l.found || l.neighbor != "" {
-		c.attempts = 1
-	}
-	if l.sent {
-		c.sent = 1
-	}
-	if l.ran {
-		c.runs = 1
-	}
-	return c
-}
-
-// standby runs another leg of a call while the current one is silent. The current leg is
-// given up only once the other one is answered: until then it may continue, and the other
-// one may fail.
+// standby runs further legs of a call while the current one is silent. The current leg is
+// given up only once another one is answered: until then it may continue, and the others
+// may fail.
 type standby struct {
 	x       *exchange
 	ctx     context.Context
@@ -74,61 +45,77 @@
 	silent string
 	cause  error
 	start  legStart
-	// counts are the attempts so far, with the current one.
-	counts counts
-	// next is the leg that runs, or that was answered if won is set.
-	next *leg
-	won  bool
-	// reported is set once the current silence is reported to the detour.
-	reported bool
-	// kept is set once the current leg has failed and the next one takes its place.
-	kept  bool
-	ended bool
-	legs  []*leg
-	tasks []*task.Task
+	// base are the attempts of the call with the current leg, extra those of standby legs.
+	base, extra counts
+	// legs are all that were started, running those without a result.
+	legs    []*leg
+	running map[*leg]bool
+	// failures counts the legs that failed or could not start since the last progress.
+	failures int
+	// winner is the leg that was answered, taken is set once it is the current one.
+	winner *leg
+	taken  bool
+	// reported is set once the current silence is reported to the detour, noBudget if the
+	// budget kept a leg from starting.
+	reported, noBudget bool
+	ended              bool
+	// changed receives after a leg has ended or was answered.
+	changed chan struct{}
+	tasks   []*task.Task
 }
 
 // newStandby returns a standby for the current leg of a call.
 func (x *exchange) newStandby(ctx context.Context, current *leg) *standby {
-	s := &standby{x: x, ctx: ctx, current: current}
+	s := &standby{x: x, ctx: ctx, current: current, running: map[*leg]bool{}, changed: make(chan struct{}, 1)}
 	s.timer = time.AfterFunc(time.Hour, s.onSilence)
 	s.timer.Stop()
 	return s
 }
 
-// watch starts another leg if the current one is silent for a time.
-func (s *standby) watch(wait time.Duration, cause error, start legStart, c counts) {
+// watch starts another leg if the current one is silent for a time. The attempts in base
+// include the current one. A forwarded call is watched by the instance that forwarded it.
+func (s *standby) watch(wait time.Duration, cause error, start legStart, base counts) {
+	if s.x.forwarded != nil {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.wait, s.cause, s.start, s.counts = wait, cause, start, c
+	s.wait, s.cause, s.start, s.base = wait, cause, start, base
 	s.silent = cmp.Or(s.current.neighbor, s.current.target.ID.Name)
-	s.exclude(s.current)
+	s.start.exclude(s.current)
 	s.arm(wait)
 }
 
-// exclude keeps further legs from the target or instance of l. The caller holds the lock.
-func (s *standby) exclude(l *leg) {
-	if l.neighbor != "" {
-		s.start.neighbors = append(slices.Clip(s.start.neighbors), l.neighbor)
-		return
-	}
-	s.start.avoid = append(slices.Clip(s.start.avoid), l.target.ID.Name)
-}
-
 // arm starts the timer. The caller holds the lock.
 func (s *standby) arm(wait time.Duration) {
-	if s.wait > 0 && !s.won && !s.kept && !s.ended {
+	if s.wait > 0 && s.winner == nil && !s.ended {
 		s.due = time.Now().Add(wait)
 		s.timer.Reset(wait)
 	}
 }
 
+// armRetry starts the timer after a leg that failed or could not start. The caller holds
+// the lock.
+func (s *standby) armRetry() {
+	delay := standbyRetryDelay << min(s.failures, maxStandbyDoublings)
+	s.failures++
+	s.arm(delay)
+}
+
 // disarm stops the timer. The caller holds the lock.
 func (s *standby) disarm() {
 	s.due = time.Time{}
 	s.timer.Stop()
 }
 
+// cancelRunning ends the legs without a result. The caller holds the lock.
+func (s *standby) cancelRunning() {
+	for l := range s.running {
+		l.cancel(errSuperseded)
+	}
+	clear(s.running)
+}
+
 // resume watches the current leg again after progress.
 func (s *standby) resume() {
 	s.mu.Lock()
@@ -141,37 +128,58 @@
 func (s *standby) progress(lastEvent string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.won {
+	if s.winner != nil {
 		return false
 	}
 	s.disarm()
-	s.reported = false
+	s.reported, s.failures = false, 0
 	s.start.lastEvent = lastEvent
-	if s.next != nil {
-		s.next.cancel(errSuperseded)
-		s.next = nil
-	}
+	s.cancelRunning()
 	return true
 }
 
+// isRunning reports whether a leg may still take the place of the current one.
+func (s *standby) isRunning() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.winner != nil || len(s.running) > 0
+}
+
+// attempts returns those of the standby legs.
+func (s *standby) attempts() counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.extra
+}
+
 // onSilence starts another leg if the call permits one now.
 func (s *standby) onSilence() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if s.due.IsZero() || now.Before(s.due) || s.next != nil {
+	if s.due.IsZero() || now.Before(s.due) {
 		return
 	}
+	s.due = time.Time{}
 	if !s.reported {
 		s.reported = true
 		s.x.h.Detour.RecordSilence()
 	}
-	start := s.start
-	start.runs = s.counts.runs
-	if !s.x.permits(s.counts, start) || !s.x.h.Budget(start.service.Name).Available(now) {
-		s.arm(standbyRetryDelay)
+	start, attempts := s.start, s.base.add(s.extra)
+	if !s.x.permits(attempts, start) || len(s.legs) >= maxAttempts {
 		return
 	}
+	if !s.x.h.Budget(start.service.Name).Available(now) {
+		s.noBudget = true
+		s.armRetry()
+		return
+	}
+	start.runs = attempts.runs
+	for l := range s.running {
+		if l.admitted {
+			start.exclude(l)
+		}
+	}
 	if start.committed {
 		start.startBy = now.Add(resumeTimeout)
 	}
@@ -180,153 +188,135 @@
 	l := s.x.newLeg(s.ctx, start)
 	l.standby = true
 	l.admit = func() error { return s.admit(l) }
-	s.next = l
+	s.running[l] = true
 	s.legs = append(s.legs, l)
 	s.tasks = append(s.tasks, task.Start(s.ctx, "standby", func(context.Context) error {
 		s.run(l)
 		return nil
 	}))
+	s.arm(s.wait)
 }
 
 // admit takes a standby leg out of the retry budget before its call is sent, and counts it:
 // once it is sent, it may run.
 func (s *standby) admit(l *leg) error {
-	if !s.x.h.Budget(l.start.service.Name).Take(time.Now()) {
-		return notRun("start-standby", bamboorail.KindOverloaded, defaultRetryAfter, errNoBudget)
-	}
+	const op = "start-standby"
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.next != l {
-		return notRun("start-standby", bamboorail.KindCancelled, 0, errSuperseded)
+	if !s.running[l] {
+		return notRun(op, bamboorail.KindCancelled, 0, errSuperseded)
+	}
+	if !s.x.permits(s.base.add(s.extra), l.start) {
+		return notRun(op, bamboorail.KindOverloaded, defaultRetryAfter, errNoAttempts)
+	}
+	if !s.x.h.Budget(l.start.service.Name).Take(time.Now()) {
+		s.noBudget = true
+		return notRun(op, bamboorail.KindOverloaded, defaultRetryAfter, errNoBudget)
 	}
 	l.admitted = true
-	s.counts = s.counts.add(admittedCounts)
+	s.extra = s.extra.add(admittedCounts)
 	return nil
 }
 
+// settle replaces what admit counted by what became of a leg that failed. The caller holds
+// the lock.
+func (s *standby) settle(l *leg) {
+	if !l.admitted {
+		return
+	}
+	s.extra = s.extra.subtract(admittedCounts).add(l.counts())
+	if !l.sent {
+		s.x.h.Budget(l.start.service.Name).Return(time.Now())
+	}
+}
+
 // run opens a standby leg, which takes the place of the current one if it is answered.
 func (s *standby) run(l *leg) {
 	l.open()
 	if l.err == nil {
 		if err := l.awaitContinuation(); err != nil {
-			l.end(balance.Failed, err)
+			l.end(l.continuationError(err))
 		}
 	}
+	if !s.finish(l) && l.err == nil {
+		l.end(balance.Abandoned, mayHaveRun("send-call", bamboorail.KindCancelled, errSuperseded))
+	}
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// finish records the result of a standby leg. It returns true if the leg takes the place of
+// the current one.
+func (s *standby) finish(l *leg) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch {
-	case s.next != l || s.ended:
-		if l.err == nil {
-			l.end(balance.Abandoned, mayHaveRun("send-call", bamboorail.KindCancelled, errSuperseded))
-		}
-	case l.err != nil:
-		s.next = nil
-		s.counts = s.counts.add(l.counts())
-		if l.admitted {
-			s.counts = s.counts.subtract(admittedCounts)
-		}
+	if l.err != nil {
+		s.settle(l)
+	}
+	if !s.running[l] {
+		return false
+	}
+	delete(s.running, l)
+	if l.err != nil {
 		s.start.avoid = append(slices.Clip(s.start.avoid), l.avoid...)
 		if l.neighbor != "" {
-			s.exclude(l)
-		}
-		s.arm(standbyRetryDelay)
-	default:
-		s.won = true
-		s.disarm()
-		if !s.kept {
-			s.current.cancel(s.cause)
+			s.start.exclude(l)
 		}
+		s.armRetry()
+		return false
 	}
+	s.winner = l
+	s.disarm()
+	s.cancelRunning()
+	s.current.cancel(s.cause)
+	return true
 }
 
-// takeOver returns the leg that takes the place of the current one, which has ended, or
-// nil if there is none. It waits for a leg that runs.
-func (s *standby) takeOver() *leg {
+// takeOver returns the leg that takes the place of the current one, which has no answer, or
+// nil if there is none. It waits for legs that run until ctx ends.
+func (s *standby) takeOver(ctx context.Context) *leg {
+	for s.isPending() {
+		select {
+		case <-s.changed:
+		case <-ctx.Done():
+			s.end()
+			return nil
+		}
+	}
 	s.mu.Lock()
-	s.disarm()
-	s.kept = true
+	winner := s.winner
+	s.taken = winner != nil
 	s.mu.Unlock()
-	s.join()
+	s.end()
+	return winner
+}
+
+// isPending reports whether legs run and none was answered.
+func (s *standby) isPending() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ended = true
-	if s.won {
-		return s.next
-	}
-	return nil
+	return s.winner == nil && len(s.running) > 0
 }
 
-// end ends the legs that still run or were answered.
+// end ends the legs that still run, and one that was answered and is not taken.
 func (s *standby) end() {
 	s.mu.Lock()
 	s.disarm()
-	s.ended = true
-	next, won := s.next, s.won
-	if next != nil && !won {
-		next.cancel(errSuperseded)
-		s.next = nil
+	unused := s.winner
+	if s.taken || s.ended {
+		unused = nil
 	}
-	s.mu.Unlock()
-	s.join()
-	if next != nil && won {
-		next.end(balance.Abandoned, mayHaveRun("send-call", bamboorail.KindCancelled, errSuperseded))
-	}
-}
-
-// join waits until all standby legs have ended or were answered.
-func (s *standby) join() {
-	s.mu.Lock()
+	s.ended = true
+	s.cancelRunning()
 	tasks := s.tasks
 	s.tasks = nil
 	s.mu.Unlock()
 	for _, t := range tasks {
 		t.Join()
 	}
-}
-
-// awaitContinuation checks that the answer of a standby leg can take the place of the
-// current one, and waits for the first bytes of a stream.
-func (l *leg) awaitContinuation() error {
-	const op = "start-standby"
-	resp := l.response
-	events := l.x.isEventStream(resp)
-	if resp.StatusCode >= http.StatusInternalServerError || l.start.committed && (resp.StatusCode != http.StatusOK || !events) {
-		return mayHaveRun(op, bamboorail.KindTargetFailed, errNotContinued)
-	}
-	if !events {
-		return nil
-	}
-	first := make([]byte, readSize)
-	n, err := resp.Body.Read(first)
-	if n == 0 && err != nil && !errors.Is(err, io.EOF) {
-		return mayHaveRun(op, bamboorail.KindTruncated, err)
-	}
-	resp.Body = prefixedBody{Reader: io.MultiReader(&firstRead{data: first[:n], err: err}, resp.Body), Closer: resp.Body}
-	return nil
-}
-
-// prefixedBody is a body whose beginning was read before.
-type prefixedBody struct {
-	io.Reader
-	io.Closer
-}
-
-// firstRead returns the result of an earlier read.
-type firstRead struct {
-	data []byte
-	err  error
-}
-
-// Read returns the rest of the data, and then the error of the earlier read. It returns
-// io.EOF if there was none, for the reader that follows.
-func (r *firstRead) Read(p []byte) (int, error) {
-	n := copy(p, r.data)
-	r.data = r.data[n:]
-	if len(r.data) > 0 {
-		return n, nil
-	}
-	if r.err != nil {
-		return n, r.err
+	if unused != nil {
+		unused.end(balance.Abandoned, mayHaveRun("send-call", bamboorail.KindCancelled, errSuperseded))
 	}
-	return n, io.EOF
 }
--- a/internal/relay/standby_test.go
+++ b/internal/relay/standby_test.go
@@ -1,12 +1,173 @@
 package relay
 
 import (
+	"context"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
+	"time"
 
 	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/balance"
+	"bamboorail.example/bamboorail/internal/retry"
 )
 
+// parts sends the head of a stream and its parts, each after a pause. It ends the stream
+// properly if complete is set.
+func parts(complete bool, pauses []time.Duration, parts ...string) script {
+	return func(c net.Conn, r *http.Request) bool {
+		stream(false)(c, r)
+		for n, p := range parts {
+			time.Sleep(pauses[n])
+			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(p), p)
+		}
+		if len(pauses) > len(parts) {
+			time.Sleep(pauses[len(parts)])
+		}
+		if complete {
+			_, _ = io.WriteString(c, "0\r\n\r\n")
+		}
+		return complete
+	}
+}
+
+// refusing is the script of a target that accepts no connection.
+var refusing script
+
+const (
+	// brief is more than the attempt timeouts of the test routes, pause more than that
+	// of an event, and long more than that of the shortest call.
+	brief = 800 * time.Millisecond
+	pause = 1500 * time.Millisecond
+	long  = 4 * time.Second
+)
+
+// standbyCase is a call whose first target is silent for a while.
+type standbyCase struct {
+	spec bamboorail.RouteSpec
+	// targets are the scripts of the targets, in the order in which they are chosen.
+	targets [][]script
+	status  int // 200 if 0
+	want    string
+	// arrived are the requests that reach each target.
+	arrived []int
+	// taken is the part of the retry budget that is used.
+	taken int
+	// results are those of the reservations, in any order; not checked if nil.
+	results []balance.Result
+}
+
+func standbyCases() map[string]standbyCase {
+	plain, text := always, resumable
+	plain.Objective, text.Objective = 300*time.Millisecond, 300*time.Millisecond
+	plain3, text3 := plain, text
+	plain3.MaxAttempts, text3.MaxAttempts = 3, 3
+	whole := event(1) + event(2) + event(3)
+	dark := silentFor(long, answer("late"))
+	silentHead := parts(false, []time.Duration{long})
+	failing := silentFor(brief, answerStatus(http.StatusInternalServerError))
+	one := func(list ...script) [][]script {
+		var out [][]script
+		for _, s := range list {
+			out = append(out, []script{s})
+		}
+		return out
+	}
+	return map[string]standbyCase{
+		"attempts before the head count": {
+			spec: text, want: event(1) + event(2), arrived: []int{1, 1, 0}, taken: 1,
+			targets: one(silentFor(time.Second, parts(true, []time.Duration{0, pause}, event(1), event(2))), dark, dark),
+		},
+		"failure after a silence, another answers": {
+			spec: plain, targets: one(failing, silentFor(brief/2, answer("whole"))), want: "whole", arrived: []int{1, 1}, taken: 1,
+		},
+		"failure after a silence, another is silent": {
+			spec: plain, targets: one(failing, dark), status: http.StatusInternalServerError, arrived: []int{1, 1}, taken: 1,
+		},
+		"replaced attempt begins late": {
+			spec: text, targets: one(pausingStream(pause), silentHead), want: whole, arrived: []int{1, 1}, taken: 1,
+			results: []balance.Result{balance.Answered, balance.Abandoned},
+		},
+		"unreachable targets cost no budget": {
+			spec: text, targets: one(pausingStream(2*pause), refusing, refusing), want: whole, arrived: []int{1, 0, 0},
+		},
+		"two targets are silent": {
+			spec: text3, targets: one(dark, dark, stream(true, event(1))), want: event(1), arrived: []int{1, 1, 1}, taken: 2,
+		},
+		"two targets are silent, plain call": {
+			spec: plain3, targets: one(dark, dark, answer("whole")), want: "whole", arrived: []int{1, 1, 1}, taken: 2,
+		},
+		"breaks beside a silent one": {
+			spec: text3, targets: one(parts(false, []time.Duration{0, pause}, event(1)), dark, stream(true, event(2), event(3))),
+			want: whole, arrived: []int{1, 1, 1}, taken: 2,
+		},
+		"superseded, then needed": {
+			spec: text3, want: whole, arrived: []int{1, 2}, taken: 2,
+			targets: [][]script{{parts(false, []time.Duration{0, pause, 0}, event(1), event(2))}, {dark, stream(true, event(3))}},
+		},
+		"successor is silent too": {
+			spec: text3, targets: one(pausingStream(long), parts(false, []time.Duration{0, long}, event(2)), stream(true, event(3))),
+			want: whole, arrived: []int{1, 1, 1}, taken: 2,
+		},
+		"half an event, cut":    {spec: text, targets: one(pausingStream(pause), stream(false, "id: 2\nda")), want: whole, arrived: []int{1, 1}, taken: 1},
+		"half an event, silent": {spec: text, targets: one(pausingStream(pause), parts(false, []time.Duration{0, long}, "id: 2\nda")), want: whole, arrived: []int{1, 1}, taken: 1},
+		"comment, silent":       {spec: text, targets: one(pausingStream(pause), parts(false, []time.Duration{0, long}, ": x\n\n")), want: whole, arrived: []int{1, 1}, taken: 1},
+		"no event":              {spec: text, targets: one(pausingStream(pause), stream(true)), want: whole, arrived: []int{1, 1}, taken: 1},
+		"half an answer":        {spec: plain, targets: one(silentFor(brief, answer("whole")), raw("HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 10\r\n\r\nhal")), want: "whole", arrived: []int{1, 1}, taken: 1},
+		"head of an answer, silent": {spec: plain, targets: one(silentFor(brief, answer("whole")), func(c net.Conn, r *http.Request) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 5\r\n\r\n", r.Header.Get("Id"))
+			time.Sleep(long)
+			return false
+		}), want: "whole", arrived: []int{1, 1}, taken: 1},
+	}
+}
+
+// TestStandbyAttemptsKeepTheRules checks what callers get, which requests arrive and what is taken out of the retry budget while targets are silent.
+func TestStandbyAttemptsKeepTheRules(t *testing.T) {
+	const budget = 10
+	for name, c := range standbyCases() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var targets []*fakeTarget
+			for n, scripts := range c.targets {
+				g := newTarget(t, string(rune('a'+n)), scripts...)
+				if scripts[0] == nil {
+					_ = g.listener.Close()
+				}
+				targets = append(targets, g)
+			}
+			b := newTestRelay(t, c.spec, targets...)
+			b.budget = retry.NewWindowBudget(0, budget, time.Minute)
+			got := b.call(t, http.MethodPost, "/p/x", "body")
+			if got.broken || got.status != max(c.status, http.StatusOK) || got.body != c.want {
+				t.Errorf("answer %+v, want %q", got, c.want)
+			}
+			b.Close()
+			for n, g := range targets {
+				if arrived := len(g.seen()); arrived != c.arrived[n] {
+					t.Errorf("%d requests reached target %s, want %d", arrived, g.entry.ID.Name, c.arrived[n])
+				}
+			}
+			left := 0
+			for b.budget.Take(time.Now()) {
+				left++
+			}
+			if budget-left != c.taken {
+				t.Errorf("%d retries taken, want %d", budget-left, c.taken)
+			}
+			results := b.chooser.releasedResults()
+			slices.Sort(results)
+			if c.results != nil && !slices.Equal(results, c.results) {
+				t.Errorf("results %v, want %v", results, c.results)
+			}
+		})
+	}
+}
+
 // TestUnreachableTargetIsNotTriedAgain guards against a call that is sent to the same closed port until its attempts are used up.
 func TestUnreachableTargetIsNotTriedAgain(t *testing.T) {
 	for name, spec := range map[string]bamboorail.RouteSpec{"once": once, "always": always, "resumable": resumable} {
@@ -24,3 +185,88 @@
 		})
 	}
 }
+
+// TestBothTargetsContinueAtOnce checks each event and each reservation if the silent target
+// continues, or breaks off, at about the moment at which the other one is answered.
+func TestBothTargetsContinueAtOnce(t *testing.T) {
+	const (
+		offsets = 40
+		step    = 200 * time.Microsecond
+	)
+	for n := range offsets {
+		silent := eventTimeout + 30*time.Millisecond + time.Duration(n-offsets/2)*step
+		for name, first := range map[string]script{
+			"continues": pausingStream(silent), "breaks": parts(false, []time.Duration{0, silent}, event(1)),
+		} {
+			t.Run(fmt.Sprint(name, " ", n), func(t *testing.T) {
+				t.Parallel()
+				a, spare := newTarget(t, "a", first), newTarget(t, "spare", silentFor(25*time.Millisecond, stream(true, event(2), event(3))))
+				b := newTestRelay(t, resumable, a, spare)
+				got := b.call(t, http.MethodPost, "/p/x", "body")
+				if got.broken || got.body != event(1)+event(2)+event(3) {
+					t.Errorf("answer %+v", got)
+				}
+				b.Close()
+				if released := len(b.chooser.releasedResults()); released != len(a.seen())+len(spare.seen()) {
+					t.Errorf("%d reservations released, %d and %d requests arrived", released, len(a.seen()), len(spare.seen()))
+				}
+			})
+		}
+	}
+}
+
+// TestCallWithStandbyEndsAtOnce checks that a call ends with its deadline and its caller,
+// whatever its standby attempt waits for.
+func TestCallWithStandbyEndsAtOnce(t *testing.T) {
+	const (
+		deadline = pause + 200*time.Millisecond
+		// margin is for a busy machine.
+		margin = time.Second
+	)
+	cases := map[string]struct {
+		spare script
+		wait  time.Duration
+	}{
+		"adapter":     {answer("late"), long},
+		"head":        {silentFor(long, answer("late")), 0},
+		"first event": {parts(false, []time.Duration{long}), 0},
+		"next event":  {parts(false, []time.Duration{0, long}, event(2)), 0},
+	}
+	for name, c := range cases {
+		for _, leaves := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, caller leaves %t", name, leaves), func(t *testing.T) {
+				t.Parallel()
+				spec := resumable
+				spec.Timeout = deadline
+				if leaves {
+					spec.Timeout = 2 * long
+				}
+				b := newTestRelay(t, spec, newTarget(t, "a", pausingStream(long)), newTarget(t, "spare", c.spare))
+				b.chooser.spareWait = c.wait
+				ctx, cancel := context.WithTimeout(t.Context(), 2*long)
+				defer cancel()
+				if leaves {
+					time.AfterFunc(deadline, cancel)
+				}
+				req, err := http.NewRequestWithContext(ctx, http.MethodPost, b.URL+"/p/x", strings.NewReader("body"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				req.Host = "host.example"
+				req.Header.Set("Id", "id-1")
+				start := time.Now()
+				if resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req); err == nil {
+					_, _ = io.Copy(io.Discard, resp.Body)
+					_ = resp.Body.Close()
+				}
+				b.Close()
+				if took := time.Since(start); took > deadline+margin {
+					t.Errorf("the call ended after %s", took)
+				}
+				if slices.Contains(b.chooser.releasedResults(), balance.Failed) {
+					t.Errorf("results %v", b.chooser.releasedResults())
+				}
+			})
+		}
+	}
+}
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -104,3 +104,12 @@
 	w.retries[w.current%windowBuckets]++
 	return true
 }
+
+// Return takes back a retry that was not made.
+func (w *WindowBudget) Return(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(now)
+	bucket := &w.retries[w.current%windowBuckets]
+	*bucket = max(*bucket-1, 0)
+}
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -31,6 +31,9 @@
 			if taken != c.want {
 				t.Errorf("%d retries, want %d", taken, c.want)
 			}
+			if w.Return(now); !w.Take(now) || w.Take(now) {
+				t.Error("one retry that was taken back is not available once")
+			}
 			if w.Available(now.Add(9 * time.Second)) {
 				t.Error("a retry is available before the window has passed")
 			}
