relay: the answer that continues a stream must follow the events so far

Cause: any answer with status 200 and events, or without a content type, was forwarded as the continuation. A target that ignores Last-Event-Id, or fails with 200, was not noticed.

Complete events are checked before any of them is forwarded. Comments wait for the first event that fits, and an answer without such an event does not end the stream. What does not fit ends the attempt, as a failure of its target; another target or instance is tried as before. Through other instances the next one is tried, too: the one that forwarded such an answer cannot know.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -49,7 +49,11 @@
 	if x.committed || (resp.StatusCode >= http.StatusInternalServerError && x.mayRetryAnswer()) {
 		// The failure of a second target must not end the stream of the first
 		// as if it were complete.
-		return balance.Failed, mayHaveRun(op, bamboorail.KindTargetFailed, fmt.Errorf("the target answered with status %d", resp.StatusCode))
+		err := fmt.Errorf("the target answered with status %d", resp.StatusCode)
+		if x.committed {
+			err = fmt.Errorf("%w: %w", eventstream.ErrNotContinued, err)
+		}
+		return balance.Failed, mayHaveRun(op, bamboorail.KindTargetFailed, err)
 	}
 	return x.forwardBuffered(l, events)
 }
@@ -168,7 +172,7 @@
 	if resumable && x.attempted.runs < x.route.MaxAttempts {
 		x.standby.watch(eventTimeout, errEventTimeout, x.legStart(), x.attempted)
 	}
-	x.events.discardPartial()
+	x.events.begin()
 	body, buffer := &answerReader{x: x, body: l.response.Body, events: events}, make([]byte, readSize)
 	for {
 		n, err := body.Read(buffer)
@@ -180,10 +184,13 @@
 		if err == nil {
 			continue
 		}
-		if errors.Is(err, io.EOF) {
-			return balance.Answered, nil
+		if !errors.Is(err, io.EOF) {
+			return x.truncatedError(l, op, err)
 		}
-		return x.truncatedError(l, op, err)
+		if err := x.events.checkEnd(); err != nil {
+			return x.chunkError(op, err)
+		}
+		return balance.Answered, nil
 	}
 }
 
@@ -192,22 +199,28 @@
 	if errors.Is(err, errEventTimeout) {
 		return balance.Unreachable, mayHaveRun(op, bamboorail.KindTruncated, err)
 	}
+	if errors.Is(err, eventstream.ErrNotContinued) {
+		return balance.Failed, mayHaveRun(op, bamboorail.KindTargetFailed, err)
+	}
 	return balance.Abandoned, mayHaveRun(op, bamboorail.KindCancelled, err)
 }
 
 // forwardChunk forwards bytes of a stream. Of a resumable stream it forwards
 // only complete events, so that another target can continue after the last one. It
-// returns errEventTimeout if another target already does.
+// returns errEventTimeout if another target already does, and eventstream.ErrNotContinued
+// if the events do not follow those before.
 func (x *exchange) forwardChunk(flusher *http.ResponseController, data []byte, resumable bool) error {
 	if resumable {
-		var err error
 		// A byte now and then is no event, and no progress.
-		if data, err = x.events.add(data); err != nil || len(data) == 0 {
+		batch, err := x.events.add(data)
+		if err != nil || len(batch.data) == 0 {
 			return err
 		}
-		if !x.standby.progress(x.events.lastID) {
+		if !x.standby.progress(batch.lastID) {
 			return errEventTimeout
 		}
+		x.events.forwarded(batch)
+		data = batch.data
 		// The time in which the caller does not read is not the target's.
 		defer x.standby.resume()
 	}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -93,9 +93,6 @@
 		}
 		x.record(other)
 	}
-	if next != nil {
-		x.events = eventBuffer{lastID: next.start.lastEvent}
-	}
 	return next, l.err
 }
 
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -10,6 +10,7 @@
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/balance"
+	"bamboorail.example/bamboorail/internal/eventstream"
 )
 
 // ForwardCall is a call that an instance forwards to another one, which reaches the
@@ -120,10 +121,11 @@
 }
 
 // useful reports whether another attempt is useful after one through another instance,
-// which has already made its own.
+// which has already made its own. That instance does not know whether the answer of its
+// target continues a stream.
 func useful(err error) bool {
 	kind := bamboorail.KindOf(err)
-	return errors.Is(err, errNeighborFailed) || kind == bamboorail.KindTruncated || kind == bamboorail.KindNoTarget
+	return errors.Is(err, errNeighborFailed) || errors.Is(err, eventstream.ErrNotContinued) || kind == bamboorail.KindTruncated || kind == bamboorail.KindNoTarget
 }
 
 func (l *leg) forwardCall() ForwardCall {
--- a/internal/relay/leg.go
+++ b/internal/relay/leg.go
@@ -17,6 +17,7 @@
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/balance"
+	"bamboorail.example/bamboorail/internal/eventstream"
 	"bamboorail.example/bamboorail/internal/task"
 )
 
@@ -183,6 +184,9 @@
 // end releases what the leg holds. It is called once.
 func (l *leg) end(result balance.Result, err error) {
 	l.result, l.err = result, err
+	if errors.Is(err, eventstream.ErrNotContinued) {
+		l.x.h.Log.Warn("answer does not continue the stream", "id", l.x.call.ID, "target", l.target.ID.Name, "via", l.neighbor, "error", err)
+	}
 	if l.response != nil {
 		l.response.Body.Close()
 	}
@@ -236,6 +240,8 @@
 		return " superseded"
 	case errors.Is(err, syscall.ETIMEDOUT):
 		return " unacknowledged"
+	case errors.Is(err, eventstream.ErrNotContinued):
+		return " not-continued"
 	case closedByTarget(err):
 		return " closed"
 	}
--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -11,6 +11,7 @@
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/balance"
+	"bamboorail.example/bamboorail/internal/eventstream"
 	"bamboorail.example/bamboorail/internal/task"
 )
 
@@ -19,9 +20,8 @@
 const standbyRetryDelay = 300 * time.Millisecond
 
 var (
-	errSuperseded   = errors.New("another attempt was answered first")
-	errNoBudget     = errors.New("the retry budget is used up")
-	errNotContinued = errors.New("the answer does not continue the stream")
+	errSuperseded = errors.New("another attempt was answered first")
+	errNoBudget   = errors.New("the retry budget is used up")
 )
 
 // counts are the attempts of a call: the targets chosen, those that the call reached, and
@@ -287,7 +287,7 @@
 	resp := l.response
 	events := l.x.isEventStream(resp)
 	if resp.StatusCode >= http.StatusInternalServerError || l.start.committed && (resp.StatusCode != http.StatusOK || !events) {
-		return mayHaveRun(op, bamboorail.KindTargetFailed, errNotContinued)
+		return mayHaveRun(op, bamboorail.KindTargetFailed, eventstream.ErrNotContinued)
 	}
 	if !events {
 		return nil
