relay: the test relay records advisories of two legs without a race

The race detector reported TestSilenceOfTargetCutsNoAnswer: the current leg and a standby leg write the map of the test relay at the same time. The map has a lock now, no check changes.

--- a/internal/relay/testrelay_test.go
+++ b/internal/relay/testrelay_test.go
@@ -253,6 +253,8 @@
 type testRelay struct {
 	*httptest.Server
 	chooser *fakeChooser
+	// mu guards advisories while a call runs, which two legs may add to.
+	mu sync.Mutex
 	// advisories are what the targets said, by target.
 	advisories map[string][]bamboorail.Advisory
 	spans      *telemetry.SpanStore
@@ -289,6 +291,8 @@
 		Ingress: testDialect{}, Egress: testDialect{}, Table: func() *route.Table { return table }, Chooser: b.chooser,
 		Budget: func(string) *retry.WindowBudget { return b.budget }, Dialer: NewDialer(), Metrics: telemetry.NewMetrics(),
 		Advise: func(id bamboorail.TargetID, a bamboorail.Advisory) {
+			b.mu.Lock()
+			defer b.mu.Unlock()
 			b.advisories[id.Name] = append(b.advisories[id.Name], a)
 		},
 		Origins: b.origins, Detour: &b.detour, ShuttingDown: func() bool { return false }, Log: hclog.NewNullLogger(),
