relay: a silent stream is replaced only by an answer that continues it

Cause: the first byte of an answer with status 200 and events, or an end without any, let the standby leg win. The sound current leg was canceled before the ids were known.

Change: a standby leg that must continue a stream reads up to its first complete events and checks them as the answer of another target is checked. A standby leg before the first event, or of a stream whose ids cannot be compared, wins with its first bytes as before.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -216,7 +216,7 @@
 		if err != nil || len(batch.data) == 0 {
 			return err
 		}
-		if !x.standby.progress(batch.lastID) {
+		if !x.standby.progress(batch.lastID, batch.sequence) {
 			return errEventTimeout
 		}
 		x.events.forwarded(batch)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -65,7 +65,7 @@
 		}
 		l.open()
 	}
-	if l.err == nil && !s.progress(l.start.lastEvent) {
+	if l.err == nil && !s.progress(l.start.lastEvent, l.start.sequence) {
 		l.end(balance.Unreachable, mayHaveRun("send-call", bamboorail.KindDeadlineExceeded, errAttemptTimeout))
 	}
 	x.attempted = x.attempted.add(l.counts())
--- a/internal/relay/leg.go
+++ b/internal/relay/leg.go
@@ -23,9 +23,11 @@
 
 // legStart is the state of a call in which a leg starts.
 type legStart struct {
-	service   bamboorail.ServiceSpec
-	software  string
+	service  bamboorail.ServiceSpec
+	software string
+	// lastEvent is the last event that was forwarded, sequence the ids up to it.
 	lastEvent string
+	sequence  eventstream.Sequence
 	// committed and resumable are those of the exchange.
 	committed, resumable bool
 
@@ -38,8 +40,8 @@
 // legStart returns the current state of the call.
 func (x *exchange) legStart() legStart {
 	start := legStart{
-		service: x.service, software: x.software, lastEvent: x.events.lastID, committed: x.committed, resumable: x.resumable,
-		avoid: x.avoid, neighbors: x.neighbors, runs: x.attempted.runs, startBy: x.startBy,
+		service: x.service, software: x.software, lastEvent: x.events.lastID, sequence: x.events.sequence,
+		committed: x.committed, resumable: x.resumable, avoid: x.avoid, neighbors: x.neighbors, runs: x.attempted.runs, startBy: x.startBy,
 	}
 	if x.committed {
 		start.startBy = time.Now().Add(resumeTimeout)
--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -132,9 +132,10 @@
 	s.arm(s.wait)
 }
 
-// progress records that the current leg continues, now after event lastEvent. It returns
-// false if another leg has taken its place; nothing more of the current one may be used.
-func (s *standby) progress(lastEvent string) bool {
+// progress records that the current leg continues, now after event lastEvent of sequence.
+// It returns false if another leg has taken its place; nothing more of the current one may
+// be used.
+func (s *standby) progress(lastEvent string, sequence eventstream.Sequence) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.won {
@@ -142,7 +143,7 @@
 	}
 	s.disarm()
 	s.reported = false
-	s.start.lastEvent = lastEvent
+	s.start.lastEvent, s.start.sequence = lastEvent, sequence
 	if s.next != nil {
 		s.next.cancel(errSuperseded)
 		s.next = nil
@@ -281,7 +282,8 @@
 }
 
 // awaitContinuation checks that the answer of a standby leg can take the place of the
-// current one, and waits for the first bytes of a stream.
+// current one, and waits for the first bytes of a stream, or for its first event if that
+// must continue the events before.
 func (l *leg) awaitContinuation() error {
 	const op = "start-standby"
 	resp := l.response
@@ -292,15 +294,42 @@
 	if !events {
 		return nil
 	}
-	first := make([]byte, readSize)
-	n, err := resp.Body.Read(first)
-	if n == 0 && err != nil && !errors.Is(err, io.EOF) {
+	first, err := l.readFirst(resp.Body)
+	if errors.Is(err, eventstream.ErrNotContinued) || errors.Is(err, errEventTooLarge) {
+		return mayHaveRun(op, bamboorail.KindTargetFailed, err)
+	}
+	if len(first) == 0 && err != nil && !errors.Is(err, io.EOF) {
 		return mayHaveRun(op, bamboorail.KindTruncated, err)
 	}
-	resp.Body = prefixedBody{Reader: io.MultiReader(&firstRead{data: first[:n], err: err}, resp.Body), Closer: resp.Body}
+	resp.Body = prefixedBody{Reader: io.MultiReader(&firstRead{data: first, err: err}, resp.Body), Closer: resp.Body}
 	return nil
 }
 
+// readFirst reads the beginning of a stream, and the error that followed it.
+func (l *leg) readFirst(body io.Reader) ([]byte, error) {
+	check := eventBuffer{sequence: l.start.sequence}
+	check.begin()
+	data, buffer := []byte(nil), make([]byte, readSize)
+	for {
+		n, err := body.Read(buffer)
+		data = append(data, buffer[:n]...)
+		if !check.continues {
+			return data, err
+		}
+		batch, misfit := check.add(buffer[:n])
+		switch {
+		case misfit != nil:
+			return nil, misfit
+		case len(batch.data) > 0:
+			return data, err
+		case errors.Is(err, io.EOF):
+			return nil, check.checkEnd()
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
 // prefixedBody is a body whose beginning was read before.
 type prefixedBody struct {
 	io.Reader
