--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -92,6 +92,12 @@
 		"chunk of another adapter":   {[]string{validChunk(0) + event(1, "r1", "suhrn@v2#1.2", "x") + endMarker}, bamboorail.KindMismatch, 1},
 		"chunk of an older handle":   {[]string{validChunk(0) + event(1, "r1", "suhrn@v1#1.0", "x") + endMarker}, bamboorail.KindMismatch, 1},
 		"resumed by another request": {[]string{validChunk(0), event(1, "r2", handle, "x") + endMarker}, bamboorail.KindMismatch, 1},
+		"resumed with an error":      {[]string{validChunk(0), "data: {\"error\":\"x\"}\n\n"}, bamboorail.KindTruncated, 1},
+		"resumed with a type error":  {[]string{validChunk(0), "event: error\nid: 1\ndata: {\"error\":\"x\"}\n\n" + endMarker}, bamboorail.KindMismatch, 1},
+		"resumed with a head":        {[]string{validChunk(0), "HTTP/1.1 500 No\r\nA: b\r\n\r\nsorry\n\n"}, bamboorail.KindTruncated, 1},
+		"resumed without an event":   {[]string{validChunk(0), ""}, bamboorail.KindTruncated, 1},
+		"resumed with an invalid id": {[]string{validChunk(0), "id: x\ndata: {}\n\n" + endMarker}, bamboorail.KindTruncated, 1},
+		"resumed inside a chunk":     {[]string{validChunk(0), validChunk(1)[:20]}, bamboorail.KindTruncated, 1},
 		"chunk is not JSON":          {[]string{validChunk(0) + "id: 1\ndata: {\n\n" + endMarker}, bamboorail.KindMismatch, 1},
 		"empty stream":               {[]string{""}, bamboorail.KindTruncated, 0},
 	} {
