engine: failing test of error events before an end mark (known red)

Cause: an event without an id keeps the index of the event before, or has none, and is dropped as a chunk that was forwarded before. The end marker after it ends the answer as complete. Engines that fail in the middle of a stream send just that.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -108,6 +108,27 @@
 	}
 }
 
+// TestErrorEventDoesNotEndStreamAsComplete guards against error events before an end marker that callers get as a short answer (issue 41).
+func TestErrorEventDoesNotEndStreamAsComplete(t *testing.T) {
+	const failure = "data: {\"error\":{\"message\":\"sorry\"}}\n\n"
+	for name, c := range map[string]struct {
+		texts []string
+		kind  bamboorail.Kind
+		want  int
+	}{
+		"at the start":               {[]string{failure + endMarker}, bamboorail.KindTruncated, 0},
+		"in the answer":              {[]string{validChunk(0) + failure + endMarker}, bamboorail.KindTruncated, 1},
+		"of type error":              {[]string{validChunk(0) + "event: error\n" + failure + endMarker}, bamboorail.KindTruncated, 1},
+		"in a resumed answer":        {[]string{validChunk(0), failure + endMarker}, bamboorail.KindTruncated, 1},
+		"before an answer that fits": {[]string{validChunk(0), failure + endMarker, validChunk(1) + endMarker}, "", 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, err := runRequest(t, newScriptedServer(t, c.texts...).URL, record.DialectOpenAI)
+			checkRun(t, s, err, c.kind, c.want)
+		})
+	}
+}
+
 func checkRun(t *testing.T, s *sink, err error, kind bamboorail.Kind, want int) {
 	t.Helper()
 	if (err == nil) != (kind == "") || (err != nil && bamboorail.KindOf(err) != kind) {
