engine: an error event ends a stream of the product's own interface as broken

Cause: an id lasted for all events after it, and data without an id counted as a chunk that was forwarded before. Error events have no id; the end marker after one was believed.

Change: an id belongs to one event, and data of an event without one ends the answer as truncated. The run is resumed then as after any broken stream, and ends with an error if it does not continue.

--- a/internal/engine/openai.go
+++ b/internal/engine/openai.go
@@ -252,6 +252,8 @@
 			return fmt.Errorf("%w after chunk %d: %w", errTruncated, f.last, err)
 		}
 		switch {
+		case len(line) == 0:
+			index = -1
 		case bytes.HasPrefix(line, []byte("id: ")):
 			if index, err = strconv.Atoi(string(line[len("id: "):])); err != nil {
 				return fmt.Errorf("%w: invalid event id: %w", errTruncated, err)
@@ -259,6 +261,9 @@
 		case bytes.Equal(line, []byte("data: [DONE]")):
 			return nil
 		case bytes.HasPrefix(line, []byte("data: ")):
+			if index < 0 {
+				return fmt.Errorf("%w: an event without an id follows chunk %d", errTruncated, f.last)
+			}
 			if err := f.forwardChunk(ctx, op, index, line[len("data: "):]); err != nil {
 				return err
 			}
