relay: failing test of streams whose lines end with a carriage return (known red)

Cause: the id of the last event is read up to the next line feed. Such a stream cannot be resumed: its Last-Event-Id has the text of the event.

--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -197,3 +197,20 @@
 		}
 	})
 }
+
+// TestStreamWithOtherLineEndsIsResumed guards against streams that cannot be continued because their ids are not read (issue 41).
+func TestStreamWithOtherLineEndsIsResumed(t *testing.T) {
+	for _, end := range []string{"\n", "\r\n", "\r"} {
+		t.Run(fmt.Sprintf("%q", end), func(t *testing.T) {
+			text := func(id int) string { return strings.ReplaceAll(event(id), "\n", end) }
+			spare := newTarget(t, "b", stream(true, text(2)))
+			r := newTestRelay(t, resumable, newTarget(t, "a", stream(false, text(1))), spare).call(t, http.MethodPost, "/p/x", "body")
+			if r.broken || r.body != text(1)+text(2) {
+				t.Fatalf("answer %+v", r)
+			}
+			if last := spare.seen()[0].header.Get("Last-Event-Id"); last != "1" {
+				t.Errorf("resumed after event %q", last)
+			}
+		})
+	}
+}
