relay: streams whose lines end with a carriage return are resumed

Cause: the id was read up to the next line feed and took the rest of the event with it.

Change: the id comes from the fields of the events, whose lines end as the format permits.

--- a/internal/eventstream/event.go
+++ b/internal/eventstream/event.go
@@ -17,6 +17,17 @@
 // statusLine begins an HTTP response, and no field of an event.
 var statusLine = []byte("HTTP/1.")
 
+// LastID returns the id of the last of the complete events that has one.
+func LastID(data []byte) (string, bool) {
+	last := event{}
+	for e := range events(data) {
+		if e.hasID {
+			last = e
+		}
+	}
+	return last.id, last.hasID
+}
+
 // events returns the events in complete ones. Comments and retry fields make no event.
 func events(data []byte) iter.Seq[event] {
 	return func(yield func(event) bool) {
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 
@@ -65,7 +64,7 @@
 		}
 		return eventBatch{}, nil
 	}
-	if id, ok := lastEventID(batch.data); ok {
+	if id, ok := eventstream.LastID(batch.data); ok {
 		batch.lastID = id
 	}
 	b.pending = append([]byte(nil), b.pending[end:]...)
@@ -85,15 +84,3 @@
 	}
 	return nil
 }
-
-// lastEventID returns the value of the last id field in complete events.
-func lastEventID(data []byte) (string, bool) {
-	id, found := "", false
-	for line := range bytes.Lines(data) {
-		line = bytes.TrimRight(line, "\r\n")
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id, found = string(bytes.TrimPrefix(value, []byte(" "))), true
-		}
-	}
-	return id, found
-}
