--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -205,7 +205,7 @@
 	}
 }
 
-// endStream ends an answer that is whole. A caller that resumes a stream after its last
+// endStream ends a complete answer. A caller that resumes a stream after its last
 // event gets an answer without any.
 func (x *exchange) endStream(l *leg, flusher *http.ResponseController) error {
 	if x.committed {
--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -98,17 +98,17 @@
 			return b
 		},
 	}
-	whole := eventsBetween(0, lastTestEvent)
+	complete := eventsBetween(0, lastTestEvent)
 	for way, start := range ways {
 		for name, misfit := range misfits() {
 			t.Run(way+", "+name, func(t *testing.T) {
 				t.Parallel()
 				r := start(t, newTarget(t, "b", misfit)).call(t, http.MethodPost, "/p/x", "body")
-				if !r.broken || len(r.body) < len(eventsBetween(0, 3)) || !strings.HasPrefix(whole, r.body) || !strings.HasSuffix(r.body, "\n\n") {
+				if !r.broken || len(r.body) < len(eventsBetween(0, 3)) || !strings.HasPrefix(complete, r.body) || !strings.HasSuffix(r.body, "\n\n") {
 					t.Errorf("alone: broken %t, %q", r.broken, r.body)
 				}
 				r = start(t, newTarget(t, "b", misfit), newTarget(t, "c", continuing)).call(t, http.MethodPost, "/p/x", "body")
-				if r.broken || r.body != whole {
+				if r.broken || r.body != complete {
 					t.Errorf("before one that fits: broken %t, %q", r.broken, r.body)
 				}
 			})
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -121,7 +121,7 @@
 }
 
 // useful reports whether another attempt is useful after one through another instance,
-// which has already made its own. That instance does not know whether the answer of its
+// which has already made its own. That instance cannot check whether the answer of its
 // target continues a stream.
 func useful(err error) bool {
 	kind := bamboorail.KindOf(err)
