--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -41,18 +41,31 @@
 		// that breaks off at that length as if it were complete.
 		resp.ContentLength = -1
 	}
-	if x.route.Streaming && resp.StatusCode == http.StatusOK && (events || !x.committed) {
+	if err := x.checkContinuation(resp, events); err != nil {
+		return balance.Failed, mayHaveRun("pass-answer", bamboorail.KindTargetFailed, err)
+	}
+	if x.route.Streaming && resp.StatusCode == http.StatusOK {
 		x.recordOrigin(l.target)
 		return x.forwardStream(l, events)
 	}
-	if x.committed || (resp.StatusCode >= http.StatusInternalServerError && x.mayRetryAnswer()) {
-		// The failure of a second target must not end the stream of the first
-		// as if it were complete.
+	if resp.StatusCode >= http.StatusInternalServerError && x.mayRetryAnswer() {
 		return balance.Failed, targetFailed(resp)
 	}
 	return x.forwardBuffered(l, events)
 }
 
+// checkContinuation returns eventstream.ErrNotContinued if the stream that has begun, here or
+// in an earlier call of the caller, is not continued by the answer. The failure of a second
+// target must not end the stream of the first as if it were complete; one that answers a
+// call from its start is for the caller.
+func (x *exchange) checkContinuation(resp *http.Response, events bool) error {
+	required := x.committed || x.events.sequence.Comparable() && resp.StatusCode < http.StatusMultipleChoices
+	if !required || x.route.Streaming && resp.StatusCode == http.StatusOK && events {
+		return nil
+	}
+	return fmt.Errorf("%w: the target answered with status %d and type %.40q", eventstream.ErrNotContinued, resp.StatusCode, resp.Header.Get("Content-Type"))
+}
+
 func targetFailed(resp *http.Response) error {
 	return mayHaveRun("pass-answer", bamboorail.KindTargetFailed, fmt.Errorf("the target answered with status %d", resp.StatusCode))
 }
@@ -167,28 +180,46 @@
 	const op = "pass-stream"
 	resumable := events && x.route.Repeat == bamboorail.RepeatResume
 	x.resumable = x.resumable || resumable
-	x.commit(l.response)
 	flusher := http.NewResponseController(x.w)
 	if resumable {
 		x.standby.watch(eventTimeout, errEventTimeout, x.legStart(), x.attempted)
 	}
-	x.events.discardPartial()
+	x.events.begin()
+	if !x.events.continues {
+		x.commit(l.response)
+	}
 	body, buffer := &answerReader{x: x, body: l.response.Body, events: events}, make([]byte, readSize)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
-			if sendErr := x.forwardChunk(flusher, buffer[:n], resumable); sendErr != nil {
+			if sendErr := x.forwardChunk(l, flusher, buffer[:n], resumable); sendErr != nil {
 				return x.chunkError(op, sendErr)
 			}
 		}
 		if err == nil {
 			continue
 		}
-		if errors.Is(err, io.EOF) {
-			return balance.Answered, nil
+		if !errors.Is(err, io.EOF) {
+			return x.truncatedError(l, op, err)
 		}
-		return x.truncatedError(l, op, err)
+		if err := x.endStream(l, flusher); err != nil {
+			return x.chunkError(op, err)
+		}
+		return balance.Answered, nil
+	}
+}
+
+// endStream ends a complete answer. A caller that resumes a stream after its last
+// event gets an answer without any.
+func (x *exchange) endStream(l *leg, flusher *http.ResponseController) error {
+	if x.committed {
+		return x.events.checkEnd()
 	}
+	x.commit(l.response)
+	if _, err := x.w.Write(x.events.pending); err != nil {
+		return err
+	}
+	return flusher.Flush()
 }
 
 // chunkError returns the failure to forward a part of a stream.
@@ -196,25 +227,32 @@
 	if errors.Is(err, errEventTimeout) {
 		return balance.Unreachable, mayHaveRun(op, bamboorail.KindTruncated, err)
 	}
+	if errors.Is(err, eventstream.ErrNotContinued) {
+		return balance.Failed, mayHaveRun(op, bamboorail.KindTargetFailed, err)
+	}
 	return balance.Abandoned, mayHaveRun(op, bamboorail.KindCancelled, err)
 }
 
 // forwardChunk forwards bytes of a stream. Of a resumable stream it forwards
 // only complete events, so that another target can continue after the last one. It
-// returns errEventTimeout if another target already does.
-func (x *exchange) forwardChunk(flusher *http.ResponseController, data []byte, resumable bool) error {
+// returns errEventTimeout if another target already does, and eventstream.ErrNotContinued
+// if the events do not follow those before.
+func (x *exchange) forwardChunk(l *leg, flusher *http.ResponseController, data []byte, resumable bool) error {
 	if resumable {
-		var err error
 		// A byte now and then is no event, and no progress.
-		if data, err = x.events.add(data); err != nil || len(data) == 0 {
+		batch, err := x.events.add(data)
+		if err != nil || len(batch.data) == 0 {
 			return err
 		}
-		if !x.standby.progress(x.events.lastID) {
+		if !x.standby.progress(batch.lastID, batch.sequence) {
 			return errEventTimeout
 		}
+		x.events.forwarded(batch)
+		data = batch.data
 		// The time in which the caller does not read is not the target's.
 		defer x.standby.resume()
 	}
+	x.commit(l.response)
 	if _, err := x.w.Write(data); err != nil {
 		return err
 	}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -70,7 +70,7 @@
 		x.neighbors = append(x.neighbors, l.neighbor)
 	}
 	next := x.replaceFailure(ctx, l)
-	if l.err == nil && !s.progress(l.start.lastEvent) {
+	if l.err == nil && !s.progress(l.start.lastEvent, l.start.sequence) {
 		l.end(balance.Unreachable, mayHaveRun("send-call", bamboorail.KindDeadlineExceeded, errAttemptTimeout))
 	}
 	if l.err == nil {
@@ -83,9 +83,6 @@
 	}
 	s.end()
 	x.recordStandbys(next)
-	if next != nil {
-		x.events = eventBuffer{lastID: next.start.lastEvent}
-	}
 	return next, l.err
 }
 
--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -1,17 +1,18 @@
 package relay
 
 import (
-	"cmp"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
-	"slices"
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/balance"
+	"bamboorail.example/bamboorail/internal/eventstream"
 )
 
-var errNotContinued = errors.New("the answer does not continue the stream")
+// errNoEvent marks a stream that ended without an event.
+var errNoEvent = fmt.Errorf("%w: it ended without an event", eventstream.ErrNotContinued)
 
 // awaitContinuation checks that the answer of a standby leg can take the place of the
 // current one. It waits for the first event of a stream, and for the whole of another answer
@@ -20,37 +21,57 @@
 	const op = "start-standby"
 	resp := l.response
 	events := l.x.isEventStream(resp)
-	if resp.StatusCode >= http.StatusInternalServerError || l.start.committed && (resp.StatusCode != http.StatusOK || !events) {
-		return mayHaveRun(op, bamboorail.KindTargetFailed, errNotContinued)
+	continues := l.start.committed || l.start.sequence.Comparable()
+	if resp.StatusCode >= http.StatusInternalServerError || continues && (resp.StatusCode != http.StatusOK || !events) {
+		return mayHaveRun(op, bamboorail.KindTargetFailed, eventstream.ErrNotContinued)
 	}
-	enough := func(data []byte) bool { return len(data) >= maxBufferedAnswer }
+	read := readAnswer
 	if events {
-		enough = func(data []byte) bool { return hasEvent(data) || len(data) >= maxEventBytes }
-	}
-	var first []byte
-	var err error
-	for err == nil && !enough(first) {
-		var n int
-		first = slices.Grow(first, readSize)
-		n, err = resp.Body.Read(first[len(first) : len(first)+readSize])
-		first = first[:len(first)+n]
+		read = l.readFirstEvent
 	}
+	first, end, err := read(resp.Body)
 	switch {
-	case events && !hasEvent(first):
-		return mayHaveRun(op, bamboorail.KindTruncated, cmp.Or(notEOF(err), errNotContinued))
-	case !events && notEOF(err) != nil:
+	case errors.Is(err, eventstream.ErrNotContinued), errors.Is(err, errEventTooLarge):
+		return mayHaveRun(op, bamboorail.KindTargetFailed, err)
+	case err != nil:
 		return mayHaveRun(op, bamboorail.KindTruncated, err)
 	}
-	resp.Body = prefixedBody{Reader: io.MultiReader(&firstRead{data: first, err: err}, resp.Body), Closer: resp.Body}
+	resp.Body = prefixedBody{Reader: io.MultiReader(&firstRead{data: first, err: end}, resp.Body), Closer: resp.Body}
 	return nil
 }
 
-// notEOF returns err unless it marks the proper end of a body.
-func notEOF(err error) error {
-	if errors.Is(err, io.EOF) {
-		return nil
+// readAnswer reads an answer, or the first maxBufferedAnswer bytes of it. It also returns
+// io.EOF if the answer ends there.
+func readAnswer(body io.Reader) (data []byte, end, err error) {
+	data, err = io.ReadAll(io.LimitReader(body, maxBufferedAnswer))
+	if err == nil && len(data) < maxBufferedAnswer {
+		end = io.EOF
+	}
+	return data, end, err
+}
+
+// readFirstEvent reads a stream until its first event is complete and continues the events
+// before. It also returns the error with which the last read ended.
+func (l *leg) readFirstEvent(body io.Reader) (data []byte, end, err error) {
+	check, buffer := eventBuffer{sequence: l.start.sequence}, make([]byte, readSize)
+	check.begin()
+	for {
+		n, end := body.Read(buffer)
+		data = append(data, buffer[:n]...)
+		if _, err := check.add(buffer[:n]); err != nil {
+			return nil, nil, err
+		}
+		switch {
+		case eventstream.HasEvent(data):
+			return data, end, nil
+		case errors.Is(end, io.EOF):
+			return nil, nil, errNoEvent
+		case end != nil:
+			return nil, nil, end
+		case len(data) > maxEventBytes:
+			return nil, nil, errEventTooLarge
+		}
 	}
-	return err
 }
 
 // continuationError returns the result of a standby leg whose answer cannot take the place
--- a/internal/relay/leg.go
+++ b/internal/relay/leg.go
@@ -17,14 +17,17 @@
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/balance"
+	"bamboorail.example/bamboorail/internal/eventstream"
 	"bamboorail.example/bamboorail/internal/task"
 )
 
 // legStart is the state of a call in which a leg starts.
 type legStart struct {
-	service   bamboorail.ServiceSpec
-	software  string
+	service  bamboorail.ServiceSpec
+	software string
+	// lastEvent is the last event that was forwarded, sequence the ids up to it.
 	lastEvent string
+	sequence  eventstream.Sequence
 	// committed and resumable are those of the exchange.
 	committed, resumable bool
 
@@ -37,8 +40,8 @@
 // legStart returns the current state of the call.
 func (x *exchange) legStart() legStart {
 	start := legStart{
-		service: x.service, software: x.software, lastEvent: x.events.lastID, committed: x.committed, resumable: x.resumable,
-		avoid: x.avoid, neighbors: x.neighbors, runs: x.attempted.runs, startBy: x.startBy,
+		service: x.service, software: x.software, lastEvent: x.events.lastID, sequence: x.events.sequence,
+		committed: x.committed, resumable: x.resumable, avoid: x.avoid, neighbors: x.neighbors, runs: x.attempted.runs, startBy: x.startBy,
 	}
 	if x.committed {
 		start.startBy = time.Now().Add(resumeTimeout)
@@ -204,6 +207,9 @@
 // end releases what the leg holds. It is called once.
 func (l *leg) end(result balance.Result, err error) {
 	l.result, l.err = result, err
+	if errors.Is(err, eventstream.ErrNotContinued) {
+		l.x.h.Log.Warn("answer does not continue the stream", "id", l.x.call.ID, "target", l.target.ID.Name, "via", l.neighbor, "error", err)
+	}
 	if l.response != nil {
 		l.response.Body.Close()
 	}
@@ -260,6 +266,8 @@
 		return " superseded"
 	case errors.Is(err, syscall.ETIMEDOUT):
 		return " unacknowledged"
+	case errors.Is(err, eventstream.ErrNotContinued):
+		return " not-continued"
 	case closedByTarget(err):
 		return " closed"
 	}
--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -10,6 +10,7 @@
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/balance"
+	"bamboorail.example/bamboorail/internal/eventstream"
 	"bamboorail.example/bamboorail/internal/task"
 )
 
@@ -120,12 +121,14 @@
 func (s *standby) resume() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.start.committed = s.x.committed
 	s.arm(s.wait)
 }
 
-// progress records that the current leg continues, now after event lastEvent. It returns
-// false if another leg has taken its place; nothing more of the current one may be used.
-func (s *standby) progress(lastEvent string) bool {
+// progress records that the current leg continues, now after event lastEvent of sequence.
+// It returns false if another leg has taken its place; nothing more of the current one may
+// be used.
+func (s *standby) progress(lastEvent string, sequence eventstream.Sequence) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.winner != nil {
@@ -133,7 +136,7 @@
 	}
 	s.disarm()
 	s.reported, s.failures = false, 0
-	s.start.lastEvent = lastEvent
+	s.start.lastEvent, s.start.sequence = lastEvent, sequence
 	s.cancelRunning()
 	return true
 }
--- a/internal/relay/testrelay_test.go
+++ b/internal/relay/testrelay_test.go
@@ -253,7 +253,8 @@
 type testRelay struct {
 	*httptest.Server
 	chooser *fakeChooser
-	mu      sync.Mutex
+	// mu guards advisories while a call runs, which two legs may add to.
+	mu sync.Mutex
 	// advisories are what the targets said, by target.
 	advisories map[string][]bamboorail.Advisory
 	spans      *telemetry.SpanStore
