--- a/internal/relay/standby_test.go
+++ b/internal/relay/standby_test.go
@@ -83,7 +83,7 @@
 			targets: one(silentFor(time.Second, parts(true, []time.Duration{0, pause}, event(1), event(2))), dark, dark),
 		},
 		"failure after a silence, another answers": {
-			spec: plain, targets: one(failing, silentFor(brief/2, answer("whole"))), want: "whole", arrived: []int{1, 1}, taken: 1,
+			spec: plain, targets: one(failing, silentFor(brief*3/4, answer("whole"))), want: "whole", arrived: []int{1, 1}, taken: 1,
 		},
 		"failure after a silence, another is silent": {
 			spec: plain, targets: one(failing, dark), status: http.StatusInternalServerError, arrived: []int{1, 1}, taken: 1,
