relay: a refusal counts only if it names the call or came on a new connection

Callers saw: 503 "not run" for streams that an engine received, or such a stream ran at a second engine, after an engine wrote an earlier refusal once more on a kept connection.

Cause: refusals were accepted without a look at the id that engines echo, and the connection was used on, with the answer to the call still to come.

Change: the relay compares the id of each response. A refusal with another id, or without one on a reused connection, may have run. Without an id on a connection that carried no other call it stays "not run". After a response with another id or none, no further call uses the connections that are open to that target. Each such response that is not accepted is logged.

--- a/fleet.go
+++ b/fleet.go
@@ -248,8 +248,12 @@
 	Encode(r *http.Request, c *Call, s Attempt)
 	// SetLastEvent sets the event after which a stream resumes in the header of a call.
 	SetLastEvent(h http.Header, id string)
-	// Classify classifies the status and header of a response.
+	// Classify classifies the status and header of a response. Whether a rejection
+	// belongs to the call follows from ResponseID.
 	Classify(r *http.Response, c *Call) ResponseClass
+	// ResponseID returns the id of the call that a response names, empty if it names
+	// none.
+	ResponseID(r *http.Response) string
 	// Advisory returns what the target says of itself. A value that cannot be
 	// decoded is an error and counts as not said.
 	Advisory(r *http.Response) (Advisory, error)
--- a/internal/relay/leg.go
+++ b/internal/relay/leg.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"slices"
 	"strings"
@@ -157,12 +158,19 @@
 	x := l.x
 	l.sent = true
 	single := x.route.Repeat == bamboorail.RepeatNever && !x.route.Streaming
-	resp, err := x.h.pool.transport(l.target, single).RoundTrip(l.newRequest().WithContext(ctx)) //nolint:bodyclose // closed by end
+	reused := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused = i.Reused }})
+	transport := x.h.pool.transport(l.target, single)
+	resp, err := transport.RoundTrip(l.newRequest().WithContext(ctx)) //nolint:bodyclose // closed by end
 	if err != nil {
 		l.result, l.err = l.transportError(op, err)
 		return
 	}
-	class := x.h.Egress.Classify(resp, &x.call)
+	class := l.classify(resp, reused)
+	if x.h.Egress.ResponseID(resp) != x.call.ID {
+		// The connection may still carry the answer to this call.
+		x.h.pool.discard(l.target.ID, transport)
+	}
 	x.advise(l.target.ID, resp, class)
 	x.h.pool.limitIdle(l.target.ID, resp.Header.Get("Keep-Alive"))
 	l.response = resp
@@ -180,6 +188,20 @@
 	}
 }
 
+// classify classifies a response. On a reused connection, a target may have repeated its
+// response to an earlier call; only a new one proves that a refusal without an id belongs
+// to this call.
+func (l *leg) classify(resp *http.Response, reused bool) bamboorail.ResponseClass {
+	x := l.x
+	id := x.h.Egress.ResponseID(resp)
+	if id != x.call.ID && (id != "" || reused) {
+		x.h.Log.Warn("response belongs to another call", "id", x.call.ID, "target", l.target.ID.Name,
+			"status", resp.StatusCode, "response-id", id, "reused-connection", reused)
+		return bamboorail.ResponseInvalid
+	}
+	return x.h.Egress.Classify(resp, &x.call)
+}
+
 // end releases what the leg holds. It is called once.
 func (l *leg) end(result balance.Result, err error) {
 	l.result, l.err = result, err
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -114,11 +114,27 @@
 	if c == nil || idle >= c.idle {
 		return
 	}
+	c.idle = idle
+	p.replace(c)
+}
+
+// replace closes the idle connections to a target, and those in use once they become
+// idle. The caller holds the lock.
+func (p *pool) replace(c *connections) {
 	old := c.reused
-	c.reused, c.idle = p.newTransport(idle), idle
+	c.reused = p.newTransport(c.idle)
 	old.CloseIdleConnections()
 }
 
+// discard keeps further calls from the connections of a transport.
+func (p *pool) discard(id bamboorail.TargetID, used http.RoundTripper) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.targets[id]; c != nil && used == c.reused {
+		p.replace(c)
+	}
+}
+
 // announcedIdle returns the timeout in a Keep-Alive header field, less a
 // margin.
 func announcedIdle(keepAlive string) (time.Duration, bool) {
--- a/internal/relay/testrelay_test.go
+++ b/internal/relay/testrelay_test.go
@@ -74,6 +74,8 @@
 	return bamboorail.ResponseValid
 }
 
+func (testDialect) ResponseID(r *http.Response) string { return r.Header.Get("Id") }
+
 // fakeTarget is a scripted target: each request is answered by the next script.
 type fakeTarget struct {
 	listener net.Listener
