relay: a call that is sent to a target again has a connection of its own

Callers saw: a call ran though it was refused to them later, or ran twice: an engine refused it, got it again on the same connection, and wrote the first refusal once more while it ran the call. The refusal bears the id of the call, so that a third attempt followed.

Cause: a target that answers 421 while it loads the adapter, or refuses while no other is left, gets the call again, on the connection that brought the refusal.

Change: a call that reached a target before is sent there on a new connection that carries nothing else. Connections are not closed after each refusal: full engines refuse often.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -102,6 +102,7 @@
 // record takes over what a leg that has ended tells of its targets.
 func (x *exchange) record(l *leg) {
 	x.avoid = append(x.avoid, l.avoid...)
+	x.reached = append(x.reached, l.reached...)
 	x.trail = append(x.trail, l.trail...)
 }
 
--- a/internal/relay/leg.go
+++ b/internal/relay/leg.go
@@ -31,15 +31,17 @@
 
 	avoid     []string
 	neighbors []string
-	runs      int
-	startBy   time.Time
+	// reached are the targets that the call was sent to.
+	reached []string
+	runs    int
+	startBy time.Time
 }
 
 // legStart returns the current state of the call.
 func (x *exchange) legStart() legStart {
 	start := legStart{
 		service: x.service, software: x.software, lastEvent: x.events.lastID, committed: x.committed, resumable: x.resumable,
-		avoid: x.avoid, neighbors: x.neighbors, runs: x.attempted.runs, startBy: x.startBy,
+		avoid: x.avoid, neighbors: x.neighbors, reached: x.reached, runs: x.attempted.runs, startBy: x.startBy,
 	}
 	if x.committed {
 		start.startBy = time.Now().Add(resumeTimeout)
@@ -75,8 +77,8 @@
 	found, sent, ran bool
 	result           balance.Result
 	err              error
-	// avoid and trail are what the leg adds to those of the call.
-	avoid, trail []string
+	// avoid, reached and trail are what the leg adds to those of the call.
+	avoid, reached, trail []string
 }
 
 // newLeg returns a leg that has not been opened.
@@ -157,7 +159,8 @@
 	const op = "send-call"
 	x := l.x
 	l.sent = true
-	single := x.route.Repeat == bamboorail.RepeatNever && !x.route.Streaming
+	// A repeated response to an earlier attempt names this call, too.
+	single := x.route.Repeat == bamboorail.RepeatNever && !x.route.Streaming || slices.Contains(l.start.reached, l.target.ID.Name)
 	reused := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused = i.Reused }})
 	transport := x.h.pool.transport(l.target, single)
@@ -219,6 +222,9 @@
 	if entry := l.describe(took); entry != "" {
 		l.trail = append(l.trail, entry)
 	}
+	if l.sent && l.neighbor == "" {
+		l.reached = append(l.reached, l.target.ID.Name)
+	}
 	if err != nil && l.sent && l.neighbor == "" && (result != balance.Misdirected || l.reservation.Assumed) {
 		l.avoid = append(l.avoid, l.target.ID.Name)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -192,6 +192,7 @@
 	// the call was forwarded, forwarded is the call of another instance.
 	target    string
 	neighbors []string
+	reached   []string
 	forwarded *ForwardCall
 	trail     []string
 	firstByte time.Duration
--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -222,6 +222,7 @@
 			s.counts = s.counts.subtract(admittedCounts)
 		}
 		s.start.avoid = append(slices.Clip(s.start.avoid), l.avoid...)
+		s.start.reached = append(slices.Clip(s.start.reached), l.reached...)
 		if l.neighbor != "" {
 			s.exclude(l)
 		}
