engine: runs use each connection once

Callers would get: "not run" for a generation that an engine received, if that engine wrote an earlier refusal once more on a kept connection (project's own interface).

Cause: refusals of either dialect need not name the run, so that a copy cannot be told from a refusal of the next run.

Change: runs use the transport that calls of applications use, which opens a connection for each. Orders, reports and resumptions keep theirs: a resumption that fails is never "not run", and its chunks name the run.

The cost of the handshakes was not measured.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -30,13 +30,17 @@
 	maxReportBytes = 1 << 20
 )
 
-// New returns a client for the dialect named in the target's record.
-func New(t record.Target, transport http.RoundTripper) bamboorail.Engine {
-	c := client{base: strings.TrimSuffix(t.URL(), "/"), http: &http.Client{Transport: transport}}
+// New returns a client for the dialect named in the target's record. The transport of runs
+// must not reuse connections: a refusal need not name its run, and one of an earlier run
+// could be taken for that of the next.
+func New(t record.Target, control, runs http.RoundTripper) bamboorail.Engine {
+	base := strings.TrimSuffix(t.URL(), "/")
+	c := client{base: base, http: &http.Client{Transport: control}}
+	r := client{base: base, http: &http.Client{Transport: runs}}
 	if t.Dialect() == record.DialectStatus {
-		return &statusEngine{client: c}
+		return &statusEngine{client: c, runs: r}
 	}
-	return &openAIEngine{client: c}
+	return &openAIEngine{client: c, runs: r}
 }
 
 type client struct {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -70,7 +70,7 @@
 	t.Helper()
 	w := &bamboorail.Request{RequestID: "r1", Model: bamboorail.NewModelRef("suhrn", "v1"), Body: []byte(`{"model":"suhrn@v1","prompt":"p","max_tokens":3}`)}
 	s := &sink{}
-	err := engine.New(target(t, url, dialect), http.DefaultTransport).Run(context.Background(), bamboorail.EngineRequest{Request: w, Handle: handle}, s)
+	err := engine.New(target(t, url, dialect), http.DefaultTransport, &http.Transport{DisableKeepAlives: true}).Run(context.Background(), bamboorail.EngineRequest{Request: w, Handle: handle}, s)
 	return s, err
 }
 
@@ -213,7 +213,7 @@
 				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+c.head+"\r\n"+c.body)
 			}))
 			t.Cleanup(s.Close)
-			report, err := engine.New(target(t, s.URL, record.DialectOpenAI), &http.Transport{}).Report(context.Background())
+			report, err := engine.New(target(t, s.URL, record.DialectOpenAI), &http.Transport{}, &http.Transport{}).Report(context.Background())
 			if c.valid != (err == nil) || c.valid && report.Slots != 4 {
 				t.Errorf("report %+v, error %v", report, err)
 			}
--- a/internal/engine/openai.go
+++ b/internal/engine/openai.go
@@ -22,7 +22,10 @@
 
 // openAIEngine implements the OpenAI-compatible dialect: load and unload requests
 // with fencing numbers, state in the Prometheus text format, resumable streams.
-type openAIEngine struct{ client }
+type openAIEngine struct {
+	client
+	runs client
+}
 
 var _ bamboorail.Engine = (*openAIEngine)(nil)
 
@@ -148,7 +151,7 @@
 	if r.Request.Chat {
 		path = "/v1/chat/completions"
 	}
-	resp, err := e.send(ctx, op, http.MethodPost, path, e.header(r), body)
+	resp, err := e.runs.send(ctx, op, http.MethodPost, path, e.header(r), body)
 	if err != nil {
 		return err
 	}
--- a/internal/engine/status.go
+++ b/internal/engine/status.go
@@ -15,7 +15,10 @@
 // statusEngine implements the dialect that reports its state in a document, which
 // may be out of date. Such engines ignore fencing numbers and cannot resume a
 // stream.
-type statusEngine struct{ client }
+type statusEngine struct {
+	client
+	runs client
+}
 
 var _ bamboorail.Engine = (*statusEngine)(nil)
 
@@ -121,7 +124,7 @@
 	if err != nil {
 		return notRun(op, bamboorail.KindBadRequest, err)
 	}
-	resp, err := e.send(ctx, op, http.MethodPost, "/generate", nil, message)
+	resp, err := e.runs.send(ctx, op, http.MethodPost, "/generate", nil, message)
 	if err != nil {
 		return err
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -58,8 +58,8 @@
 	spans     *telemetry.SpanStore
 	tracer    trace.Tracer
 
-	engineTransport      http.RoundTripper
-	applicationTransport *http.Transport
+	engineTransport    http.RoundTripper
+	singleUseTransport *http.Transport
 
 	ports      *listeners
 	config     *configuration
@@ -138,7 +138,7 @@
 		IdleConnTimeout: idleConnTimeout, DisableCompression: true, MaxResponseHeaderBytes: httpport.MaxResponseHeaderBytes,
 	}
 	i.engineTransport = engines
-	i.applicationTransport = application.Transport(engines)
+	i.singleUseTransport = application.Transport(engines)
 	return nil
 }
 
--- a/internal/service/targets.go
+++ b/internal/service/targets.go
@@ -91,7 +91,8 @@
 		Target:   t.Name(),
 		Limits:   placement.Limits{Slots: t.Slots(), MaxBatch: t.MaxBatch(), ChecksFencing: t.ChecksFencing()},
 		Settings: s, Policy: policy, TermHistory: e,
-		Client: &tracedEngine{Engine: engine.New(t, i.engineTransport), target: t.Name(), tracer: i.tracer}, Permits: &permits{i}, Catalog: &catalog{i},
+		Client:  &tracedEngine{Engine: engine.New(t, i.engineTransport, i.singleUseTransport), target: t.Name(), tracer: i.tracer},
+		Permits: &permits{i}, Catalog: &catalog{i},
 		Log: i.logs.Layer("owner"), Observer: i.metrics,
 	}
 }
@@ -129,7 +130,7 @@
 			limit = (t.MaxBatch() + entry.DeduplicatorShards - 1) / entry.DeduplicatorShards
 		}
 		list = append(list, owner.Backend{Name: t.Name(), Limit: limit, Application: &tracedApplication{
-			next: application.New(t, i.applicationTransport), target: t.Name(), tracer: i.tracer,
+			next: application.New(t, i.singleUseTransport), target: t.Name(), tracer: i.tracer,
 		}})
 	}
 	return list
