--- a/internal/relay/leg.go
+++ b/internal/relay/leg.go
@@ -198,7 +198,7 @@
 	x := l.x
 	id := x.h.Egress.ResponseID(resp)
 	if id != x.call.ID && (id != "" || reused) {
-		x.h.Log.Warn("response belongs to another call", "id", x.call.ID, "target", l.target.ID.Name,
+		x.h.Log.Warn("response may belong to another call", "id", x.call.ID, "target", l.target.ID.Name,
 			"status", resp.StatusCode, "response-id", id, "reused-connection", reused)
 		return bamboorail.ResponseInvalid
 	}
