--- a/internal/relay/leg.go
+++ b/internal/relay/leg.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"slices"
 	"strings"
@@ -33,15 +34,18 @@
 
 	avoid     []string
 	neighbors []string
-	runs      int
-	startBy   time.Time
+	// reached are the targets that the call was sent to.
+	reached []string
+	runs    int
+	startBy time.Time
 }
 
 // legStart returns the current state of the call.
 func (x *exchange) legStart() legStart {
 	start := legStart{
 		service: x.service, software: x.software, lastEvent: x.events.lastID, sequence: x.events.sequence,
-		committed: x.committed, resumable: x.resumable, avoid: x.avoid, neighbors: x.neighbors, runs: x.attempted.runs, startBy: x.startBy,
+		committed: x.committed, resumable: x.resumable, avoid: x.avoid, neighbors: x.neighbors, reached: x.reached,
+		runs: x.attempted.runs, startBy: x.startBy,
 	}
 	if x.committed {
 		start.startBy = time.Now().Add(resumeTimeout)
@@ -56,6 +60,7 @@
 		return
 	}
 	s.avoid = append(slices.Clip(s.avoid), l.target.ID.Name)
+	s.reached = append(slices.Clip(s.reached), l.target.ID.Name)
 }
 
 // leg is one attempt to run a call, at a target or through another instance. It does not
@@ -87,8 +92,8 @@
 	found, sent, ran bool
 	result           balance.Result
 	err              error
-	// avoid and trail are what the leg adds to those of the call.
-	avoid, trail []string
+	// avoid, reached and trail are what the leg adds to those of the call.
+	avoid, reached, trail []string
 }
 
 // newLeg returns a leg that has not been opened.
@@ -180,13 +185,21 @@
 	const op = "send-call"
 	x := l.x
 	l.sent = true
-	single := x.route.Repeat == bamboorail.RepeatNever && !x.route.Streaming
-	resp, err := x.h.pool.transport(l.target, single).RoundTrip(l.newRequest().WithContext(ctx)) //nolint:bodyclose // closed by end
+	// A repeated response to an earlier attempt names this call, too.
+	single := x.route.Repeat == bamboorail.RepeatNever && !x.route.Streaming || slices.Contains(l.start.reached, l.target.ID.Name)
+	reused := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused = i.Reused }})
+	transport := x.h.pool.transport(l.target, single)
+	resp, err := transport.RoundTrip(l.newRequest().WithContext(ctx)) //nolint:bodyclose // closed by end
 	if err != nil {
 		l.result, l.err = l.transportError(op, err)
 		return
 	}
-	class := x.h.Egress.Classify(resp, &x.call)
+	class := l.classify(resp, reused)
+	if x.h.Egress.ResponseID(resp) != x.call.ID {
+		// The connection may still carry the answer to this call.
+		x.h.pool.discard(l.target.ID, transport)
+	}
 	x.advise(l.target.ID, resp, class)
 	x.h.pool.limitIdle(l.target.ID, resp.Header.Get("Keep-Alive"))
 	l.response = resp
@@ -204,6 +217,20 @@
 	}
 }
 
+// classify classifies a response. On a reused connection, a target may have repeated its
+// response to an earlier call; only a new one proves that a refusal without an id belongs
+// to this call.
+func (l *leg) classify(resp *http.Response, reused bool) bamboorail.ResponseClass {
+	x := l.x
+	id := x.h.Egress.ResponseID(resp)
+	if id != x.call.ID && (id != "" || reused) {
+		x.h.Log.Warn("response may belong to another call", "id", x.call.ID, "target", l.target.ID.Name,
+			"status", resp.StatusCode, "response-id", id, "reused-connection", reused)
+		return bamboorail.ResponseInvalid
+	}
+	return x.h.Egress.Classify(resp, &x.call)
+}
+
 // end releases what the leg holds. It is called once.
 func (l *leg) end(result balance.Result, err error) {
 	l.result, l.err = result, err
@@ -224,6 +251,9 @@
 	if entry := l.describe(took); entry != "" {
 		l.trail = append(l.trail, entry)
 	}
+	if l.sent && l.neighbor == "" {
+		l.reached = append(l.reached, l.target.ID.Name)
+	}
 	if err == nil || !l.found || l.neighbor != "" || result == balance.Abandoned {
 		return
 	}
--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -264,6 +264,7 @@
 	delete(s.running, l)
 	if l.err != nil {
 		s.start.avoid = append(slices.Clip(s.start.avoid), l.avoid...)
+		s.start.reached = append(slices.Clip(s.start.reached), l.reached...)
 		if l.neighbor != "" {
 			s.start.exclude(l)
 		}
