placer, platform: a call with invalid text stops no other calls

Callers saw: 503 on calls for adapters, for as long as one caller sends an id or an adapter that is not valid UTF-8 to the same instance.

Cause: the message to the holder could not be encoded, and any error of it counts as a holder that does not answer, which is passed over for a while by all calls.

--- a/internal/placer/queries.go
+++ b/internal/placer/queries.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"go.opentelemetry.io/otel/trace"
 
@@ -118,6 +120,14 @@
 	return failRetry("ask-holder", bamboorail.KindOverloaded, cmp.Or(f.RetryAfter, noCapacityRetry), err)
 }
 
+// callID returns the id of a call for a message, which can contain valid UTF-8 only.
+func callID(id string) string {
+	if utf8.ValidString(id) {
+		return id
+	}
+	return strconv.QuoteToASCII(id)
+}
+
 func (c *Chooser) askPeer(
 	ctx context.Context, z ZoneHolder, address string, a relay.ChooseRequest, newest int, loads adapters.LoadPolicy,
 ) (relay.Reservation, error) {
@@ -130,7 +140,7 @@
 	reply, err := c.Peers.Place(queryCtx, address, &wire.PlaceRequest{
 		Zone: z.Zone, Instance: c.Instance, Service: a.Service.Name, Model: a.Call.Key.Model, Adapter: a.Call.Key.Adapter,
 		Version: int64(newest), Avoid: a.Avoid, Ended: endedMessages(ended), Loads: int32(loads),
-		CallId: a.Call.ID, WaitedMicros: time.Since(a.Received).Microseconds(), ObjectiveMicros: a.Route.Objective.Microseconds(),
+		CallId: callID(a.Call.ID), WaitedMicros: time.Since(a.Received).Microseconds(), ObjectiveMicros: a.Route.Objective.Microseconds(),
 		Priority: int32(a.Route.Priority), InstanceZone: c.Zones[0].Zone, RemainingMicros: time.Until(a.StartBy).Microseconds(),
 		Software: a.Software,
 	})
