detour: a call with invalid text is sent directly

Callers saw: while an instance reaches no target, one caller whose header or path is not valid UTF-8 kept all calls of that instance from being forwarded, a second for each try and instance; its own call could end as one that may have run.

Change: a call that cannot be encoded is not forwarded and has not run; it goes on to a target directly. No other instance is avoided for it.

--- a/internal/detour/forward.go
+++ b/internal/detour/forward.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/peer"
@@ -21,13 +23,20 @@
 
 var (
 	errNoHead      = errors.New("the answer begins without a head")
+	errInvalidText = errors.New("the call contains text that is not valid UTF-8")
 	errUnreachable = errors.New("the instance reaches no target either, or leaves")
 )
 
 // Forward runs a call at the instance at address.
 func (d *Detour) Forward(ctx context.Context, address string, c relay.ForwardCall) (relay.ForwardedAnswer, error) {
+	message := requestMessage(c)
+	if !isValid(message) {
+		return relay.ForwardedAnswer{}, relay.NeighborFailed(&Error{bamboorail.Failure{
+			Op: "forward-call", Kind: bamboorail.KindBadRequest, Outcome: bamboorail.OutcomeNotRun, Err: errInvalidText,
+		}})
+	}
 	callCtx, cancel := context.WithCancel(ctx)
-	stream, err := d.Peers.Forward(callCtx, address, requestMessage(c))
+	stream, err := d.Peers.Forward(callCtx, address, message)
 	if err != nil {
 		cancel()
 		return relay.ForwardedAnswer{}, d.pathFailed(ctx, address, err)
@@ -109,6 +118,15 @@
 	}
 }
 
+// isValid reports whether a message can be encoded: its text must be valid UTF-8.
+func isValid(m *wire.ForwardRequest) bool {
+	texts := []string{m.GetMethod(), m.GetUri(), m.GetHost()}
+	for _, f := range m.GetHeader() {
+		texts = append(append(texts, f.GetName()), f.GetValues()...)
+	}
+	return !slices.ContainsFunc(texts, func(text string) bool { return !utf8.ValidString(text) })
+}
+
 // Runner runs forwarded calls.
 type Runner interface {
 	ServeForwarded(ctx context.Context, c relay.ForwardCall, to relay.ForwardWriter) error
