internal/platform: failing test of records that no process can read (known red)

Cause: a record is checked by itself and stored inside a shard, two levels deeper. encoding/json writes that, and refuses to read it.

Measured: of records nested 20 to 15,000 levels, those of 9,998 and 9,999 are accepted and make their shard unreadable; those below fit, those above are refused.

--- a/internal/platform/configuration_test.go
+++ b/internal/platform/configuration_test.go
@@ -231,3 +231,22 @@
 		t.Fatal(err)
 	}
 }
+
+func TestAcceptedRecordsFitSnapshots(t *testing.T) {
+	for _, depth := range []int{20, 9_980, 9_993, 9_994, 9_995, 9_996, 9_997, 9_998, 9_999, 15_000} {
+		t.Run(fmt.Sprint(depth), func(t *testing.T) {
+			s := memory.NewStore()
+			note := `,"note":` + strings.Repeat("[", depth) + strings.Repeat("]", depth)
+			_, err := platform.NewWriter(s).Commit(t.Context(), platform.Change{ID: "c", Apply: []json.RawMessage{adapterRecord("a", note)}})
+			if err != nil {
+				if depth < 100 || bamboorail.KindOf(err) != bamboorail.KindInvalidRecord {
+					t.Errorf("record refused: %v", err)
+				}
+				return
+			}
+			if _, err := view(t, s).Snapshot(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
