pkg/record: a record has 100 levels at most

Callers saw: nothing yet; found by a test. An operator whose change contains one record nested 9,998 or 9,999 levels gets it acknowledged, and from then on no process can read the shard, and so no further configuration; further changes of the shard fail too.

Cause: encoding/json reads 10,000 levels and checks each record by itself, while records are stored two levels deeper, and sent to peers and operators inside further documents.

Change: record.Parse refuses records of more than 100 levels; stored records are read as before.

--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -62,9 +62,37 @@
 	raw      json.RawMessage
 }
 
+// maxDepth is the number of levels of a record. Records are parts of other documents,
+// and encoding/json reads no document of more than 10,000 levels.
+const maxDepth = 100
+
 // Parse parses a record, checks its header and returns it with revision 0.
 func Parse(raw []byte) (Record, error) {
-	return ParseStored(raw, 0)
+	r, err := ParseStored(raw, 0)
+	if err == nil && depth(r.raw) > maxDepth {
+		return Record{}, invalid("parse-record", "more than %d levels", maxDepth)
+	}
+	return r, err
+}
+
+// depth returns the number of levels of a valid JSON document.
+func depth(data []byte) int {
+	level, deepest, text := 0, 0, false
+	for n := 0; n < len(data); n++ {
+		switch c := data[n]; {
+		case text && c == '\\':
+			n++
+		case c == '"':
+			text = !text
+		case text:
+		case c == '{' || c == '[':
+			level++
+			deepest = max(deepest, level)
+		case c == '}' || c == ']':
+			level--
+		}
+	}
+	return deepest
 }
 
 // ParseStored parses a stored record with the revision of its last change.
--- a/pkg/record/record_test.go
+++ b/pkg/record/record_test.go
@@ -38,6 +38,8 @@
 func TestInvalidRecordErrors(t *testing.T) {
 	for name, c := range map[string]struct{ raw, want string }{
 		"not JSON":                   {`{`, "not a JSON object"},
+		"nested 100 levels":          {`{"schema-version":1,"kind":"adapter","name":"a","base-model":"z","x":` + strings.Repeat("[", 100) + strings.Repeat("]", 100) + `}`, "levels"},
+		"nested 15,000 levels":       {strings.Repeat("[", 15_000) + strings.Repeat("]", 15_000), "not a JSON object"},
 		"no schema":                  {`{"kind":"adapter","name":"a"}`, "schema-version"},
 		"unknown kind":               {`{"schema-version":1,"kind":"x","name":"a"}`, `kind "x"`},
 		"bad name":                   {`{"schema-version":1,"kind":"adapter","name":"a b"}`, `name "a b"`},
@@ -117,3 +119,10 @@
 		}
 	})
 }
+
+func TestBracketsInTextAreNoLevels(t *testing.T) {
+	text := strings.Repeat(`[{\"`, 200) + `\\`
+	if _, err := record.Parse([]byte(`{"schema-version":1,"kind":"adapter","name":"a","base-model":"z","x":"` + text + `","y":[]}`)); err != nil {
+		t.Error(err)
+	}
+}
