detour: an instance that leaves accepts only calls that end in time

Callers saw: streams cut in the middle at an instance that got no signal, when the one that it had forwarded them to reached its drain timeout. Cause: the server of forwarded calls was closed after the drain of the own callers, by the same deadline. Class of fault: a shutdown that ends what was accepted after it began. Change: from the signal on, only forwarded calls are accepted whose deadline is within the drain timeout; others are refused as not run, and go to another instance.

--- a/internal/detour/forward.go
+++ b/internal/detour/forward.go
@@ -136,14 +136,28 @@
 type Server struct {
 	detour *Detour
 	runner Runner
-	// closed is set once no more calls are accepted, running counts those accepted.
+	// closed is set once no more calls are accepted, running counts those accepted. ends
+	// is the time by which they must have ended, nil until this instance leaves.
 	closed  atomic.Bool
 	running atomic.Int64
+	ends    atomic.Pointer[time.Time]
 }
 
 // NewServer returns a server that runs calls with a runner.
 func NewServer(d *Detour, r Runner) *Server { return &Server{detour: d, runner: r} }
 
+// Leave accepts from now on only calls that end by a time.
+func (s *Server) Leave(ends time.Time) { s.ends.Store(&ends) }
+
+// accepts reports whether a call that may last for the given time is accepted.
+func (s *Server) accepts(remaining time.Duration) bool {
+	if s.closed.Load() || s.detour.IsPartitioned() {
+		return false
+	}
+	ends := s.ends.Load()
+	return ends == nil || !time.Now().Add(remaining).After(*ends)
+}
+
 // drainInterval is the interval at which the end of the running calls is awaited.
 const drainInterval = 20 * time.Millisecond
 
@@ -163,7 +177,7 @@
 func (s *Server) Forward(m *wire.ForwardRequest, stream wire.DRPCPlacer_ForwardStream) error {
 	s.running.Add(1)
 	defer s.running.Add(-1)
-	if s.closed.Load() || s.detour.IsPartitioned() {
+	if !s.accepts(microseconds(m.GetRemainingMicros())) {
 		return stream.Send(peer.EncodeEnd(&Error{bamboorail.Failure{
 			Op: "forward-call", Kind: bamboorail.KindNoTarget, Outcome: bamboorail.OutcomeNotRun, RetryAfter: avoidTime, Err: errUnreachable,
 		}}))
--- a/internal/detour/forward_test.go
+++ b/internal/detour/forward_test.go
@@ -150,6 +150,35 @@
 	}
 }
 
+// TestLeavingInstanceAcceptsCallsThatFit checks that an instance that leaves runs those
+// forwarded calls only that end before it does.
+func TestLeavingInstanceAcceptsCallsThatFit(t *testing.T) {
+	r := &scriptedRunner{parts: []string{"a"}}
+	d, server, address := forwardTo(t, r)
+	for name, c := range map[string]struct {
+		left time.Duration
+		runs bool
+	}{"enough time": {2 * relayCall.Remaining, true}, "too little": {relayCall.Remaining / 2, false}, "none": {-time.Second, false}} {
+		t.Run(name, func(t *testing.T) {
+			server.Leave(time.Now().Add(c.left))
+			answer, err := d.Forward(t.Context(), address, relayCall)
+			if !c.runs {
+				if bamboorail.KindOf(err) != bamboorail.KindNoTarget || !bamboorail.NotRun(err) {
+					t.Errorf("error %v", err)
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			<-r.got
+			if err := answer.Response.Body.Close(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
 // TestDeadInstanceRunsNothing checks that a call to a closed port has not run.
 func TestDeadInstanceRunsNothing(t *testing.T) {
 	d, _, _ := forwardTo(t, &scriptedRunner{})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -375,6 +375,7 @@
 	g.log.Info("instance leaves", "drain-timeout", timeout.String())
 	g.shuttingDown.Store(true)
 	g.elector.StopClaiming()
+	g.forwarder.Leave(time.Now().Add(timeout - exitMargin))
 	draining, cancel := context.WithTimeout(ctx, timeout-exitMargin)
 	defer cancel()
 	if err := task.Sleep(draining, balancerDrainDelay); err != nil {
