placer: calls that fail in one silence count as one failure of the engine

Callers saw: refusals for up to 4 s after the engines of a service had been silent for one. Cause: each failed call doubled the time for which its engine is avoided. Change: a failure counts once the last such time has passed.

--- a/internal/placer/suspects.go
+++ b/internal/placer/suspects.go
@@ -33,7 +33,10 @@
 	defer c.mu.Unlock()
 	switch r {
 	case balance.Unreachable, balance.Dropped:
-		c.suspects[name] = c.suspects[name].next(minSuspectPeriod, maxSuspectPeriod, time.Now())
+		// Calls that fail at once are one failure of the engine.
+		if now := time.Now(); now.After(c.suspects[name].until) {
+			c.suspects[name] = c.suspects[name].next(minSuspectPeriod, maxSuspectPeriod, now)
+		}
 	case balance.Answered, balance.Refused, balance.Misdirected:
 		delete(c.suspects, name)
 	case balance.Failed, balance.CutShort, balance.Abandoned:
