--- a/internal/engine/copies_test.go
+++ b/internal/engine/copies_test.go
@@ -48,7 +48,7 @@
 					t.Errorf("the second run: %v", err)
 				}
 				if n := requests.Load(); n != 2 {
-					t.Errorf("%d requests, want 2", n)
+					t.Errorf("%d requests, expected 2", n)
 				}
 			})
 		}
--- a/internal/eventstream/sequence_test.go
+++ b/internal/eventstream/sequence_test.go
@@ -62,8 +62,8 @@
 // TestComparableSequences checks for which streams a continuation can be checked.
 func TestComparableSequences(t *testing.T) {
 	cases := map[string]struct {
-		s    Sequence
-		want bool
+		s        Sequence
+		expected bool
 	}{
 		"start":          {Sequence{}, false},
 		"numbers":        {Sequence{}.Add([]byte("id: 0\n\nid: 7\n\n")), true},
@@ -78,8 +78,8 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			if got := c.s.Comparable(); got != c.want {
-				t.Errorf("comparable %t, want %t", got, c.want)
+			if got := c.s.Comparable(); got != c.expected {
+				t.Errorf("comparable %t, expected %t", got, c.expected)
 			}
 		})
 	}
--- a/internal/jsonsplit/jsonsplit_test.go
+++ b/internal/jsonsplit/jsonsplit_test.go
@@ -12,9 +12,9 @@
 
 func TestArray(t *testing.T) {
 	cases := map[string]struct {
-		text string
-		want []string
-		ok   bool
+		text     string
+		expected []string
+		ok       bool
 	}{
 		"empty":                   {" [ ] ", nil, true},
 		"values":                  {"[1 ,\t\"a\", {\"b\":[2,3]},null\n]", []string{"1", `"a"`, `{"b":[2,3]}`, "null"}, true},
@@ -39,7 +39,7 @@
 			for _, e := range got {
 				texts = append(texts, string(e))
 			}
-			if (err == nil) != c.ok || c.ok && !slices.Equal(texts, c.want) {
+			if (err == nil) != c.ok || c.ok && !slices.Equal(texts, c.expected) {
 				t.Errorf("%d elements, %v", len(got), err)
 			}
 		})
@@ -48,8 +48,8 @@
 
 func TestObject(t *testing.T) {
 	cases := map[string]struct {
-		text string
-		want map[string]string
+		text     string
+		expected map[string]string
 	}{
 		"empty":             {"{}", map[string]string{}},
 		"members":           {`{"a": 1, "b\u0063" : {"d":"}"}}`, map[string]string{"a": "1", "bc": `{"d":"}"}`}},
@@ -66,10 +66,10 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			got, err := Object([]byte(c.text))
-			if (err == nil) != (c.want != nil) || len(got) != len(c.want) {
+			if (err == nil) != (c.expected != nil) || len(got) != len(c.expected) {
 				t.Fatalf("%d members, %v", len(got), err)
 			}
-			for k, v := range c.want {
+			for k, v := range c.expected {
 				if string(got[k]) != v {
 					t.Errorf("member %s has %d bytes", k, len(got[k]))
 				}
@@ -89,18 +89,18 @@
 		var list []json.RawMessage
 		if json.Unmarshal(data, &list) == nil && list != nil {
 			if arrayErr != nil || !slices.EqualFunc(elements, list, func(a []byte, b json.RawMessage) bool { return string(a) == string(b) }) {
-				t.Errorf("elements %q, %v, want %q", elements, arrayErr, list)
+				t.Errorf("elements %q, %v, expected %q", elements, arrayErr, list)
 			}
 		}
 		members, objectErr := Object(data)
 		var fields map[string]json.RawMessage
 		if json.Unmarshal(data, &fields) == nil && fields != nil {
 			if objectErr != nil || len(members) != len(fields) {
-				t.Errorf("members %q, %v, want %q", members, objectErr, fields)
+				t.Errorf("members %q, %v, expected %q", members, objectErr, fields)
 			}
 			for k, v := range fields {
 				if string(members[k]) != string(v) {
-					t.Errorf("member %q is %q, want %q", k, members[k], v)
+					t.Errorf("member %q is %q, expected %q", k, members[k], v)
 				}
 			}
 		}
--- a/internal/placer/suspects.go
+++ b/internal/placer/suspects.go
@@ -33,7 +33,7 @@
 	defer c.mu.Unlock()
 	switch r {
 	case balance.Unreachable, balance.Dropped:
-		// Calls that fail at once are one failure of the engine.
+		// Calls that fail together count as one failure.
 		if now := time.Now(); now.After(c.suspects[name].until) {
 			c.suspects[name] = c.suspects[name].next(minSuspectPeriod, maxSuspectPeriod, now)
 		}
--- a/internal/placer/suspects_test.go
+++ b/internal/placer/suspects_test.go
@@ -11,7 +11,7 @@
 	"bamboorail.example/bamboorail/internal/relay"
 )
 
-// TestSilenceCountsOnceForAllCalls guards against an engine that is avoided longer the more calls it left unanswered in one silence.
+// TestSilenceCountsOnceForAllCalls guards against an engine that is avoided longer the more calls one stall left unanswered.
 func TestSilenceCountsOnceForAllCalls(t *testing.T) {
 	cases := map[string]struct {
 		// results are those of the calls, between the failures of which gap passes.
@@ -36,7 +36,7 @@
 				}
 				time.Sleep(minSuspectPeriod)
 				if avoided := slices.Contains(chooser.enginesToAvoid(relay.ChooseRequest{}), "e"); avoided != c.avoided {
-					t.Errorf("avoided after %s: %t, want %t", minSuspectPeriod, avoided, c.avoided)
+					t.Errorf("avoided after %s: %t, expected %t", minSuspectPeriod, avoided, c.avoided)
 				}
 			})
 		})
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -101,7 +101,7 @@
 	return next
 }
 
-// recordStandbys takes over what the standby legs other than the next current one tell.
+// recordStandbys records the attempts and targets of the standby legs other than next.
 func (x *exchange) recordStandbys(next *leg) {
 	for _, l := range x.standby.legs {
 		if l == next {
@@ -118,7 +118,7 @@
 	}
 }
 
-// record takes over what a leg that has ended tells of its targets.
+// record adds the targets and the trail of a leg that has ended to those of the call.
 func (x *exchange) record(l *leg) {
 	x.avoid = append(x.avoid, l.avoid...)
 	x.reached = append(x.reached, l.reached...)
--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -15,8 +15,8 @@
 var errNoEvent = fmt.Errorf("%w: it ended without an event", eventstream.ErrNotContinued)
 
 // awaitContinuation checks that the answer of a standby leg can take the place of the
-// current one. It waits for the first event of a stream, and for the whole of another answer
-// that is not too large.
+// current one. It waits for the first event of a stream, and for the end of another answer that
+// is not too large.
 func (l *leg) awaitContinuation() error {
 	const op = "start-standby"
 	resp := l.response
--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -77,7 +77,7 @@
 	return cases
 }
 
-// TestContinuationThatDoesNotFitReachesNoCaller guards against streams with bytes of another run or of a failure, and short ones that look complete (issue 41).
+// TestContinuationThatDoesNotFitReachesNoCaller guards against streams with bytes of another run or of a failure, and short ones that look complete (incident archive-silent-targets).
 func TestContinuationThatDoesNotFitReachesNoCaller(t *testing.T) {
 	broken := func() *fakeTarget { return newTarget(t, "a", stream(false, event(1), event(2), event(3))) }
 	spec := resumable
@@ -116,12 +116,12 @@
 	}
 }
 
-// TestSilentStreamIsNotReplacedByOneThatDoesNotFit guards against a sound stream that is cut for an answer that cannot continue it (issue 41).
+// TestSilentStreamIsNotReplacedByOneThatDoesNotFit guards against a sound stream that is cut for an answer that cannot continue it (incident archive-silent-targets).
 func TestSilentStreamIsNotReplacedByOneThatDoesNotFit(t *testing.T) {
 	silent := func(c net.Conn, r *http.Request) bool {
 		stream(false, event(1), event(2), event(3))(c, r)
 		rest := eventsBetween(3, lastTestEvent)
-		return silentFor(silence, func(c net.Conn, _ *http.Request) bool {
+		return silentFor(stall, func(c net.Conn, _ *http.Request) bool {
 			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", len(rest), rest)
 			return true
 		})(c, r)
@@ -140,7 +140,7 @@
 	}
 }
 
-// TestResumedCallBeginsAfterItsEvent guards against callers that come back for the rest of a stream and get other events (issue 41).
+// TestResumedCallBeginsAfterItsEvent guards against callers that come back for the rest of a stream and get other events (incident archive-silent-targets).
 func TestResumedCallBeginsAfterItsEvent(t *testing.T) {
 	call := func(t *testing.T, targets ...*fakeTarget) result {
 		b := newTestRelay(t, resumable, targets...)
@@ -198,7 +198,7 @@
 	})
 }
 
-// TestStreamWithOtherLineEndsIsResumed guards against streams that cannot be continued because their ids are not read (issue 41).
+// TestStreamWithOtherLineEndsIsResumed guards against streams that cannot be continued because their ids are not read (incident archive-silent-targets).
 func TestStreamWithOtherLineEndsIsResumed(t *testing.T) {
 	for _, end := range []string{"\n", "\r\n", "\r"} {
 		t.Run(fmt.Sprintf("%q", end), func(t *testing.T) {
--- a/internal/relay/leg.go
+++ b/internal/relay/leg.go
@@ -286,8 +286,8 @@
 	return string(f.Kind) + "/" + string(f.Outcome)
 }
 
-// causeOf names what ended an attempt without an answer, to tell a timeout of this
-// instance from a failure of the target or of the connection.
+// causeOf names what ended an attempt without an answer, to distinguish a timeout of
+// this instance from a failure of the target or of the connection.
 func causeOf(err error) string {
 	switch {
 	case errors.Is(err, errEventTimeout), errors.Is(err, errAttemptTimeout):
@@ -338,7 +338,7 @@
 }
 
 // canceledError returns the failure of a leg whose context ended, or no error. A leg that
-// was replaced because of its silence has the given kind.
+// was replaced because its target stalled has the given kind.
 func (l *leg) canceledError(op string, silent bamboorail.Kind, err error) (balance.Result, error) {
 	cause := context.Cause(l.ctx)
 	switch {
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -12,8 +12,8 @@
 	"bamboorail.example/bamboorail/internal/retry"
 )
 
-// silence is longer than the timeouts of an attempt, and shorter than callers wait.
-const silence = eventTimeout + 400*time.Millisecond
+// stall is longer than the timeouts of an attempt, and shorter than callers wait.
+const stall = eventTimeout + 400*time.Millisecond
 
 // silentFor waits before s answers.
 func silentFor(d time.Duration, s script) script {
@@ -45,13 +45,13 @@
 	failure := answerStatus(http.StatusInternalServerError)
 	routes := map[string]struct {
 		spec bamboorail.RouteSpec
-		// silent answers whole after a silence, other does at once.
+		// silent answers after a stall, other does at once.
 		silent, other script
-		want          string
+		expected      string
 	}{
-		"stream":                    {streaming, pausingStream(silence), stream(true, event(2), event(3)), event(1) + event(2) + event(3)},
-		"stream before first event": {streaming, silentFor(silence, stream(true, event(1), event(2))), stream(true, event(1), event(2)), event(1) + event(2)},
-		"plain call":                {plain, silentFor(silence, answer("whole")), answer("whole"), "whole"},
+		"stream":                    {streaming, pausingStream(stall), stream(true, event(2), event(3)), event(1) + event(2) + event(3)},
+		"stream before first event": {streaming, silentFor(stall, stream(true, event(1), event(2))), stream(true, event(1), event(2)), event(1) + event(2)},
+		"plain call":                {plain, silentFor(stall, answer("whole")), answer("whole"), "whole"},
 	}
 	cases := map[string]struct {
 		// spare is the script of the other targets, nil if there are none; other stands
@@ -71,9 +71,9 @@
 		"other refuses, once":  {spare: refusal, budget: 1},
 		"other fails":          {spare: failure, budget: 10},
 		"other resets":         {spare: reset(""), budget: 10},
-		"other is silent too":  {spare: silentFor(4*silence, answer("late")), budget: 10},
+		"other is silent too":  {spare: silentFor(4*stall, answer("late")), budget: 10},
 		"other becomes ready":  {other: true, wait: 200 * time.Millisecond, budget: 10, moves: true},
-		"other is ready later": {other: true, wait: silence, budget: 10},
+		"other is ready later": {other: true, wait: stall, budget: 10},
 	}
 	for route, r := range routes {
 		for name, c := range cases {
@@ -90,8 +90,8 @@
 				b.budget = retry.NewWindowBudget(0, c.budget, 10*time.Second)
 				b.chooser.spareWait = c.wait
 				got := b.call(t, http.MethodPost, "/p/x", "body")
-				if got.broken || got.status != http.StatusOK || got.body != r.want {
-					t.Errorf("answer %+v, want %q", got, r.want)
+				if got.broken || got.status != http.StatusOK || got.body != r.expected {
+					t.Errorf("answer %+v, expected %q", got, r.expected)
 				}
 				sent := 0
 				for _, g := range targets[1:] {
--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -37,7 +37,7 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
-	// wait is the time of silence after which a leg starts, 0 if none may; due is the
+	// wait is the time without progress after which a leg starts, 0 if none may; due is the
 	// end of the current one, zero while the current leg is not watched.
 	wait time.Duration
 	due  time.Time
@@ -56,7 +56,7 @@
 	// winner is the leg that was answered, taken is set once it is the current one.
 	winner *leg
 	taken  bool
-	// reported is set once the current silence is reported to the detour, noBudget if the
+	// reported is set once the current stall is reported to the detour, noBudget if the
 	// budget kept a leg from starting.
 	reported, noBudget bool
 	ended              bool
--- a/internal/relay/standby_test.go
+++ b/internal/relay/standby_test.go
@@ -50,9 +50,9 @@
 type standbyCase struct {
 	spec bamboorail.RouteSpec
 	// targets are the scripts of the targets, in the order in which they are chosen.
-	targets [][]script
-	status  int // 200 if 0
-	want    string
+	targets  [][]script
+	status   int // 200 if 0
+	expected string
 	// arrived are the requests that reach each target.
 	arrived []int
 	// taken is the part of the retry budget that is used.
@@ -79,50 +79,50 @@
 	}
 	return map[string]standbyCase{
 		"attempts before the head count": {
-			spec: text, want: event(1) + event(2), arrived: []int{1, 1, 0}, taken: 1,
+			spec: text, expected: event(1) + event(2), arrived: []int{1, 1, 0}, taken: 1,
 			targets: one(silentFor(time.Second, parts(true, []time.Duration{0, pause}, event(1), event(2))), dark, dark),
 		},
 		"failure after a silence, another answers": {
-			spec: plain, targets: one(failing, silentFor(brief*3/4, answer("whole"))), want: "whole", arrived: []int{1, 1}, taken: 1,
+			spec: plain, targets: one(failing, silentFor(brief*3/4, answer("whole"))), expected: "whole", arrived: []int{1, 1}, taken: 1,
 		},
 		"failure after a silence, another is silent": {
 			spec: plain, targets: one(failing, dark), status: http.StatusInternalServerError, arrived: []int{1, 1}, taken: 1,
 		},
 		"replaced attempt begins late": {
-			spec: text, targets: one(pausingStream(pause), silentHead), want: whole, arrived: []int{1, 1}, taken: 1,
+			spec: text, targets: one(pausingStream(pause), silentHead), expected: whole, arrived: []int{1, 1}, taken: 1,
 			results: []balance.Result{balance.Answered, balance.Abandoned},
 		},
 		"unreachable targets cost no budget": {
-			spec: text, targets: one(pausingStream(2*pause), refusing, refusing), want: whole, arrived: []int{1, 0, 0},
+			spec: text, targets: one(pausingStream(2*pause), refusing, refusing), expected: whole, arrived: []int{1, 0, 0},
 		},
 		"two targets are silent": {
-			spec: text3, targets: one(dark, dark, stream(true, event(1))), want: event(1), arrived: []int{1, 1, 1}, taken: 2,
+			spec: text3, targets: one(dark, dark, stream(true, event(1))), expected: event(1), arrived: []int{1, 1, 1}, taken: 2,
 		},
 		"two targets are silent, plain call": {
-			spec: plain3, targets: one(dark, dark, answer("whole")), want: "whole", arrived: []int{1, 1, 1}, taken: 2,
+			spec: plain3, targets: one(dark, dark, answer("whole")), expected: "whole", arrived: []int{1, 1, 1}, taken: 2,
 		},
 		"breaks beside a silent one": {
 			spec: text3, targets: one(parts(false, []time.Duration{0, pause}, event(1)), dark, stream(true, event(2), event(3))),
-			want: whole, arrived: []int{1, 1, 1}, taken: 2,
+			expected: whole, arrived: []int{1, 1, 1}, taken: 2,
 		},
 		"superseded, then needed": {
-			spec: text3, want: whole, arrived: []int{1, 2}, taken: 2,
+			spec: text3, expected: whole, arrived: []int{1, 2}, taken: 2,
 			targets: [][]script{{parts(false, []time.Duration{0, pause, 0}, event(1), event(2))}, {dark, stream(true, event(3))}},
 		},
 		"successor is silent too": {
 			spec: text3, targets: one(pausingStream(long), parts(false, []time.Duration{0, long}, event(2)), stream(true, event(3))),
-			want: whole, arrived: []int{1, 1, 1}, taken: 2,
+			expected: whole, arrived: []int{1, 1, 1}, taken: 2,
 		},
-		"half an event, cut":    {spec: text, targets: one(pausingStream(pause), stream(false, "id: 2\nda")), want: whole, arrived: []int{1, 1}, taken: 1},
-		"half an event, silent": {spec: text, targets: one(pausingStream(pause), parts(false, []time.Duration{0, long}, "id: 2\nda")), want: whole, arrived: []int{1, 1}, taken: 1},
-		"comment, silent":       {spec: text, targets: one(pausingStream(pause), parts(false, []time.Duration{0, long}, ": x\n\n")), want: whole, arrived: []int{1, 1}, taken: 1},
-		"no event":              {spec: text, targets: one(pausingStream(pause), stream(true)), want: whole, arrived: []int{1, 1}, taken: 1},
-		"half an answer":        {spec: plain, targets: one(silentFor(brief, answer("whole")), raw("HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 10\r\n\r\nhal")), want: "whole", arrived: []int{1, 1}, taken: 1},
+		"half an event, cut":    {spec: text, targets: one(pausingStream(pause), stream(false, "id: 2\nda")), expected: whole, arrived: []int{1, 1}, taken: 1},
+		"half an event, silent": {spec: text, targets: one(pausingStream(pause), parts(false, []time.Duration{0, long}, "id: 2\nda")), expected: whole, arrived: []int{1, 1}, taken: 1},
+		"comment, silent":       {spec: text, targets: one(pausingStream(pause), parts(false, []time.Duration{0, long}, ": x\n\n")), expected: whole, arrived: []int{1, 1}, taken: 1},
+		"no event":              {spec: text, targets: one(pausingStream(pause), stream(true)), expected: whole, arrived: []int{1, 1}, taken: 1},
+		"half an answer":        {spec: plain, targets: one(silentFor(brief, answer("whole")), raw("HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 10\r\n\r\nhal")), expected: "whole", arrived: []int{1, 1}, taken: 1},
 		"head of an answer, silent": {spec: plain, targets: one(silentFor(brief, answer("whole")), func(c net.Conn, r *http.Request) bool {
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 5\r\n\r\n", r.Header.Get("Id"))
 			time.Sleep(long)
 			return false
-		}), want: "whole", arrived: []int{1, 1}, taken: 1},
+		}), expected: "whole", arrived: []int{1, 1}, taken: 1},
 	}
 }
 
@@ -143,13 +143,13 @@
 			b := newTestRelay(t, c.spec, targets...)
 			b.budget = retry.NewWindowBudget(0, budget, time.Minute)
 			got := b.call(t, http.MethodPost, "/p/x", "body")
-			if got.broken || got.status != max(c.status, http.StatusOK) || got.body != c.want {
-				t.Errorf("answer %+v, want %q", got, c.want)
+			if got.broken || got.status != max(c.status, http.StatusOK) || got.body != c.expected {
+				t.Errorf("answer %+v, expected %q", got, c.expected)
 			}
 			b.Close()
 			for n, g := range targets {
 				if arrived := len(g.seen()); arrived != c.arrived[n] {
-					t.Errorf("%d requests reached target %s, want %d", arrived, g.entry.ID.Name, c.arrived[n])
+					t.Errorf("%d requests reached target %s, expected %d", arrived, g.entry.ID.Name, c.arrived[n])
 				}
 			}
 			left := 0
@@ -157,12 +157,12 @@
 				left++
 			}
 			if budget-left != c.taken {
-				t.Errorf("%d retries taken, want %d", budget-left, c.taken)
+				t.Errorf("%d retries taken, expected %d", budget-left, c.taken)
 			}
 			results := b.chooser.releasedResults()
 			slices.Sort(results)
 			if c.results != nil && !slices.Equal(results, c.results) {
-				t.Errorf("results %v, want %v", results, c.results)
+				t.Errorf("results %v, expected %v", results, c.results)
 			}
 		})
 	}
@@ -207,8 +207,9 @@
 					t.Errorf("answer %+v", got)
 				}
 				b.Close()
-				if released := len(b.chooser.releasedResults()); released != len(a.seen())+len(spare.seen()) {
-					t.Errorf("%d reservations released, %d and %d requests arrived", released, len(a.seen()), len(spare.seen()))
+				arrived := len(a.seen()) + len(spare.seen())
+				if released := len(b.chooser.releasedResults()); released != arrived {
+					t.Errorf("%d reservations released, %d requests arrived", released, arrived)
 				}
 			})
 		}
