--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -77,7 +77,7 @@
 	return cases
 }
 
-// TestContinuationThatDoesNotFitReachesNoCaller guards against streams with bytes of another run or of a failure, and short ones that look complete (incident archive-silent-targets).
+// TestContinuationThatDoesNotFitReachesNoCaller guards against streams with bytes of another run or of a failure, and short ones that appear complete (incident archive-silent-targets).
 func TestContinuationThatDoesNotFitReachesNoCaller(t *testing.T) {
 	broken := func() *fakeTarget { return newTarget(t, "a", stream(false, event(1), event(2), event(3))) }
 	spec := resumable
