relay: standby attempts after the head of a stream, and after several refusals

Cause: the watch of a stream began before its answer was committed; refused standbys used up the attempts of the call; what standbys had found was dropped with the head. Change: watch after the commitment; refusals count towards the budget only; targets that failed stay excluded, also one that another leg runs the call at. An instance that leaves has an error text of its own.

Evidence: four new cases of TestStandbyAttemptsKeepTheRules; the package passes with the race detector.

--- a/internal/detour/forward.go
+++ b/internal/detour/forward.go
@@ -24,7 +24,8 @@
 var (
 	errNoHead      = errors.New("the answer begins without a head")
 	errInvalidText = errors.New("the call contains text that is not valid UTF-8")
-	errUnreachable = errors.New("the instance reaches no target either, or leaves")
+	errUnreachable = errors.New("the instance reaches no target either")
+	errLeaving     = errors.New("the instance leaves before the deadline of the call")
 )
 
 // Forward runs a call at the instance at address.
@@ -149,13 +150,16 @@
 // Leave accepts from now on only calls that end by a time.
 func (s *Server) Leave(ends time.Time) { s.ends.Store(&ends) }
 
-// accepts reports whether a call that may last for the given time is accepted.
-func (s *Server) accepts(remaining time.Duration) bool {
-	if s.closed.Load() || s.detour.IsPartitioned() {
-		return false
-	}
+// check returns an error if a call that may last for the given time is not accepted.
+func (s *Server) check(remaining time.Duration) error {
 	ends := s.ends.Load()
-	return ends == nil || !time.Now().Add(remaining).After(*ends)
+	switch {
+	case s.closed.Load(), ends != nil && time.Now().Add(remaining).After(*ends):
+		return errLeaving
+	case s.detour.IsPartitioned():
+		return errUnreachable
+	}
+	return nil
 }
 
 // drainInterval is the interval at which the end of the running calls is awaited.
@@ -177,9 +181,9 @@
 func (s *Server) Forward(m *wire.ForwardRequest, stream wire.DRPCPlacer_ForwardStream) error {
 	s.running.Add(1)
 	defer s.running.Add(-1)
-	if !s.accepts(microseconds(m.GetRemainingMicros())) {
+	if err := s.check(microseconds(m.GetRemainingMicros())); err != nil {
 		return stream.Send(peer.EncodeEnd(&Error{bamboorail.Failure{
-			Op: "forward-call", Kind: bamboorail.KindNoTarget, Outcome: bamboorail.OutcomeNotRun, RetryAfter: avoidTime, Err: errUnreachable,
+			Op: "forward-call", Kind: bamboorail.KindNoTarget, Outcome: bamboorail.OutcomeNotRun, RetryAfter: avoidTime, Err: err,
 		}}))
 	}
 	err := s.runner.ServeForwarded(stream.Context(), relay.ForwardCall{
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -181,13 +181,13 @@
 	resumable := events && x.route.Repeat == bamboorail.RepeatResume
 	x.resumable = x.resumable || resumable
 	flusher := http.NewResponseController(x.w)
-	if resumable {
-		x.standby.watch(eventTimeout, errEventTimeout, x.legStart(), x.attempted)
-	}
 	x.events.begin()
 	if !x.events.continues {
 		x.commit(l.response)
 	}
+	if resumable {
+		x.standby.watch(eventTimeout, errEventTimeout, x.legStart(), x.attempted)
+	}
 	body, buffer := &answerReader{x: x, body: l.response.Body, events: events}, make([]byte, readSize)
 	for {
 		n, err := body.Read(buffer)
@@ -227,7 +227,7 @@
 	if errors.Is(err, errEventTimeout) {
 		return balance.Unreachable, mayHaveRun(op, bamboorail.KindTruncated, err)
 	}
-	if errors.Is(err, eventstream.ErrNotContinued) {
+	if errors.Is(err, eventstream.ErrNotContinued) || errors.Is(err, errEventTooLarge) {
 		return balance.Failed, mayHaveRun(op, bamboorail.KindTargetFailed, err)
 	}
 	return balance.Abandoned, mayHaveRun(op, bamboorail.KindCancelled, err)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -107,7 +107,7 @@
 		if l == next {
 			continue
 		}
-		x.attempted = x.attempted.add(l.counts())
+		x.attempted = x.attempted.add(l.limitedCounts())
 		if l.neighbor != "" && !l.unsent {
 			x.neighbors = append(x.neighbors, l.neighbor)
 		}
--- a/internal/relay/counts.go
+++ b/internal/relay/counts.go
@@ -18,7 +18,7 @@
 // counts returns what the leg adds to the attempts of its call.
 func (l *leg) counts() counts {
 	c := counts{}
-	if l.found || l.neighbor != "" {
+	if l.found || l.neighbor != "" && !l.unsent {
 		c.attempts = 1
 	}
 	if l.sent {
@@ -29,3 +29,13 @@
 	}
 	return c
 }
+
+// limitedCounts returns the attempts of a standby leg that count towards the limits of its
+// call. One that no target ran is limited by the retry budget only.
+func (l *leg) limitedCounts() counts {
+	c := l.counts()
+	if !l.ran {
+		c.sent = 0
+	}
+	return c
+}
--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -46,13 +46,16 @@
 	silent string
 	cause  error
 	start  legStart
+	// failed holds the targets and instances of standby legs that failed.
+	failed legStart
 	// base are the attempts of the call with the current leg, extra those of standby legs.
 	base, extra counts
 	// legs are all that were started, running those without a result.
 	legs    []*leg
 	running map[*leg]bool
-	// failures counts the legs that failed or could not start since the last progress.
-	failures int
+	// started counts the legs since the last progress, failures those that failed or could
+	// not start.
+	started, failures int
 	// winner is the leg that was answered, taken is set once it is the current one.
 	winner *leg
 	taken  bool
@@ -81,6 +84,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	start.avoid = append(slices.Clip(start.avoid), s.failed.avoid...)
+	start.reached = append(slices.Clip(start.reached), s.failed.reached...)
+	start.neighbors = append(slices.Clip(start.neighbors), s.failed.neighbors...)
 	s.wait, s.cause, s.start, s.base = wait, cause, start, base
 	s.silent = cmp.Or(s.current.neighbor, s.current.target.ID.Name)
 	s.start.exclude(s.current)
@@ -135,7 +141,7 @@
 		return false
 	}
 	s.disarm()
-	s.reported, s.failures = false, 0
+	s.reported, s.failures, s.started = false, 0, 0
 	s.start.lastEvent, s.start.sequence = lastEvent, sequence
 	s.cancelRunning()
 	return true
@@ -169,7 +175,7 @@
 		s.x.h.Detour.RecordSilence()
 	}
 	start, attempts := s.start, s.base.add(s.extra)
-	if !s.x.permits(attempts, start) || len(s.legs) >= maxAttempts {
+	if !s.x.permits(attempts, start) || s.started >= maxAttempts {
 		return
 	}
 	if !s.x.h.Budget(start.service.Name).Available(now) {
@@ -191,6 +197,7 @@
 	l := s.x.newLeg(s.ctx, start)
 	l.standby = true
 	l.admit = func() error { return s.admit(l) }
+	s.started++
 	s.running[l] = true
 	s.legs = append(s.legs, l)
 	s.tasks = append(s.tasks, task.Start(s.ctx, "standby", func(context.Context) error {
@@ -209,7 +216,7 @@
 	if !s.running[l] {
 		return notRun(op, bamboorail.KindCancelled, 0, errSuperseded)
 	}
-	if !s.x.permits(s.base.add(s.extra), l.start) {
+	if s.isTaken(l) || !s.x.permits(s.base.add(s.extra), l.start) {
 		return notRun(op, bamboorail.KindOverloaded, defaultRetryAfter, errNoAttempts)
 	}
 	if !s.x.h.Budget(l.start.service.Name).Take(time.Now()) {
@@ -221,13 +228,24 @@
 	return nil
 }
 
+// isTaken reports whether another leg already runs the call at the target of l. The caller
+// holds the lock.
+func (s *standby) isTaken(l *leg) bool {
+	for other := range s.running {
+		if other != l && other.admitted && l.neighbor == "" && other.neighbor == "" && other.target.ID == l.target.ID {
+			return true
+		}
+	}
+	return false
+}
+
 // settle replaces what admit counted by what became of a leg that failed. The caller holds
 // the lock.
 func (s *standby) settle(l *leg) {
 	if !l.admitted {
 		return
 	}
-	s.extra = s.extra.subtract(admittedCounts).add(l.counts())
+	s.extra = s.extra.subtract(admittedCounts).add(l.limitedCounts())
 	if !l.sent {
 		s.x.h.Budget(l.start.service.Name).Return(time.Now())
 	}
@@ -257,6 +275,11 @@
 	defer s.mu.Unlock()
 	if l.err != nil {
 		s.settle(l)
+		s.failed.avoid = append(s.failed.avoid, l.avoid...)
+		s.failed.reached = append(s.failed.reached, l.reached...)
+		if l.neighbor != "" && l.admitted {
+			s.failed.neighbors = append(s.failed.neighbors, l.neighbor)
+		}
 	}
 	if !s.running[l] {
 		return false
@@ -265,7 +288,7 @@
 	if l.err != nil {
 		s.start.avoid = append(slices.Clip(s.start.avoid), l.avoid...)
 		s.start.reached = append(slices.Clip(s.start.reached), l.reached...)
-		if l.neighbor != "" {
+		if l.neighbor != "" && l.admitted {
 			s.start.exclude(l)
 		}
 		s.armRetry()
@@ -281,17 +304,16 @@
 // takeOver returns the leg that takes the place of the current one, which has no answer, or
 // nil if there is none. It waits for legs that run until ctx ends.
 func (s *standby) takeOver(ctx context.Context) *leg {
-	for s.isPending() {
+	for s.isPending() && ctx.Err() == nil {
 		select {
 		case <-s.changed:
 		case <-ctx.Done():
-			s.end()
-			return nil
 		}
 	}
 	s.mu.Lock()
 	winner := s.winner
 	s.taken = winner != nil
+	s.cancelRunning()
 	s.mu.Unlock()
 	s.end()
 	return winner
--- a/internal/relay/standby_test.go
+++ b/internal/relay/standby_test.go
@@ -67,6 +67,11 @@
 	plain3, text3 := plain, text
 	plain3.MaxAttempts, text3.MaxAttempts = 3, 3
 	whole := event(1) + event(2) + event(3)
+	patient := text
+	patient.Timeout = 2 * long
+	// stalled is less than the time after which a second standby starts.
+	const stalled = eventTimeout + standbyRetryDelay/2
+	refusal := raw("HTTP/1.1 503 No\r\nNot-Run: 1\r\nId: ID\r\nContent-Length: 0\r\n\r\n")
 	dark := silentFor(long, answer("late"))
 	silentHead := parts(false, []time.Duration{long})
 	failing := silentFor(brief, answerStatus(http.StatusInternalServerError))
@@ -113,6 +118,22 @@
 			spec: text3, targets: one(pausingStream(long), parts(false, []time.Duration{0, long}, event(2)), stream(true, event(3))),
 			expected: whole, arrived: []int{1, 1, 1}, taken: 2,
 		},
+		"head only, another does not fit": {
+			spec: text, targets: one(parts(true, []time.Duration{pause, 0}, event(1), event(2)), answerStatus(http.StatusNotFound)),
+			expected: event(1) + event(2), arrived: []int{1, 1}, taken: 1,
+		},
+		"head late, then silent": {
+			spec: text3, targets: one(silentFor(600*time.Millisecond, parts(false, []time.Duration{long})), stream(true, event(1), event(2))),
+			expected: event(1) + event(2), arrived: []int{1, 1}, taken: 1,
+		},
+		"refused before the head": {
+			spec: text3, expected: event(1) + event(2), arrived: []int{1, 1, 1}, taken: 2,
+			targets: one(silentFor(brief, parts(false, []time.Duration{0, long}, event(1))), refusal, stream(true, event(2))),
+		},
+		"refused in three silences, then broken": {
+			spec: patient, expected: event(1) + ": x\n\n" + event(2) + event(3), arrived: []int{1, 1, 1, 1, 1}, taken: 4,
+			targets: one(parts(false, []time.Duration{0, stalled, stalled, stalled}, event(1), ": x\n\n", event(2)), refusal, refusal, refusal, stream(true, event(3))),
+		},
 		"half an event, cut":    {spec: text, targets: one(pausingStream(pause), stream(false, "id: 2\nda")), expected: whole, arrived: []int{1, 1}, taken: 1},
 		"half an event, silent": {spec: text, targets: one(pausingStream(pause), parts(false, []time.Duration{0, long}, "id: 2\nda")), expected: whole, arrived: []int{1, 1}, taken: 1},
 		"comment, silent":       {spec: text, targets: one(pausingStream(pause), parts(false, []time.Duration{0, long}, ": x\n\n")), expected: whole, arrived: []int{1, 1}, taken: 1},
