--- a/internal/jsonsplit/jsonsplit.go
+++ b/internal/jsonsplit/jsonsplit.go
@@ -136,36 +136,44 @@
 	return nil
 }
 
-// value skips white space and returns the value that follows.
+// value skips white space and returns the value that follows. Each bracket must be closed
+// by one of its kind.
 func (s *scanner) value() ([]byte, error) {
 	s.next()
 	start := s.at
-	for depth := 0; s.at < len(s.data); {
+	var closing []byte
+	for s.at < len(s.data) {
 		switch c := s.data[s.at]; {
 		case c == '"':
 			if !s.skipString() {
 				return nil, errIncomplete
 			}
 		case c == '{' || c == '[':
-			depth++
+			closing = append(closing, c+bracketOffset)
 			s.at++
 		case strings.IndexByte(delimiters, c) < 0:
 			s.skipScalar()
-		case depth == 0:
+		case len(closing) == 0:
 			return nil, errSyntax
-		default:
-			if c == '}' || c == ']' {
-				depth--
+		case c == '}' || c == ']':
+			if c != closing[len(closing)-1] {
+				return nil, errSyntax
 			}
+			closing = closing[:len(closing)-1]
+			s.at++
+		default:
 			s.at++
 		}
-		if depth == 0 {
+		if len(closing) == 0 {
 			return s.data[start:s.at], nil
 		}
 	}
 	return nil, errIncomplete
 }
 
+// bracketOffset is the distance from an opening bracket to the closing one of its kind.
+const bracketOffset = '}' - '{'
+
 // skipString skips a string and reports whether it ends.
 func (s *scanner) skipString() bool {
 	for s.at++; s.at < len(s.data); s.at++ {
--- a/internal/jsonsplit/jsonsplit_test.go
+++ b/internal/jsonsplit/jsonsplit_test.go
@@ -29,6 +29,7 @@
 		"comma at the end":        {`[1,]`, nil, false},
 		"no comma":                {`[1 2]`, nil, false},
 		"other bracket":           {`[1}`, nil, false},
+		"brackets crossed":        {`[{"a":[}, {"b":1}, {"c":]}]`, nil, false},
 		"more documents":          {`[1][2]`, nil, false},
 		"nothing":                 {"", nil, false},
 	}
