informer, mirror: log lines between the loss of the store and its return

An instance logs now at the level of a deployment that it pauses its calls, that a holder has no fresh data, and for how long a kind was without an answer when it is found again. go test ./internal/informer ./internal/mirror ./internal/gateway passes.

--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -80,6 +80,8 @@
 	Config
 	// listed is the version of the last list, newest the newest one heard of.
 	listed, newest bamboorail.StoreVersion
+	// lastAnswer is the time of the last answer to a list or watch.
+	lastAnswer time.Time
 }
 
 var errEarlierEra = errors.New("the list is older than the last restore of the store")
@@ -155,11 +157,20 @@
 		i.Resync.trigger()
 	}
 	if state != storeAvailable {
-		i.Log.Info("store regained", "kind", i.Kind, "revision", revision, "objects", len(objects))
+		i.Log.Info("store regained", "kind", i.Kind, "revision", revision, "objects", len(objects), "since-last-answer", i.sinceLastAnswer().String())
 	}
+	i.lastAnswer = time.Now()
 	i.Handler.Replace(objects, state != storeAvailable || restored)
 }
 
+// sinceLastAnswer returns the time since the last answer, 0 before the first one.
+func (i *Informer) sinceLastAnswer() time.Duration {
+	if i.lastAnswer.IsZero() {
+		return 0
+	}
+	return time.Since(i.lastAnswer)
+}
+
 // watch processes changes until the history is gone, another informer triggers
 // Resync, or two consecutive calls fail. It returns the state of the store at
 // that time.
@@ -189,7 +200,10 @@
 			i.Resync.trigger()
 			return storeAvailable, nil
 		}
-		failures, state = 0, storeAvailable
+		if failures > 0 {
+			i.Log.Info("watch resumed", "kind", i.Kind, "revision", events.Revision, "from-peer", events.FromPeer, "since-last-answer", i.sinceLastAnswer().String())
+		}
+		failures, state, i.lastAnswer = 0, storeAvailable, time.Now()
 		for _, o := range events.Objects {
 			i.Handler.Update(o)
 		}
--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -206,7 +206,9 @@
 	if kind == bamboorail.KindUnavailable && now.Sub(s.staleReplyAt) < peerRetryDelay {
 		delay = outageRetryDelay
 	}
-	s.refusal, s.storeRetryAt = err, now.Add(delay/2+rand.N(delay))
+	pause := delay/2 + rand.N(delay)
+	s.refusal, s.storeRetryAt = err, now.Add(pause)
+	s.log.Info("calls to the store paused", "for", pause.String(), "error", err)
 }
 
 // storeRefusal returns the last error of the store while calls to it are delayed. The next attempt asks the holder again.
@@ -323,7 +325,7 @@
 		s.mu.Lock()
 		s.staleReplyAt = time.Now()
 		s.mu.Unlock()
-		s.log.Debug("holder has no fresh data", "kind", kindOf(prefix), "zone", from.zone, "address", from.address)
+		s.log.Info("holder has no fresh data", "kind", kindOf(prefix), "zone", from.zone, "address", from.address)
 	}
 	return reply, nil
 }
