--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -171,6 +171,14 @@
 	return time.Since(i.lastAnswer)
 }
 
+// recordAnswer records the answer to a watch after a number of failed ones.
+func (i *Informer) recordAnswer(e bamboorail.Events, failures int) {
+	if failures > 0 {
+		i.Log.Info("watch resumed", "kind", i.Kind, "revision", e.Revision, "from-peer", e.FromPeer, "since-last-answer", i.sinceLastAnswer().String())
+	}
+	i.lastAnswer = time.Now()
+}
+
 // watch processes changes until the history is gone, another informer triggers
 // Resync, or two consecutive calls fail. It returns the state of the store at
 // that time.
@@ -200,10 +208,8 @@
 			i.Resync.trigger()
 			return storeAvailable, nil
 		}
-		if failures > 0 {
-			i.Log.Info("watch resumed", "kind", i.Kind, "revision", events.Revision, "from-peer", events.FromPeer, "since-last-answer", i.sinceLastAnswer().String())
-		}
-		failures, state, i.lastAnswer = 0, storeAvailable, time.Now()
+		i.recordAnswer(events, failures)
+		failures, state = 0, storeAvailable
 		for _, o := range events.Objects {
 			i.Handler.Update(o)
 		}
