--- a/internal/gateway/sim_test.go
+++ b/internal/gateway/sim_test.go
@@ -28,12 +28,16 @@
 	// peerDialTimeout is the time after which a connection to a peer that is cut off
 	// is given up.
 	peerDialTimeout = time.Second
-	// simZones is the number of zones, simPerZone that of the instances in the first,
-	// the second and the third of them.
-	simZones = 3
+	// lateStart is the time in which the zone of an instance that has not started gets a
+	// holder elsewhere.
+	lateStart = 14 * time.Second
 )
 
-var simPerZone = [simZones]int{3, 2, 1}
+// simZones are the zones, simPerZone the numbers of their instances.
+var (
+	simZones   = []string{"a", "b", "c"}
+	simPerZone = []int{3, 2, 1}
+)
 
 // simCluster is a set of instances that read one store and each other.
 type simCluster struct {
@@ -47,6 +51,8 @@
 	// silent is set while the store answers nobody, and silences counts the outages.
 	silent   bool
 	silences int
+	// refuses is set if the store refuses calls at once instead.
+	refuses bool
 	// cutZone is cut off from the store and the other zones, unless it is empty.
 	cutZone string
 }
@@ -77,56 +83,50 @@
 	return &simError{bamboorail.Failure{Op: op, Kind: bamboorail.KindUnavailable, Err: errNoAnswer}}
 }
 
-func newSimCluster(ctx context.Context, t *testing.T) *simCluster {
+// newSimCluster starts the instances, those of lateZone so late that an instance of another
+// zone holds theirs.
+func newSimCluster(ctx context.Context, t *testing.T, lateZone string) *simCluster {
 	t.Helper()
 	c := &simCluster{t: t, store: memory.NewStore(), start: time.Now()}
 	put(t, c.store, "config/main", "1", 0)
 	put(t, c.store, "targets/a", "1", 0)
 	put(t, c.store, "releases/a", "1", 0)
-	var zones []string
-	for z := range simZones {
-		zones = append(zones, string(rune('a'+z)))
-	}
-	for z, zone := range zones {
+	for z, zone := range simZones {
 		for n := range simPerZone[z] {
-			c.instances = append(c.instances, c.newInstance(fmt.Sprintf("%s-%d", zone, n+1), zone, zones))
+			c.instances = append(c.instances, c.newInstance(fmt.Sprintf("%s-%d", zone, n+1), zone))
 		}
 	}
-	for _, i := range c.instances {
-		if i.zone == "b" && lateB {
-			continue
+	for _, late := range []bool{false, true} {
+		for _, i := range c.instances {
+			if (i.zone == lateZone) == late {
+				i.start(ctx)
+			}
 		}
-		for name, inf := range i.gateway.informers() {
-			c.tasks = append(c.tasks, task.Start(ctx, i.name+" "+name, inf.Run))
+		if lateZone == "" {
+			break
 		}
-		c.tasks = append(c.tasks, task.Start(ctx, i.name+" leases", i.gateway.elector.Run))
+		time.Sleep(lateStart)
 	}
 	return c
 }
 
-var lateB = false
-
-func (c *simCluster) startB(ctx context.Context) {
-	for _, i := range c.instances {
-		if i.zone != "b" {
-			continue
-		}
-		for name, inf := range i.gateway.informers() {
-			c.tasks = append(c.tasks, task.Start(ctx, i.name+" "+name, inf.Run))
-		}
-		c.tasks = append(c.tasks, task.Start(ctx, i.name+" leases", i.gateway.elector.Run))
+// start starts what the instance follows.
+func (i *simInstance) start(ctx context.Context) {
+	for name, f := range i.gateway.informers() {
+		i.cluster.tasks = append(i.cluster.tasks, task.Start(ctx, i.name+" "+name, f.Run))
 	}
+	i.cluster.tasks = append(i.cluster.tasks, task.Start(ctx, i.name+" leases", i.gateway.elector.Run))
 }
 
-func (c *simCluster) newInstance(name, zone string, all []string) *simInstance {
+func (c *simCluster) newInstance(name, zone string) *simInstance {
 	i := &simInstance{cluster: c, name: name, zone: zone, disturb: func(string, string) disturbance { return disturbance{} }}
 	g := newTestGateway()
 	g.platform.Store, g.resync, g.logs = i, informer.NewResyncSignal(), logflags.Discard()
 	g.platform.ConfigurationKind, g.platform.ReleaseKind = "config", "releases"
 	clock := func() time.Duration { return time.Second + time.Since(c.start) }
 	timing := lease.Timing{RenewInterval: renewInterval, Term: leaseTerm, Gap: leaseTerm}
-	own := slices.Index(all, zone)
-	zones := slices.Concat(all[own:], all[:own])
+	own := slices.Index(simZones, zone)
+	zones := slices.Concat(simZones[own:], simZones[:own])
 	var candidates []lease.Candidate
 	for _, z := range zones {
 		l := lease.New(lease.Config{Key: leaseKind + "/" + z, Holder: name, Address: name, Timing: timing, Store: i, Clock: clock, Log: hclog.NewNullLogger()})
@@ -186,6 +186,16 @@
 	return nil
 }
 
+// configure writes a version of the configuration.
+func (c *simCluster) configure(version int) {
+	c.t.Helper()
+	o, err := c.store.Get(context.Background(), "config/main")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	put(c.t, c.store, o.Key, fmt.Sprint(version), o.Version)
+}
+
 // version returns the version of the configuration that an instance applies.
 func (i *simInstance) version() uint64 {
 	if t := i.gateway.table.Load(); t != nil {
@@ -202,11 +212,12 @@
 	lost, outages := i.cluster.isLost(i)
 	i.cluster.mu.Lock()
 	d := i.disturb(op, kind)
+	d.refused = d.refused || i.cluster.silent && i.cluster.refuses
 	i.cluster.mu.Unlock()
+	_ = task.Sleep(ctx, storeLatency/2)
 	if d.refused {
 		return i.unavailable(op)
 	}
-	_ = task.Sleep(ctx, storeLatency/2)
 	if !lost && !d.lost {
 		err := f(ctx)
 		_ = task.Sleep(ctx, storeLatency/2+d.delay)
@@ -274,9 +285,11 @@
 	return events, err
 }
 
-func (*simInstance) Instances(context.Context) ([]bamboorail.Instance, error) { return nil, errNoAnswer }
-func (*simInstance) SetBaseURL(string)                                        {}
-func (*simInstance) ObserveEra(uint64)                                        {}
+func (*simInstance) Instances(context.Context) ([]bamboorail.Instance, error) {
+	return nil, errNoAnswer
+}
+func (*simInstance) SetBaseURL(string) {}
+func (*simInstance) ObserveEra(uint64) {}
 
 // Follow sends a follow request from i to the instance at address.
 func (i *simInstance) Follow(ctx context.Context, address string, r *wire.FollowRequest) (*wire.FollowReply, error) {
