mirror: a holder serves the instances of another zone whose lease it holds

What callers saw: after an outage of the store, instances of a zone without a holder of its own acted on the old configuration for up to 4.5 s (bound 3 s).

Cause: a holder answered follow requests for its own zone only. If it held a second zone, whose instances take it for their source, it refused, and the refusal paused its address for 2 s, also as the holder of its own zone, from which they read otherwise. They read the store directly then, or not at all while calls to it were paused.

An instance that leads its own zone has read the store itself, so that its data are as good for any zone. It counts the followers of its own zone only.

--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -292,9 +292,9 @@
 			s.pause(from.address)
 			continue
 		}
-		if from.zone == s.zone {
+		if n := reply.GetInstances(); n > 0 && from.zone == s.zone {
 			s.mu.Lock()
-			s.instances = int(reply.GetInstances())
+			s.instances = int(n)
 			s.mu.Unlock()
 		}
 		return reply, true
@@ -348,9 +348,10 @@
 	return objects
 }
 
-// Follow replies to a peer from the cache of this instance.
+// Follow replies to a peer from the cache of this instance. The holder of the zone also
+// serves the instances of another zone whose lease it holds.
 func (s *Store) Follow(ctx context.Context, r *wire.FollowRequest) (*wire.FollowReply, error) {
-	if r.GetZone() != s.zone || !s.holder.Leading() {
+	if !s.holder.Leading() {
 		return &wire.FollowReply{}, nil
 	}
 	s.observeEra(r.GetRevision())
@@ -359,7 +360,10 @@
 	if from := r.GetInstanceZone(); from == "" || from == s.zone {
 		s.followers[r.GetInstance()] = followerState{lastRequest: now, address: r.GetAddress(), unreachable: r.GetTargetsUnreachable()}
 	}
-	instances := s.countFollowers(now) + 1
+	instances := 0
+	if r.GetZone() == s.zone {
+		instances = s.countFollowers(now) + 1
+	}
 	s.mu.Unlock()
 	a := s.cache.follow(ctx, r.GetKind(), bamboorail.StoreVersion(r.GetRevision()), min(time.Duration(r.GetWaitMicros())*time.Microsecond, followWait))
 	reply := &wire.FollowReply{Fresh: a.fresh, Revision: uint64(a.events.Revision), Gap: a.events.Reset, Instances: int32(instances)}
