mirror, informer: the pause after a failed call counts from its sending

Cause: a watch that is lost in the last moment of an outage fails up to 2.5 s after it. The pause for followers (up to 0.75 s, or 2.25 s if holders had no fresh data) and the backoff of an informer began only then, for all kinds, as if the store had failed at that moment: up to 4.75 s after its return, plus a backoff of up to 1 s in which no holder is asked either.

Both count from the time at which the call was sent now. Calls that fail at once are spaced as before; a call that times out has waited longer than any pause.

TestTimedOutCallDelaysNoOther and TestTimedOutWatchIsRepeatedAtOnce fail without the change.

--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -128,6 +128,7 @@
 // list lists the kind and retries until the store responds.
 func (i *Informer) list(ctx context.Context, state storeState) (bamboorail.StoreVersion, error) {
 	for attempt := 0; ; attempt++ {
+		sent := time.Now()
 		objects, revision, err := i.Store.List(ctx, i.Kind)
 		if err == nil && revision.Era() < i.newest.Era() {
 			err = errEarlierEra
@@ -140,12 +141,18 @@
 		if attempt == 0 {
 			i.Log.Warn("store lost", "kind", i.Kind, "error", err)
 		}
-		if err := task.Sleep(ctx, retry.Backoff(attempt, minBackoff, maxBackoff)); err != nil {
+		if err := backOff(ctx, sent, attempt); err != nil {
 			return 0, err
 		}
 	}
 }
 
+// backOff waits until a call that was sent at a time and failed may be repeated. A call that
+// timed out has waited already.
+func backOff(ctx context.Context, sent time.Time, attempt int) error {
+	return task.Sleep(ctx, retry.Backoff(attempt, minBackoff, maxBackoff)-time.Since(sent))
+}
+
 // accept passes on a list that was read in the given state of the store.
 func (i *Informer) accept(objects []bamboorail.Object, revision bamboorail.StoreVersion, state storeState) {
 	restored := i.listed > 0 && revision.Era() > i.listed.Era()
@@ -185,6 +192,7 @@
 func (i *Informer) watch(ctx context.Context, revision bamboorail.StoreVersion) (storeState, error) {
 	failures, state := 0, storeAvailable
 	for ctx.Err() == nil {
+		sent := time.Now()
 		events, resync, err := i.watchOnce(ctx, revision)
 		switch {
 		case resync:
@@ -193,7 +201,7 @@
 			failures++
 			state = state.afterError(err)
 			i.Log.Debug("watch failed", "kind", i.Kind, "revision", revision, "error", err)
-			if err := task.Sleep(ctx, retry.Backoff(failures, minBackoff, maxBackoff)); err != nil {
+			if err := backOff(ctx, sent, failures); err != nil {
 				return state, err
 			}
 			if failures > 1 {
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -263,3 +263,55 @@
 	}
 	return s.Store.List(ctx, prefix)
 }
+
+// lostWatchStore loses the first watches: each fails after a timeout.
+type lostWatchStore struct {
+	*memory.Store
+	lost int
+	// failed and repeated are the times of the last failure and of the call after it.
+	failed, repeated time.Time
+}
+
+func (s *lostWatchStore) Watch(ctx context.Context, kinds []string, revision bamboorail.StoreVersion, wait time.Duration) (bamboorail.Events, error) {
+	if !s.failed.IsZero() {
+		s.repeated = time.Now()
+	}
+	if s.lost == 0 {
+		return s.Store.Watch(ctx, kinds, revision, wait)
+	}
+	s.lost--
+	time.Sleep(2 * maxBackoff)
+	s.failed = time.Now()
+	return bamboorail.Events{}, errors.New("timeout")
+}
+
+func (s *lostWatchStore) List(ctx context.Context, prefix string) ([]bamboorail.Object, bamboorail.StoreVersion, error) {
+	if !s.failed.IsZero() {
+		s.repeated = time.Now()
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+// TestTimedOutWatchIsRepeatedAtOnce guards against a pause after a call that has waited for its timeout already (incident
+// archive-late-configuration).
+func TestTimedOutWatchIsRepeatedAtOnce(t *testing.T) {
+	cases := map[string]int{"first failure": 1, "second failure": 2}
+	for name, lost := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				store := &lostWatchStore{Store: memory.NewStore(), lost: lost}
+				i := New(Config{
+					Store: store, Kind: "k/", WatchTimeout: time.Second, Resync: NewResyncSignal(), Handler: newRecorder(), Log: hclog.NewNullLogger(),
+				})
+				d := task.Start(ctx, "informer", i.Run)
+				time.Sleep(time.Duration(lost)*2*maxBackoff + maxBackoff/10)
+				if pause := store.repeated.Sub(store.failed); pause != 0 {
+					t.Errorf("the next call is sent %v after the timeout", pause)
+				}
+				cancel()
+				d.Join()
+			})
+		})
+	}
+}
--- a/internal/mirror/outage_test.go
+++ b/internal/mirror/outage_test.go
@@ -13,12 +13,15 @@
 type brokenStore struct {
 	countingStore
 	down bool
+	// timeout is the time after which calls fail while the store is down.
+	timeout time.Duration
 }
 
 type unavailableError struct{ bamboorail.Failure }
 
 func (b *brokenStore) failure() error {
 	b.n.storeCalls++
+	time.Sleep(b.timeout)
 	return &unavailableError{bamboorail.Failure{Op: "call-store", Kind: bamboorail.KindUnavailable}}
 }
 
@@ -93,3 +96,24 @@
 		})
 	}
 }
+
+// TestTimedOutCallDelaysNoOther guards against a call that was lost in an outage and keeps a follower
+// from a store that has returned meanwhile (incident archive-late-configuration).
+func TestTimedOutCallDelaysNoOther(t *testing.T) {
+	const timeout = 2500 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		holder, follower := newPair(t)
+		store := &brokenStore{countingStore: countingStore{follower.objects, follower}, down: true, timeout: timeout}
+		follower.ObjectStore = store
+		revision := holder.mustList(t)
+		time.Sleep(2 * maxKindContactAge)
+		lost := time.AfterFunc(time.Millisecond, func() { store.down = false })
+		defer lost.Stop()
+		if _, err := follower.Watch(t.Context(), []string{"k/"}, revision, time.Second); err == nil {
+			t.Fatal("a watch succeeded during an outage")
+		}
+		if _, _, err := follower.List(t.Context(), "k/"); err != nil {
+			t.Errorf("the store is not called %v after it returned: %v", timeout, err)
+		}
+	})
+}
--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -193,8 +193,9 @@
 // to a store that is overloaded or unavailable only after a delay. A store rejects
 // calls when many instances read at once, for example after all were restarted;
 // the holder may have what is asked for by now. A call that this instance canceled
-// itself says nothing about the store.
-func (s *Store) deferToHolder(ctx context.Context, err error) {
+// itself says nothing about the store. The delay counts from the time at which the call
+// was sent: a call that ends with its timeout does not show the state of the store at its end.
+func (s *Store) deferToHolder(ctx context.Context, sent time.Time, err error) {
 	kind := bamboorail.KindOf(err)
 	if ctx.Err() != nil || s.holder.Leading() || (kind != bamboorail.KindOverloaded && kind != bamboorail.KindUnavailable) {
 		return
@@ -202,12 +203,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	clear(s.retryAt)
-	now, delay := time.Now(), storeRetryDelay
-	if kind == bamboorail.KindUnavailable && now.Sub(s.staleReplyAt) < peerRetryDelay {
+	delay := storeRetryDelay
+	if kind == bamboorail.KindUnavailable && time.Since(s.staleReplyAt) < peerRetryDelay {
 		delay = outageRetryDelay
 	}
-	pause := delay/2 + rand.N(delay)
-	s.refusal, s.storeRetryAt = err, now.Add(pause)
+	pause := time.Until(sent.Add(delay/2 + rand.N(delay)))
+	if pause <= 0 {
+		return
+	}
+	s.refusal, s.storeRetryAt = err, time.Now().Add(pause)
 	s.log.Info("calls to the store paused", "for", pause.String(), "error", err)
 }
 
@@ -241,9 +245,10 @@
 	if err := s.storeRefusal(); err != nil {
 		return nil, 0, err
 	}
+	sent := time.Now()
 	objects, revision, err := s.ObjectStore.List(ctx, prefix)
 	if err != nil {
-		s.deferToHolder(ctx, err)
+		s.deferToHolder(ctx, sent, err)
 		return nil, 0, err
 	}
 	s.cache.replace(kindOf(prefix), objects, revision)
@@ -260,9 +265,10 @@
 	if err := s.storeRefusal(); err != nil {
 		return bamboorail.Events{}, err
 	}
+	sent := time.Now()
 	events, err := s.ObjectStore.Watch(ctx, prefixes, revision, wait)
 	if err != nil {
-		s.deferToHolder(ctx, err)
+		s.deferToHolder(ctx, sent, err)
 		return bamboorail.Events{}, err
 	}
 	if !s.cache.apply(kindOf(prefixes[0]), revision, events) && s.holder.Leading() {
