mirror: a failed read is not followed by a wait for silent holders

What callers saw: instances whose source is in a zone that is cut off applied a change up to 3.2 s after an outage of the store (bound 3 s).

Cause: each source is asked with a wait for changes of 0.7 s, and 0.4 s more to answer, also if the call before has just failed or the source before had no fresh data: the allowances add up to 2.5 s (lost watch) + 1.1 s (silent holder).

After a failed call to the store a kind is read without a wait, and all holders together have 0.4 s before the store is called. After a source without fresh data the next one is asked without a wait too.

TestSilentHolderIsNotAwaitedAfterAFailedRead fails without the change (1.1 s, want 0.5 s).

--- a/internal/mirror/fallback_test.go
+++ b/internal/mirror/fallback_test.go
@@ -83,6 +83,21 @@
 	}
 }
 
+// TestHolderOfTwoZonesServesBoth guards against instances that cannot read through the holder of another zone because
+// it holds theirs too (incident archive-late-configuration).
+func TestHolderOfTwoZonesServesBoth(t *testing.T) {
+	holder, follower := newPair(t)
+	follower.Store = NewStore(countingStore{follower.objects, follower}, "follower", "y", address("both"), zonePeers{"both": holder}, nil, hclog.NewNullLogger())
+	follower.AddFallback("z", address("both"))
+	revision := holder.mustList(t)
+	if got := follower.mustList(t); got != revision || follower.storeCalls != 0 {
+		t.Errorf("revision %d, want %d, after %d calls to the store", got, revision, follower.storeCalls)
+	}
+	if size := holder.ZoneSize(); size != 1 {
+		t.Errorf("the holder counts %d instances in its own zone, want 1", size)
+	}
+}
+
 // silentPeers never answer.
 type silentPeers struct{}
 
@@ -114,3 +129,59 @@
 		}
 	})
 }
+
+// TestSilentHolderIsNotAwaitedAfterAFailedRead guards against a follower that has lost one call to the store, or got
+// no fresh data from one holder, and waits for a silent one as if nothing were due (incident archive-late-configuration).
+func TestSilentHolderIsNotAwaitedAfterAFailedRead(t *testing.T) {
+	// maxDelay is what a watch that was lost at the end of an outage leaves of the 3 s within which a change must be
+	// known (limit contact_ms): it waits 1 s and ends 1.5 s later.
+	const maxDelay = 500 * time.Millisecond
+	cases := map[string]struct {
+		sources []string
+		lost    bool
+	}{
+		"after a lost call, two silent":     {[]string{"silent", "other"}, true},
+		"after a lost call":                 {[]string{"silent"}, true},
+		"after a holder without fresh data": {[]string{"stale", "silent"}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				_, follower := newPair(t)
+				store := &brokenStore{countingStore: countingStore{follower.objects, follower}, down: c.lost, timeout: 2500 * time.Millisecond}
+				follower.Store = NewStore(store, "follower", "z", address(c.sources[0]), stalePeers{}, nil, hclog.NewNullLogger())
+				for _, from := range c.sources[1:] {
+					follower.AddFallback("y", address(from))
+				}
+				_, revision, err := follower.objects.List(t.Context(), "k/")
+				if err != nil {
+					t.Fatal(err)
+				}
+				if c.lost {
+					if _, err := follower.Watch(t.Context(), []string{"k/"}, revision, time.Second); err == nil {
+						t.Fatal("a watch succeeded during an outage")
+					}
+					store.down = false
+				}
+				changed := time.Now()
+				if _, err := follower.objects.Put(t.Context(), "k/b", []byte("2"), 0); err != nil {
+					t.Fatal(err)
+				}
+				events, err := follower.Watch(t.Context(), []string{"k/"}, revision, time.Second)
+				if took := time.Since(changed); err != nil || len(events.Objects) != 1 || took > maxDelay {
+					t.Errorf("events %+v, %v, after %s, want at most %s", events, err, took, maxDelay)
+				}
+			})
+		})
+	}
+}
+
+// stalePeers have no fresh data at the address stale, and never answer at others.
+type stalePeers struct{ silentPeers }
+
+func (p stalePeers) Follow(ctx context.Context, address string, r *wire.FollowRequest) (*wire.FollowReply, error) {
+	if address == "stale" {
+		return &wire.FollowReply{}, nil
+	}
+	return p.silentPeers.Follow(ctx, address, r)
+}
--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -77,6 +77,9 @@
 	// time of the last reply of a holder without fresh data.
 	refusal                    error
 	storeRetryAt, staleReplyAt time.Time
+	// overdue are the kinds whose last call to the store failed. They are read without
+	// waiting for a change, and all holders together have replyGrace to answer.
+	overdue map[string]bool
 	// followers maps the following instances to the time of their last request.
 	// instances is the number of instances reported by the holder.
 	followers map[string]followerState
@@ -96,7 +99,7 @@
 func NewStore(store bamboorail.ObjectStore, instance, zone string, h Holder, p Peers, d Digest, log hclog.Logger) *Store {
 	return &Store{
 		ObjectStore: store, instance: instance, zone: zone, holder: h, peers: p, log: log, cache: newCache(d),
-		followers: map[string]followerState{}, retryAt: map[string]time.Time{}, unreachable: func() bool { return false },
+		followers: map[string]followerState{}, retryAt: map[string]time.Time{}, overdue: map[string]bool{}, unreachable: func() bool { return false },
 		onReply: func(string, *wire.FollowReply) {},
 	}
 }
@@ -226,6 +229,18 @@
 	return s.refusal
 }
 
+func (s *Store) isOverdue(kind string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.overdue[kind]
+}
+
+func (s *Store) setOverdue(kind string, overdue bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.overdue[kind] = overdue
+}
+
 func (s *Store) pause(address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -247,6 +262,7 @@
 	}
 	sent := time.Now()
 	objects, revision, err := s.ObjectStore.List(ctx, prefix)
+	s.setOverdue(kindOf(prefix), err != nil)
 	if err != nil {
 		s.deferToHolder(ctx, sent, err)
 		return nil, 0, err
@@ -267,6 +283,7 @@
 	}
 	sent := time.Now()
 	events, err := s.ObjectStore.Watch(ctx, prefixes, revision, wait)
+	s.setOverdue(kindOf(prefixes[0]), err != nil)
 	if err != nil {
 		s.deferToHolder(ctx, sent, err)
 		return bamboorail.Events{}, err
@@ -283,21 +300,30 @@
 // of another zone, but for a full list: those of many instances would fill the
 // links between zones. It returns false if the store must be called instead.
 func (s *Store) followHolder(ctx context.Context, prefix string, revision bamboorail.StoreVersion, wait time.Duration) (*wire.FollowReply, bool) {
+	overdue := s.isOverdue(kindOf(prefix))
+	if overdue {
+		wait = 0
+	}
+	begun := time.Now()
 	for _, from := range s.sources() {
-		if revision == 0 && from.zone != s.zone {
+		grace := replyGrace
+		if overdue {
+			grace -= time.Since(begun)
+		}
+		if grace <= 0 || revision == 0 && from.zone != s.zone {
 			break
 		}
-		reply, err := s.ask(ctx, from, prefix, revision, wait)
+		reply, err := s.ask(ctx, from, prefix, revision, wait, grace)
+		// Changes that this holder did not pass on must not wait for the next one too.
+		wait = 0
 		if err != nil {
-			// The changes that a silent holder did not pass on must not wait for the
-			// next one too.
-			wait = 0
 			continue
 		}
 		if !reply.GetFresh() {
 			s.pause(from.address)
 			continue
 		}
+		s.setOverdue(kindOf(prefix), false)
 		if n := reply.GetInstances(); n > 0 && from.zone == s.zone {
 			s.mu.Lock()
 			s.instances = int(n)
@@ -308,10 +334,10 @@
 	return nil, false
 }
 
-// ask sends a follow request to a holder. A holder that does not answer is not
-// asked again for a while.
-func (s *Store) ask(ctx context.Context, from source, prefix string, revision bamboorail.StoreVersion, wait time.Duration) (*wire.FollowReply, error) {
-	askCtx, cancel := context.WithTimeout(ctx, wait+replyGrace)
+// ask sends a follow request to a holder, which may answer within grace after wait. A
+// holder that does not answer is not asked again for a while.
+func (s *Store) ask(ctx context.Context, from source, prefix string, revision bamboorail.StoreVersion, wait, grace time.Duration) (*wire.FollowReply, error) {
+	askCtx, cancel := context.WithTimeout(ctx, wait+grace)
 	defer cancel()
 	reply, err := s.peers.Follow(askCtx, from.address, &wire.FollowRequest{
 		Instance: s.instance, InstanceZone: s.zone, Zone: from.zone, Kind: kindOf(prefix), Revision: uint64(revision), WaitMicros: wait.Microseconds(),
