mirror, gateway: a holder serves a kind no longer than its bound permits

What callers saw: nothing yet.

Cause: each step has an allowance of its own, and nobody adds them up. A holder served each kind for 2.5 s after its last answer, whatever the bound of the kind; an answer that was 1.4 s late counted as the state of its arrival; a follow request that was accepted 0.1 s before that time waited another 0.7 s; then the next source was waited for.

A holder serves a kind for pause + watch + margin after the state that the last answer shows, and ends a wait when that time is over.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,19 +45,6 @@
 	// lease expires.
 	renewInterval = time.Second
 	leaseTerm     = 3 * time.Second
-	// configurationBatchDelay, targetBatchDelay and releaseBatchDelay are the
-	// pauses after a watch that returned changes, so that the next one returns
-	// several. They stay well below the 2 s (bounds config_apply_ms, drain_ms)
-	// and 5 s (version_ms) within which a change must take effect.
-	configurationBatchDelay = 300 * time.Millisecond
-	targetBatchDelay        = 900 * time.Millisecond
-	releaseBatchDelay       = time.Second
-	// watchTimeout is the longest duration of one watch. It bounds the time for
-	// which a gap in the store's history or a lost watch goes undetected.
-	// Together with the time that a client waits for a response (1.5 s), it
-	// stays below the 3 s after a disturbance of the store within which a
-	// change may still be late (bound contact_ms).
-	watchTimeout = time.Second
 	// registrationGrace is the time that targets have to register again after
 	// an outage of the store (page PROTOCOL: about two seconds).
 	registrationGrace = 2 * time.Second
@@ -318,15 +305,16 @@
 // informers returns the informers of the store's object kinds by task name.
 func (g *Gateway) informers() map[string]*informer.Informer {
 	return map[string]*informer.Informer{
-		"configuration": g.informer(g.platform.ConfigurationKind, configurationBatchDelay, &configurationHandler{g}),
-		"targets":       g.informer(g.platform.TargetKind, targetBatchDelay, &targetHandler{g}),
-		"releases":      g.informer(g.platform.ReleaseKind, releaseBatchDelay, &releaseHandler{g}),
+		"configuration": g.informer(g.platform.ConfigurationKind, configurations, &configurationHandler{g}),
+		"targets":       g.informer(g.platform.TargetKind, targets, &targetHandler{g}),
+		"releases":      g.informer(g.platform.ReleaseKind, releases, &releaseHandler{g}),
 	}
 }
 
-func (g *Gateway) informer(kind string, batchDelay time.Duration, h informer.Handler) *informer.Informer {
+func (g *Gateway) informer(kind string, f followedKind, h informer.Handler) *informer.Informer {
+	g.mirror.SetMaxAge(kind, f.maxAge())
 	return informer.New(informer.Config{
-		Store: g.mirror, Kind: kind, BatchDelay: batchDelay, WatchTimeout: watchTimeout, Resync: g.resync, Handler: h, Log: g.logs.Layer("informer"),
+		Store: g.mirror, Kind: kind, BatchDelay: f.batchDelay, WatchTimeout: f.watchTimeout, Resync: g.resync, Handler: h, Log: g.logs.Layer("informer"),
 	})
 }
 
--- a/internal/gateway/propagation_test.go
+++ b/internal/gateway/propagation_test.go
@@ -17,15 +17,17 @@
 	settleTime = 8 * time.Second
 	// checkInterval is the precision of a measured delay.
 	checkInterval = 20 * time.Millisecond
+	configKey     = "config/main"
+	targetKey     = "targets/a"
 )
 
-// awaitVersion waits until the instances apply a version of the configuration, and
-// returns the name of the last one and the time that it took.
-func (c *simCluster) awaitVersion(version uint64, instances []*simInstance) (last string, took time.Duration) {
+// awaitChange waits until the instances know the second value of an object, and returns the
+// name of the last one and the time that it took.
+func (c *simCluster) awaitChange(key string, instances []*simInstance) (last string, took time.Duration) {
 	const limit = 10 * time.Second
 	start := time.Now()
 	for _, i := range instances {
-		for i.version() < version && time.Since(start) < limit {
+		for !i.gateway.hasSecondValue(key) && time.Since(start) < limit {
 			time.Sleep(checkInterval)
 			last = i.name
 		}
@@ -106,9 +108,9 @@
 						s.set(func() { s.cutZone = c.cutZone })
 					}
 					time.Sleep(rand.N(c.changeAfter))
-					s.configure(2)
+					s.change(configKey)
 					bound := max(applyBound, recoveryBound-time.Since(back))
-					last, took := s.awaitVersion(2, s.outside(c.cutZone))
+					last, took := s.awaitChange(configKey, s.outside(c.cutZone))
 					d.add(took, bound, fmt.Sprintf("%s applies it %v after the outage", last, time.Since(back)))
 					cancel()
 					s.stop()
@@ -122,49 +124,74 @@
 // TestDisturbedHolderDelaysNoChange guards against sound instances that apply a change late because the one that they
 // read through is disturbed (incident archive-late-configuration).
 func TestDisturbedHolderDelaysNoChange(t *testing.T) {
-	const runs = 20
-	late := 1400 * time.Millisecond
-	disturbances := map[string]func(op, kind string) disturbance{
-		"watches lost": func(op, kind string) disturbance { return disturbance{lost: op == "watch" && kind == "config"} },
-		"watches late": func(op, kind string) disturbance {
-			if op == "watch" && kind == "config" {
+	const (
+		runs = 10
+		late = 1400 * time.Millisecond
+	)
+	// watched is set for watches of the kind that changes.
+	disturbances := map[string]func(watched bool) disturbance{
+		"watches lost": func(watched bool) disturbance { return disturbance{lost: watched} },
+		"watches late": func(watched bool) disturbance {
+			if watched {
 				return disturbance{delay: late}
 			}
 			return disturbance{}
 		},
-		"all late":    func(string, string) disturbance { return disturbance{delay: late} },
-		"all lost":    func(string, string) disturbance { return disturbance{lost: true} },
-		"all refused": func(string, string) disturbance { return disturbance{refused: true} },
-		"half lost":   func(string, string) disturbance { return disturbance{lost: rand.N(2) == 0} },
+		"all late":    func(bool) disturbance { return disturbance{delay: late} },
+		"all lost":    func(bool) disturbance { return disturbance{lost: true} },
+		"all refused": func(bool) disturbance { return disturbance{refused: true} },
+		"half lost":   func(bool) disturbance { return disturbance{lost: rand.N(2) == 0} },
 	}
-	for name, disturb := range disturbances {
-		for _, everyZone := range []bool{false, true} {
-			t.Run(fmt.Sprintf("%s, every zone %t", name, everyZone), func(t *testing.T) {
-				var d delays
-				for range runs {
-					synctest.Test(t, func(t *testing.T) {
-						ctx, cancel := context.WithCancel(t.Context())
-						s := newSimCluster(ctx, t, "")
-						time.Sleep(settleTime + rand.N(time.Second))
-						sound := s.instances
-						for _, zone := range []string{"a", "b", "c"} {
-							if zone != "a" && !everyZone {
-								break
+	others := map[string]func(s *simCluster) (disturbed, silent []string){
+		"one zone":        func(*simCluster) ([]string, []string) { return simZones[:1], nil },
+		"every zone":      func(*simCluster) ([]string, []string) { return simZones, nil },
+		"the next silent": func(*simCluster) ([]string, []string) { return simZones[:1], simZones[1:2] },
+	}
+	for key, bound := range map[string]time.Duration{configKey: configurations.bound, targetKey: targets.bound} {
+		for name, disturb := range disturbances {
+			for which, choose := range others {
+				t.Run(fmt.Sprintf("%s, %s, %s", kindOf(key), name, which), func(t *testing.T) {
+					var d delays
+					for range runs {
+						synctest.Test(t, func(t *testing.T) {
+							ctx, cancel := context.WithCancel(t.Context())
+							s := newSimCluster(ctx, t, "")
+							time.Sleep(settleTime + rand.N(time.Second))
+							disturbed, silent := choose(s)
+							sound := s.instances
+							for _, zone := range disturbed {
+								h := s.holder(zone)
+								s.set(func() {
+									h.disturb = func(op, kind string) disturbance { return disturb(op == "watch" && kind == kindOf(key)) }
+								})
+								sound = without(sound, h)
+							}
+							for _, zone := range silent {
+								h := s.holder(zone)
+								s.set(func() { h.silentPeer = true })
 							}
-							h := s.holder(zone)
-							s.set(func() { h.disturb = disturb })
-							sound = without(sound, h)
-						}
-						time.Sleep(rand.N(3 * time.Second))
-						s.configure(2)
-						last, took := s.awaitVersion(2, sound)
-						d.add(took, applyBound, last)
-						cancel()
-						s.stop()
-					})
-				}
-				d.check(t, runs)
-			})
+							time.Sleep(rand.N(3 * time.Second))
+							s.change(key)
+							last, took := s.awaitChange(key, sound)
+							d.add(took, bound, last)
+							cancel()
+							s.stop()
+						})
+					}
+					d.check(t, runs)
+				})
+			}
+		}
+	}
+}
+
+// TestWorstDelayIsWithinBound adds up what a change may wait for on its way.
+func TestWorstDelayIsWithinBound(t *testing.T) {
+	// storeTime is the time of a call to a store without load.
+	const storeTime = 10 * time.Millisecond
+	for name, k := range map[string]followedKind{"configuration": configurations, "targets": targets, "releases": releases} {
+		if got := k.worstDelay() + storeTime; got > k.bound {
+			t.Errorf("%s: a change takes up to %v, want %v", name, got, k.bound)
 		}
 	}
 }
--- a/internal/gateway/sim_test.go
+++ b/internal/gateway/sim_test.go
@@ -186,22 +186,14 @@
 	return nil
 }
 
-// configure writes a version of the configuration.
-func (c *simCluster) configure(version int) {
+// change writes the second value of an object.
+func (c *simCluster) change(key string) {
 	c.t.Helper()
-	o, err := c.store.Get(context.Background(), "config/main")
+	o, err := c.store.Get(context.Background(), key)
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	put(c.t, c.store, o.Key, fmt.Sprint(version), o.Version)
-}
-
-// version returns the version of the configuration that an instance applies.
-func (i *simInstance) version() uint64 {
-	if t := i.gateway.table.Load(); t != nil {
-		return t.Version()
-	}
-	return 0
+	put(c.t, c.store, key, "l", o.Version)
 }
 
 // exchange makes a call to the store with its disturbances. A call that is pending
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -19,10 +19,11 @@
 	// minBackoff and maxBackoff limit the delay between failing calls.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = time.Second
-	// peerBatchDelay is the delay after changes that a peer forwarded.
-	peerBatchDelay = 100 * time.Millisecond
 )
 
+// PeerBatchDelay is the longest delay after changes that a peer forwarded.
+const PeerBatchDelay = 100 * time.Millisecond
+
 // Handler receives the objects that an informer reads. Its methods are called from
 // a single goroutine.
 type Handler interface {
@@ -226,7 +227,7 @@
 		if len(events.Objects) > 0 {
 			delay := i.BatchDelay
 			if events.FromPeer {
-				delay = min(delay, peerBatchDelay)
+				delay = min(delay, PeerBatchDelay)
 			}
 			if err := task.Sleep(ctx, delay); err != nil {
 				return state, err
--- a/internal/mirror/cache.go
+++ b/internal/mirror/cache.go
@@ -26,8 +26,7 @@
 	// the instances of a zone share the network link of the holder.
 	minorUpdateInterval = 5 * time.Second
 	// maxKindContactAge is the equivalent of maxContactAge for the last response
-	// about one kind. The next watch of a kind may be sent up to a second after a
-	// change.
+	// about one kind, unless SetMaxAge sets another.
 	maxKindContactAge = 2500 * time.Millisecond
 )
 
@@ -39,6 +38,7 @@
 type cache struct {
 	mu          sync.Mutex
 	kinds       map[string]*kindCache
+	maxAges     map[string]time.Duration
 	lastContact time.Time
 	now         func() time.Time
 	digest      Digest
@@ -47,11 +47,12 @@
 // kindCache holds the objects of a kind at revision, and the changes after since,
 // oldest first.
 type kindCache struct {
-	objects     map[string]bamboorail.Object
-	revision    bamboorail.StoreVersion
-	since       bamboorail.StoreVersion
-	events      []bamboorail.Object
-	changed     chan struct{}
+	objects  map[string]bamboorail.Object
+	revision bamboorail.StoreVersion
+	since    bamboorail.StoreVersion
+	events   []bamboorail.Object
+	changed  chan struct{}
+	// lastContact is the time at which the store had this state.
 	lastContact time.Time
 	// forwarded holds the last forwarded change of each object.
 	forwarded map[string]forwardedChange
@@ -64,7 +65,7 @@
 }
 
 func newCache(d Digest) *cache {
-	return &cache{kinds: map[string]*kindCache{}, now: time.Now, digest: d}
+	return &cache{kinds: map[string]*kindCache{}, maxAges: map[string]time.Duration{}, now: time.Now, digest: d}
 }
 
 // deferrable reports whether forwarding a change to peers can be delayed. The
@@ -95,26 +96,46 @@
 	return k
 }
 
-// recordContact records a response of the store about a kind and returns the kind.
-// The caller holds the lock.
-func (c *cache) recordContact(name string) *kindCache {
+// recordContact records a response of the store that shows a kind as of a time, and
+// returns the kind. The caller holds the lock.
+func (c *cache) recordContact(name string, at time.Time) *kindCache {
 	k := c.kind(name)
 	c.lastContact = c.now()
-	k.lastContact = c.lastContact
+	if at.After(k.lastContact) {
+		k.lastContact = at
+	}
 	return k
 }
 
+func (c *cache) setMaxAge(name string, d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.maxAges[name] = d
+}
+
+// freshFor returns the time for which a kind may still be served. The caller holds the
+// lock.
+func (c *cache) freshFor(name string, k *kindCache) time.Duration {
+	maxAge, ok := c.maxAges[name]
+	if !ok {
+		maxAge = maxKindContactAge
+	}
+	now := c.now()
+	return min(maxContactAge-now.Sub(c.lastContact), maxAge-now.Sub(k.lastContact))
+}
+
 // notify wakes the waiting peers. The caller holds the lock.
 func (k *kindCache) notify() {
 	close(k.changed)
 	k.changed = make(chan struct{})
 }
 
-// replace replaces all objects of a kind with the result of a list.
-func (c *cache) replace(name string, objects []bamboorail.Object, revision bamboorail.StoreVersion) {
+// replace replaces all objects of a kind with the result of a list, which shows the store
+// as of a time.
+func (c *cache) replace(name string, objects []bamboorail.Object, revision bamboorail.StoreVersion, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	k := c.recordContact(name)
+	k := c.recordContact(name, at)
 	k.objects = make(map[string]bamboorail.Object, len(objects))
 	for _, o := range objects {
 		k.objects[o.Key] = o
@@ -123,13 +144,13 @@
 	k.notify()
 }
 
-// apply applies the changes of a kind after a revision. It returns false if the
+// apply applies the changes of a kind after a revision, as of a time. It returns false if the
 // cache lacks earlier changes, as on an instance that followed another holder. The
 // kind must then be listed again.
-func (c *cache) apply(name string, after bamboorail.StoreVersion, e bamboorail.Events) bool {
+func (c *cache) apply(name string, after bamboorail.StoreVersion, e bamboorail.Events, at time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	k := c.recordContact(name)
+	k := c.recordContact(name, at)
 	if e.Reset || k.objects == nil || after > k.revision {
 		k.objects, k.events = nil, nil
 		k.notify()
@@ -160,9 +181,11 @@
 
 // followResult is the reply to a peer.
 type followResult struct {
-	fresh   bool
-	objects []bamboorail.Object
-	events  bamboorail.Events
+	fresh bool
+	// freshFor is the time for which the reply stays fresh.
+	freshFor time.Duration
+	objects  []bamboorail.Object
+	events   bamboorail.Events
 }
 
 // read returns the changes of a kind after a revision, or all objects if the
@@ -171,15 +194,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.kind(name)
-	now := c.now()
+	freshFor := c.freshFor(name, k)
 	if revision.Era() > k.revision.Era() {
 		// The peer has heard of a restore of the store that this instance has not.
 		return followResult{}, k.changed
 	}
-	if k.objects == nil || now.Sub(c.lastContact) > maxContactAge || now.Sub(k.lastContact) > maxKindContactAge {
+	if k.objects == nil || freshFor < 0 {
 		return followResult{}, k.changed
 	}
-	a := followResult{fresh: true, events: bamboorail.Events{Revision: k.revision}}
+	a := followResult{fresh: true, freshFor: freshFor, events: bamboorail.Events{Revision: k.revision}}
 	switch {
 	case revision == 0:
 		for _, o := range k.objects {
@@ -198,21 +221,24 @@
 	return a, k.changed
 }
 
-// follow reads a kind and waits up to wait for a change if there is none.
+// follow reads a kind and waits up to wait for a change if there is none, and no longer
+// than the kind may be served.
 func (c *cache) follow(ctx context.Context, name string, revision bamboorail.StoreVersion, wait time.Duration) followResult {
-	a, changed := c.read(name, revision)
-	if !a.fresh || revision == 0 || a.events.Reset || len(a.events.Objects) > 0 {
-		return a
-	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-changed:
-	case <-t.C:
-	case <-ctx.Done():
+	deadline := time.Now().Add(wait)
+	for {
+		a, changed := c.read(name, revision)
+		left := time.Until(deadline)
+		if !a.fresh || revision == 0 || a.events.Reset || len(a.events.Objects) > 0 || left <= 0 || ctx.Err() != nil {
+			return a
+		}
+		t := time.NewTimer(min(left, a.freshFor+time.Millisecond))
+		select {
+		case <-changed:
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
 	}
-	a, _ = c.read(name, revision)
-	return a
 }
 
 // kindOf returns the kind of a prefix.
--- a/internal/mirror/leases.go
+++ b/internal/mirror/leases.go
@@ -44,9 +44,10 @@
 			return objectsOf(reply), nil
 		}
 	}
+	sent := time.Now()
 	objects, err := s.leases.Store.ListStale(ctx, prefix)
 	if err == nil {
-		s.cache.replace(kindOf(prefix), objects, 1)
+		s.cache.replace(kindOf(prefix), objects, 1, sent)
 	}
 	return objects, err
 }
--- a/internal/mirror/minor_test.go
+++ b/internal/mirror/minor_test.go
@@ -15,12 +15,12 @@
 	// The digest of a value is its first byte; "?" cannot be decoded.
 	c := newCache(func(o bamboorail.Object) (string, bool) { return string(o.Value[:1]), o.Value[0] != '?' })
 	c.now = func() time.Time { return now }
-	c.replace("k", nil, 1)
+	c.replace("k", nil, 1, now)
 	revision := bamboorail.StoreVersion(1)
 	write := func(value string) {
 		revision++
 		o := bamboorail.Object{Key: "k/a", Version: revision, Value: []byte(value), Deleted: value == ""}
-		if !c.apply("k", revision-1, bamboorail.Events{Revision: revision, Objects: []bamboorail.Object{o}}) {
+		if !c.apply("k", revision-1, bamboorail.Events{Revision: revision, Objects: []bamboorail.Object{o}}, now) {
 			t.Fatal("a change was not applied")
 		}
 	}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -137,7 +137,7 @@
 func TestLaggingFollowerIsReset(t *testing.T) {
 	holder, follower := newPair(t)
 	revision := holder.mustList(t)
-	holder.cache.replace("k", nil, revision+5)
+	holder.cache.replace("k", nil, revision+5, time.Now())
 	events, err := follower.Watch(context.Background(), []string{"k/"}, revision, time.Second)
 	if err != nil || !events.Reset {
 		t.Errorf("events %+v, %v", events, err)
@@ -200,10 +200,10 @@
 	now := time.Now()
 	holder.cache.now = func() time.Time { return now }
 	revision := holder.mustList(t)
-	holder.cache.replace("busy", nil, revision)
+	holder.cache.replace("busy", nil, revision, now)
 	for range 6 {
 		now = now.Add(500 * time.Millisecond)
-		holder.cache.apply("busy", revision, bamboorail.Events{Revision: revision})
+		holder.cache.apply("busy", revision, bamboorail.Events{Revision: revision}, now)
 	}
 	if _, _, err := follower.List(context.Background(), "busy/"); err != nil || follower.storeCalls != 0 {
 		t.Fatalf("%v, after %d calls to the store for a kind that the holder watches", err, follower.storeCalls)
--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -32,6 +32,10 @@
 	followerExpiry = 5 * time.Second
 )
 
+// ProbeTimeout is the time that all holders together have to answer requests for what may
+// be late already.
+const ProbeTimeout = 250 * time.Millisecond
+
 // Peers sends follow requests to other instances.
 type Peers interface {
 	Follow(ctx context.Context, address string, r *wire.FollowRequest) (*wire.FollowReply, error)
@@ -78,8 +82,10 @@
 	refusal                    error
 	storeRetryAt, staleReplyAt time.Time
 	// overdue are the kinds whose last call to the store failed. They are read without
-	// waiting for a change, and all holders together have replyGrace to answer.
+	// waiting for a change, and all holders together have ProbeTimeout to answer.
 	overdue map[string]bool
+	// watchLatency is the time by which the last watch without changes was late.
+	watchLatency time.Duration
 	// followers maps the following instances to the time of their last request.
 	// instances is the number of instances reported by the holder.
 	followers map[string]followerState
@@ -108,6 +114,10 @@
 // It must be set before the store is used.
 func (s *Store) SetOnReply(f func(zone string, r *wire.FollowReply)) { s.onReply = f }
 
+// SetMaxAge sets the time for which what this instance has read of a kind is served to others. It must be called
+// before the store is used.
+func (s *Store) SetMaxAge(kind string, d time.Duration) { s.cache.setMaxAge(kind, d) }
+
 // SetReachability sets what this instance reports of itself to its holder. It must be called
 // before the store is used.
 func (s *Store) SetReachability(address string, unreachable func() bool) {
@@ -267,7 +277,7 @@
 		s.deferToHolder(ctx, sent, err)
 		return nil, 0, err
 	}
-	s.cache.replace(kindOf(prefix), objects, revision)
+	s.cache.replace(kindOf(prefix), objects, revision, sent)
 	return objects, revision, nil
 }
 
@@ -288,7 +298,7 @@
 		s.deferToHolder(ctx, sent, err)
 		return bamboorail.Events{}, err
 	}
-	if !s.cache.apply(kindOf(prefixes[0]), revision, events) && s.holder.Leading() {
+	if !s.cache.apply(kindOf(prefixes[0]), revision, events, s.stateTime(sent, wait, events)) && s.holder.Leading() {
 		// The cache of a new holder must be complete before it serves peers.
 		s.log.Info("new holder lists kind again, cache is incomplete", "kind", kindOf(prefixes[0]), "revision", revision)
 		events.Reset = true
@@ -296,22 +306,47 @@
 	return events, nil
 }
 
+// stateTime returns the time as of which an answer to a watch shows the store. A watch waits
+// no longer than it was asked to, and the rest of its time is latency of the store, which
+// the next answers with changes are taken to have too.
+func (s *Store) stateTime(sent time.Time, wait time.Duration, e bamboorail.Events) time.Time {
+	now := time.Now()
+	waited := sent.Add(wait)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(e.Objects) == 0 {
+		s.watchLatency = max(now.Sub(waited), 0)
+	}
+	at := now.Add(-s.watchLatency)
+	if at.After(waited) {
+		at = waited
+	}
+	if at.Before(sent) {
+		at = sent
+	}
+	return at
+}
+
 // followHolder sends a follow request to the holder of the zone, or else to that
 // of another zone, but for a full list: those of many instances would fill the
 // links between zones. It returns false if the store must be called instead.
 func (s *Store) followHolder(ctx context.Context, prefix string, revision bamboorail.StoreVersion, wait time.Duration) (*wire.FollowReply, bool) {
-	overdue := s.isOverdue(kindOf(prefix))
-	if overdue {
+	if s.isOverdue(kindOf(prefix)) {
 		wait = 0
 	}
-	begun := time.Now()
+	var probing time.Time
 	for _, from := range s.sources() {
 		grace := replyGrace
-		if overdue {
-			grace -= time.Since(begun)
+		switch {
+		case revision == 0 && from.zone != s.zone:
+			return nil, false
+		case revision > 0 && wait == 0 && probing.IsZero():
+			probing, grace = time.Now(), ProbeTimeout
+		case revision > 0 && wait == 0:
+			grace = ProbeTimeout - time.Since(probing)
 		}
-		if grace <= 0 || revision == 0 && from.zone != s.zone {
-			break
+		if grace <= 0 {
+			return nil, false
 		}
 		reply, err := s.ask(ctx, from, prefix, revision, wait, grace)
 		// Changes that this holder did not pass on must not wait for the next one too.
