mirror: a kind without fresh data pauses its source for that kind only

The pause after such a reply is kept for each kind; one after no reply still holds for all. TestStaleKindPausesNoOther fails without the change.

--- a/internal/mirror/age_test.go
+++ b/internal/mirror/age_test.go
@@ -57,3 +57,21 @@
 		})
 	}
 }
+
+// TestStaleKindPausesNoOther guards against a follower that asks a holder about nothing any more because that has no fresh
+// data of one kind (incident archive-late-configuration).
+func TestStaleKindPausesNoOther(t *testing.T) {
+	holder, follower := newPair(t)
+	now := time.Now()
+	holder.cache.now = func() time.Time { return now }
+	revision := holder.mustList(t)
+	now = now.Add(2 * maxKindContactAge)
+	holder.cache.replace("busy", nil, revision, now)
+	follower.mustList(t)
+	if follower.storeCalls != 1 {
+		t.Fatalf("%d calls to the store for a kind that the holder has not read lately", follower.storeCalls)
+	}
+	if _, _, err := follower.List(t.Context(), "busy/"); err != nil || follower.storeCalls != 1 {
+		t.Errorf("%v, %d calls to the store for a kind that the holder has", err, follower.storeCalls-1)
+	}
+}
--- a/internal/mirror/leases.go
+++ b/internal/mirror/leases.go
@@ -39,7 +39,7 @@
 // ListStale returns the leases as the holder of the zone last read them, or as
 // the object store lists them.
 func (s *Store) ListStale(ctx context.Context, prefix string) ([]bamboorail.Object, error) {
-	for _, from := range s.sources() {
+	for _, from := range s.sources(kindOf(prefix)) {
 		if reply, err := s.ask(ctx, from, prefix, 0, 0, replyGrace); err == nil && reply.GetFresh() {
 			return objectsOf(reply), nil
 		}
--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -74,8 +74,9 @@
 	onReply func(zone string, r *wire.FollowReply)
 
 	mu sync.Mutex
-	// retryAt are the times until which a holder is not asked, by address.
-	retryAt map[string]time.Time
+	// retryAt are the times until which a holder is not asked: about any kind after no
+	// answer, about one kind after an answer without fresh data.
+	retryAt map[pausedSource]time.Time
 	// refusal is the error of an overloaded or unavailable store, which is not
 	// called again until storeRetryAt, for whatever kind. staleReplyAt is the
 	// time of the last reply of a holder without fresh data.
@@ -105,7 +106,7 @@
 func NewStore(store bamboorail.ObjectStore, instance, zone string, h Holder, p Peers, d Digest, log hclog.Logger) *Store {
 	return &Store{
 		ObjectStore: store, instance: instance, zone: zone, holder: h, peers: p, log: log, cache: newCache(d),
-		followers: map[string]followerState{}, retryAt: map[string]time.Time{}, overdue: map[string]bool{}, unreachable: func() bool { return false },
+		followers: map[string]followerState{}, retryAt: map[pausedSource]time.Time{}, overdue: map[string]bool{}, unreachable: func() bool { return false },
 		onReply: func(string, *wire.FollowReply) {},
 	}
 }
@@ -179,10 +180,13 @@
 // source is an instance to read from.
 type source struct{ zone, address string }
 
-// sources returns the holders to ask in order, or none if this instance must
+// pausedSource is an instance that is not asked about a kind, or about any if the kind is empty.
+type pausedSource struct{ address, kind string }
+
+// sources returns the holders to ask about a kind in order, or none if this instance must
 // call the store directly: the holder of the zone, and one of another zone in
 // case the former is gone or has lost the store.
-func (s *Store) sources() []source {
+func (s *Store) sources(kind string) []source {
 	if s.holder.Leading() {
 		return nil
 	}
@@ -192,7 +196,7 @@
 	var list []source
 	for n, u := range append([]upstream{{s.zone, s.holder}}, s.others...) {
 		_, address := u.holder.Holder()
-		if address == "" || now.Before(s.retryAt[address]) {
+		if address == "" || now.Before(s.retryAt[pausedSource{address, ""}]) || now.Before(s.retryAt[pausedSource{address, kind}]) {
 			continue
 		}
 		if list = append(list, source{u.zone, address}); n > 0 {
@@ -251,10 +255,10 @@
 	s.overdue[kind] = overdue
 }
 
-func (s *Store) pause(address string) {
+func (s *Store) pause(p pausedSource) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.retryAt[address] = time.Now().Add(peerRetryDelay)
+	s.retryAt[p] = time.Now().Add(peerRetryDelay)
 }
 
 // List returns the objects of a kind.
@@ -335,7 +339,7 @@
 		wait = 0
 	}
 	var probing time.Time
-	for _, from := range s.sources() {
+	for _, from := range s.sources(kindOf(prefix)) {
 		grace := replyGrace
 		switch {
 		case revision == 0 && from.zone != s.zone:
@@ -355,7 +359,7 @@
 			continue
 		}
 		if !reply.GetFresh() {
-			s.pause(from.address)
+			s.pause(pausedSource{from.address, kindOf(prefix)})
 			continue
 		}
 		s.setOverdue(kindOf(prefix), false)
@@ -383,7 +387,7 @@
 	}
 	if err != nil {
 		s.log.Info("follow request to holder failed", "kind", kindOf(prefix), "zone", from.zone, "address", from.address, "error", err)
-		s.pause(from.address)
+		s.pause(pausedSource{address: from.address})
 		return nil, err
 	}
 	s.observeEra(reply.GetRevision())
