origin: the store confirms the only software version of a service

It happens here: an instance without a record of a stream took the version that it knew for the only one, although it might not have heard of the newest, if the store did not answer and it had followed the targets for a minute, or if the store answered and the stream's origin was not stored yet. Standing still, being cut off, and the 0.9 s between two watches of the targets all lead there.

Such an instance reads the registered targets with the stored origins now, from the store itself, and refuses (503, unknown-origin) if it gets no answer. That is one list more for a stream that is resumed where it did not begin; calls at the same time share it.

TestFindNeverGuesses: the three new cases fail without the change. The case 'unknown, store down, followed' demanded the guess; it demands a refusal now, because what an instance that is cut off has followed says nothing about what joined since. Fleet.Software no longer tells for how long targets have been followed, which nothing needs any more.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,8 +23,6 @@
 	leaving  map[bamboorail.TargetID]time.Time
 	releases map[bamboorail.AdapterKey]bamboorail.ReleaseHistory
 	software softwareHistory
-	// listedSince is the time of the first list of targets.
-	listedSince time.Time
 	// releasesSynced is closed once all releases were read.
 	releasesSynced chan struct{}
 	changed        chan struct{}
@@ -148,9 +146,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	previous := f.targets
-	if f.listedSince.IsZero() {
-		f.listedSince = now
-	}
 	f.targets = make(map[string]*trackedTarget, len(entries))
 	for _, e := range entries {
 		switch k := previous[e.ID.Name]; {
--- a/internal/fleet/software.go
+++ b/internal/fleet/software.go
@@ -31,12 +31,10 @@
 	}
 }
 
-// Software returns the software versions that the targets of a service had within
-// the lifetime of a stream, sorted, and whether the targets have been followed for as
-// long.
-func (f *Fleet) Software(service string, now time.Time) (versions []string, complete bool) {
+// Software returns the software versions that the targets of a service had within the
+// lifetime of a stream, as far as they have been followed, sorted.
+func (f *Fleet) Software(service string) []string {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	complete = !f.listedSince.IsZero() && now.Sub(f.listedSince) >= bamboorail.StreamLifetime
-	return slices.Sorted(maps.Keys(f.software[service])), complete
+	return slices.Sorted(maps.Keys(f.software[service]))
 }
--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"context"
+
+	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/detour"
 	"bamboorail.example/bamboorail/internal/lease"
 	"bamboorail.example/bamboorail/internal/origin"
@@ -19,10 +22,28 @@
 func (g *Gateway) newOrigins() *origin.Registry {
 	return origin.New(origin.Config{
 		Instance: g.initial.Instance, Zones: g.leaseZones(), Peers: g.peers, Store: g.platform.Store, Kind: originKind, Fleet: g.fleet,
-		Log: g.logs.Layer("origin"),
+		Targets: g.registeredTargets, Log: g.logs.Layer("origin"),
 	})
 }
 
+// registeredTargets lists the targets that the store has now.
+func (g *Gateway) registeredTargets(ctx context.Context) ([]bamboorail.TargetEntry, error) {
+	objects, _, err := g.platform.Store.List(ctx, g.platform.TargetKind)
+	if err != nil {
+		return nil, err
+	}
+	entries := make([]bamboorail.TargetEntry, 0, len(objects))
+	for _, o := range objects {
+		e, err := g.platform.Records.Target(o)
+		if err != nil {
+			g.log.Debug("entry of a target skipped", "key", o.Key, "error", err)
+			continue
+		}
+		entries = append(entries, e)
+	}
+	return entries, nil
+}
+
 // newDetour returns the detour of this instance.
 func (g *Gateway) newDetour() *detour.Detour {
 	return detour.New(detour.Config{
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -29,7 +29,7 @@
 var (
 	errNotRecorded = errors.New("targets of several software versions serve, and none is recorded for the stream")
 	errNoTargets   = errors.New("no targets of the service are known")
-	errNoHistory   = errors.New("the earlier software versions of the service are not known")
+	errNotRead     = errors.New("the software versions of the service cannot be confirmed")
 )
 
 func unknown(cause error) error {
@@ -51,9 +51,11 @@
 	Peers Peers
 	Store bamboorail.ObjectStore
 	// Kind is the kind of the objects in the store.
-	Kind  string
-	Fleet *fleet.Fleet
-	Log   hclog.Logger
+	Kind string
+	// Targets lists the targets that are registered in the store.
+	Targets func(ctx context.Context) ([]bamboorail.TargetEntry, error)
+	Fleet   *fleet.Fleet
+	Log     hclog.Logger
 }
 
 // Registry holds the origins of streams in one instance.
@@ -69,7 +71,7 @@
 // New returns an empty registry.
 func New(c Config) *Registry {
 	r := &Registry{Config: c, table: newTable(), journals: map[string]*journal{}}
-	r.reader = newReader(c.Store, c.Kind, c.Log)
+	r.reader = newReader(c)
 	for _, z := range c.Zones {
 		r.journals[z.Name] = newJournal(c.Kind, z.Name, c.Store, c.Log)
 	}
@@ -83,36 +85,42 @@
 
 // Find returns where the stream of a call began. It reads the store if this instance
 // has no record of it. An unknown stream has the only version that its service had within
-// the lifetime of a stream, if there is no other.
+// the lifetime of a stream, if there is no other. The store must confirm that: an instance
+// that is cut off or was paused may not have heard of the newest one.
 func (r *Registry) Find(ctx context.Context, call, service string) (bamboorail.StreamOrigin, error) {
 	id := newStreamID(call)
 	if o, ok := r.table.find(id); ok && call != "" {
 		return o, nil
 	}
-	if versions, _ := r.Fleet.Software(service, time.Now()); call == "" && len(versions) > 1 {
+	if versions := r.Fleet.Software(service); call == "" && len(versions) > 1 {
 		return bamboorail.StreamOrigin{}, unknown(errNotRecorded)
 	}
-	stored, storeErr := r.reader.read(ctx)
-	if storeErr == nil {
-		r.table.merge(stored, time.Now())
+	stored := r.reader.read(ctx)
+	if stored.err != nil {
+		return bamboorail.StreamOrigin{}, unknown(errors.Join(errNotRead, stored.err))
 	}
+	r.table.merge(stored.streams, time.Now())
 	if o, ok := r.table.find(id); ok && call != "" {
 		r.Log.Info("origin of stream found in the store", "call", call, "service", o.Service, "software", o.Software)
 		return o, nil
 	}
-	versions, complete := r.Fleet.Software(service, time.Now())
-	for o := range stored {
+	versions := r.Fleet.Software(service)
+	add := func(o bamboorail.StreamOrigin) {
 		if o.Service == service && !slices.Contains(versions, o.Software) {
 			versions = append(versions, o.Software)
 		}
 	}
-	switch {
-	case len(versions) == 0:
+	for o := range stored.streams {
+		add(o)
+	}
+	for o := range stored.software {
+		add(o)
+	}
+	switch len(versions) {
+	case 0:
 		return bamboorail.StreamOrigin{}, unknown(errNoTargets)
-	case len(versions) > 1:
-		return bamboorail.StreamOrigin{}, unknown(errNotRecorded)
-	case storeErr != nil && !complete:
-		return bamboorail.StreamOrigin{}, unknown(errors.Join(errNoHistory, storeErr))
+	case 1:
+		return bamboorail.StreamOrigin{Service: service, Software: versions[0]}, nil
 	}
-	return bamboorail.StreamOrigin{Service: service, Software: versions[0]}, nil
+	return bamboorail.StreamOrigin{}, unknown(errNotRecorded)
 }
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -52,9 +52,18 @@
 	}
 	return New(Config{
 		Instance: "self", Zones: []lease.Zone{{Name: "z", Lease: l}}, Peers: noPeers{}, Store: store, Kind: testKind, Fleet: f, Log: hclog.NewNullLogger(),
+		Targets: func(context.Context) ([]bamboorail.TargetEntry, error) { return entries, nil },
 	})
 }
 
+// newTargets returns targets with software versions.
+func newTargets(versions []string) (entries []bamboorail.TargetEntry) {
+	for n, v := range versions {
+		entries = append(entries, bamboorail.TargetEntry{ID: bamboorail.TargetID{Name: fmt.Sprintf("new%d", n)}, Service: "s", Software: v})
+	}
+	return entries
+}
+
 // TestFindNeverGuesses guards against streams joined from two versions (incident archive-software-versions).
 func TestFindNeverGuesses(t *testing.T) {
 	cases := map[string]struct {
@@ -65,9 +74,10 @@
 		// follows is the time for which the targets have been followed.
 		follows time.Duration
 		down    bool
-		// later are the versions that serve when the stream is resumed.
-		later  []string
-		origin bamboorail.StreamOrigin
+		// later are the versions that serve when the stream is resumed, registered those
+		// that the store has then and this instance has not heard of.
+		later, registered []string
+		origin            bamboorail.StreamOrigin
 	}{
 		"own stream":                       {versions: []string{"v1", "v2"}, call: "a", own: map[string]bamboorail.StreamOrigin{"a": v2}, origin: v2},
 		"own stream, store down":           {versions: []string{"v1", "v2"}, call: "a", own: map[string]bamboorail.StreamOrigin{"a": v1}, down: true, origin: v1},
@@ -82,7 +92,10 @@
 		"unknown, another version stored":  {versions: []string{"v1"}, call: "a", stored: map[string]bamboorail.StreamOrigin{"b": v2}},
 		"unknown, another service stored":  {versions: []string{"v1"}, call: "a", stored: map[string]bamboorail.StreamOrigin{"b": {Service: "t", Software: "v2"}}, origin: v1},
 		"unknown, store down, new process": {versions: []string{"v1"}, call: "a", down: true},
-		"unknown, store down, followed":    {versions: []string{"v1"}, call: "a", down: true, follows: bamboorail.StreamLifetime, origin: v1},
+		"unknown, store down, followed":    {versions: []string{"v1"}, call: "a", down: true, follows: bamboorail.StreamLifetime},
+		"unknown, a version just joined":   {versions: []string{"v1"}, call: "a", registered: []string{"v1", "v2"}, follows: bamboorail.StreamLifetime},
+		"unnamed, a version just joined":   {versions: []string{"v1"}, registered: []string{"v1", "v2"}, follows: bamboorail.StreamLifetime},
+		"unknown, joined and left at once": {versions: []string{"v1"}, call: "a", registered: []string{"v2"}},
 		"unknown, version just replaced":   {versions: []string{"v1"}, call: "a", later: []string{"v2"}},
 		"unknown, replaced long ago":       {versions: []string{"v1"}, call: "a", later: []string{"v2"}, follows: 2 * bamboorail.StreamLifetime, origin: v2},
 	}
@@ -100,11 +113,11 @@
 					r.Record(call, o)
 				}
 				if c.later != nil {
-					entries := []bamboorail.TargetEntry{}
-					for _, v := range c.later {
-						entries = append(entries, bamboorail.TargetEntry{ID: bamboorail.TargetID{Name: "new"}, Service: "s", Software: v})
-					}
-					r.Fleet.Replace(entries, time.Now(), false)
+					r.Fleet.Replace(newTargets(c.later), time.Now(), false)
+					c.registered = c.later
+				}
+				if c.registered != nil {
+					r.reader.targets = func(context.Context) ([]bamboorail.TargetEntry, error) { return newTargets(c.registered), nil }
 				}
 				time.Sleep(c.follows)
 				r.Fleet.Expire(time.Now())
--- a/internal/origin/reader.go
+++ b/internal/origin/reader.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// readTimeout bounds a list of the segments, for which a caller waits. An idle
-	// store responds within 4 ms.
+	// readTimeout bounds the lists of segments and targets, for which a caller waits. An
+	// idle store responds within 4 ms.
 	readTimeout = 500 * time.Millisecond
 	// readInterval is the time for which a list is used again, errorInterval the time
 	// for which a store that did not answer is not called again.
@@ -19,38 +19,41 @@
 	errorInterval = time.Second
 )
 
-// reader reads the stored origins. Calls that need them at the same time share one
-// list.
+// reader reads the stored origins and the software of the registered targets. Calls that
+// need them at the same time share one read.
 type reader struct {
-	store bamboorail.ObjectStore
-	kind  string
-	log   hclog.Logger
+	store   bamboorail.ObjectStore
+	kind    string
+	targets func(ctx context.Context) ([]bamboorail.TargetEntry, error)
+	log     hclog.Logger
 	// turn holds the last result, and is empty while a list is being read.
 	turn chan result
 }
 
 type result struct {
 	streams batch
-	err     error
-	at      time.Time
+	// software holds the services and versions of the registered targets.
+	software map[bamboorail.StreamOrigin]bool
+	err      error
+	at       time.Time
 }
 
-func newReader(store bamboorail.ObjectStore, kind string, log hclog.Logger) *reader {
-	r := &reader{store: store, kind: kind, log: log, turn: make(chan result, 1)}
+func newReader(c Config) *reader {
+	r := &reader{store: c.Store, kind: c.Kind, targets: c.Targets, log: c.Log, turn: make(chan result, 1)}
 	r.turn <- result{}
 	return r
 }
 
-func (r *reader) read(ctx context.Context) (batch, error) {
+func (r *reader) read(ctx context.Context) result {
 	select {
 	case last := <-r.turn:
 		if !last.isFresh(time.Now()) {
 			last = r.list(ctx)
 		}
 		r.turn <- last
-		return last.streams, last.err
+		return last
 	case <-ctx.Done():
-		return nil, unknown(ctx.Err())
+		return result{err: ctx.Err()}
 	}
 }
 
@@ -62,7 +65,9 @@
 	return !l.at.IsZero() && now.Sub(l.at) < interval
 }
 
-// list reads all segments. It goes on if its caller leaves, since others wait.
+// list reads all segments, and then the targets, among them those at which the streams of
+// the segments began unless they have left. It goes on if its caller leaves, since others
+// wait.
 func (r *reader) list(ctx context.Context) result {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTimeout)
 	defer cancel()
@@ -71,7 +76,15 @@
 		r.log.Warn("origins of streams not read", "error", err)
 		return result{err: err, at: time.Now()}
 	}
-	streams := batch{}
+	targets, err := r.targets(ctx)
+	if err != nil {
+		r.log.Warn("software of targets not read", "error", err)
+		return result{err: err, at: time.Now()}
+	}
+	streams, software := batch{}, map[bamboorail.StreamOrigin]bool{}
+	for _, e := range targets {
+		software[bamboorail.StreamOrigin{Service: e.Service, Software: e.Software}] = true
+	}
 	for _, o := range objects {
 		s, err := decodeSegment(o.Value)
 		if err != nil {
@@ -80,5 +93,5 @@
 		}
 		streams.add(s.streams)
 	}
-	return result{streams: streams, at: time.Now()}
+	return result{streams: streams, software: software, at: time.Now()}
 }
--- a/internal/origin/share.go
+++ b/internal/origin/share.go
@@ -42,7 +42,7 @@
 	b := r.table.unsharedBatch(func(service string) bool {
 		several, known := mixed[service]
 		if !known {
-			versions, _ := r.Fleet.Software(service, now)
+			versions := r.Fleet.Software(service)
 			several = len(versions) > 1
 			mixed[service] = several
 		}
