origin: a read of the store is as old as its sending

Streams were refused for longer than needed after an outage, and looked up in old origins while the store was slow.

Both count from the sending. TestOldReadIsNotUsedAgain: two of four cases fail without the change.

--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -136,6 +136,54 @@
 	}
 }
 
+// slowStore answers lists after a time.
+type slowStore struct {
+	*memory.Store
+	latency time.Duration
+	lists   int
+}
+
+func (s *slowStore) List(ctx context.Context, prefix string) ([]bamboorail.Object, bamboorail.StoreVersion, error) {
+	s.lists++
+	list, revision, err := s.Store.List(ctx, prefix)
+	time.Sleep(s.latency)
+	return list, revision, err
+}
+
+// TestOldReadIsNotUsedAgain guards against origins that are taken for read when their answer arrives (incident
+// archive-late-configuration).
+func TestOldReadIsNotUsedAgain(t *testing.T) {
+	cases := map[string]struct {
+		latency, pause time.Duration
+		down           bool
+		lists          int
+	}{
+		"answered at once":                   {0, readInterval / 2, false, 1},
+		"answered late":                      {readInterval, readInterval / 2, false, 2},
+		"failed at once":                     {0, errorInterval / 2, true, 1},
+		"timed out, and the pause has ended": {readTimeout, errorInterval - readTimeout, true, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newTestRegistry(t, memory.NewStore(), "v1")
+				store := &slowStore{Store: memory.NewStore(), latency: c.latency}
+				if c.down {
+					store.SetHook(func(string, string) error { return errDown })
+				}
+				r.reader.store = store
+				for range 2 {
+					_ = r.reader.read(t.Context())
+					time.Sleep(c.pause)
+				}
+				if store.lists != c.lists {
+					t.Errorf("the store is read %d times, want %d", store.lists, c.lists)
+				}
+			})
+		})
+	}
+}
+
 // TestOriginsOutliveInstances plays holders that follow one another on one zone, or
 // overlap, with a store that fails and loses answers. What was stored is found by an
 // instance that starts afterwards.
--- a/internal/origin/reader.go
+++ b/internal/origin/reader.go
@@ -14,7 +14,8 @@
 	// idle store responds within 4 ms.
 	readTimeout = 500 * time.Millisecond
 	// readInterval is the time for which a list is used again, errorInterval the time
-	// for which a store that did not answer is not called again.
+	// for which a store that did not answer is not called again. Both count from the
+	// sending of the call: the store may have changed, or returned, since.
 	readInterval  = 100 * time.Millisecond
 	errorInterval = time.Second
 )
@@ -69,17 +70,18 @@
 // the segments began unless they have left. It goes on if its caller leaves, since others
 // wait.
 func (r *reader) list(ctx context.Context) result {
+	sent := time.Now()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTimeout)
 	defer cancel()
 	objects, _, err := r.store.List(ctx, r.kind+"/")
 	if err != nil {
 		r.log.Warn("origins of streams not read", "error", err)
-		return result{err: err, at: time.Now()}
+		return result{err: err, at: sent}
 	}
 	targets, err := r.targets(ctx)
 	if err != nil {
 		r.log.Warn("software of targets not read", "error", err)
-		return result{err: err, at: time.Now()}
+		return result{err: err, at: sent}
 	}
 	streams, software := batch{}, map[bamboorail.StreamOrigin]bool{}
 	for _, e := range targets {
@@ -93,5 +95,5 @@
 		}
 		streams.add(s.streams)
 	}
-	return result{streams: streams, software: software, at: time.Now()}
+	return result{streams: streams, software: software, at: sent}
 }
