detour: a forwarded answer that stops without an end is broken

The body of a forwarded answer returned the error of its stream as it was; a stream that the other instance closes without the event that ends an answer gives io.EOF, which readers take for the end. No such close is known in our own server: a connection that ends gives another error, as TestConnectionThatEndsIsNoEndOfAnAnswer shows for three ways.

TestAnswerWithoutAnEndIsBroken fails without the change.

--- a/internal/detour/forward.go
+++ b/internal/detour/forward.go
@@ -23,6 +23,7 @@
 
 var (
 	errNoHead      = errors.New("the answer begins without a head")
+	errNoEnd       = errors.New("the answer has no end")
 	errInvalidText = errors.New("the call contains text that is not valid UTF-8")
 	errUnreachable = errors.New("the instance reaches no target either")
 	errLeaving     = errors.New("the instance leaves before the deadline of the call")
@@ -86,6 +87,8 @@
 	for len(b.rest) == 0 && b.err == nil {
 		event, err := b.stream.Recv()
 		switch {
+		case errors.Is(err, io.EOF):
+			b.err = errNoEnd // io.EOF would mean that the answer is complete
 		case err != nil:
 			b.err = err
 		case event.GetEnd() != nil:
--- a/internal/detour/forward_test.go
+++ b/internal/detour/forward_test.go
@@ -13,6 +13,7 @@
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/peer"
+	"bamboorail.example/bamboorail/internal/peer/wire"
 	"bamboorail.example/bamboorail/internal/placer"
 	"bamboorail.example/bamboorail/internal/relay"
 	"bamboorail.example/bamboorail/internal/task"
@@ -211,3 +212,89 @@
 		})
 	}
 }
+
+// TestConnectionThatEndsIsNoEndOfAnAnswer guards against a forwarded stream that is whole for the caller although the
+// instance that ran it ended.
+func TestConnectionThatEndsIsNoEndOfAnAnswer(t *testing.T) {
+	for name, end := range map[string]func(c *net.TCPConn) error{
+		"closed": func(c *net.TCPConn) error { return c.Close() },
+		"reset":  func(c *net.TCPConn) error { return errors.Join(c.SetLinger(0), c.Close()) },
+		"half":   func(c *net.TCPConn) error { return c.CloseWrite() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &scriptedRunner{parts: []string{"a", "b"}, block: true}
+			d, _, address := forwardTo(t, r)
+			l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			accepted := make(chan *net.TCPConn, 1)
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				upstream, err := net.Dial("tcp", address)
+				if err != nil {
+					return
+				}
+				go func() { _, _ = io.Copy(upstream, c) }()
+				accepted <- c.(*net.TCPConn)
+				_, _ = io.Copy(c, upstream)
+			}()
+			answer, err := d.Forward(t.Context(), l.Addr().String(), relayCall)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body := make([]byte, 2)
+			if _, err := io.ReadFull(answer.Response.Body, body); err != nil {
+				t.Fatal(err)
+			}
+			if err := end(<-accepted); err != nil {
+				t.Fatal(err)
+			}
+			if n, err := answer.Response.Body.Read(body); n > 0 || err == nil || errors.Is(err, io.EOF) {
+				t.Errorf("%d bytes, %v: a reader takes the answer for whole", n, err)
+			}
+			_ = answer.Response.Body.Close()
+		})
+	}
+}
+
+// endlessForwarder begins an answer and does not end it.
+type endlessForwarder struct{ *Server }
+
+func (endlessForwarder) Forward(_ *wire.ForwardRequest, stream wire.DRPCPlacer_ForwardStream) error {
+	w := &streamWriter{stream}
+	return errors.Join(w.Begin(http.StatusOK, http.Header{}, "t", bamboorail.StreamOrigin{}), w.Write([]byte("ab")))
+}
+
+// TestAnswerWithoutAnEndIsBroken guards against a forwarded answer that is whole because nothing more of it comes.
+func TestAnswerWithoutAnEndIsBroken(t *testing.T) {
+	d, _ := newTestDetour(t)
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := peer.NewClient(nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	serving := task.Start(ctx, "peers", func(ctx context.Context) error {
+		return peer.ServePlacer(ctx, l, &placer.Server{Forwarder: endlessForwarder{}}, hclog.NewNullLogger())
+	})
+	defer serving.Join()
+	defer cancel()
+	d.Peers = client
+	answer, err := d.Forward(t.Context(), l.Addr().String(), relayCall)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Response.Body.Close()
+	body := make([]byte, 2)
+	if _, err := io.ReadFull(answer.Response.Body, body); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := answer.Response.Body.Read(body); n > 0 || err == nil || errors.Is(err, io.EOF) {
+		t.Errorf("%d bytes, %v: a reader takes the answer for whole", n, err)
+	}
+}
