--- a/internal/relay/detour_test.go
+++ b/internal/relay/detour_test.go
@@ -83,7 +83,7 @@
 	}
 	end := io.EOF
 	if err != nil {
-		end = err
+		end = errors.New(err.Error()) // errors are not passed on between instances, only their text
 	}
 	return ForwardedAnswer{
 		Response: &http.Response{StatusCode: got.status, Header: got.header, Body: bodyThen(got.body, end), ContentLength: -1, TransferEncoding: []string{"chunked"}},
