--- a/_scripts/mutants.sh
+++ b/_scripts/mutants.sh
@@ -15,7 +15,7 @@
 try() {
   local name=$1 patch=$root/_fixtures/mutants/$1.patch tree=$scratch/$1
   mkdir "$tree"
-  (cd "$root" && git ls-files -z | xargs -0 tar cf - --) | tar xf - -C "$tree"
+  (cd "$root" && git ls-files -z -- ':!journal' | tar cf - --null -T -) | tar xf - -C "$tree"
   read -r _ _ package test < <(head -n 1 "$patch")
   if ! (cd "$tree" && patch --quiet --batch --forward -p1 <"$patch") >"$tree.log" 2>&1; then
     echo "INVALID  $name does not apply"
