mirror: sources and followers in files of their own

Sources (whom to read from, pauses) and followers (who reads from this instance) move to sources.go and followers.go; no change of behavior.

--- a/internal/detour/forward_test.go
+++ b/internal/detour/forward_test.go
@@ -213,7 +213,7 @@
 	}
 }
 
-// TestConnectionThatEndsIsNoEndOfAnAnswer guards against a forwarded stream that is whole for the caller although the
+// TestConnectionThatEndsIsNoEndOfAnAnswer guards against a forwarded stream that counts as complete although the
 // instance that ran it ended.
 func TestConnectionThatEndsIsNoEndOfAnAnswer(t *testing.T) {
 	for name, end := range map[string]func(c *net.TCPConn) error{
@@ -255,7 +255,7 @@
 				t.Fatal(err)
 			}
 			if n, err := answer.Response.Body.Read(body); n > 0 || err == nil || errors.Is(err, io.EOF) {
-				t.Errorf("%d bytes, %v: a reader takes the answer for whole", n, err)
+				t.Errorf("%d bytes, %v: the answer counts as complete", n, err)
 			}
 			_ = answer.Response.Body.Close()
 		})
@@ -270,7 +270,7 @@
 	return errors.Join(w.Begin(http.StatusOK, http.Header{}, "t", bamboorail.StreamOrigin{}), w.Write([]byte("ab")))
 }
 
-// TestAnswerWithoutAnEndIsBroken guards against a forwarded answer that is whole because nothing more of it comes.
+// TestAnswerWithoutAnEndIsBroken guards against a forwarded answer that counts as complete because its stream ends.
 func TestAnswerWithoutAnEndIsBroken(t *testing.T) {
 	d, _ := newTestDetour(t)
 	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
@@ -295,6 +295,6 @@
 		t.Fatal(err)
 	}
 	if n, err := answer.Response.Body.Read(body); n > 0 || err == nil || errors.Is(err, io.EOF) {
-		t.Errorf("%d bytes, %v: a reader takes the answer for whole", n, err)
+		t.Errorf("%d bytes, %v: the answer counts as complete", n, err)
 	}
 }
--- a/internal/gateway/propagation_test.go
+++ b/internal/gateway/propagation_test.go
@@ -21,7 +21,7 @@
 	targetKey     = "targets/a"
 )
 
-// awaitChange waits until the instances know the second value of an object, and returns the
+// awaitChange waits until the instances apply the second value of an object, and returns the
 // name of the last one and the time that it took.
 func (c *simCluster) awaitChange(key string, instances []*simInstance) (last string, took time.Duration) {
 	const limit = 10 * time.Second
@@ -191,7 +191,7 @@
 	const storeTime = 10 * time.Millisecond
 	for name, k := range map[string]followedKind{"configuration": configurations, "targets": targets, "releases": releases} {
 		if got := k.worstDelay() + storeTime; got > k.bound {
-			t.Errorf("%s: a change takes up to %v, want %v", name, got, k.bound)
+			t.Errorf("%s: a change takes up to %v, the bound is %v", name, got, k.bound)
 		}
 	}
 }
--- a/internal/mirror/age_test.go
+++ b/internal/mirror/age_test.go
@@ -51,14 +51,14 @@
 				asked := time.Now()
 				reply := holder.cache.follow(t.Context(), "k", revision, followWait)
 				if took := time.Since(asked); reply.fresh != c.fresh || took > c.replyWithin {
-					t.Errorf("fresh %t after %v, want %t within %v", reply.fresh, took, c.fresh, c.replyWithin)
+					t.Errorf("fresh %t after %v, expected %t within %v", reply.fresh, took, c.fresh, c.replyWithin)
 				}
 			})
 		})
 	}
 }
 
-// TestStaleKindPausesNoOther guards against a follower that asks a holder about nothing any more because that has no fresh
+// TestStaleKindPausesNoOther guards against a follower that sends a holder no requests at all because that has no fresh
 // data of one kind (incident archive-late-configuration).
 func TestStaleKindPausesNoOther(t *testing.T) {
 	holder, follower := newPair(t)
--- a/internal/mirror/fallback_test.go
+++ b/internal/mirror/fallback_test.go
@@ -91,10 +91,10 @@
 	follower.AddFallback("z", address("both"))
 	revision := holder.mustList(t)
 	if got := follower.mustList(t); got != revision || follower.storeCalls != 0 {
-		t.Errorf("revision %d, want %d, after %d calls to the store", got, revision, follower.storeCalls)
+		t.Errorf("revision %d, expected %d, after %d calls to the store", got, revision, follower.storeCalls)
 	}
 	if size := holder.ZoneSize(); size != 1 {
-		t.Errorf("the holder counts %d instances in its own zone, want 1", size)
+		t.Errorf("the holder counts %d instances in its own zone, expected 1", size)
 	}
 }
 
@@ -169,7 +169,7 @@
 				}
 				events, err := follower.Watch(t.Context(), []string{"k/"}, revision, time.Second)
 				if took := time.Since(changed); err != nil || len(events.Objects) != 1 || took > maxDelay {
-					t.Errorf("events %+v, %v, after %s, want at most %s", events, err, took, maxDelay)
+					t.Errorf("events %+v, %v, after %s, expected at most %s", events, err, took, maxDelay)
 				}
 			})
 		})
--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -74,8 +73,8 @@
 	onReply func(zone string, r *wire.FollowReply)
 
 	mu sync.Mutex
-	// retryAt are the times until which a holder is not asked: about any kind after no
-	// answer, about one kind after an answer without fresh data.
+	// retryAt are the times until which a holder gets no requests: for any kind after a
+	// timeout, for one kind after a reply without fresh data.
 	retryAt map[pausedSource]time.Time
 	// refusal is the error of an overloaded or unavailable store, which is not
 	// called again until storeRetryAt, for whatever kind. staleReplyAt is the
@@ -93,14 +92,6 @@
 	instances int
 }
 
-// followerState is what is known of another instance of the zone that reads through this one.
-type followerState struct {
-	lastRequest time.Time
-	address     string
-	// unreachable is set while it does not reach the targets.
-	unreachable bool
-}
-
 // NewStore returns a store through which an instance reads by way of the holder
 // of its zone. With a nil digest all changes are forwarded immediately.
 func NewStore(store bamboorail.ObjectStore, instance, zone string, h Holder, p Peers, d Digest, log hclog.Logger) *Store {
@@ -119,148 +110,6 @@
 // before the store is used.
 func (s *Store) SetMaxAge(kind string, d time.Duration) { s.cache.setMaxAge(kind, d) }
 
-// SetReachability sets what this instance reports of itself to its holder. It must be called
-// before the store is used.
-func (s *Store) SetReachability(address string, unreachable func() bool) {
-	s.address, s.unreachable = address, unreachable
-}
-
-// maxMembers bounds the addresses in one list of members.
-const maxMembers = 16
-
-// Members returns the addresses of instances of the zone that read through this one
-// and reach the targets.
-func (s *Store) Members() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.countFollowers(time.Now())
-	var list []string
-	for _, f := range s.followers {
-		if !f.unreachable && f.address != "" && len(list) < maxMembers {
-			list = append(list, f.address)
-		}
-	}
-	return list
-}
-
-// upstream is the holder of a zone.
-type upstream struct {
-	zone   string
-	holder Holder
-}
-
-// AddFallback adds the holder of another zone. It must be called before the
-// store is used.
-func (s *Store) AddFallback(zone string, h Holder) {
-	s.others = append(s.others, upstream{zone, h})
-}
-
-// ZoneSize returns the number of instances of the zone, including this one, or 0
-// if it is unknown.
-func (s *Store) ZoneSize() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.holder.Leading() {
-		return s.countFollowers(time.Now()) + 1
-	}
-	return s.instances
-}
-
-// countFollowers removes expired followers and returns the number of the others.
-// The caller holds the lock.
-func (s *Store) countFollowers(now time.Time) int {
-	for name, f := range s.followers {
-		if now.Sub(f.lastRequest) > followerExpiry {
-			delete(s.followers, name)
-		}
-	}
-	return len(s.followers)
-}
-
-// source is an instance to read from.
-type source struct{ zone, address string }
-
-// pausedSource is an instance that is not asked about a kind, or about any if the kind is empty.
-type pausedSource struct{ address, kind string }
-
-// sources returns the holders to ask about a kind in order, or none if this instance must
-// call the store directly: the holder of the zone, and one of another zone in
-// case the former is gone or has lost the store.
-func (s *Store) sources(kind string) []source {
-	if s.holder.Leading() {
-		return nil
-	}
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var list []source
-	for n, u := range append([]upstream{{s.zone, s.holder}}, s.others...) {
-		_, address := u.holder.Holder()
-		if address == "" || now.Before(s.retryAt[pausedSource{address, ""}]) || now.Before(s.retryAt[pausedSource{address, kind}]) {
-			continue
-		}
-		if list = append(list, source{u.zone, address}); n > 0 {
-			break
-		}
-	}
-	return list
-}
-
-// deferToHolder allows the next call to the holder immediately, and the next call
-// to a store that is overloaded or unavailable only after a delay. A store rejects
-// calls when many instances read at once, for example after all were restarted;
-// the holder may have what is asked for by now. A call that this instance canceled
-// itself says nothing about the store. The delay counts from the time at which the call
-// was sent: a call that ends with its timeout does not show the state of the store at its end.
-func (s *Store) deferToHolder(ctx context.Context, sent time.Time, err error) {
-	kind := bamboorail.KindOf(err)
-	if ctx.Err() != nil || s.holder.Leading() || (kind != bamboorail.KindOverloaded && kind != bamboorail.KindUnavailable) {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	clear(s.retryAt)
-	delay := storeRetryDelay
-	if kind == bamboorail.KindUnavailable && time.Since(s.staleReplyAt) < peerRetryDelay {
-		delay = outageRetryDelay
-	}
-	pause := time.Until(sent.Add(delay/2 + rand.N(delay)))
-	if pause <= 0 {
-		return
-	}
-	s.refusal, s.storeRetryAt = err, time.Now().Add(pause)
-	s.log.Info("calls to the store paused", "for", pause.String(), "error", err)
-}
-
-// storeRefusal returns the last error of the store while calls to it are delayed. The next attempt asks the holder again.
-func (s *Store) storeRefusal() error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.holder.Leading() || time.Now().After(s.storeRetryAt) {
-		return nil
-	}
-	clear(s.retryAt)
-	return s.refusal
-}
-
-func (s *Store) isOverdue(kind string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.overdue[kind]
-}
-
-func (s *Store) setOverdue(kind string, overdue bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.overdue[kind] = overdue
-}
-
-func (s *Store) pause(p pausedSource) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.retryAt[p] = time.Now().Add(peerRetryDelay)
-}
-
 // List returns the objects of a kind.
 func (s *Store) List(ctx context.Context, prefix string) ([]bamboorail.Object, bamboorail.StoreVersion, error) {
 	for {
@@ -310,9 +159,9 @@
 	return events, nil
 }
 
-// stateTime returns the time as of which an answer to a watch shows the store. A watch waits
-// no longer than it was asked to, and the rest of its time is latency of the store, which
-// the next answers with changes are taken to have too.
+// stateTime returns the time as of which an answer to a watch shows the store. The store
+// ends a watch after the requested wait; the rest of its duration is latency, which the next
+// answers with changes are assumed to have too.
 func (s *Store) stateTime(sent time.Time, wait time.Duration, e bamboorail.Events) time.Time {
 	now := time.Now()
 	waited := sent.Add(wait)
@@ -373,8 +222,8 @@
 	return nil, false
 }
 
-// ask sends a follow request to a holder, which may answer within grace after wait. A
-// holder that does not answer is not asked again for a while.
+// ask sends a follow request to a holder, which may reply within grace after wait. After a
+// timeout, the holder gets no requests for a while.
 func (s *Store) ask(ctx context.Context, from source, prefix string, revision bamboorail.StoreVersion, wait, grace time.Duration) (*wire.FollowReply, error) {
 	askCtx, cancel := context.WithTimeout(ctx, wait+grace)
 	defer cancel()
@@ -418,31 +267,3 @@
 	}
 	return objects
 }
-
-// Follow replies to a peer from the cache of this instance. The holder of the zone also
-// serves the instances of another zone whose lease it holds.
-func (s *Store) Follow(ctx context.Context, r *wire.FollowRequest) (*wire.FollowReply, error) {
-	if !s.holder.Leading() {
-		return &wire.FollowReply{}, nil
-	}
-	s.observeEra(r.GetRevision())
-	now := time.Now()
-	s.mu.Lock()
-	if from := r.GetInstanceZone(); from == "" || from == s.zone {
-		s.followers[r.GetInstance()] = followerState{lastRequest: now, address: r.GetAddress(), unreachable: r.GetTargetsUnreachable()}
-	}
-	instances := 0
-	if r.GetZone() == s.zone {
-		instances = s.countFollowers(now) + 1
-	}
-	s.mu.Unlock()
-	a := s.cache.follow(ctx, r.GetKind(), bamboorail.StoreVersion(r.GetRevision()), min(time.Duration(r.GetWaitMicros())*time.Microsecond, followWait))
-	reply := &wire.FollowReply{Fresh: a.fresh, Revision: uint64(a.events.Revision), Gap: a.events.Reset, Instances: int32(instances)}
-	if a.fresh {
-		a.objects = s.withHeld(r.GetKind(), a.objects)
-	}
-	for _, o := range append(a.objects, a.events.Objects...) {
-		reply.Objects = append(reply.Objects, &wire.FollowedObject{Key: o.Key, Version: uint64(o.Version), Value: o.Value, Deleted: o.Deleted})
-	}
-	return reply, nil
-}
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -85,8 +85,8 @@
 
 // Find returns where the stream of a call began. It reads the store if this instance
 // has no record of it. An unknown stream has the only version that its service had within
-// the lifetime of a stream, if there is no other. The store must confirm that: an instance
-// that is cut off or was paused may not have heard of the newest one.
+// the lifetime of a stream, if there is no other. The store must confirm that: the
+// view of an instance that is cut off or was paused may lack the newest one.
 func (r *Registry) Find(ctx context.Context, call, service string) (bamboorail.StreamOrigin, error) {
 	id := newStreamID(call)
 	if o, ok := r.table.find(id); ok && call != "" {
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -75,7 +75,7 @@
 		follows time.Duration
 		down    bool
 		// later are the versions that serve when the stream is resumed, registered those
-		// that the store has then and this instance has not heard of.
+		// that the store has then, unlike the view of this instance.
 		later, registered []string
 		origin            bamboorail.StreamOrigin
 	}{
@@ -177,7 +177,7 @@
 					time.Sleep(c.pause)
 				}
 				if store.lists != c.lists {
-					t.Errorf("the store is read %d times, want %d", store.lists, c.lists)
+					t.Errorf("the store is read %d times, expected %d", store.lists, c.lists)
 				}
 			})
 		})
--- a/internal/relay/head_test.go
+++ b/internal/relay/head_test.go
@@ -10,8 +10,8 @@
 	"bamboorail.example/bamboorail"
 )
 
-// TestCutHeadIsNoAnswer guards against an answer that is whole for the caller although its target ended in the middle of
-// the head, on each way that an answer takes.
+// TestCutHeadIsNoAnswer guards against an answer that counts as complete although its target ended in the middle of
+// the head, on each path of an answer.
 func TestCutHeadIsNoAnswer(t *testing.T) {
 	heads := map[string]string{
 		"length last":  "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Type: text/plain\r\nContent-Length: 12\r\n\r\n",
