--- a/internal/mirror/leases.go
+++ b/internal/mirror/leases.go
@@ -40,7 +40,7 @@
 // the object store lists them.
 func (s *Store) ListStale(ctx context.Context, prefix string) ([]bamboorail.Object, error) {
 	for _, from := range s.sources(kindOf(prefix)) {
-		if reply, err := s.ask(ctx, from, prefix, 0, 0, replyGrace); err == nil && reply.GetFresh() {
+		if reply, err := s.request(ctx, from, prefix, 0, 0, replyGrace); err == nil && reply.GetFresh() {
 			return objectsOf(reply), nil
 		}
 	}
--- a/internal/mirror/sources.go
+++ b/internal/mirror/sources.go
@@ -28,7 +28,7 @@
 
 // sources returns the holders to read a kind from in order, or none if this instance must
 // call the store directly: the holder of the zone, and one of another zone in
-// case the former is gone or has lost the store.
+// case the former is down or has lost the store.
 func (s *Store) sources(kind string) []source {
 	if s.holder.Leading() {
 		return nil
@@ -52,7 +52,7 @@
 // deferToHolder allows the next call to the holder immediately, and the next call
 // to a store that is overloaded or unavailable only after a delay. A store rejects
 // calls when many instances read at once, for example after all were restarted;
-// the holder may have what is asked for by now. A call that this instance canceled
+// the holder may have the requested data by now. A call that this instance canceled
 // itself says nothing about the store. The delay counts from the time at which the call
 // was sent: a call that ends with its timeout does not show the state of the store at its end.
 func (s *Store) deferToHolder(ctx context.Context, sent time.Time, err error) {
@@ -75,7 +75,7 @@
 	s.log.Info("calls to the store paused", "for", pause.String(), "error", err)
 }
 
-// storeRefusal returns the last error of the store while calls to it are delayed. The next attempt asks the holder again.
+// storeRefusal returns the last error of the store while calls to it are delayed. The next attempt goes to the holder again.
 func (s *Store) storeRefusal() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -201,7 +201,7 @@
 		if grace <= 0 {
 			return nil, false
 		}
-		reply, err := s.ask(ctx, from, prefix, revision, wait, grace)
+		reply, err := s.request(ctx, from, prefix, revision, wait, grace)
 		// Changes that this holder did not pass on must not wait for the next one too.
 		wait = 0
 		if err != nil {
@@ -222,9 +222,9 @@
 	return nil, false
 }
 
-// ask sends a follow request to a holder, which may reply within grace after wait. After a
-// timeout, the holder gets no requests for a while.
-func (s *Store) ask(ctx context.Context, from source, prefix string, revision bamboorail.StoreVersion, wait, grace time.Duration) (*wire.FollowReply, error) {
+// request sends a follow request to a holder, which may reply within grace after wait. A holder
+// that times out gets no requests for a while.
+func (s *Store) request(ctx context.Context, from source, prefix string, revision bamboorail.StoreVersion, wait, grace time.Duration) (*wire.FollowReply, error) {
 	askCtx, cancel := context.WithTimeout(ctx, wait+grace)
 	defer cancel()
 	reply, err := s.peers.Follow(askCtx, from.address, &wire.FollowRequest{
