--- a/internal/mirror/store.go
+++ b/internal/mirror/store.go
@@ -224,11 +224,11 @@
 
 // request sends a follow request to a holder, which may reply within grace after wait. A holder
 // that times out gets no requests for a while.
-func (s *Store) request(ctx context.Context, from source, prefix string, revision bamboorail.StoreVersion, wait, grace time.Duration) (*wire.FollowReply, error) {
+func (s *Store) request(ctx context.Context, from source, prefix string, after bamboorail.StoreVersion, wait, grace time.Duration) (*wire.FollowReply, error) {
 	askCtx, cancel := context.WithTimeout(ctx, wait+grace)
 	defer cancel()
 	reply, err := s.peers.Follow(askCtx, from.address, &wire.FollowRequest{
-		Instance: s.instance, InstanceZone: s.zone, Zone: from.zone, Kind: kindOf(prefix), Revision: uint64(revision), WaitMicros: wait.Microseconds(),
+		Instance: s.instance, InstanceZone: s.zone, Zone: from.zone, Kind: kindOf(prefix), Revision: uint64(after), WaitMicros: wait.Microseconds(),
 		Address: s.address, TargetsUnreachable: s.unreachable(),
 	})
 	if err != nil && ctx.Err() != nil {
