--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -267,29 +267,47 @@
 // lostWatchStore loses the first watches: each fails after a timeout.
 type lostWatchStore struct {
 	*memory.Store
+	mu   sync.Mutex
 	lost int
 	// failed and repeated are the times of the last failure and of the call after it.
 	failed, repeated time.Time
 }
 
 func (s *lostWatchStore) Watch(ctx context.Context, kinds []string, revision bamboorail.StoreVersion, wait time.Duration) (bamboorail.Events, error) {
-	if !s.failed.IsZero() {
-		s.repeated = time.Now()
-	}
-	if s.lost == 0 {
+	if !s.call(true) {
 		return s.Store.Watch(ctx, kinds, revision, wait)
 	}
-	s.lost--
 	time.Sleep(2 * maxBackoff)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.failed = time.Now()
 	return bamboorail.Events{}, errors.New("timeout")
 }
 
 func (s *lostWatchStore) List(ctx context.Context, prefix string) ([]bamboorail.Object, bamboorail.StoreVersion, error) {
+	s.call(false)
+	return s.Store.List(ctx, prefix)
+}
+
+// call records a call and reports whether it is lost.
+func (s *lostWatchStore) call(watch bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if !s.failed.IsZero() {
 		s.repeated = time.Now()
 	}
-	return s.Store.List(ctx, prefix)
+	if !watch || s.lost == 0 {
+		return false
+	}
+	s.lost--
+	return true
+}
+
+// pause returns the time from the last failure to the call after it.
+func (s *lostWatchStore) pause() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.repeated.Sub(s.failed)
 }
 
 // TestTimedOutWatchIsRepeatedAtOnce guards against a pause after a call that has waited for its timeout already (incident
@@ -306,7 +324,7 @@
 				})
 				d := task.Start(ctx, "informer", i.Run)
 				time.Sleep(time.Duration(lost)*2*maxBackoff + maxBackoff/10)
-				if pause := store.repeated.Sub(store.failed); pause != 0 {
+				if pause := store.pause(); pause != 0 {
 					t.Errorf("the next call is sent %v after the timeout", pause)
 				}
 				cancel()
--- a/internal/mirror/fallback_test.go
+++ b/internal/mirror/fallback_test.go
@@ -148,7 +148,8 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				_, follower := newPair(t)
-				store := &brokenStore{countingStore: countingStore{follower.objects, follower}, down: c.lost, timeout: 2500 * time.Millisecond}
+				store := &brokenStore{countingStore: countingStore{follower.objects, follower}, timeout: 2500 * time.Millisecond}
+				store.down.Store(c.lost)
 				follower.Store = NewStore(store, "follower", "z", address(c.sources[0]), stalePeers{}, nil, hclog.NewNullLogger())
 				for _, from := range c.sources[1:] {
 					follower.AddFallback("y", address(from))
@@ -161,7 +162,7 @@
 					if _, err := follower.Watch(t.Context(), []string{"k/"}, revision, time.Second); err == nil {
 						t.Fatal("a watch succeeded during an outage")
 					}
-					store.down = false
+					store.down.Store(false)
 				}
 				changed := time.Now()
 				if _, err := follower.objects.Put(t.Context(), "k/b", []byte("2"), 0); err != nil {
--- a/internal/mirror/outage_test.go
+++ b/internal/mirror/outage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,7 +13,7 @@
 // brokenStore answers no call while it is down.
 type brokenStore struct {
 	countingStore
-	down bool
+	down atomic.Bool
 	// timeout is the time after which calls fail while the store is down.
 	timeout time.Duration
 }
@@ -26,14 +27,14 @@
 }
 
 func (b *brokenStore) List(ctx context.Context, prefix string) ([]bamboorail.Object, bamboorail.StoreVersion, error) {
-	if b.down {
+	if b.down.Load() {
 		return nil, 0, b.failure()
 	}
 	return b.countingStore.List(ctx, prefix)
 }
 
 func (b *brokenStore) Watch(ctx context.Context, prefixes []string, revision bamboorail.StoreVersion, wait time.Duration) (bamboorail.Events, error) {
-	if b.down {
+	if b.down.Load() {
 		return bamboorail.Events{}, b.failure()
 	}
 	return b.countingStore.Watch(ctx, prefixes, revision, wait)
@@ -63,7 +64,7 @@
 				follower.ObjectStore = store
 				revision := holder.mustList(t)
 				time.Sleep(2 * maxKindContactAge)
-				store.down = true
+				store.down.Store(true)
 				for range outage / interval {
 					for _, kind := range []string{"k/", "l/", "m/"} {
 						if _, _, err := follower.List(ctx, kind); bamboorail.KindOf(err) != bamboorail.KindUnavailable {
@@ -78,7 +79,7 @@
 				if follower.storeCalls > c.maxCalls {
 					t.Errorf("%d calls to a store that was down for %v, want at most %d", follower.storeCalls, outage, c.maxCalls)
 				}
-				store.down = false
+				store.down.Store(false)
 				back := time.Now()
 				if c.holderReturns {
 					holder.mustList(t)
@@ -103,11 +104,12 @@
 	const timeout = 2500 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
 		holder, follower := newPair(t)
-		store := &brokenStore{countingStore: countingStore{follower.objects, follower}, down: true, timeout: timeout}
+		store := &brokenStore{countingStore: countingStore{follower.objects, follower}, timeout: timeout}
+		store.down.Store(true)
 		follower.ObjectStore = store
 		revision := holder.mustList(t)
 		time.Sleep(2 * maxKindContactAge)
-		lost := time.AfterFunc(time.Millisecond, func() { store.down = false })
+		lost := time.AfterFunc(time.Millisecond, func() { store.down.Store(false) })
 		defer lost.Stop()
 		if _, err := follower.Watch(t.Context(), []string{"k/"}, revision, time.Second); err == nil {
 			t.Fatal("a watch succeeded during an outage")
