relay: reservations of a standby that reaches no target

It demanded as many released reservations as requests that arrived. A standby whose connection is not open yet when the first target goes on is canceled before it sends anything; its reservation is released, as it must be.

The check is that each reservation is released, and that no request arrives without one; the counts of requests are no weaker, since a reservation that leaks still fails.

--- a/internal/relay/standby_test.go
+++ b/internal/relay/standby_test.go
@@ -8,12 +8,14 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/balance"
 	"bamboorail.example/bamboorail/internal/retry"
+	"bamboorail.example/bamboorail/internal/task"
 )
 
 // parts sends the head of a stream and its parts, each after a pause. It ends the stream
@@ -207,6 +209,27 @@
 	}
 }
 
+// slowDialer delays all connections but the first.
+type slowDialer struct {
+	delay time.Duration
+
+	mu    sync.Mutex
+	dials int
+}
+
+func (d *slowDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	d.mu.Lock()
+	d.dials++
+	first := d.dials == 1
+	d.mu.Unlock()
+	if !first {
+		if err := task.Sleep(ctx, d.delay); err != nil {
+			return nil, err
+		}
+	}
+	return NewDialer().DialContext(ctx, network, address)
+}
+
 // TestBothTargetsContinueAtOnce checks each event and each reservation if the silent target
 // continues, or breaks off, at about the moment at which the other one is answered.
 func TestBothTargetsContinueAtOnce(t *testing.T) {
@@ -214,6 +237,31 @@
 		offsets = 40
 		step    = 200 * time.Microsecond
 	)
+	// run plays a call and returns the number of requests that arrived.
+	run := func(t *testing.T, dialer Dialer, first script) int {
+		t.Helper()
+		a, spare := newTarget(t, "a", first), newTarget(t, "spare", silentFor(25*time.Millisecond, stream(true, event(2), event(3))))
+		b := newTestRelay(t, resumable, a, spare)
+		if dialer != nil {
+			b.handler.pool = newPool(dialer)
+		}
+		got := b.call(t, http.MethodPost, "/p/x", "body")
+		if got.broken || got.body != event(1)+event(2)+event(3) {
+			t.Errorf("answer %+v", got)
+		}
+		b.Close()
+		arrived := len(a.seen()) + len(spare.seen())
+		if reserved, released := b.chooser.reservations(), len(b.chooser.releasedResults()); released != reserved || arrived > reserved {
+			t.Errorf("%d of %d reservations released, %d requests arrived", released, reserved, arrived)
+		}
+		return arrived
+	}
+	t.Run("no connection to the standby yet", func(t *testing.T) {
+		t.Parallel()
+		if arrived := run(t, &slowDialer{delay: 10 * eventTimeout}, pausingStream(eventTimeout+30*time.Millisecond)); arrived != 1 {
+			t.Errorf("%d requests arrived, expected 1", arrived)
+		}
+	})
 	for n := range offsets {
 		silent := eventTimeout + 30*time.Millisecond + time.Duration(n-offsets/2)*step
 		for name, first := range map[string]script{
@@ -221,17 +269,7 @@
 		} {
 			t.Run(fmt.Sprint(name, " ", n), func(t *testing.T) {
 				t.Parallel()
-				a, spare := newTarget(t, "a", first), newTarget(t, "spare", silentFor(25*time.Millisecond, stream(true, event(2), event(3))))
-				b := newTestRelay(t, resumable, a, spare)
-				got := b.call(t, http.MethodPost, "/p/x", "body")
-				if got.broken || got.body != event(1)+event(2)+event(3) {
-					t.Errorf("answer %+v", got)
-				}
-				b.Close()
-				arrived := len(a.seen()) + len(spare.seen())
-				if released := len(b.chooser.releasedResults()); released != arrived {
-					t.Errorf("%d reservations released, %d requests arrived", released, arrived)
-				}
+				run(t, nil, first)
 			})
 		}
 	}
--- a/internal/relay/testrelay_test.go
+++ b/internal/relay/testrelay_test.go
@@ -215,7 +215,9 @@
 	// assumed sets Assumed in all reservations.
 	assumed bool
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// chosen counts the reservations, results are those of the released ones.
+	chosen  int
 	results []balance.Result
 }
 
@@ -232,6 +234,9 @@
 		if n > 0 {
 			wait = max(wait, c.spareWait)
 		}
+		c.mu.Lock()
+		c.chosen++
+		c.mu.Unlock()
 		return Reservation{
 			Target: g.entry, ReadyAt: time.Now().Add(wait), Assumed: c.assumed, Valid: func() bool { return name != c.leaving },
 			Done: func(r balance.Result, _ time.Duration) {
@@ -244,6 +249,13 @@
 	return Reservation{}, notRun("choose", bamboorail.KindNoTarget, time.Second, errNoTargetLeft)
 }
 
+// reservations returns the number of reservations.
+func (c *fakeChooser) reservations() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.chosen
+}
+
 // releasedResults returns the results of the released reservations.
 func (c *fakeChooser) releasedResults() []balance.Result {
 	c.mu.Lock()
