--- a/internal/gateway/propagation.go
+++ b/internal/gateway/propagation.go
@@ -20,8 +20,8 @@
 	bound time.Duration
 }
 
-// The kinds that are followed. The bounds are config_apply_ms, drain_ms and version_ms of
-// the small sites. Targets write so often that a watch of theirs hardly waits.
+// The kinds that are followed. The bounds are the tightest that platforms set. Targets write
+// so often that a watch of theirs hardly waits.
 var (
 	configurations = followedKind{watchTimeout: time.Second, batchDelay: 200 * time.Millisecond, bound: 2 * time.Second}
 	targets        = followedKind{watchTimeout: 300 * time.Millisecond, batchDelay: 900 * time.Millisecond, bound: 2 * time.Second}
--- a/internal/gateway/propagation_test.go
+++ b/internal/gateway/propagation_test.go
@@ -11,7 +11,7 @@
 
 const (
 	// applyBound is the time from the acknowledgement of a change within which it must
-	// be in force (bound config_apply_ms of the small sites).
+	// be in force.
 	applyBound = 2 * time.Second
 	// settleTime is the time in which a cluster elects its holders.
 	settleTime = 8 * time.Second
