review: requests in an engine's queue begin on the older adapter version

Shown: a burst fills the engine that holds an adapter, and a new version of it is named. What is sent there on the version before waits in the engine's queue and begins 5.1 to 5.2 s after the acknowledgement; version_ms is 5 s (rule VERSION).

Nothing is fixed.

--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -22,11 +22,20 @@
 	return hex.EncodeToString(b)
 }
 
+func modelName(adapter string) string {
+	if adapter == "" {
+		return model
+	}
+	return model + "/" + adapter
+}
+
 // stream is one stream of a client, over all of its tries.
 type stream struct {
 	sys      *system
 	path     string
 	prefix   string
+	adapter  string
+	events   int // of the whole stream, 0 for the usual number
 	deadline time.Duration
 	// gap is the time without an event after which the client leaves.
 	gap time.Duration
@@ -86,8 +95,8 @@
 	last, first := s.last, s.first
 	s.mu.Unlock()
 	body := strings.Repeat("p", 2900)
-	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nBamboorail-Request-Id: %s\r\nBamboorail-Model: %s\r\nBamboorail-Token-Usage: 1460,80\r\n"+
-		"Bamboorail-Prompt-Prefix: %s\r\nBamboorail-Deadline-Ms: %d\r\nContent-Length: %d\r\n", s.path, host, id, model, s.prefix, s.deadline.Milliseconds(), len(body))
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nBamboorail-Request-Id: %s\r\nBamboorail-Model: %s\r\nBamboorail-Token-Usage: 1460,%d\r\n"+
+		"Bamboorail-Prompt-Prefix: %s\r\nBamboorail-Deadline-Ms: %d\r\nContent-Length: %d\r\n", s.path, host, id, modelName(s.adapter), 2*max(s.events, 1), s.prefix, s.deadline.Milliseconds(), len(body))
 	if last > 0 {
 		head += fmt.Sprintf("Last-Event-Id: %d\r\nResumes: %s\r\n", last, first)
 	}
--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -39,6 +39,7 @@
 	leaving  atomic.Bool
 	active   atomic.Int64
 	stop     chan struct{}
+	adapters *adapterStore
 }
 
 // start lets the engine listen and register.
@@ -100,7 +101,11 @@
 	}
 	if e.model != "" {
 		entry["stage"] = "colocated"
-		entry["models"] = []any{map[string]any{"name": e.model, "version": 1, "adapters": []string{}}}
+		held := []string{}
+		if e.adapters != nil {
+			held, _ = e.adapters.list()
+		}
+		entry["models"] = []any{map[string]any{"name": e.model, "version": 1, "adapters": held}}
 	}
 	e.mu.Unlock()
 	e.sys.store.put("servers", e.id, entry)
@@ -174,15 +179,27 @@
 		w.Header().Set("Bamboorail-Instance-Id", e.id)
 		return
 	case "/bamboorail/report":
-		models := []any{}
+		models, pending := []any{}, []string{}
+		seq, running, waiting := uint64(0), int(e.active.Load()), 0
 		if e.model != "" {
-			models = append(models, map[string]any{"name": e.model, "version": 1, "adapters": []string{}})
+			held := []string{}
+			if e.adapters != nil {
+				running, waiting = e.adapters.load()
+				held, pending = e.adapters.list()
+				seq = e.adapters.orders()
+			}
+			models = append(models, map[string]any{"name": e.model, "version": 1, "adapters": held})
 		}
 		answer(w, http.StatusOK, map[string]any{
-			"stage": "colocated", "models": models, "busy": false, "seq": 0, "queued": 0, "active": e.active.Load(), "kv_used": 0, "kv_total": 129183, "handles": 0,
+			"stage": "colocated", "models": models, "pending": pending, "busy": false, "seq": seq, "queued": waiting, "active": running, "kv_used": 0, "kv_total": 129183, "handles": 0,
 		})
 		return
 	case "/bamboorail/order":
+		if e.adapters != nil {
+			body, _ := io.ReadAll(r.Body)
+			w.WriteHeader(e.adapters.order(body))
+			return
+		}
 		// What the engine holds already needs no load.
 		w.WriteHeader(http.StatusOK)
 		return
@@ -212,6 +229,16 @@
 		e.crash()
 		return
 	}
+	if e.adapters != nil {
+		status, end := e.adapters.run(r, id, adapterOf(r))
+		if status != 0 {
+			w.Header().Set("Bamboorail-Not-Executed", "1")
+			w.Header().Set("Bamboorail-Instance-Id", e.id)
+			w.WriteHeader(status)
+			return
+		}
+		defer end()
+	}
 	w.Header().Set("Bamboorail-Server-Stamp", "stamp-"+e.id)
 	if e.model == "" {
 		time.Sleep(e.work)
@@ -228,10 +255,15 @@
 	}
 	time.Sleep(e.work)
 	control := http.NewResponseController(w)
-	for n := first; n <= e.length; n++ {
+	began, length := time.Now(), e.length
+	if _, out, _ := strings.Cut(r.Header.Get("Bamboorail-Token-Usage"), ","); out != "2" {
+		tokens, _ := strconv.Atoi(out)
+		length = tokens / 2 // an event holds two tokens
+	}
+	for n := first; n <= length; n++ {
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s token\n\n", n, e.software, e.id); err != nil || control.Flush() != nil || r.Context().Err() != nil {
 			return
 		}
-		time.Sleep(e.pace)
+		time.Sleep(time.Until(began.Add(time.Duration(n-first+1) * e.pace)))
 	}
 }
--- a/review/stand/system.go
+++ b/review/stand/system.go
@@ -262,6 +262,7 @@
 		"version": 7,
 		"routes": []any{
 			route("r-stream", "/lohu930/", "streaming", 15000, 600, 1, "huvo11a", 2, true),
+			route("r-draft", "/wodra17/", "streaming", 25000, 1000, 1, "huvo11a", 2, true),
 			route("r-save", "/puxa403/", "non_idempotent", 2000, 300, 2, "wuno96b", 1, false),
 			route("r-upload", "/puxa405/", "non_idempotent", 14000, 5000, 2, "wuno96b", 1, false),
 			route("r-page", "/cufi504/", "idempotent", 2000, 300, 2, "wuno96b", 2, false),
@@ -346,7 +347,9 @@
 	cases := map[string]func(root, record string) int{
 		"restarted-between-versions": restartedBetweenVersions,
 		"frozen-before-versions":     frozenBeforeVersions,
+		"queued-version":             queuedVersion,
 		"large-bodies":               largeBodies,
+		"restarted-beside-poison":    restartedBesidePoison,
 	}
 	f, ok := cases[os.Args[1]]
 	if !ok {
