review: brittle engines fall over when many users come at once

Shown: the holders keep brittle engines at their slots, but calls that all holders refused are sent on without a holder; the engines turn them away and fall over (rule LIMIT).

Nothing is fixed.

--- a/review/stand/adapters.go
+++ b/review/stand/adapters.go
@@ -26,6 +26,11 @@
 	queue   []chan struct{}
 	begins  []begin
 	crashed bool // ordered to load more than adapter_slots hold
+	// mostWaiting is how many may wait for a slot, 0 if any number may; bears is the number
+	// of requests that the engine may turn away in a second if it is brittle.
+	mostWaiting, bears int
+	rejected           []time.Time
+	falls              int
 }
 
 type heldAdapter struct {
@@ -147,6 +152,10 @@
 	if status := check(); status != 0 {
 		return status, nil
 	}
+	if a.mostWaiting > 0 && a.running >= a.e.slots && len(a.queue) >= a.mostWaiting {
+		a.reject(id)
+		return http.StatusServiceUnavailable, nil
+	}
 	if a.running >= a.e.slots {
 		turn := make(chan struct{}, 1)
 		a.queue = append(a.queue, turn)
@@ -193,6 +202,49 @@
 	}
 }
 
+// reject counts a request that is turned away for want of room. A brittle engine that has
+// to turn away too many falls over. The caller holds the lock.
+func (a *adapterStore) reject(id string) {
+	now := time.Now()
+	for len(a.rejected) > 0 && now.Sub(a.rejected[0]) >= time.Second {
+		a.rejected = a.rejected[1:]
+	}
+	a.rejected = append(a.rejected, now)
+	a.e.sys.note("engine %s turns %s away: %d run, %d wait", a.e.id, id, a.running, len(a.queue))
+	if a.bears > 0 && len(a.rejected) > a.bears {
+		a.falls++
+		a.rejected = nil
+		a.e.sys.note("engine %s falls over: it turned more than %d requests away in a second", a.e.id, a.bears)
+		go a.e.crash()
+	}
+}
+
+// setBrittle lets the engine say how many refusals a second it bears.
+func (a *adapterStore) setBrittle(bears int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.bears = bears
+}
+
+func (a *adapterStore) brittle() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.bears
+}
+
+// setMostWaiting sets how many requests may wait.
+func (a *adapterStore) setMostWaiting(n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.mostWaiting = n
+}
+
+func (a *adapterStore) fallen() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.falls
+}
+
 // pass gives a slot to the next request that waits. The caller holds the lock.
 func (a *adapterStore) pass() {
 	if len(a.queue) == 0 {
--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -174,6 +174,11 @@
 	if e.leaving.Load() {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	if e.adapters != nil {
+		if n := e.adapters.brittle(); n > 0 {
+			w.Header().Set("Server-Brittle", strconv.Itoa(n))
+		}
+	}
 	switch r.URL.Path {
 	case "/healthz":
 		w.Header().Set("Bamboorail-Instance-Id", e.id)
@@ -215,7 +220,7 @@
 	if err != nil {
 		return
 	}
-	if n := e.active.Add(1); int(n) > e.slots*5 {
+	if n := e.active.Add(1); e.adapters == nil && int(n) > e.slots*5 {
 		e.active.Add(-1)
 		w.Header().Set("Bamboorail-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/review/stand/system.go
+++ b/review/stand/system.go
@@ -347,6 +347,7 @@
 	cases := map[string]func(root, record string) int{
 		"restarted-between-versions": restartedBetweenVersions,
 		"frozen-before-versions":     frozenBeforeVersions,
+		"brittle-engines":            brittleEngines,
 		"queued-version":             queuedVersion,
 		"large-bodies":               largeBodies,
 		"restarted-beside-poison":    restartedBesidePoison,
