review: case 1 within the doses of the site

Shown: the processes are away for 2.0 s, the site's longest herd_kill; the old engines leave without reporting draining, and the clients come back once, 3 s after the break. Each run has loopback addresses of its own, since one run of case 2 could not start an instance (cause not kept).

--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -33,9 +33,7 @@
 	conns    map[net.Conn]bool
 	born     int64
 	beats    int
-	draining bool
 	gone     bool
-	silent   bool // no entry is written
 	leaving  atomic.Bool
 	active   atomic.Int64
 	stop     chan struct{}
@@ -91,10 +89,7 @@
 		return
 	}
 	e.beats++
-	state := "ready"
-	if e.draining {
-		state = "draining"
-	}
+	const state = "ready"
 	entry := map[string]any{
 		"service": e.service, "address": e.address, "zone": e.zone, "version": e.software, "slots": e.slots, "state": state,
 		"cold_left_ms": 0, "seq": e.beats, "born": e.born,
@@ -111,24 +106,21 @@
 	e.sys.store.put("servers", e.id, entry)
 }
 
-// drain leaves as planned: the engine reports it, serves for drain_ms and a little
-// longer, and is gone.
-func (e *engine) drain(after time.Duration) {
+// withdraw leaves as planned, as engines do that never report draining: the entry is removed,
+// and the engine serves on for drain_ms and a little longer.
+func (e *engine) withdraw(after time.Duration) {
 	e.leaving.Store(true)
 	e.mu.Lock()
-	e.draining = true
+	e.gone = true
 	e.mu.Unlock()
-	e.beat()
-	e.sys.note("engine %s (%s) reports draining", e.id, e.software)
-	go func() {
-		time.Sleep(after)
+	e.sys.store.remove("servers", e.id)
+	e.sys.note("the entry of engine %s (%s) is removed", e.id, e.software)
+	time.AfterFunc(after, func() {
 		e.mu.Lock()
-		e.gone = true
+		defer e.mu.Unlock()
 		e.closeAll()
-		e.mu.Unlock()
-		e.sys.store.remove("servers", e.id)
 		e.sys.note("engine %s (%s) is gone", e.id, e.software)
-	}()
+	})
 }
 
 // closeAll resets all connections and closes the listener. The caller holds the lock.
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sort"
 	"strconv"
 	"strings"
@@ -290,8 +292,15 @@
 	}
 }
 
+// loopback returns a loopback address of this run. Connections go out from 127.0.0.1, so that
+// they never take a port there.
+func loopback(n int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid/250%250, 1+pid%250, n)
+}
+
 func listen() net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", loopback(200)+":0")
 	if err != nil {
 		unable("listen: %v", err)
 	}
--- a/review/stand/system.go
+++ b/review/stand/system.go
@@ -36,6 +36,9 @@
 	list map[*exec.Cmd]bool
 }{list: map[*exec.Cmd]bool{}}
 
+// folder is the temporary folder of the case.
+var folder string
+
 func endAll() {
 	running.Lock()
 	defer running.Unlock()
@@ -48,6 +51,9 @@
 func unable(format string, args ...any) {
 	fmt.Fprintf(os.Stderr, "cannot run: "+format+"\n", args...)
 	endAll()
+	if folder != "" {
+		os.RemoveAll(folder)
+	}
 	os.Exit(cannot)
 }
 
@@ -77,6 +83,7 @@
 	if err != nil {
 		unable("%v", err)
 	}
+	folder = dir
 	f, err := os.Create(record)
 	if err != nil {
 		unable("%v", err)
@@ -118,6 +125,7 @@
 type instance struct {
 	sys                         *system
 	name, zone, storeAddress    string
+	ip                          string
 	front, ready, peer, metrics string
 	mu                          sync.Mutex
 	cmd                         *exec.Cmd
@@ -128,14 +136,9 @@
 	restartAfter time.Duration
 }
 
-func freeAddress() string {
-	l := listen()
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (s *system) addInstance(name, zone, storeAddress string) *instance {
-	i := &instance{sys: s, name: name, zone: zone, storeAddress: storeAddress, front: freeAddress(), ready: freeAddress(), peer: freeAddress(), metrics: freeAddress()}
+	i := &instance{sys: s, name: name, zone: zone, storeAddress: storeAddress, ip: loopback(len(s.instances) + 1)}
+	i.front, i.ready, i.peer, i.metrics = i.ip+":8149", i.ip+":8141", i.ip+":7380", i.ip+":7395"
 	s.instances = append(s.instances, i)
 	return i
 }
--- a/review/stand/versions.go
+++ b/review/stand/versions.go
@@ -37,7 +37,7 @@
 	const pace, length = 120 * time.Millisecond, 86
 	old := []*engine{s.modelEngine("i-old-a", "sala-a", "v1", pace, length), s.modelEngine("i-old-b", "sala-b", "v1", pace, length)}
 	for _, i := range []*instance{s.addInstance("frontend-sala-a-1", "sala-a", address), s.addInstance("frontend-sala-a-2", "sala-a", address), s.addInstance("frontend-sala-b-1", "sala-b", address)} {
-		i.restart, i.restartAfter = true, 4*time.Second
+		i.restart, i.restartAfter = true, 2*time.Second
 		i.start()
 	}
 	s.awaitReady(20 * time.Second)
@@ -52,7 +52,7 @@
 		for k := range s.instances {
 			fronts = append(fronts, s.instances[(n+k)%len(s.instances)].front)
 		}
-		done.Go(func() { follow(s, st, fronts, 9, 800*time.Millisecond) })
+		done.Go(func() { follow(s, st, fronts, 3, 3*time.Second) })
 	}
 	began := 0
 	for range 60 {
@@ -81,7 +81,7 @@
 	for n, e := range old {
 		s.modelEngine("i-new-"+e.zone, e.zone, "v2", pace, length)
 		time.Sleep(100 * time.Millisecond)
-		e.drain(2200 * time.Millisecond)
+		e.withdraw(2200 * time.Millisecond)
 		if n+1 < len(old) {
 			time.Sleep(900 * time.Millisecond)
 		}
