--- a/review/stand/brittle.go
+++ b/review/stand/brittle.go
@@ -18,6 +18,7 @@
 		usual   = 40 // clients
 		contact = 3 * time.Second
 		length  = 50
+		crowd   = 4500 * time.Millisecond // the longest burst with this x
 		pace    = 40 * time.Millisecond
 	)
 	s := newSystem(root, record, "sala-a", "sala-b")
@@ -43,7 +44,7 @@
 	stop := make(chan struct{})
 	var done sync.WaitGroup
 	var whole, refused, cut atomic.Int64
-	client := func(n int) {
+	client := func(n int, end <-chan struct{}) {
 		for {
 			st := newStream(s, "/wodra17/2f", "5c1e07a2:800,91bd3f06:410,"+newID()+":250", 15*time.Second, 4*time.Second)
 			for range 2 { // the client asks once more, not before the time that it is told
@@ -60,14 +61,14 @@
 				time.Sleep(r.retryAfter)
 			}
 			select {
-			case <-stop:
+			case <-end:
 				return
 			case <-time.After(300 * time.Millisecond):
 			}
 		}
 	}
 	for n := range usual {
-		done.Go(func() { client(n) })
+		done.Go(func() { client(n, stop) })
 	}
 	time.Sleep(3 * time.Second)
 	for _, e := range engines {
@@ -82,10 +83,15 @@
 	time.Sleep(3 * time.Second)
 	if trouble() {
 		s.note("many users come at once")
+		over := make(chan struct{})
+		time.AfterFunc(crowd, func() {
+			s.note("they are gone again")
+			close(over)
+		})
 		for n := range usual * 7 / 5 { // burst, x = 2.4
 			done.Go(func() {
-				time.Sleep(time.Duration(n) * 30 * time.Millisecond) // within 1.7 s
-				client(n)
+				time.Sleep(time.Duration(n) * 15 * time.Millisecond) // within a second
+				client(n, over)
 			})
 		}
 	}
