--- a/review/stand/bodies.go
+++ b/review/stand/bodies.go
@@ -117,9 +117,15 @@
 	time.Sleep(time.Second)
 	body := bytes.Repeat([]byte("b"), bodyBytes)
 	s.note("%d clients send bodies of %d bytes", clients, bodyBytes)
-	for range clients {
+	begun := time.Now()
+	for n := range clients {
 		done.Go(func() {
-			for time.Now().Before(end) && !killed.Load() {
+			// Those beyond the usual number come for the longest burst with this x.
+			until := end
+			if n >= usual {
+				until = begun.Add(4500 * time.Millisecond)
+			}
+			for time.Now().Before(until) && !killed.Load() {
 				upload(s, i.front, body, linkBytes*0.8/float64(clients))
 			}
 		})
