origin: store origins before their streams begin

Cause: origins were sent to a holder only once two versions served, and 0.3 s later at best. The instance that knew them could be gone by then, and an unknown stream may have begun at either version.

Change: the origin of a stream that begins at another version than the baseline is stored when the call is sent to the engine, and its answer is forwarded once the write is confirmed. An unknown stream therefore began at the baseline, and goes on there. Streams at the baseline cost nothing. If no origin can be stored, the call is repeated at another target, and for a second new streams begin at the baseline only. A target whose version is not known yet begins no call.

--- a/internal/origin/journal.go
+++ b/internal/origin/journal.go
@@ -12,6 +12,10 @@
 	"bamboorail.example/bamboorail"
 )
 
+// maxConflicts is the number of times that a write is repeated at once because another
+// instance has written to the same segment.
+const maxConflicts = 5
+
 // journal writes the origins of the streams of one zone to the store, in segments.
 type journal struct {
 	kind, zone string
@@ -20,6 +24,8 @@
 
 	mu      sync.Mutex
 	pending batch
+	// awaited are the origins of calls that wait until they are written.
+	awaited []awaitedOrigins
 
 	// The fields below belong to flush, which runs in one goroutine.
 
@@ -33,6 +39,12 @@
 	written time.Time
 }
 
+// awaitedOrigins are origins with the channel that receives the result of their write.
+type awaitedOrigins struct {
+	origins batch
+	written chan<- error
+}
+
 func newJournal(kind, zone string, store bamboorail.ObjectStore, log hclog.Logger) *journal {
 	return &journal{kind: kind, zone: zone, store: store, log: log, pending: batch{}}
 }
@@ -44,24 +56,50 @@
 	j.pending.add(b)
 }
 
-func (j *journal) takePending() batch {
+// addAwaited queues origins for the next flush. The channel receives the result of their
+// write; origins that could not be written are not written later, as their calls have ended
+// or begin elsewhere.
+func (j *journal) addAwaited(b batch) <-chan error {
+	written := make(chan error, 1)
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	b := j.pending
-	j.pending = batch{}
-	return b
+	j.awaited = append(j.awaited, awaitedOrigins{b, written})
+	return written
+}
+
+func (j *journal) takePending() (batch, []awaitedOrigins) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	b, awaited := j.pending, j.awaited
+	j.pending, j.awaited = batch{}, nil
+	return b, awaited
 }
 
 // flush writes what is queued. The holder of the zone also removes the segments that
 // no stream needs any more.
 func (j *journal) flush(ctx context.Context, leading bool) {
-	pending := j.takePending()
+	pending, awaited := j.takePending()
 	now := time.Now()
 	switch {
-	case len(pending) > 0:
-		if err := j.write(ctx, pending, now); err != nil {
+	case len(pending) > 0 || len(awaited) > 0:
+		all := batch{}
+		all.add(pending)
+		for _, a := range awaited {
+			all.add(a.origins)
+		}
+		err := j.write(ctx, all, now)
+		for range maxConflicts {
+			if bamboorail.KindOf(err) != bamboorail.KindConflict {
+				break
+			}
+			err = j.write(ctx, all, now)
+		}
+		if err != nil {
 			j.add(pending)
-			j.log.Warn("origins of streams not stored", "zone", j.zone, "streams", pending.size(), "error", err)
+			j.log.Warn("origins of streams not stored", "zone", j.zone, "streams", all.size(), "error", err)
+		}
+		for _, a := range awaited {
+			a.written <- err
 		}
 	case !leading:
 		// The next holder changes the segments.
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -1,8 +1,9 @@
 // Package origin records at which software version each stream began, so that only
-// targets of that version continue it. Instances keep the origins of the streams that they began
-// themselves. While targets of several versions serve, they also send their origins to
-// the holder of a zone, which writes them to the object store: an origin outlives the
-// instance that recorded it.
+// targets of that version continue it. One version of each service is its baseline, which is
+// in the object store. The origin of a stream that begins at another version is stored
+// before its first event is forwarded, so that a stream without a stored origin began at the
+// baseline, whatever instances have ended since. Instances send origins to the holder of a
+// zone, which writes them.
 package origin
 
 import (
@@ -30,6 +31,7 @@
 	errNotRecorded = errors.New("targets of several software versions serve, and none is recorded for the stream")
 	errNoTargets   = errors.New("no targets of the service are known")
 	errNotRead     = errors.New("the software versions of the service cannot be confirmed")
+	errNotStored   = errors.New("the origin of the stream cannot be stored")
 )
 
 func unknown(cause error) error {
@@ -38,6 +40,10 @@
 	}}
 }
 
+func notStored(cause error) error {
+	return &Error{bamboorail.Failure{Op: "record-origin", Kind: bamboorail.KindUnavailable, Outcome: bamboorail.OutcomeMayHaveRun, Err: errors.Join(errNotStored, cause)}}
+}
+
 // Peers sends origins to other instances.
 type Peers interface {
 	RecordOrigins(ctx context.Context, address string, r *wire.RecordOriginsRequest) (*wire.RecordOriginsReply, error)
@@ -63,18 +69,24 @@
 // Registry holds the origins of streams in one instance.
 type Registry struct {
 	Config
-	table    *table
-	reader   *reader
-	journals map[string]*journal
-	known    *knownBaselines
-	keeper   *keeper
+	table     *table
+	reader    *reader
+	journals  map[string]*journal
+	known     *knownBaselines
+	keeper    *keeper
+	announcer *announcer
+	// urgent receives when origins are queued that calls wait for.
+	urgent chan struct{}
 }
 
 var _ bamboorail.StreamOrigins = (*Registry)(nil)
 
 // New returns an empty registry.
 func New(c Config) *Registry {
-	r := &Registry{Config: c, table: newTable(), reader: newReader(c), journals: map[string]*journal{}, known: newKnownBaselines()}
+	r := &Registry{
+		Config: c, table: newTable(), reader: newReader(c), journals: map[string]*journal{}, known: newKnownBaselines(),
+		announcer: newAnnouncer(), urgent: make(chan struct{}, 1),
+	}
 	r.keeper = newKeeper(c, r.known)
 	for _, z := range c.Zones {
 		r.journals[z.Name] = newJournal(c.Kind, z.Name, c.Store, c.Log)
@@ -82,40 +94,48 @@
 	return r
 }
 
-// Record records where the stream of a call began.
-func (r *Registry) Record(call string, o bamboorail.StreamOrigin) {
-	r.table.record(newStreamID(call), o, time.Now())
+// Cache records an origin that other instances need only while several versions serve.
+func (r *Registry) Cache(call string, o bamboorail.StreamOrigin) {
+	r.table.record(newStreamID(call), o, false, time.Now())
 }
 
 // Find returns where the stream of a call began. It reads the store if this instance
-// has no record of it. An unknown stream has the only version that its service had within
-// the lifetime of a stream, if there is no other, the baseline included. The store must
-// confirm that: the view of an instance that is cut off or was paused may lack the newest
-// version, and one that has started lacks those before.
+// has no record of it. A stream whose origin is not stored began at the baseline of its
+// service. Without a baseline, it has the only version that the service had within the
+// lifetime of a stream, if there is no other. The store must confirm that: the view of an
+// instance that is cut off or was paused may lack the newest version.
 func (r *Registry) Find(ctx context.Context, call, service string) (bamboorail.StreamOrigin, error) {
-	id := newStreamID(call)
-	if o, ok := r.table.find(id); ok && call != "" {
+	arrived := time.Now()
+	if o, ok := r.table.find(call); ok {
 		return o, nil
 	}
 	if versions := r.Fleet.Software(service); call == "" && len(versions) > 1 {
 		return bamboorail.StreamOrigin{}, unknown(errNotRecorded)
 	}
-	stored := r.reader.read(ctx)
-	if stored.err != nil {
-		return bamboorail.StreamOrigin{}, unknown(errors.Join(errNotRead, stored.err))
+	stored, o, found := r.findStored(ctx, call, time.Time{})
+	if stored.err == nil && !found && stored.at.Before(arrived) {
+		// The origin may have been stored since.
+		stored, o, found = r.findStored(ctx, call, arrived)
 	}
-	r.table.merge(stored.streams, time.Now())
-	if o, ok := r.table.find(id); ok && call != "" {
+	switch {
+	case stored.err != nil:
+		return bamboorail.StreamOrigin{}, unknown(errors.Join(errNotRead, stored.err))
+	case found:
 		r.Log.Info("origin of stream found in the store", "call", call, "service", o.Service, "software", o.Software)
 		return o, nil
 	}
+	b, ok := stored.baseline(service)
+	if ok && call != "" {
+		r.Log.Info("no origin of the stream is stored, it began at the baseline", "call", call, "service", service, "software", b.Software)
+		return bamboorail.StreamOrigin{Service: service, Software: b.Software}, nil
+	}
 	versions := r.Fleet.Software(service)
 	add := func(o bamboorail.StreamOrigin) {
 		if o.Service == service && !slices.Contains(versions, o.Software) {
 			versions = append(versions, o.Software)
 		}
 	}
-	if b, ok := stored.baseline(service); ok {
+	if ok {
 		add(bamboorail.StreamOrigin{Service: service, Software: b.Software})
 	}
 	for o := range stored.streams {
@@ -132,3 +152,14 @@
 	}
 	return bamboorail.StreamOrigin{}, unknown(errNotRecorded)
 }
+
+// findStored looks a stream up in a result that includes what was stored before a time.
+func (r *Registry) findStored(ctx context.Context, call string, since time.Time) (result, bamboorail.StreamOrigin, bool) {
+	stored := r.reader.readSince(ctx, since)
+	if stored.err != nil {
+		return stored, bamboorail.StreamOrigin{}, false
+	}
+	r.table.merge(stored.streams, time.Now())
+	o, ok := r.table.find(call)
+	return stored, o, ok
+}
--- a/internal/origin/share.go
+++ b/internal/origin/share.go
@@ -17,6 +17,8 @@
 	shareInterval = 300 * time.Millisecond
 	// shareTimeout bounds a message to a holder.
 	shareTimeout = 300 * time.Millisecond
+	// urgentInterval is the interval between writes while calls wait for them.
+	urgentInterval = 100 * time.Millisecond
 	// lastWriteTimeout bounds the write of an instance that stops.
 	lastWriteTimeout = 150 * time.Millisecond
 )
@@ -26,10 +28,13 @@
 func (r *Registry) Run(ctx context.Context) error {
 	tasks := task.NewGroup(ctx)
 	tasks.Start("share", func(ctx context.Context) error { return task.Every(ctx, shareInterval, r.share) })
-	tasks.Start("store", func(ctx context.Context) error { return task.Every(ctx, shareInterval, r.flush) })
+	tasks.Start("store", r.runFlush)
 	tasks.Start("baselines", func(ctx context.Context) error {
 		return task.Every(ctx, keepInterval, func(ctx context.Context) { r.keeper.keep(ctx, r.isLeading()) })
 	})
+	for range announceSenders {
+		tasks.Start("announce", r.runAnnounce)
+	}
 	err := tasks.Wait()
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastWriteTimeout)
 	defer cancel()
@@ -42,11 +47,31 @@
 	return slices.ContainsFunc(r.Zones, func(z lease.Zone) bool { return z.Lease.Leading() })
 }
 
+// runFlush writes the queued origins at intervals, which are shorter while calls wait.
+func (r *Registry) runFlush(ctx context.Context) error {
+	for {
+		started := time.Now()
+		r.flush(ctx)
+		next := time.NewTimer(shareInterval)
+		select {
+		case <-ctx.Done():
+		case <-next.C:
+		case <-r.urgent:
+			_ = task.Sleep(ctx, time.Until(started.Add(urgentInterval)))
+		}
+		next.Stop()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
 // share sends the origins of streams at services with several software versions to
 // the first holder that takes them.
 func (r *Registry) share(ctx context.Context) {
 	now := time.Now()
 	r.table.expire(now)
+	r.announcer.expire(now)
 	mixed := map[string]bool{}
 	b := r.table.unsharedBatch(func(service string) bool {
 		several, known := mixed[service]
@@ -89,10 +114,17 @@
 }
 
 // RecordOrigins stores the origins that another instance recorded.
-func (r *Registry) RecordOrigins(_ context.Context, m *wire.RecordOriginsRequest) (*wire.RecordOriginsReply, error) {
+func (r *Registry) RecordOrigins(ctx context.Context, m *wire.RecordOriginsRequest) (*wire.RecordOriginsReply, error) {
 	for _, z := range r.Zones {
 		if z.Name == m.GetZone() && z.Lease.Leading() {
 			b := fromMessages(m.GetOrigins())
+			if m.GetAwait() {
+				if err := r.storeIn(ctx, z.Name, b); err != nil {
+					return nil, notStored(err)
+				}
+				r.table.merge(b, time.Now())
+				return &wire.RecordOriginsReply{Holder: true, Stored: true}, nil
+			}
 			r.table.merge(b, time.Now())
 			r.journals[z.Name].add(b)
 			return &wire.RecordOriginsReply{Holder: true}, nil
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -14,6 +15,17 @@
 
 func newStreamID(call string) streamID { return streamID(xxhash.Sum64String(call)) }
 
+// maxCorrections is the number of corrections of an announced origin.
+const maxCorrections = 2
+
+// newCorrectionID returns the id of a stream after a number of corrections of its origin.
+func newCorrectionID(call string, correction int) streamID {
+	if correction == 0 {
+		return newStreamID(call)
+	}
+	return streamID(xxhash.Sum64String(fmt.Sprintf("%s\x00%d", call, correction)))
+}
+
 // maxRecords bounds the origins that an instance keeps. A holder at the design size
 // gets about 70,000 within the lifetime of a stream.
 const maxRecords = 1 << 17
@@ -52,14 +64,17 @@
 	return &table{records: map[streamID]record{}, unshared: map[streamID]bool{}}
 }
 
-func (t *table) record(id streamID, o bamboorail.StreamOrigin, now time.Time) {
+// record adds an origin of this instance, which a holder has already if it is stored.
+func (t *table) record(id streamID, o bamboorail.StreamOrigin, stored bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if _, known := t.records[id]; known || len(t.records) >= maxRecords {
 		return
 	}
 	t.records[id] = record{origin: o, at: now}
-	t.unshared[id] = true
+	if !stored {
+		t.unshared[id] = true
+	}
 }
 
 // merge adds origins that others recorded.
@@ -75,11 +90,16 @@
 	}
 }
 
-func (t *table) find(id streamID) (bamboorail.StreamOrigin, bool) {
+// find returns the origin of the stream of a call.
+func (t *table) find(call string) (bamboorail.StreamOrigin, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r, ok := t.records[id]
-	return r.origin, ok
+	for n := maxCorrections; n >= 0 && call != ""; n-- {
+		if r, ok := t.records[newCorrectionID(call, n)]; ok {
+			return r.origin, true
+		}
+	}
+	return bamboorail.StreamOrigin{}, false
 }
 
 // unsharedBatch returns the unshared origins at services that permit sharing.
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -308,7 +308,7 @@
 func (c *Chooser) valid(t bamboorail.TargetEntry) func() bool {
 	return func() bool {
 		known, ok := c.Fleet.Target(t.ID.Name)
-		return ok && !known.Leaving && known.ID == t.ID && c.Advisories.Acquire(t.ID, time.Now()) == advisory.ReasonNone
+		return ok && !known.Leaving && known.ID == t.ID && known.Software == t.Software && c.Advisories.Acquire(t.ID, time.Now()) == advisory.ReasonNone
 	}
 }
 
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -45,7 +45,10 @@
 		return balance.Failed, mayHaveRun("pass-answer", bamboorail.KindTargetFailed, err)
 	}
 	if x.route.Streaming && resp.StatusCode == http.StatusOK {
-		x.recordOrigin(l.target)
+		if err := x.recordOrigin(l); err != nil {
+			l.avoid = append(l.avoid, l.target.ID.Name)
+			return balance.Abandoned, err
+		}
 		return x.forwardStream(l, events)
 	}
 	if resp.StatusCode >= http.StatusInternalServerError && x.mayRetryAnswer() {
--- a/internal/relay/leg.go
+++ b/internal/relay/leg.go
@@ -29,8 +29,9 @@
 	// lastEvent is the last event that was forwarded, sequence the ids up to it.
 	lastEvent string
 	sequence  eventstream.Sequence
-	// committed and resumable are those of the exchange.
-	committed, resumable bool
+	// committed and resumable are those of the exchange; begins is set if the answer may
+	// begin a resumable stream.
+	committed, resumable, begins bool
 
 	avoid     []string
 	neighbors []string
@@ -50,6 +51,9 @@
 	if x.committed {
 		start.startBy = time.Now().Add(resumeTimeout)
 	}
+	if x.beginsStream() {
+		start.begins, start.software = true, x.h.Origins.Permitted(x.service.Name)
+	}
 	return start
 }
 
@@ -131,6 +135,10 @@
 		return
 	}
 	l.found, l.sentAt = true, time.Now()
+	if l.start.begins {
+		x := l.x
+		x.h.Origins.Announce(x.call.ID, bamboorail.StreamOrigin{Service: l.start.service.Name, Software: l.target.Software})
+	}
 	sendCtx, span := startSpan(l.ctx, l.x.h.Tracer, "target "+l.target.ID.Name)
 	l.span = span
 	l.send(sendCtx)
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -16,7 +16,13 @@
 // noOrigins has no origins.
 type noOrigins struct{}
 
-func (noOrigins) Record(string, bamboorail.StreamOrigin) {}
+func (noOrigins) Permitted(string) string { return "" }
+
+func (noOrigins) Announce(string, bamboorail.StreamOrigin) {}
+
+func (noOrigins) Record(context.Context, string, bamboorail.StreamOrigin) error { return nil }
+
+func (noOrigins) Cache(string, bamboorail.StreamOrigin) {}
 
 func (noOrigins) Find(context.Context, string, string) (bamboorail.StreamOrigin, error) {
 	return bamboorail.StreamOrigin{}, notRun("find-origin", bamboorail.KindUnknownOrigin, defaultRetryAfter, errNoOrigins)
@@ -42,12 +48,24 @@
 	return nil
 }
 
-// recordOrigin records where the stream of the call began. From then on, only targets
+// beginsStream reports whether an answer begins a stream that its caller may resume.
+func (x *exchange) beginsStream() bool {
+	return x.route.Streaming && x.route.Repeat == bamboorail.RepeatResume && x.software == "" && !x.committed
+}
+
+// recordOrigin records where the stream of the call begins. From then on, only targets
 // with the same software version may continue it.
-func (x *exchange) recordOrigin(target bamboorail.TargetEntry) {
+func (x *exchange) recordOrigin(l *leg) error {
 	if x.software != "" || x.committed {
-		return
+		return nil
+	}
+	origin := bamboorail.StreamOrigin{Service: x.service.Name, Software: l.target.Software}
+	if l.neighbor != "" || !x.beginsStream() {
+		// The instance that reached the target has recorded a resumable stream.
+		x.h.Origins.Cache(x.call.ID, origin)
+	} else if err := x.h.Origins.Record(l.ctx, x.call.ID, origin); err != nil {
+		return err
 	}
-	x.software = target.Software
-	x.h.Origins.Record(x.call.ID, bamboorail.StreamOrigin{Service: x.service.Name, Software: target.Software})
+	x.software = origin.Software
+	return nil
 }
--- a/streams.go
+++ b/streams.go
@@ -18,10 +18,19 @@
 
 // StreamOrigins records where streams began, for callers that resume them.
 type StreamOrigins interface {
-	// Record records the origin of the stream that the call with an id began.
-	Record(call string, o StreamOrigin)
+	// Permitted returns the software version at which resumable streams of a service may
+	// begin now, empty if any.
+	Permitted(service string) string
+	// Announce starts to store that the stream of a call may begin at o.
+	Announce(call string, o StreamOrigin)
+	// Record records that the stream of a call begins at o. After it has returned without
+	// an error, the stream may be forwarded: it can be resumed after the end of this
+	// instance.
+	Record(ctx context.Context, call string, o StreamOrigin) error
+	// Cache records an origin that another instance has recorded, or that is not needed by
+	// other instances.
+	Cache(call string, o StreamOrigin)
 	// Find returns the origin of the stream that a call began. If it is unknown, it
-	// returns the only origin that a stream of the service can have, or
-	// KindUnknownOrigin.
+	// returns the only origin that the stream can have, or KindUnknownOrigin.
 	Find(ctx context.Context, call, service string) (StreamOrigin, error)
 }
