adapters, relay: calls on a superseded adapter version begin in time

Cause: for 1.5 s after a release, a call could be sent on the older version to an engine without a free slot. Its wait in the queue was compared with the time of its caller only, by the mean time of a call, and nothing ended it when the version expired. Calls queued before the release were not limited either.

Change: the older version is chosen only at an engine with a free slot; other calls wait for the newer one at the holder. A call without an answer 2.5 s after the release was learned of is withdrawn and, if its route permits it, repeated.

--- a/fleet.go
+++ b/fleet.go
@@ -153,6 +153,19 @@
 	return longest
 }
 
+// SupersededAt returns the time at which a newer version than the given one was learned of,
+// zero if it may have been long ago, and false if there is none.
+func (h ReleaseHistory) SupersededAt(version int) (time.Time, bool) {
+	var first time.Time
+	found := false
+	for _, r := range h {
+		if r.Version > version && (!found || r.LearnedAt.Before(first)) {
+			first, found = r.LearnedAt, true
+		}
+	}
+	return first, found
+}
+
 // RecordDecoder decodes the objects that operators and targets write.
 type RecordDecoder interface {
 	Configuration(o Object) (Configuration, error)
--- a/internal/adapters/cost.go
+++ b/internal/adapters/cost.go
@@ -61,11 +61,12 @@
 }
 
 // oldVersion returns the option to use a version that was replaced within the
-// grace period.
+// grace period, at an engine with a free slot: in a queue, the call may begin after the
+// period in which the version may be used.
 func (p *Planner) oldVersion(name string, e *engine, r Request, now time.Time) (option, bool) {
 	held := e.adapters[r.Key]
 	if r.Key.Adapter == "" || held == nil || held.unloading || held.loading || held.version >= r.Version ||
-		r.Releases.OutdatedFor(held.version, now) >= p.tuning.OldVersionGrace || !r.canWait(p.queueWait(e), now) {
+		r.Releases.OutdatedFor(held.version, now) >= p.tuning.OldVersionGrace || e.isFull() {
 		return option{}, false
 	}
 	return option{name: name, cost: p.queueCost(e, now)}, true
--- a/internal/adapters/loads_test.go
+++ b/internal/adapters/loads_test.go
@@ -167,6 +167,29 @@
 	}
 }
 
+// TestOldVersionIsNotQueued guards against calls that begin in the queue of an engine on a version that has
+// expired meanwhile (incident archive-queued-version).
+func TestOldVersionIsNotQueued(t *testing.T) {
+	for name, running := range map[string]int{"a free slot": 63, "all slots taken": 64} {
+		t.Run(name, func(t *testing.T) {
+			p := newTestPlanner(1, 1)
+			r := testRequest(1)
+			r.Version = 1
+			placeAndLoad(t, p, r, start)
+			for range running - 1 {
+				if _, ok := p.Place(r, start); !ok {
+					t.Fatal("a call on the newest version was refused")
+				}
+			}
+			released := start.Add(time.Second)
+			r.Version, r.Releases = 2, bamboorail.ReleaseHistory{{Version: 2, LearnedAt: released}}
+			if got, ok := p.Place(r, released); ok != (running < 64) {
+				t.Errorf("placed %t on version %d", ok, got.Version)
+			}
+		})
+	}
+}
+
 func TestOldVersionExpires(t *testing.T) {
 	p := newTestPlanner(1, 1)
 	r := testRequest(1)
--- a/internal/gateway/tuning.go
+++ b/internal/gateway/tuning.go
@@ -46,8 +46,11 @@
 	// oldVersionPercent is the part of the release timeout, within which a new
 	// adapter version must be in use, during which the previous version may
 	// still be chosen. The rest is left because a call may wait in an engine's
-	// queue for some seconds before it starts.
+	// queue.
 	oldVersionPercent = 30
+	// beginPercent is the part after which a call that has not begun is withdrawn from
+	// an engine. The release may have been learned up to two seconds late.
+	beginPercent = 50
 	// holderCPUShare is the part of a core above which more processor time does
 	// not make an instance a better lease holder (page SYSTEM: the instances of
 	// the small sites).
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -83,6 +83,9 @@
 	Quarantine *Quarantine
 	Advisories *advisory.Registry
 	Limits     *Limits
+	// BeginTimeout is the time after the release of a newer adapter version by which calls
+	// must have begun to run on the older one.
+	BeginTimeout time.Duration
 	// Instances returns an estimate of the number of instances.
 	Instances func() int
 	Log       hclog.Logger
@@ -298,10 +301,24 @@
 	c.Log.Info("engine chosen without a holder", "id", a.Call.ID, "engine", target.ID.Name, "adapter", key.Adapter)
 	return relay.Reservation{
 		Target: target, Version: target.Models[key.Model][key.Adapter], ReadyAt: now, Assumed: true, Valid: c.valid(target),
-		Done: c.balancedDone(target.ID),
+		Done: c.balancedDone(target.ID), BeginBy: c.beginBy(key, target.Models[key.Model][key.Adapter]),
 	}, true
 }
 
+// beginBy returns a function that returns the time by which a call must begin to run on a
+// version of an adapter.
+func (c *Chooser) beginBy(key bamboorail.AdapterKey, version int) func(now time.Time) time.Time {
+	if key.Adapter == "" || c.BeginTimeout == 0 {
+		return nil
+	}
+	return func(now time.Time) time.Time {
+		if at, superseded := c.Fleet.Releases(key).SupersededAt(version); superseded {
+			return at.Add(c.BeginTimeout)
+		}
+		return now.Add(c.BeginTimeout)
+	}
+}
+
 // valid returns a function that reports whether a target still accepts calls as
 // far as this instance knows. This instance may learn that a target leaves, or wants
 // no requests, before the holder does.
--- a/internal/placer/releases_test.go
+++ b/internal/placer/releases_test.go
@@ -102,6 +102,38 @@
 	}
 }
 
+// TestCallsMustBeginBeforeTheirVersionExpires checks the time by which a call must begin to run.
+func TestCallsMustBeginBeforeTheirVersionExpires(t *testing.T) {
+	const timeout, pass = 2500 * time.Millisecond, 700 * time.Millisecond
+	for name, placed := range map[string]bool{"with a holder": true, "without a holder": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				chooser, peers, request := newTestChooser(t)
+				chooser.BeginTimeout = timeout
+				entry, _ := chooser.Fleet.Target("e")
+				entry.Models = map[string]map[string]int{"m": {request.Call.Key.Adapter: 1}}
+				chooser.Fleet.Update(entry)
+				if placed {
+					peers.replies["a"] = &wire.PlaceReply{Holder: true, Target: "e", Version: 1}
+				}
+				place, err := chooser.Choose(t.Context(), request)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if got := place.BeginBy(time.Now()); !got.Equal(time.Now().Add(timeout)) {
+					t.Errorf("%v left before a release", time.Until(got))
+				}
+				chooser.Fleet.AddRelease(bamboorail.AdapterRelease{Key: request.Call.Key, Version: 2}, time.Now())
+				time.Sleep(pass)
+				chooser.Fleet.AddRelease(bamboorail.AdapterRelease{Key: request.Call.Key, Version: 3}, time.Now())
+				if got := time.Until(place.BeginBy(time.Now())); got != timeout-pass {
+					t.Errorf("%v left after a release", got)
+				}
+			})
+		})
+	}
+}
+
 // TestChooseWaitsForReleases checks that an instance that has just started and
 // has not read the releases does not assume that there are none.
 func TestChooseWaitsForReleases(t *testing.T) {
--- a/internal/relay/errors.go
+++ b/internal/relay/errors.go
@@ -24,6 +24,7 @@
 	errInvalidResponse = errors.New("the response does not belong to this call")
 	errNoLength        = errors.New("the HTTP/1.0 request has no Content-Length")
 	errTooLate         = errors.New("the adapter load would complete too late for the caller")
+	errOutdated        = errors.New("the target did not begin to run the call before its adapter version expired")
 	errEventTimeout    = errors.New("no stream event arrived in time")
 	errAttemptTimeout  = errors.New("the target did not answer in time")
 )
--- a/internal/relay/leg.go
+++ b/internal/relay/leg.go
@@ -198,6 +198,7 @@
 	reused := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused = i.Reused }})
 	transport := x.h.pool.transport(l.target, single)
+	defer l.withdrawOutdated()()
 	resp, err := transport.RoundTrip(l.newRequest().WithContext(ctx)) //nolint:bodyclose // closed by end
 	if err != nil {
 		l.result, l.err = l.transportError(op, err)
@@ -302,6 +303,8 @@
 		return " silent"
 	case errors.Is(err, errSuperseded):
 		return " superseded"
+	case errors.Is(err, errOutdated):
+		return " outdated"
 	case errors.Is(err, syscall.ETIMEDOUT):
 		return " unacknowledged"
 	case errors.Is(err, eventstream.ErrNotContinued):
@@ -354,6 +357,8 @@
 		return balance.Unreachable, mayHaveRun(op, silent, cause)
 	case errors.Is(cause, errSuperseded):
 		return balance.Abandoned, mayHaveRun(op, bamboorail.KindCancelled, cause)
+	case errors.Is(cause, errOutdated):
+		return balance.Abandoned, mayHaveRun(op, bamboorail.KindOverloaded, cause)
 	case errors.Is(l.ctx.Err(), context.DeadlineExceeded):
 		return balance.Abandoned, mayHaveRun(op, bamboorail.KindDeadlineExceeded, err)
 	case l.ctx.Err() != nil:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -69,6 +69,10 @@
 	// Assumed is set if it is not certain that the target holds the adapter: a
 	// target that turns out to lack it is not tried again.
 	Assumed bool
+	// BeginBy returns the latest time at which the target may begin to run the call. The
+	// call is withdrawn then, unless BeginBy returns a later time. It is nil if there is no
+	// such time.
+	BeginBy func(now time.Time) time.Time
 	// Valid reports whether the target still takes calls. It is called once,
 	// immediately before the call is sent.
 	Valid func() bool
--- a/internal/relay/testrelay_test.go
+++ b/internal/relay/testrelay_test.go
@@ -214,6 +214,9 @@
 	spareWait time.Duration
 	// assumed sets Assumed in all reservations.
 	assumed bool
+	// beginBy is that of reservations of the first target, which is then chosen only once,
+	// as its adapter version expires.
+	beginBy func(now time.Time) time.Time
 
 	mu sync.Mutex
 	// chosen counts the reservations, results are those of the released ones.
@@ -227,18 +230,18 @@
 		for _, name := range req.Avoid {
 			avoided = avoided || name == g.entry.ID.Name
 		}
-		if avoided {
+		if avoided || n == 0 && c.beginBy != nil && c.reservations() > 0 {
 			continue
 		}
-		name, wait := g.entry.ID.Name, c.wait
+		name, wait, beginBy := g.entry.ID.Name, c.wait, c.beginBy
 		if n > 0 {
-			wait = max(wait, c.spareWait)
+			wait, beginBy = max(wait, c.spareWait), nil
 		}
 		c.mu.Lock()
 		c.chosen++
 		c.mu.Unlock()
 		return Reservation{
-			Target: g.entry, ReadyAt: time.Now().Add(wait), Assumed: c.assumed, Valid: func() bool { return name != c.leaving },
+			Target: g.entry, ReadyAt: time.Now().Add(wait), Assumed: c.assumed, BeginBy: beginBy, Valid: func() bool { return name != c.leaving },
 			Done: func(r balance.Result, _ time.Duration) {
 				c.mu.Lock()
 				defer c.mu.Unlock()
