--- a/internal/origin/keeper_test.go
+++ b/internal/origin/keeper_test.go
@@ -113,7 +113,7 @@
 					if c.holder {
 						r.Learn(holder.Baselines())
 					}
-					store.SetHook(func(op, key string) error {
+					store.SetHook(func(_, key string) error {
 						if key == baselineKey(testKind) {
 							reads++
 						}
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -41,7 +41,9 @@
 }
 
 func notStored(cause error) error {
-	return &Error{bamboorail.Failure{Op: "record-origin", Kind: bamboorail.KindUnavailable, Outcome: bamboorail.OutcomeMayHaveRun, Err: errors.Join(errNotStored, cause)}}
+	return &Error{bamboorail.Failure{
+		Op: "record-origin", Kind: bamboorail.KindUnavailable, Outcome: bamboorail.OutcomeMayHaveRun, Err: errors.Join(errNotStored, cause),
+	}}
 }
 
 // Peers sends origins to other instances.
@@ -124,18 +126,22 @@
 		r.Log.Info("origin of stream found in the store", "call", call, "service", o.Service, "software", o.Software)
 		return o, nil
 	}
-	b, ok := stored.baseline(service)
-	if ok && call != "" {
+	if b, ok := stored.baseline(service); ok && call != "" {
 		r.Log.Info("no origin of the stream is stored, it began at the baseline", "call", call, "service", service, "software", b.Software)
 		return bamboorail.StreamOrigin{Service: service, Software: b.Software}, nil
 	}
+	return r.onlyOrigin(service, stored)
+}
+
+// onlyOrigin returns the only origin that an unknown stream of a service can have.
+func (r *Registry) onlyOrigin(service string, stored result) (bamboorail.StreamOrigin, error) {
 	versions := r.Fleet.Software(service)
 	add := func(o bamboorail.StreamOrigin) {
 		if o.Service == service && !slices.Contains(versions, o.Software) {
 			versions = append(versions, o.Software)
 		}
 	}
-	if ok {
+	if b, ok := stored.baseline(service); ok {
 		add(bamboorail.StreamOrigin{Service: service, Software: b.Software})
 	}
 	for o := range stored.streams {
