placer: full brittle engines get no calls past their holder

Cause: after all holders had refused a call, it was sent to an engine by its entry, which is meant for the time without a holder. The holder had given all slots of the engine to other calls, and each instance added a share of its own.

Change: a brittle engine of a zone whose holder has refused a call for want of room is not chosen without that holder. Sound engines are, as before.

--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -193,6 +193,7 @@
 	var failure error
 	retryAfter := time.Duration(math.MaxInt64)
 	lastPolicy := adapters.LoadAny
+	full := map[string]bool{}
 	a.Avoid = c.enginesToAvoid(a)
 	// A holder may keep the call waiting, but not beyond the time at which the
 	// caller is better told to retry.
@@ -214,6 +215,7 @@
 			break
 		}
 		f := bamboorail.FailureOf(err)
+		full[q.zone.Zone] = f.Kind == bamboorail.KindOverloaded
 		if q.policy == adapters.LoadAny && f.RetryAfter > 0 {
 			retryAfter = min(retryAfter, f.RetryAfter)
 		}
@@ -224,7 +226,7 @@
 		}
 		failure, lastPolicy = preferOverload(failure, err), q.policy
 	}
-	if reservation, ok := c.chooseLoaded(a); ok {
+	if reservation, ok := c.chooseLoaded(a, full); ok {
 		return reservation, 0, nil
 	}
 	if failure == nil {
@@ -274,15 +276,17 @@
 }
 
 // chooseLoaded selects an engine that already holds the adapter according to
-// its own entry, without a holder.
-func (c *Chooser) chooseLoaded(a relay.ChooseRequest) (relay.Reservation, bool) {
+// its own entry, without a holder. It selects no brittle engine of a zone whose holder has
+// refused the call, which may have given all slots of the engine to other calls.
+func (c *Chooser) chooseLoaded(a relay.ChooseRequest, full map[string]bool) (relay.Reservation, bool) {
 	now := time.Now()
 	key := a.Call.Key
 	releases := c.Fleet.Releases(key)
 	var engines []bamboorail.TargetEntry
 	for _, e := range c.openTargets(a.Service.Name, now) {
 		held, loaded := e.Models[key.Model]
-		if !loaded || slices.Contains(a.Avoid, e.ID.Name) || !hasSoftware(e, a) || !c.hasRoom(e, now) {
+		if !loaded || slices.Contains(a.Avoid, e.ID.Name) || !hasSoftware(e, a) || !c.hasRoom(e, now) ||
+			full[e.Zone] && c.Advisories.IsBrittle(e.ID) {
 			continue
 		}
 		version, present := held[key.Adapter]
--- a/internal/placer/chooser_test.go
+++ b/internal/placer/chooser_test.go
@@ -114,6 +114,37 @@
 	}
 }
 
+// TestFullBrittleEngineGetsNoCall guards against brittle engines that fall over when many users come at
+// once (incident archive-brittle-engines).
+func TestFullBrittleEngineGetsNoCall(t *testing.T) {
+	full := &wire.PlaceReply{Holder: true, Reason: "full"}
+	cases := map[string]struct {
+		brittle bool
+		replies map[string]*wire.PlaceReply
+		placed  bool
+	}{
+		"its holder refuses":                {true, map[string]*wire.PlaceReply{"a": full, "b": full, "c": full}, false},
+		"its holder refuses, others silent": {true, map[string]*wire.PlaceReply{"c": full}, false},
+		"its holder is silent":              {true, map[string]*wire.PlaceReply{"a": full, "b": full}, true},
+		"no holder":                         {true, map[string]*wire.PlaceReply{"a": {}, "b": {}, "c": {}}, true},
+		"sound engine":                      {false, map[string]*wire.PlaceReply{"a": full, "b": full, "c": full}, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			chooser, peers, request := newTestChooser(t)
+			peers.replies = c.replies
+			entry, _ := chooser.Fleet.Target("e")
+			entry.Models = map[string]map[string]int{"m": {request.Call.Key.Adapter: 1}}
+			chooser.Fleet.Update(entry)
+			chooser.Advisories.ObserveBrittle(entry.ID, bamboorail.Advisory{Brittle: c.brittle, MaxRefusals: 5}, time.Now())
+			place, err := chooser.Choose(context.Background(), request)
+			if placed := err == nil; placed != c.placed {
+				t.Errorf("placed %t at %q, %v", placed, place.Target.ID.Name, err)
+			}
+		})
+	}
+}
+
 // TestHolderQueryOrder checks the order of the queries: the local zone for an
 // adapter that it holds, the adapter's home zone, then the other zones.
 func TestHolderQueryOrder(t *testing.T) {
