--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -208,7 +208,7 @@
 	g.origins = g.newOrigins()
 	g.mirror.SetOnReply(func(zone string, r *wire.FollowReply) {
 		g.chooser.Learn(zone, r)
-		g.origins.Learn(r.GetBaselines())
+		g.origins.MergeBaselines(r.GetBaselines())
 	})
 	g.detour = g.newDetour()
 	g.mirror.SetReachability(s.PeerAddress, func() bool { return g.shuttingDown.Load() || g.detour.IsPartitioned() })
@@ -217,7 +217,7 @@
 		Instance: s.Instance, Detour: g.detour,
 		Ingress: g.platform.Ingress, Egress: g.platform.Egress, Table: g.table.Load, Chooser: g.chooser, Budget: g.budget,
 		Dialer: g.detour, Metrics: g.metrics, Tracer: tracer, Advise: g.advise, Origins: g.origins, ShuttingDown: g.shuttingDown.Load,
-		Log: g.logs.Layer("relay"),
+		Log:        g.logs.Layer("relay"),
 	})
 	g.forwarder = detour.NewServer(g.detour, g.relay)
 }
--- a/internal/origin/announce.go
+++ b/internal/origin/announce.go
@@ -175,7 +175,7 @@
 
 // isHarmless reports whether a stream may begin at o without a stored origin. It is then
 // resumed at the baseline or refused, which is right if o is the baseline as far as this
-// instance can know, or while the baseline has no targets.
+// instance can determine, or while the baseline has no targets.
 func (r *Registry) isHarmless(o bamboorail.StreamOrigin, corrects bool) bool {
 	b, known := r.known.get(o.Service)
 	alone := len(r.Fleet.Software(o.Service)) == 1
--- a/internal/origin/baseline.go
+++ b/internal/origin/baseline.go
@@ -64,8 +64,8 @@
 	return &knownBaselines{byService: map[string]confirmedBaseline{}}
 }
 
-// learn records a baseline that was in force at a time.
-func (k *knownBaselines) learn(service string, b confirmedBaseline) {
+// confirm records a baseline that was in force at a time.
+func (k *knownBaselines) confirm(service string, b confirmedBaseline) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if old, ok := k.byService[service]; !ok || b.at > old.at {
@@ -109,12 +109,12 @@
 	return list
 }
 
-// Learn records the baselines in a reply of another instance.
-func (r *Registry) Learn(list []*wire.Baseline) {
+// MergeBaselines records the baselines in a reply of another instance.
+func (r *Registry) MergeBaselines(list []*wire.Baseline) {
 	now := r.Clock()
 	for _, m := range list {
 		age := time.Duration(max(m.GetAgeMicros(), 0)) * time.Microsecond
-		r.known.learn(m.GetService(), confirmedBaseline{software: m.GetSoftware(), suspended: m.GetSuspended(), at: now - age})
+		r.known.confirm(m.GetService(), confirmedBaseline{software: m.GetSoftware(), suspended: m.GetSuspended(), at: now - age})
 	}
 }
 
--- a/internal/origin/keeper.go
+++ b/internal/origin/keeper.go
@@ -17,11 +17,11 @@
 	// keepInterval is the interval between two decisions on the baselines.
 	keepInterval = time.Second
 	// holderReadInterval and instanceReadInterval are the ages at which a holder, and
-	// another instance that has learned nothing from a holder, read the baselines.
+	// another instance that has received none from a holder, read the baselines.
 	holderReadInterval   = 10 * time.Second
 	instanceReadInterval = 15 * time.Second
-	// firstReadDelay leaves an instance that starts the time to learn the baselines from a
-	// holder.
+	// firstReadDelay gives an instance that starts the time to receive the baselines from a
+	// holder, which saves a call to the store.
 	firstReadDelay = 2500 * time.Millisecond
 	// suspendTime is the time for which a baseline stays suspended: the lifetime of the
 	// streams that instances with an old view may still begin without storing their origins.
@@ -112,7 +112,7 @@
 func (k *keeper) accept(stored baselines, version bamboorail.StoreVersion, at time.Duration) {
 	k.stored, k.version, k.readAt, k.isRead = stored, version, at, true
 	for service, b := range stored {
-		k.known.learn(service, confirmedBaseline{software: b.Software, suspended: b.Suspended, at: at})
+		k.known.confirm(service, confirmedBaseline{software: b.Software, suspended: b.Suspended, at: at})
 	}
 }
 
@@ -200,7 +200,7 @@
 	created := k.version == 0
 	k.accept(next, version, sent)
 	if era := version.Era(); created && era != 0 {
-		// Nothing was stored before, and the answer is the first to tell the era.
+		// Nothing was stored before, so that the era was not known.
 		next = maps.Clone(next)
 		for service, b := range next {
 			b.Era = era
--- a/internal/origin/keeper_test.go
+++ b/internal/origin/keeper_test.go
@@ -91,9 +91,9 @@
 	})
 }
 
-// TestInstancesLearnTheBaseline checks from whom an instance that holds no zone learns the
-// baselines, and how often it reads the store.
-func TestInstancesLearnTheBaseline(t *testing.T) {
+// TestBaselineReachesInstances checks where an instance that holds no zone gets the baselines
+// from, and how often it reads the store.
+func TestBaselineReachesInstances(t *testing.T) {
 	const period = 2 * time.Minute
 	cases := map[string]struct {
 		holder bool
@@ -111,7 +111,7 @@
 				for range int(period / time.Second) {
 					holder.keeper.keep(t.Context(), true)
 					if c.holder {
-						r.Learn(holder.Baselines())
+						r.MergeBaselines(holder.Baselines())
 					}
 					store.SetHook(func(_, key string) error {
 						if key == baselineKey(testKind) {
@@ -127,11 +127,11 @@
 					t.Errorf("%d reads, expected %d", reads, c.reads)
 				}
 				if r.mustStore(v1) || !r.mustStore(v2) {
-					t.Error("the baseline is not known")
+					t.Error("no baseline")
 				}
 				time.Sleep(maxBaselineAge + time.Second)
 				if !r.mustStore(v1) {
-					t.Error("a baseline that nobody confirms is used")
+					t.Error("a baseline without a recent confirmation is used")
 				}
 				if len(r.Baselines()) != 0 {
 					t.Error("an old baseline is passed on")
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -159,7 +159,7 @@
 	return bamboorail.StreamOrigin{}, unknown(errNotRecorded)
 }
 
-// findStored looks a stream up in a result that includes what was stored before a time.
+// findStored searches for a stream in a result that includes what was stored before a time.
 func (r *Registry) findStored(ctx context.Context, call string, since time.Time) (result, bamboorail.StreamOrigin, bool) {
 	stored := r.reader.readSince(ctx, since)
 	if stored.err != nil {
