relay: bodies of calls have a memory budget

Cause: each body was read whole and kept until its call had ended, however many there were. Nothing counted their bytes, and reading step by step left garbage.

Change: a body of more than 16 KiB reserves its length, or the limit if it has none, in a budget of 0.4 of the memory limit, and is read into one buffer. A call that finds no memory within 0.8 s is refused as not run, before its body is read. x/sync has the semaphore.

TestBodiesStayWithinTheirMemory. Open: bodies of calls that another instance forwards are not counted.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,8 @@
 	// memoryLimitShare is the part of the memory limit that is set as the soft
 	// limit of the garbage collector.
 	memoryLimitShare = 0.7
+	// bodyMemoryShare is the part of the memory limit for the bodies of calls.
+	bodyMemoryShare = 0.4
 	// storeIdleConns and storeIdleTimeout limit the idle connections to the
 	// store, which needs only a few.
 	storeIdleConns   = 8
@@ -217,6 +219,7 @@
 		Instance: s.Instance, Detour: g.detour,
 		Ingress: g.platform.Ingress, Egress: g.platform.Egress, Table: g.table.Load, Chooser: g.chooser, Budget: g.budget,
 		Dialer: g.detour, Metrics: g.metrics, Tracer: tracer, Advise: g.advise, Origins: g.origins, ShuttingDown: g.shuttingDown.Load,
+		BodyMemory: int64(float64(s.MaxMemory) * bodyMemoryShare),
 		Log:        g.logs.Layer("relay"),
 	})
 	g.forwarder = detour.NewServer(g.detour, g.relay)
--- /dev/null
+++ b/internal/relay/body_test.go
@@ -0,0 +1,89 @@
+package relay
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bamboorail.example/bamboorail"
+)
+
+// TestBodiesStayWithinTheirMemory guards against an instance that is killed for the memory of large
+// bodies, with all calls under way (incident archive-large-bodies).
+func TestBodiesStayWithinTheirMemory(t *testing.T) {
+	const memory, large = 4 * smallBody, 3 * smallBody
+	cases := map[string]struct {
+		calls, bytes int
+		chunked      bool
+		hold         time.Duration
+		// most is the largest number of calls at the target at once, refused the number
+		// of those that find no memory in time.
+		most, refused int64
+	}{
+		"one call":                  {calls: 1, bytes: large, most: 1},
+		"wait for each other":       {calls: 3, bytes: large, hold: maxBodyWait / 8, most: 1},
+		"wait for too long":         {calls: 3, bytes: large, hold: 2 * maxBodyWait, most: 1, refused: 2},
+		"without a length":          {calls: 3, bytes: large, chunked: true, hold: 2 * maxBodyWait, most: 1, refused: 2},
+		"larger than all memory":    {calls: 2, bytes: 2 * memory, hold: maxBodyWait / 8, most: 1},
+		"small ones":                {calls: 12, bytes: smallBody, hold: maxBodyWait / 8, most: 12},
+		"small ones without length": {calls: 12, bytes: smallBody - 1, chunked: true, hold: maxBodyWait / 8, most: 12},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var running, most atomic.Int64
+			target := newTarget(t, "a", func(conn net.Conn, r *http.Request) bool {
+				if n := running.Add(1); n > most.Load() {
+					most.Store(n)
+				}
+				time.Sleep(c.hold)
+				running.Add(-1)
+				return answer("ok")(conn, r)
+			})
+			b := newTestRelay(t, bamboorail.RouteSpec{Repeat: bamboorail.RepeatNever, Timeout: time.Minute}, target)
+			b.handler.bodies = newBodyMemory(memory)
+			statuses := make(chan int, c.calls)
+			for range c.calls {
+				go func() {
+					body := strings.NewReader(strings.Repeat("b", c.bytes))
+					req, err := http.NewRequest(http.MethodPost, b.URL+"/p/x", body)
+					if err != nil {
+						statuses <- 0
+						return
+					}
+					if req.Host = "host.example"; c.chunked {
+						req.ContentLength = -1
+					}
+					resp, err := http.DefaultTransport.RoundTrip(req)
+					if err != nil {
+						statuses <- 0
+						return
+					}
+					_ = resp.Body.Close()
+					if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") == "" {
+						resp.StatusCode = 0
+					}
+					statuses <- resp.StatusCode
+				}()
+			}
+			got := map[int]int64{}
+			for range c.calls {
+				got[<-statuses]++
+			}
+			if got[http.StatusOK] != int64(c.calls)-c.refused || got[http.StatusServiceUnavailable] != c.refused {
+				t.Errorf("answers by status: %v", got)
+			}
+			if n := most.Load(); n > c.most {
+				t.Errorf("%d calls at the target at once, expected at most %d", n, c.most)
+			}
+			release, err := b.handler.bodies.reserve(t.Context(), memory)
+			if err != nil {
+				t.Fatal(err)
+			}
+			release()
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -110,6 +108,8 @@
 	// Origins records where streams began.
 	Origins bamboorail.StreamOrigins
 	Detour  Detour
+	// BodyMemory is the memory for the bodies of calls in bytes, 0 for no limit.
+	BodyMemory int64
 	// ShuttingDown reports whether the instance is shutting down.
 	ShuttingDown func() bool
 	Log          hclog.Logger
@@ -118,7 +118,8 @@
 // Handler serves the calls that an instance receives.
 type Handler struct {
 	Config
-	pool *pool
+	pool   *pool
+	bodies *bodyMemory
 }
 
 // NewHandler returns a handler. Without origins no stream is resumed by its caller, and
@@ -130,7 +131,7 @@
 	if c.Detour == nil {
 		c.Detour = noDetour{}
 	}
-	return &Handler{Config: c, pool: newPool(c.Dialer)}
+	return &Handler{Config: c, pool: newPool(c.Dialer), bodies: newBodyMemory(c.BodyMemory)}
 }
 
 // Retain closes the connections to targets for which live returns false.
@@ -141,7 +142,8 @@
 
 // ServeHTTP serves one call.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{h: h, w: w, r: r, received: time.Now()}
+	x := &exchange{h: h, w: w, r: r, received: time.Now(), releaseBody: func() {}}
+	defer func() { x.releaseBody() }()
 	if h.ShuttingDown() {
 		w.Header().Set("Connection", "close")
 	}
@@ -167,14 +169,16 @@
 	r        *http.Request
 	received time.Time
 
-	call     bamboorail.Call
-	route    bamboorail.RouteSpec
-	service  bamboorail.ServiceSpec
-	table    *route.Table
-	version  uint64
-	body     []byte
-	startBy  time.Time
-	deadline time.Time
+	call    bamboorail.Call
+	route   bamboorail.RouteSpec
+	service bamboorail.ServiceSpec
+	table   *route.Table
+	version uint64
+	body    []byte
+	// releaseBody releases the memory that is reserved for the body.
+	releaseBody func()
+	startBy     time.Time
+	deadline    time.Time
 
 	// committed is set once response headers have been sent to the caller.
 	committed bool
@@ -295,26 +299,3 @@
 	}
 	return min(caller, operator)
 }
-
-func (x *exchange) readBody(limit int64) error {
-	const op = "read-body"
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	if !x.r.ProtoAtLeast(1, 1) && x.r.Method != http.MethodGet && x.r.Header.Get("Content-Length") == "" {
-		// net/http ignores the Transfer-Encoding of such a request and reads no
-		// body.
-		return notRun(op, bamboorail.KindBadRequest, 0, errNoLength)
-	}
-	var err error
-	x.body, err = io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return notRun(op, bamboorail.KindTooLarge, 0, err)
-	}
-	if err != nil {
-		return notRun(op, bamboorail.KindBadRequest, 0, err)
-	}
-	x.call.Fingerprint = fingerprint(x.r, x.body)
-	return nil
-}
