origin: half as many writes of announced origins

While streams begin at other versions than the baseline, each zone writes their origins every 0.1 s, and each call to the store has a price. Engines take 0.1 to 0.3 s to the first event, which hides the wait for a write each 0.2 s as well. The tests of the package pass.

--- a/internal/origin/share.go
+++ b/internal/origin/share.go
@@ -18,7 +18,7 @@
 	// shareTimeout bounds a message to a holder.
 	shareTimeout = 300 * time.Millisecond
 	// urgentInterval is the interval between writes while calls wait for them.
-	urgentInterval = 100 * time.Millisecond
+	urgentInterval = 200 * time.Millisecond
 	// lastWriteTimeout bounds the write of an instance that stops.
 	lastWriteTimeout = 150 * time.Millisecond
 )
