--- a/internal/origin/keeper_test.go
+++ b/internal/origin/keeper_test.go
@@ -30,7 +30,7 @@
 	type step struct {
 		versions []string
 		pass     time.Duration
-		want     baseline
+		after    baseline
 	}
 	suspended := baseline{Software: "v1", Suspended: true}
 	cases := map[string]struct {
@@ -63,8 +63,8 @@
 						r.Fleet.Expire(time.Now())
 						r.keeper.keep(t.Context(), true)
 					}
-					if got := readBaseline(t, store); got != s.want {
-						t.Fatalf("step %d: baseline %+v, expected %+v", n, got, s.want)
+					if got := readBaseline(t, store); got != s.after {
+						t.Fatalf("step %d: baseline %+v, expected %+v", n, got, s.after)
 					}
 				}
 			})
