placer: log and count calls that brittle targets refuse

Callers saw refusals and falls; no line told whether the instance took the target for brittle when it sent the call, nor who had placed it, so that the hypotheses of the incident could not be told apart. Adds the line "brittle target refused a call" and bamboorail_target_refusals_total. Tests of placer, gateway and telemetry pass.

--- a/internal/placer/brittle.go
+++ b/internal/placer/brittle.go
@@ -44,12 +44,27 @@
 	return b
 }
 
+// ownChoice is the source of a placement that this instance made without a holder.
+const ownChoice = "instance"
+
+// reportRefusal records that a target refused a call for want of room. source is who placed
+// the call, known whether this instance took the target for brittle then.
+func (c *Chooser) reportRefusal(id bamboorail.TargetID, source string, known bool) {
+	c.Metrics.TargetRefused(known)
+	if known || c.Advisories.IsBrittle(id) {
+		c.Log.Info("brittle target refused a call", "target", id.Name, "born", id.StartMillis, "known", known, "placed-by", source,
+			"in-flight", c.Balancer.InFlight(id))
+	}
+}
+
 // balancedDone returns the function that ends a call which the balancer placed.
 func (c *Chooser) balancedDone(id bamboorail.TargetID) func(balance.Result, time.Duration) {
+	known := c.Advisories.IsBrittle(id)
 	return func(r balance.Result, took time.Duration) {
 		now := time.Now()
 		if r == balance.Refused {
 			c.Advisories.RecordRefusal(id, c.Instances(), now)
+			c.reportRefusal(id, ownChoice, known)
 		}
 		c.Balancer.Done(id, r, took, now)
 	}
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -22,6 +22,7 @@
 	"bamboorail.example/bamboorail/internal/ratelimit"
 	"bamboorail.example/bamboorail/internal/relay"
 	"bamboorail.example/bamboorail/internal/task"
+	"bamboorail.example/bamboorail/internal/telemetry"
 )
 
 const (
@@ -88,6 +89,7 @@
 	BeginTimeout time.Duration
 	// Instances returns an estimate of the number of instances.
 	Instances func() int
+	Metrics   *telemetry.Metrics
 	Log       hclog.Logger
 }
 
--- a/internal/placer/chooser_test.go
+++ b/internal/placer/chooser_test.go
@@ -103,6 +103,7 @@
 		Instance: "self", Zones: zones, Peers: peers, Fleet: f, Balancer: balance.New("a"),
 		Tracer: noop.NewTracerProvider().Tracer(""), PollLease: func() {}, Log: hclog.NewNullLogger(),
 		Quarantine: newTestQuarantine(), Advisories: advisories, Limits: newTestLimits(advisories), Instances: func() int { return 6 },
+		Metrics: telemetry.NewMetrics(),
 	})
 	key := bamboorail.AdapterKey{Model: "m"}
 	for n := 0; key.Adapter == "" || adapters.HomeZone(names, key) != "b"; n++ {
--- a/internal/placer/settle.go
+++ b/internal/placer/settle.go
@@ -13,7 +13,11 @@
 
 // settleFunc returns the function that ends a placement.
 func (c *Chooser) settleFunc(zone string, target bamboorail.TargetID, ticket uint64) func(balance.Result, time.Duration) {
+	known := c.Advisories.IsBrittle(target)
 	return func(r balance.Result, _ time.Duration) {
+		if r == balance.Refused {
+			c.reportRefusal(target, "holder of "+zone, known)
+		}
 		c.recordResult(target.Name, r)
 		c.removeOpen(zone, ticket)
 		end := []EndedPlacement{{Ticket: ticket, Result: r, Leaving: c.Advisories.IsLeaving(target)}}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -29,6 +30,7 @@
 	store     *prometheus.CounterVec
 	blocked   prometheus.Counter
 	advised   *prometheus.CounterVec
+	refusals  *prometheus.CounterVec
 }
 
 // waitBuckets are histogram bucket bounds in seconds.
@@ -56,7 +58,8 @@
 	m.store = newCounterVec("store_calls_total", "Calls to the object store by call, kind of object, and result.", "call", "kind", "result")
 	m.blocked = newCounter("prompt_segments_blocked_total", "Prompt segments that were blocked because they crash engines.")
 	m.advised = newCounterVec("target_advisories_total", "Targets that said that they leave or asked for a pause.", "reason")
-	m.registry.MustRegister(m.store, m.blocked, m.advised, m.late, m.requests, m.duration, m.loads, m.loadTime, m.evictions, m.waited, m.loadWait,
+	m.refusals = newCounterVec("target_refusals_total", "Calls that targets refused for want of room, by what was known of the target.", "brittle")
+	m.registry.MustRegister(m.store, m.blocked, m.advised, m.refusals, m.late, m.requests, m.duration, m.loads, m.loadTime, m.evictions, m.waited, m.loadWait,
 		m.running, m.maxBatch, m.revision, m.faults, m.mismatch,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -142,3 +145,9 @@
 
 // TargetAdvised counts a target that said that it leaves or asked for a pause.
 func (m *Metrics) TargetAdvised(reason string) { m.advised.WithLabelValues(reason).Inc() }
+
+// TargetRefused counts a call that a target refused for want of room. knownBrittle tells
+// whether the call was sent in the knowledge that the target is brittle.
+func (m *Metrics) TargetRefused(knownBrittle bool) {
+	m.refusals.WithLabelValues(strconv.FormatBool(knownBrittle)).Inc()
+}
