advisory: what brittle targets say reaches all instances and new starts

Callers saw targets fall again the moment they were back. An instance read that a target is brittle from answers to its own calls, and kept it by id and start: a target that was back was sound for every instance, and a holder that placed calls of others often never read it.

What a brittle target bears now spreads as limits of requests do (holders, their followers, the latest answer counts), and a start without an answer is like the other targets of its service, its own earlier starts included. TestUnknownStartsAreLikeTheirService and the second case of TestLimitsReachOtherInstances fail without it.

--- a/internal/advisory/advisory.go
+++ b/internal/advisory/advisory.go
@@ -1,5 +1,5 @@
 // Package advisory tracks what targets say of themselves in their answers: that they
-// leave, that they want no requests for a while, and the rate that they accept. It decides what an instance may
+// leave, that they want no requests for a while, and the rates that they accept. It decides what an instance may
 // send to a target; the time is passed in.
 package advisory
 
@@ -49,27 +49,32 @@
 	// trialUntil is the end of the trial that is under way.
 	returning  bool
 	trialUntil time.Time
-	// limit is as of its latest answer.
-	limit    Limit
-	brittle  brittleness
-	lastSeen time.Time
+	// limits are as of its latest answer, by kind.
+	limits [limitKinds]Limit
+	// refusalPauseUntil is the time until which this instance sends nothing after a
+	// brittle target turned a request away.
+	refusalPauseUntil time.Time
+	lastSeen          time.Time
 }
 
 // Registry holds the advisories of all targets.
 type Registry struct {
 	mu     sync.Mutex
 	states map[bamboorail.TargetID]*state
-	// limited counts the targets with a limit.
-	limited atomic.Int32
-	// brittle counts the targets that say that they are.
-	brittle atomic.Int32
+	// services counts the limits in force by service.
+	services map[string]serviceLimits
+	// named counts the limits in force by kind.
+	named [limitKinds]atomic.Int32
 	// delay draws a delay of up to its argument.
 	delay func(time.Duration) time.Duration
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{states: map[bamboorail.TargetID]*state{}, delay: func(limit time.Duration) time.Duration { return rand.N(limit + 1) }}
+	return &Registry{
+		states: map[bamboorail.TargetID]*state{}, services: map[string]serviceLimits{},
+		delay: func(limit time.Duration) time.Duration { return rand.N(limit + 1) },
+	}
 }
 
 // Observe records the advisory of an answer of a target, and returns the reasons
@@ -176,11 +181,8 @@
 	defer r.mu.Unlock()
 	for id, s := range r.states {
 		if now.Sub(s.lastSeen) > retention && !live(id) {
-			if s.limit.Named {
-				r.limited.Add(-1)
-			}
-			if s.brittle.named {
-				r.brittle.Add(-1)
+			for _, l := range s.limits {
+				r.countLimit(l, -1)
 			}
 			delete(r.states, id)
 		}
--- a/internal/advisory/advisory_test.go
+++ b/internal/advisory/advisory_test.go
@@ -147,7 +147,7 @@
 			r, now, changes := New(), time.Now(), 0
 			id := bamboorail.TargetID{Name: "e", StartMillis: 1}
 			for n, a := range c.answers {
-				if _, changed := r.ObserveLimit(id, a, now.Add(time.Duration(n)*time.Second)); changed {
+				if _, changed := r.ObserveLimit(Requests, id, "s", a, now.Add(time.Duration(n)*time.Second)); changed {
 					changes++
 				}
 			}
--- a/internal/advisory/brittle_test.go
+++ b/internal/advisory/brittle_test.go
@@ -32,10 +32,10 @@
 		t.Run(name, func(t *testing.T) {
 			r := New()
 			for _, a := range c.answers {
-				r.ObserveBrittle(id, a, now)
+				r.ObserveLimit(Refusals, id, "s", a, now)
 			}
 			r.RecordRefusal(id, c.instances, now)
-			if got := r.IsBrittle(id); got != c.brittle {
+			if got := r.IsBrittle(id, "s"); got != c.brittle {
 				t.Errorf("brittle: %t", got)
 			}
 			if got := r.RefusalPause(id, now); got != c.pause {
@@ -45,8 +45,47 @@
 				t.Errorf("pause %s after the longest", got)
 			}
 			r.Expire(func(bamboorail.TargetID) bool { return false }, now.Add(2*retention))
-			if r.brittle.Load() != 0 {
-				t.Errorf("%d brittle targets after all were removed", r.brittle.Load())
+			if n := r.named[Refusals].Load(); n != 0 || len(r.services) != 0 {
+				t.Errorf("%d brittle targets of %d services after all were removed", n, len(r.services))
+			}
+		})
+	}
+}
+
+// TestUnknownStartsAreLikeTheirService guards against targets that are taken for sound when
+// they are back from a fall (incident archive-grown-brittle-targets).
+func TestUnknownStartsAreLikeTheirService(t *testing.T) {
+	now := time.Unix(1000, 0)
+	brittle := bamboorail.Advisory{Brittle: true, MaxRefusals: 5}
+	id := func(name string, start int64) bamboorail.TargetID {
+		return bamboorail.TargetID{Name: name, StartMillis: start}
+	}
+	type answer struct {
+		id      bamboorail.TargetID
+		service string
+		says    bamboorail.Advisory
+	}
+	cases := map[string]struct {
+		answers []answer
+		brittle bool
+	}{
+		"nothing known":            {nil, false},
+		"earlier start":            {[]answer{{id("a", 1), "s", brittle}}, true},
+		"another target":           {[]answer{{id("b", 1), "s", brittle}}, true},
+		"another service":          {[]answer{{id("b", 1), "other", brittle}}, false},
+		"earlier start recovered":  {[]answer{{id("a", 1), "s", brittle}, {id("a", 1), "s", bamboorail.Advisory{}}}, false},
+		"answered that it is not":  {[]answer{{id("b", 1), "s", brittle}, {id("a", 2), "s", bamboorail.Advisory{}}}, false},
+		"answer without a meaning": {[]answer{{id("b", 1), "s", brittle}, {id("a", 2), "s", bamboorail.Advisory{Partial: true}}}, true},
+		"service not known":        {[]answer{{id("b", 1), "", brittle}}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := New()
+			for n, a := range c.answers {
+				r.ObserveLimit(Refusals, a.id, a.service, a.says, now.Add(time.Duration(n)*time.Second))
+			}
+			if got := r.IsBrittle(id("a", 2), "s"); got != c.brittle {
+				t.Errorf("brittle: %t", got)
 			}
 		})
 	}
--- a/internal/advisory/limits.go
+++ b/internal/advisory/limits.go
@@ -14,28 +14,49 @@
 	maxStates = 4096
 )
 
-// Limit is the rate of requests that a target accepts from all instances together, as
-// of its latest answer.
+// LimitKind is what a limit counts.
+type LimitKind int
+
+// The kinds of limits.
+const (
+	// Requests limits the requests that a target accepts from all instances together.
+	Requests LimitKind = iota
+	// Refusals limits the requests that a brittle target turns away before it fails.
+	Refusals
+	limitKinds
+)
+
+// Limit is a limit that a target named in its latest answer.
 type Limit struct {
+	Kind   LimitKind
 	Target bamboorail.TargetID
-	// Named is set if there is a limit, Rate is that limit in requests a second.
+	// Service is the service of the target, empty if unknown.
+	Service string
+	// Named is set if there is a limit, Rate is that limit a second.
 	Named bool
 	Rate  float64
 	// At is the time of the answer.
 	At time.Time
 }
 
-// ObserveLimit records the limit that an answer of a target names, or that it names
-// none. It reports whether that is new.
-func (r *Registry) ObserveLimit(id bamboorail.TargetID, a bamboorail.Advisory, now time.Time) (Limit, bool) {
-	l := Limit{Target: id, Named: a.Limited, Rate: a.Limit, At: now}
+// serviceLimits counts the limits in force of the targets of one service, by kind.
+type serviceLimits [limitKinds]int
+
+// ObserveLimit records the limit of a kind that an answer of a target names, or that it
+// names none. It reports whether that is new.
+func (r *Registry) ObserveLimit(kind LimitKind, id bamboorail.TargetID, service string, a bamboorail.Advisory, now time.Time) (Limit, bool) {
+	l := Limit{Kind: kind, Target: id, Service: service, Named: a.Limited, Rate: a.Limit, At: now}
+	if kind == Refusals {
+		l.Named, l.Rate = a.Brittle, a.MaxRefusals
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.states[id]
-	switch {
-	case s == nil && !a.Limited, a.Partial && !a.Limited:
+	inherited := kind == Refusals && r.services[service][kind] > 0
+	if !l.Named && (a.Partial || s == nil && !inherited) {
 		return l, false
-	case s == nil:
+	}
+	if s == nil {
 		s = &state{}
 		r.states[id] = s
 	}
@@ -68,57 +89,65 @@
 // changes the limit. The caller holds the lock.
 func (r *Registry) setLimit(s *state, l Limit, now time.Time) bool {
 	s.lastSeen = now
-	if l.At.Before(s.limit.At) {
+	old := s.limits[l.Kind]
+	if l.At.Before(old.At) {
 		return false
 	}
-	changed := l.Named != s.limit.Named || l.Rate != s.limit.Rate
-	if l.Named != s.limit.Named {
-		if l.Named {
-			r.limited.Add(1)
-		} else {
-			r.limited.Add(-1)
-		}
+	r.countLimit(old, -1)
+	r.countLimit(l, 1)
+	s.limits[l.Kind] = l
+	return l.Named != old.Named || l.Rate != old.Rate
+}
+
+// countLimit adds n to the counts of a limit, if it is named. The caller holds the lock.
+func (r *Registry) countLimit(l Limit, n int) {
+	if !l.Named {
+		return
 	}
-	s.limit = l
-	return changed
+	r.named[l.Kind].Add(int32(n))
+	if l.Service == "" {
+		return
+	}
+	counts := r.services[l.Service]
+	if counts[l.Kind] += n; counts == (serviceLimits{}) {
+		delete(r.services, l.Service)
+		return
+	}
+	r.services[l.Service] = counts
 }
 
-// Limits returns the limits in force, and those that ended lately.
-func (r *Registry) Limits(now time.Time) []Limit {
+// Limits returns the limits of a kind in force, and those that ended lately.
+func (r *Registry) Limits(kind LimitKind, now time.Time) []Limit {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var list []Limit
 	for _, s := range r.states {
-		if s.limit.Named || (!s.limit.At.IsZero() && now.Sub(s.limit.At) < endedLimitRetention) {
-			list = append(list, s.limit)
+		l := s.limits[kind]
+		if l.Named || (!l.At.IsZero() && now.Sub(l.At) < endedLimitRetention) {
+			list = append(list, l)
 		}
 	}
 	return list
 }
 
-// HasLimits reports whether any target has a limit.
-func (r *Registry) HasLimits() bool { return r.limited.Load() > 0 }
+// HasLimits reports whether any target limits its requests.
+func (r *Registry) HasLimits() bool { return r.named[Requests].Load() > 0 }
 
 // Limit returns the requests a second that a target takes from all instances
 // together, and false if it named no limit.
 func (r *Registry) Limit(id bamboorail.TargetID) (float64, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s := r.states[id]
-	if s == nil {
-		return 0, false
-	}
-	return s.limit.Rate, s.limit.Named
+	l, _ := r.LastLimit(Requests, id)
+	return l.Rate, l.Named
 }
 
 // LastLimit returns the limit of a target as of its latest answer, and false if it never
 // named one.
-func (r *Registry) LastLimit(id bamboorail.TargetID) (Limit, bool) {
+func (r *Registry) LastLimit(kind LimitKind, id bamboorail.TargetID) (Limit, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.states[id]
-	if s == nil || s.limit.At.IsZero() {
+	if s == nil || s.limits[kind].At.IsZero() {
 		return Limit{}, false
 	}
-	return s.limit, true
+	return s.limits[kind], true
 }
--- a/internal/gateway/advisories.go
+++ b/internal/gateway/advisories.go
@@ -18,9 +18,6 @@
 func (g *Gateway) advise(id bamboorail.TargetID, a bamboorail.Advisory) {
 	now := time.Now()
 	g.chooser.Advise(id, a, now)
-	if g.advisories.ObserveBrittle(id, a, now) {
-		g.log.Info("target changes the refusals that it bears", "target", id.Name, "born", id.StartMillis, "brittle", a.Brittle, "refusals-per-second", a.MaxRefusals)
-	}
 	for _, reason := range g.advisories.Observe(id, a, now) {
 		g.metrics.TargetAdvised(string(reason))
 		if reason == advisory.ReasonLeaving {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -173,6 +173,7 @@
 func (g *Gateway) assemble() {
 	s := g.initial
 	tracer := telemetry.NewTracer(g.spans)
+	g.limits = placer.NewLimits(g.advisories, g.fleet, g.metrics, g.logs.Layer("placer"))
 	timing := lease.Timing{RenewInterval: renewInterval, Term: leaseTerm, Gap: s.LeaseGap}
 	zones := slices.Clone(s.Zones)
 	own := slices.Index(zones, s.Zone)
@@ -188,7 +189,7 @@
 		candidates = append(candidates, lease.Candidate{Lease: l, CrossZone: zone != s.Zone, ClaimDelay: claimDelay(s.ProcessorShare)})
 		h := placer.NewHolder(placer.HolderConfig{
 			Zone: zone, Instance: s.Instance, Lease: l, Fleet: g.fleet, Table: g.table.Load, Engines: g.platform.Engines,
-			Tuning: g.tuning(), FetchShare: g.fetchShare, ModelLoadInterval: g.modelLoadInterval, Permit: g.permit, Rates: g.advisories, Brittle: g.advisories.IsBrittle,
+			Tuning: g.tuning(), FetchShare: g.fetchShare, ModelLoadInterval: g.modelLoadInterval, Permit: g.permit, Rates: g.advisories, Brittle: g.limits.IsBrittle,
 			Metrics: g.metrics, Log: g.logs.Layer("placer"),
 		})
 		g.holders = append(g.holders, placer.ZoneHolder{Zone: zone, Local: h, Lease: l})
@@ -201,7 +202,6 @@
 	g.elector = lease.NewElector(leaseKind, g.platform.Store, candidates, timing, lease.BootTime, g.logs.Layer("lease"))
 	g.elector.SetReader(g.mirror)
 	g.quarantine = placer.NewQuarantine(g.metrics, g.logs.Layer("placer"))
-	g.limits = placer.NewLimits(g.advisories, g.metrics, g.logs.Layer("placer"))
 	g.chooser = placer.NewChooser(placer.ChooserConfig{
 		Instance: s.Instance, Zones: g.holders, Peers: g.peers, Fleet: g.fleet, Balancer: g.balancer,
 		Tracer: tracer, PollLease: g.elector.PollNow, Quarantine: g.quarantine, Advisories: g.advisories, Limits: g.limits,
--- a/internal/placer/acquire.go
+++ b/internal/placer/acquire.go
@@ -38,23 +38,24 @@
 	shareUsed time.Time
 }
 
-// Advise records the limit that a target names in an answer, or that it names none, and
+// Advise records the limits that a target names in an answer, or that it names none, and
 // queues changes for the holders of all zones.
 func (c *Chooser) Advise(id bamboorail.TargetID, a bamboorail.Advisory, now time.Time) {
-	limit, changed := c.Limits.observe(id, a, now)
-	if !changed {
+	changed := c.Limits.observe(id, a, now)
+	if len(changed) == 0 {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, z := range c.Zones {
-		c.keepLimits(z.Zone, limit)
+		c.keepLimits(z.Zone, changed...)
 	}
 }
 
 // Learn merges the limits and blocks in a holder's reply to a follow request.
 func (c *Chooser) Learn(zone string, r *wire.FollowReply) {
-	c.Limits.merge(r.GetLimits(), "holder of "+zone)
+	c.Limits.merge(advisory.Requests, r.GetLimits(), "holder of "+zone)
+	c.Limits.merge(advisory.Refusals, r.GetRefusalLimits(), "holder of "+zone)
 	c.Quarantine.learn(zone, r.GetBlocks())
 }
 
@@ -179,7 +180,7 @@
 	if address == "" || c.inBackoff(z) {
 		return ratelimit.Grant{}, false
 	}
-	limit, _ := c.Advisories.LastLimit(id)
+	limit, _ := c.Advisories.LastLimit(advisory.Requests, id)
 	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
 	reply, err := c.Peers.Acquire(ctx, address, &wire.AcquireRequest{
@@ -245,7 +246,7 @@
 		return &wire.AcquireReply{}, nil
 	}
 	limit := r.GetLimit()
-	s.limits.merge([]*wire.TargetLimit{limit}, r.GetInstance())
+	s.limits.merge(advisory.Requests, []*wire.TargetLimit{limit}, r.GetInstance())
 	id := bamboorail.TargetID{Name: limit.GetTarget(), StartMillis: limit.GetBorn()}
 	g := h.Acquire(id, r.GetInstance(), r.GetUngranted())
 	return &wire.AcquireReply{
@@ -257,7 +258,8 @@
 func (s *Server) Follow(ctx context.Context, r *wire.FollowRequest) (*wire.FollowReply, error) {
 	reply, err := s.Follower.Follow(ctx, r)
 	if err == nil && reply != nil {
-		reply.Limits, reply.Blocks, reply.Baselines = s.limits.messages(), s.quarantine.blockMessages(), s.Baselines()
+		reply.Limits, reply.RefusalLimits = s.limits.messages(advisory.Requests), s.limits.messages(advisory.Refusals)
+		reply.Blocks, reply.Baselines = s.quarantine.blockMessages(), s.Baselines()
 	}
 	return reply, err
 }
--- a/internal/placer/acquire_test.go
+++ b/internal/placer/acquire_test.go
@@ -109,26 +109,43 @@
 	}
 }
 
-// TestLimitsReachOtherInstances checks that a limit, and its end, reach a holder, that
-// one's followers, and a holder that is asked for a request first.
+// TestLimitsReachOtherInstances checks that a limit of each kind, and its end, reach a
+// holder, that one's followers, and a holder that is asked for a request first.
 func TestLimitsReachOtherInstances(t *testing.T) {
-	first, _, _ := newTestChooser(t)
-	second, _, _ := newTestChooser(t)
-	id := bamboorail.TargetID{Name: "e", StartMillis: 7}
-	now := time.Now()
-	first.Advise(id, bamboorail.Advisory{Limited: true, Limit: 2}, now.Add(-time.Second))
-	second.Learn("a", &wire.FollowReply{Limits: first.Limits.messages()})
-	if rate, limited := second.Advisories.Limit(id); !limited || rate != 2 {
-		t.Errorf("limit %v, %t at a follower", rate, limited)
+	reply := func(kind advisory.LimitKind, list []*wire.TargetLimit) *wire.FollowReply {
+		if kind == advisory.Refusals {
+			return &wire.FollowReply{RefusalLimits: list}
+		}
+		return &wire.FollowReply{Limits: list}
 	}
-	first.Advise(id, bamboorail.Advisory{}, now)
-	if list := first.takeLimits("b"); len(list) != 2 {
-		t.Errorf("%d limits for the holder of another zone, want the limit and its end", len(list))
+	cases := map[string]struct {
+		kind   advisory.LimitKind
+		answer bamboorail.Advisory
+	}{
+		"requests": {advisory.Requests, bamboorail.Advisory{Limited: true, Limit: 2}},
+		"refusals": {advisory.Refusals, bamboorail.Advisory{Brittle: true, MaxRefusals: 2}},
 	}
-	second.Learn("a", &wire.FollowReply{Limits: first.Limits.messages()})
-	second.Learn("b", &wire.FollowReply{Limits: []*wire.TargetLimit{{Target: "e", Born: 7, Named: true, Rate: 2, AgeMicros: time.Minute.Microseconds()}}})
-	if _, limited := second.Advisories.Limit(id); limited || second.Advisories.HasLimits() {
-		t.Error("a late report revived a limit that ended")
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			first, _, _ := newTestChooser(t)
+			second, _, _ := newTestChooser(t)
+			id := bamboorail.TargetID{Name: "e", StartMillis: 7}
+			now := time.Now()
+			first.Advise(id, c.answer, now.Add(-time.Second))
+			second.Learn("a", reply(c.kind, first.Limits.messages(c.kind)))
+			if l, _ := second.Advisories.LastLimit(c.kind, id); !l.Named || l.Rate != 2 {
+				t.Errorf("limit %v at a follower", l)
+			}
+			first.Advise(id, bamboorail.Advisory{}, now)
+			if list := first.takeLimits("b"); len(list) != 2 || len(limitMessages(list, c.kind, now)) != 2 {
+				t.Errorf("limits %v for the holder of another zone, want the limit and its end", list)
+			}
+			second.Learn("a", reply(c.kind, first.Limits.messages(c.kind)))
+			second.Learn("b", reply(c.kind, []*wire.TargetLimit{{Target: "e", Born: 7, Named: true, Rate: 2, AgeMicros: time.Minute.Microseconds()}}))
+			if l, _ := second.Advisories.LastLimit(c.kind, id); l.Named || second.Advisories.HasLimits() || second.Limits.IsBrittle(id) {
+				t.Error("a late report revived a limit that ended")
+			}
+		})
 	}
 }
 
@@ -138,7 +155,7 @@
 	const rate = 10
 	synctest.Test(t, func(t *testing.T) {
 		id, r := bamboorail.TargetID{Name: "e"}, advisory.New()
-		r.ObserveLimit(id, bamboorail.Advisory{Limited: true, Limit: rate}, time.Now())
+		r.ObserveLimit(advisory.Requests, id, "s", bamboorail.Advisory{Limited: true, Limit: rate}, time.Now())
 		holders := []*testHolder{newTestHolder(t), newTestHolder(t)}
 		for _, b := range holders {
 			b.Holder = NewHolder(HolderConfig{Lease: b.Lease, Rates: r, Metrics: telemetry.NewMetrics(), Log: hclog.NewNullLogger()})
@@ -176,7 +193,7 @@
 		b.Holder = NewHolder(b.HolderConfig)
 		b.upkeep(context.Background())
 		id := bamboorail.TargetID{Name: "e"}
-		r.ObserveLimit(id, bamboorail.Advisory{Limited: true, Limit: rate}, time.Now())
+		r.ObserveLimit(advisory.Requests, id, "s", bamboorail.Advisory{Limited: true, Limit: rate}, time.Now())
 		b.Acquire(id, "i", nil) // denied, but starts the token bucket
 		time.Sleep(time.Second / rate)
 		if err := b.placeAndEnd(1); err != nil {
--- a/internal/placer/brittle.go
+++ b/internal/placer/brittle.go
@@ -17,7 +17,7 @@
 // hasRoom reports whether a target has room for a call. A brittle one gets no more calls
 // of this instance at once than its share of the slots.
 func (c *Chooser) hasRoom(e bamboorail.TargetEntry, now time.Time) bool {
-	if !c.Advisories.IsBrittle(e.ID) {
+	if !c.Limits.IsBrittle(e.ID) {
 		return true
 	}
 	share := max(e.Slots/max(c.Instances(), 1), 1)
@@ -51,7 +51,7 @@
 // the call, known whether this instance took the target for brittle then.
 func (c *Chooser) reportRefusal(id bamboorail.TargetID, source string, known bool) {
 	c.Metrics.TargetRefused(known)
-	if known || c.Advisories.IsBrittle(id) {
+	if known || c.Limits.IsBrittle(id) {
 		c.Log.Info("brittle target refused a call", "target", id.Name, "born", id.StartMillis, "known", known, "placed-by", source,
 			"in-flight", c.Balancer.InFlight(id))
 	}
@@ -59,7 +59,7 @@
 
 // balancedDone returns the function that ends a call which the balancer placed.
 func (c *Chooser) balancedDone(id bamboorail.TargetID) func(balance.Result, time.Duration) {
-	known := c.Advisories.IsBrittle(id)
+	known := c.Limits.IsBrittle(id)
 	return func(r balance.Result, took time.Duration) {
 		now := time.Now()
 		if r == balance.Refused {
--- a/internal/placer/brittle_sim_test.go
+++ b/internal/placer/brittle_sim_test.go
@@ -294,6 +294,7 @@
 func (s *brittleSim) newInstance(name string, zone int) *brittleInstance {
 	i := &brittleInstance{sim: s, name: name}
 	f, advisories := fleet.New(time.Second), advisory.New()
+	limits := newTestLimits(advisories, f)
 	f.MarkReleasesSynced()
 	for _, x := range s.targets {
 		f.Update(x.entry)
@@ -312,11 +313,10 @@
 			Zone: z, Instance: name, Lease: l, Fleet: f, Table: func() *route.Table { return table }, Engines: simEngines{s},
 			Tuning:     adapters.Tuning{FetchTime: time.Millisecond, ReloadShare: 1, FetchLimit: 8, CallTime: s.load.work, DemandHalfLife: time.Second, SuspectPeriod: time.Second},
 			FetchShare: func() int { return 8 }, ModelLoadInterval: func() time.Duration { return time.Second },
-			Rates: advisories, Brittle: advisories.IsBrittle, Metrics: telemetry.NewMetrics(), Log: hclog.NewNullLogger(),
+			Rates: advisories, Brittle: limits.IsBrittle, Metrics: telemetry.NewMetrics(), Log: hclog.NewNullLogger(),
 		})
 		i.zones = append(i.zones, ZoneHolder{Zone: z, Local: h, Lease: l})
 	}
-	limits := newTestLimits(advisories)
 	quarantine := newTestQuarantine()
 	i.chooser = NewChooser(ChooserConfig{
 		Instance: name, Zones: i.zones, Peers: simPeers{s}, Fleet: f, Balancer: balance.New(i.zones[0].Zone), Tracer: noop.NewTracerProvider().Tracer(""),
@@ -405,7 +405,6 @@
 		result, a := s.target(place.Target.ID.Name).serve(ctx)
 		now := time.Now()
 		i.chooser.Advise(place.Target.ID, a, now)
-		i.chooser.Advisories.ObserveBrittle(place.Target.ID, a, now)
 		place.Done(result, now.Sub(sent))
 		switch result {
 		case balance.Answered:
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -288,7 +288,7 @@
 	for _, e := range c.openTargets(a.Service.Name, now) {
 		held, loaded := e.Models[key.Model]
 		if !loaded || slices.Contains(a.Avoid, e.ID.Name) || !hasSoftware(e, a) || !c.hasRoom(e, now) ||
-			full[e.Zone] && c.Advisories.IsBrittle(e.ID) {
+			full[e.Zone] && c.Limits.IsBrittle(e.ID) {
 			continue
 		}
 		version, present := held[key.Adapter]
--- a/internal/placer/chooser_test.go
+++ b/internal/placer/chooser_test.go
@@ -70,8 +70,8 @@
 	return NewQuarantine(telemetry.NewMetrics(), hclog.NewNullLogger())
 }
 
-func newTestLimits(r *advisory.Registry) *Limits {
-	return NewLimits(r, telemetry.NewMetrics(), hclog.NewNullLogger())
+func newTestLimits(r *advisory.Registry, f *fleet.Fleet) *Limits {
+	return NewLimits(r, f, telemetry.NewMetrics(), hclog.NewNullLogger())
 }
 
 // newTestChooser returns a chooser in zone a of zones a, b and c, whose holders
@@ -102,7 +102,7 @@
 	c := NewChooser(ChooserConfig{
 		Instance: "self", Zones: zones, Peers: peers, Fleet: f, Balancer: balance.New("a"),
 		Tracer: noop.NewTracerProvider().Tracer(""), PollLease: func() {}, Log: hclog.NewNullLogger(),
-		Quarantine: newTestQuarantine(), Advisories: advisories, Limits: newTestLimits(advisories), Instances: func() int { return 6 },
+		Quarantine: newTestQuarantine(), Advisories: advisories, Limits: newTestLimits(advisories, f), Instances: func() int { return 6 },
 		Metrics: telemetry.NewMetrics(),
 	})
 	key := bamboorail.AdapterKey{Model: "m"}
@@ -137,7 +137,7 @@
 			entry, _ := chooser.Fleet.Target("e")
 			entry.Models = map[string]map[string]int{"m": {request.Call.Key.Adapter: 1}}
 			chooser.Fleet.Update(entry)
-			chooser.Advisories.ObserveBrittle(entry.ID, bamboorail.Advisory{Brittle: c.brittle, MaxRefusals: 5}, time.Now())
+			chooser.Advise(entry.ID, bamboorail.Advisory{Brittle: c.brittle, MaxRefusals: 5}, time.Now())
 			place, err := chooser.Choose(context.Background(), request)
 			if placed := err == nil; placed != c.placed {
 				t.Errorf("placed %t at %q, %v", placed, place.Target.ID.Name, err)
--- a/internal/placer/limits.go
+++ b/internal/placer/limits.go
@@ -7,6 +7,7 @@
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/advisory"
+	"bamboorail.example/bamboorail/internal/fleet"
 	"bamboorail.example/bamboorail/internal/peer/wire"
 	"bamboorail.example/bamboorail/internal/telemetry"
 )
@@ -17,27 +18,46 @@
 // Limits exchanges the limits that targets name with other instances.
 type Limits struct {
 	registry *advisory.Registry
+	fleet    *fleet.Fleet
 	metrics  *telemetry.Metrics
 	log      hclog.Logger
 }
 
 // NewLimits returns the exchange of the limits in a registry.
-func NewLimits(r *advisory.Registry, m *telemetry.Metrics, log hclog.Logger) *Limits {
-	return &Limits{registry: r, metrics: m, log: log}
+func NewLimits(r *advisory.Registry, f *fleet.Fleet, m *telemetry.Metrics, log hclog.Logger) *Limits {
+	return &Limits{registry: r, fleet: f, metrics: m, log: log}
 }
 
-// observe records the limit that an answer names, or that it names none. It reports
-// whether the limit changed.
-func (l *Limits) observe(id bamboorail.TargetID, a bamboorail.Advisory, now time.Time) (advisory.Limit, bool) {
-	limit, changed := l.registry.ObserveLimit(id, a, now)
-	if changed {
-		l.report(limit, "answer")
+// limitKinds are the kinds of limits that targets name.
+var limitKinds = []advisory.LimitKind{advisory.Requests, advisory.Refusals}
+
+// observe records the limits that an answer names, or that it names none. It returns those
+// that changed.
+func (l *Limits) observe(id bamboorail.TargetID, a bamboorail.Advisory, now time.Time) []advisory.Limit {
+	var list []advisory.Limit
+	service := l.service(id)
+	for _, kind := range limitKinds {
+		if limit, changed := l.registry.ObserveLimit(kind, id, service, a, now); changed {
+			l.report(limit, "answer")
+			list = append(list, limit)
+		}
 	}
-	return limit, changed
+	return list
+}
+
+// service returns the service of a target, or an empty string.
+func (l *Limits) service(id bamboorail.TargetID) string {
+	e, _ := l.fleet.Target(id.Name)
+	return e.Service
+}
+
+// IsBrittle reports whether a target must not be sent calls that it may have no room for.
+func (l *Limits) IsBrittle(id bamboorail.TargetID) bool {
+	return l.registry.IsBrittle(id, l.service(id))
 }
 
-// merge records limits that another instance reported.
-func (l *Limits) merge(messages []*wire.TargetLimit, source string) {
+// merge records limits of a kind that another instance reported.
+func (l *Limits) merge(kind advisory.LimitKind, messages []*wire.TargetLimit, source string) {
 	if len(messages) == 0 {
 		return
 	}
@@ -48,8 +68,9 @@
 			l.log.Warn("limit without a target ignored", "source", source)
 			continue
 		}
+		id := bamboorail.TargetID{Name: m.GetTarget(), StartMillis: m.GetBorn()}
 		list = append(list, advisory.Limit{
-			Target: bamboorail.TargetID{Name: m.GetTarget(), StartMillis: m.GetBorn()}, Named: m.GetNamed(), Rate: m.GetRate(),
+			Kind: kind, Target: id, Service: l.service(id), Named: m.GetNamed(), Rate: m.GetRate(),
 			At: now.Add(-time.Duration(max(m.GetAgeMicros(), 0)) * time.Microsecond),
 		})
 	}
@@ -59,6 +80,14 @@
 }
 
 func (l *Limits) report(limit advisory.Limit, source string) {
+	if limit.Kind == advisory.Refusals {
+		l.log.Info("target changes the refusals that it bears", "target", limit.Target.Name, "born", limit.Target.StartMillis, "brittle", limit.Named,
+			"refusals-per-second", limit.Rate, "source", source)
+		if limit.Named {
+			l.metrics.TargetAdvised("brittle")
+		}
+		return
+	}
 	if !limit.Named {
 		l.log.Info("target names no limit any more", "target", limit.Target.Name, "born", limit.Target.StartMillis, "source", source)
 		return
@@ -67,16 +96,19 @@
 	l.log.Info("target names a limit", "target", limit.Target.Name, "born", limit.Target.StartMillis, "requests-per-second", limit.Rate, "source", source)
 }
 
-// messages returns all limits, and those that ended lately.
-func (l *Limits) messages() []*wire.TargetLimit {
+// messages returns all limits of a kind, and those that ended lately.
+func (l *Limits) messages(kind advisory.LimitKind) []*wire.TargetLimit {
 	now := time.Now()
-	return limitMessages(l.registry.Limits(now), now)
+	return limitMessages(l.registry.Limits(kind, now), kind, now)
 }
 
-func limitMessages(list []advisory.Limit, now time.Time) []*wire.TargetLimit {
+// limitMessages returns the messages of the limits of a kind in a list.
+func limitMessages(list []advisory.Limit, kind advisory.LimitKind, now time.Time) []*wire.TargetLimit {
 	messages := make([]*wire.TargetLimit, 0, len(list))
 	for _, limit := range list {
-		messages = append(messages, limitMessage(limit, now))
+		if limit.Kind == kind {
+			messages = append(messages, limitMessage(limit, now))
+		}
 	}
 	return messages
 }
--- a/internal/placer/reconcile_test.go
+++ b/internal/placer/reconcile_test.go
@@ -33,7 +33,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				b := newTestHolder(t)
 				ctx := context.Background()
-				s := NewServer([]ZoneHolder{{Zone: "z", Local: b.Holder, Lease: b.Lease}}, b.Fleet, nil, nil, nil, newTestQuarantine(), newTestLimits(advisory.New()))
+				s := NewServer([]ZoneHolder{{Zone: "z", Local: b.Holder, Lease: b.Lease}}, b.Fleet, nil, nil, nil, newTestQuarantine(), newTestLimits(advisory.New(), b.Fleet))
 				tickets := make([]uint64, 0, placements)
 				for range placements {
 					reply, err := s.Place(ctx, &wire.PlaceRequest{Zone: "z", Instance: "i", Service: "s", Model: "m", Adapter: "a0"})
@@ -68,7 +68,7 @@
 // it.
 func TestPlacementOfCanceledRequestIsReleased(t *testing.T) {
 	b := newTestHolder(t)
-	s := NewServer([]ZoneHolder{{Zone: "z", Local: b.Holder, Lease: b.Lease}}, b.Fleet, nil, nil, nil, newTestQuarantine(), newTestLimits(advisory.New()))
+	s := NewServer([]ZoneHolder{{Zone: "z", Local: b.Holder, Lease: b.Lease}}, b.Fleet, nil, nil, nil, newTestQuarantine(), newTestLimits(advisory.New(), b.Fleet))
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	if _, err := s.Place(ctx, &wire.PlaceRequest{Zone: "z", Instance: "i", Service: "s", Model: "m", Adapter: "a0"}); err != nil {
--- a/internal/placer/releases_test.go
+++ b/internal/placer/releases_test.go
@@ -67,7 +67,7 @@
 				FetchTime: time.Millisecond, ReloadShare: 1, FetchLimit: 8, MaxLoadsPerEngine: 8, CachedAdapters: 8,
 				DemandHalfLife: time.Second, OldVersionGrace: 2 * time.Second,
 			}, 0)
-			ctx, server := context.Background(), NewServer([]ZoneHolder{{Zone: "z", Local: b.Holder, Lease: b.Lease}}, b.Fleet, nil, nil, nil, newTestQuarantine(), newTestLimits(advisory.New()))
+			ctx, server := context.Background(), NewServer([]ZoneHolder{{Zone: "z", Local: b.Holder, Lease: b.Lease}}, b.Fleet, nil, nil, nil, newTestQuarantine(), newTestLimits(advisory.New(), b.Fleet))
 			// The engine holds version 1, and a running call keeps it there.
 			b.engine.held["a0"] = true
 			b.upkeep(ctx)
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -8,6 +8,7 @@
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/adapters"
+	"bamboorail.example/bamboorail/internal/advisory"
 	"bamboorail.example/bamboorail/internal/balance"
 	"bamboorail.example/bamboorail/internal/fleet"
 	"bamboorail.example/bamboorail/internal/peer/wire"
@@ -111,7 +112,8 @@
 // reconciles its open ones.
 func (s *Server) Settle(_ context.Context, r *wire.SettleRequest) (*wire.SettleReply, error) {
 	s.quarantine.merge(r.GetBroken())
-	s.limits.merge(r.GetLimits(), r.GetInstance())
+	s.limits.merge(advisory.Requests, r.GetLimits(), r.GetInstance())
+	s.limits.merge(advisory.Refusals, r.GetRefusalLimits(), r.GetInstance())
 	blocks := s.quarantine.blockMessages()
 	h := s.zones[r.GetZone()]
 	if h == nil || !h.Lease.Leading() {
--- a/internal/placer/settle.go
+++ b/internal/placer/settle.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/advisory"
 	"bamboorail.example/bamboorail/internal/balance"
 	"bamboorail.example/bamboorail/internal/peer/wire"
 	"bamboorail.example/bamboorail/internal/task"
@@ -13,7 +14,7 @@
 
 // settleFunc returns the function that ends a placement.
 func (c *Chooser) settleFunc(zone string, target bamboorail.TargetID, ticket uint64) func(balance.Result, time.Duration) {
-	known := c.Advisories.IsBrittle(target)
+	known := c.Limits.IsBrittle(target)
 	return func(r balance.Result, _ time.Duration) {
 		if r == balance.Refused {
 			c.reportRefusal(target, "holder of "+zone, known)
@@ -89,9 +90,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
+	now := time.Now()
 	reply, err := c.Peers.Settle(ctx, address, &wire.SettleRequest{
 		Zone: z.Zone, Instance: c.Instance, Ended: endedMessages(list), Reconcile: reconcile, Open: open,
-		Broken: breakMessages(breaks, time.Now()), Limits: limitMessages(limits, time.Now()),
+		Broken: breakMessages(breaks, now), Limits: limitMessages(limits, advisory.Requests, now), RefusalLimits: limitMessages(limits, advisory.Refusals, now),
 	})
 	if err != nil {
 		requeue()
