placer: permits for calls at brittle targets, issued by the holder of their zone

Cause: a bound for all instances that each kept alone. Each might have one call at a target, however many instances there are; the refusals that taught them better made the targets fall, and the pauses moved the load to the others.

The holder of the zone now issues a permit for each slot to all instances (internal/concurrency). Ends are reported at once; refusals all the same stop permits before the next one could be too many. Denied instances return at the rate at which slots become free.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -189,7 +189,7 @@
 		candidates = append(candidates, lease.Candidate{Lease: l, CrossZone: zone != s.Zone, ClaimDelay: claimDelay(s.ProcessorShare)})
 		h := placer.NewHolder(placer.HolderConfig{
 			Zone: zone, Instance: s.Instance, Lease: l, Fleet: g.fleet, Table: g.table.Load, Engines: g.platform.Engines,
-			Tuning: g.tuning(), FetchShare: g.fetchShare, ModelLoadInterval: g.modelLoadInterval, Permit: g.permit, Rates: g.advisories, Brittle: g.limits.IsBrittle,
+			Tuning: g.tuning(), FetchShare: g.fetchShare, ModelLoadInterval: g.modelLoadInterval, Permit: g.permit, Rates: g.advisories, Brittle: g.limits,
 			Metrics: g.metrics, Log: g.logs.Layer("placer"),
 		})
 		g.holders = append(g.holders, placer.ZoneHolder{Zone: zone, Local: h, Lease: l})
--- a/internal/placer/acquire.go
+++ b/internal/placer/acquire.go
@@ -8,6 +8,7 @@
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/advisory"
+	"bamboorail.example/bamboorail/internal/concurrency"
 	"bamboorail.example/bamboorail/internal/lease"
 	"bamboorail.example/bamboorail/internal/peer/wire"
 	"bamboorail.example/bamboorail/internal/ratelimit"
@@ -24,18 +25,34 @@
 	// add up to one and a half times the limit.
 	lapsedShare   = 0.3
 	fallbackShare = 0.2
+	// slotFallbackShare is the part of the calls that a brittle target can run which the
+	// instances without access to a holder send together. It is low, since their moments
+	// are random.
+	slotFallbackShare = 0.33
 	// maxShareTime bounds the time for which an unused share accumulates.
 	maxShareTime = time.Second
 )
 
 // throttle is the state of an instance for one target with a limit.
 type throttle struct {
-	// deniedUntil is the time until which the holder is not asked again, retryAfter
-	// the delay that it suggested to callers.
+	// deniedUntil is the time until which the holder is not asked again, denial its answer.
 	deniedUntil time.Time
-	retryAfter  time.Duration
-	// shareUsed is the last time at which this instance considered its own share.
-	shareUsed time.Time
+	denial      admission
+	// shareUsed and slotsUsed are the last times at which this instance considered its own
+	// share of the limit and of the slots.
+	shareUsed, slotsUsed time.Time
+}
+
+// admission is the answer to a request to send a call to a target.
+type admission struct {
+	granted bool
+	// permit is the permit of the holder of the target's zone, or 0.
+	permit uint64
+	// busy is set if the call was denied because the target is brittle and busy.
+	busy bool
+	// again is the time after which a denied request may be granted, retryAfter the delay
+	// to suggest to its caller.
+	again, retryAfter time.Duration
 }
 
 // Advise records the limits that a target names in an answer, or that it names none, and
@@ -87,41 +104,47 @@
 	c.keepLimits(zone, list...)
 }
 
-// acquire asks for permission to send a request to a target of a plain service. If it
-// is denied, it returns the time after which the caller should retry.
-func (c *Chooser) acquire(ctx context.Context, t bamboorail.TargetEntry, now time.Time) (bool, time.Duration) {
+// acquire asks for permission to send a call, which ends within a timeout, to a target of
+// a plain service.
+func (c *Chooser) acquire(ctx context.Context, t bamboorail.TargetEntry, timeout time.Duration, now time.Time) admission {
 	rate, limited := c.Advisories.Limit(t.ID)
-	if !limited {
+	brittle := c.Limits.IsBrittle(t.ID)
+	if !limited && !brittle {
 		c.recordUngranted(t.ID, now)
-		return true, 0
+		return admission{granted: true}
 	}
 	c.mu.Lock()
 	th := c.throttleOf(t.ID)
-	denied, retryAfter := now.Before(th.deniedUntil), th.retryAfter
+	denied, denial := now.Before(th.deniedUntil), th.denial
+	denial.again = th.deniedUntil.Sub(now)
 	c.mu.Unlock()
 	if denied {
-		return false, retryAfter
+		return denial
 	}
 	for _, z := range c.Zones {
 		if z.Zone != t.Zone {
 			continue
 		}
-		grant, answered := c.askForRequest(ctx, z, t.ID, now)
+		a, answered := c.askForCall(ctx, z, callRequest{target: t.ID, instance: c.Instance, permit: brittle, timeout: timeout}, now)
 		if !answered {
 			break
 		}
-		if !grant.Granted {
+		if !a.granted {
+			a.again = max(a.again, minAcquireRetry)
 			c.mu.Lock()
-			th.deniedUntil, th.retryAfter = now.Add(max(grant.Again, minAcquireRetry)), grant.RetryAfter
+			th.deniedUntil, th.denial = now.Add(a.again), a
 			c.mu.Unlock()
 		}
-		return grant.Granted, grant.RetryAfter
+		return a
+	}
+	if limited && !c.useShare(th, rate, now) {
+		return admission{retryAfter: time.Duration(float64(time.Second) / max(rate, ratelimit.MinRate))}
 	}
-	if !c.useShare(th, rate, now) {
-		return false, time.Duration(float64(time.Second) / max(rate, ratelimit.MinRate))
+	if brittle && !c.useSlots(th, t, now) {
+		return admission{busy: true, again: minRetryDelay}
 	}
 	c.recordUngranted(t.ID, now)
-	return true, 0
+	return admission{granted: true}
 }
 
 // throttleOf returns the throttle of a target. The caller holds the lock.
@@ -135,22 +158,44 @@
 }
 
 // useShare reports whether this instance may use its share of a limit without a
-// holder. The decision is random and unused shares expire: instances that accumulated
-// them could spend them at the same time.
+// holder.
 func (c *Chooser) useShare(th *throttle, rate float64, now time.Time) bool {
+	return c.draw(&th.shareUsed, fallbackShare*rate, now)
+}
+
+// useSlots reports whether this instance may send a call to a brittle target without a
+// holder.
+func (c *Chooser) useSlots(th *throttle, t bamboorail.TargetEntry, now time.Time) bool {
+	if !c.hasRoom(t, now) {
+		return false
+	}
+	callTime := c.callTime(t.Service)
+	return c.draw(&th.slotsUsed, slotFallbackShare*float64(t.Slots)/callTime.Seconds(), now)
+}
+
+// draw reports whether this instance may use its share of a rate of all instances now;
+// used is the last time at which it considered that. The decision is random and unused
+// shares expire: instances that accumulated them could spend them at the same time.
+func (c *Chooser) draw(used *time.Time, rate float64, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	unused := min(now.Sub(th.shareUsed), maxShareTime)
-	th.shareUsed = now
-	return rand.Float64() < fallbackShare*rate/float64(max(c.Instances(), 1))*unused.Seconds()
+	unused := min(now.Sub(*used), maxShareTime)
+	*used = now
+	return rand.Float64() < rate/float64(max(c.Instances(), 1))*unused.Seconds()
 }
 
-// useEngineShare is useShare for an engine that is chosen without a holder.
-func (c *Chooser) useEngineShare(id bamboorail.TargetID, rate float64, now time.Time) bool {
+// mayUseEngine reports whether this instance may send a call to an engine without a
+// holder.
+func (c *Chooser) mayUseEngine(e bamboorail.TargetEntry, now time.Time) bool {
+	rate, limited := c.Advisories.Limit(e.ID)
+	brittle := c.Limits.IsBrittle(e.ID)
+	if !limited && !brittle {
+		return true
+	}
 	c.mu.Lock()
-	th := c.throttleOf(id)
+	th := c.throttleOf(e.ID)
 	c.mu.Unlock()
-	return c.useShare(th, rate, now)
+	return (!limited || c.useShare(th, rate, now)) && (!brittle || c.useSlots(th, e, now))
 }
 
 func (c *Chooser) recordUngranted(id bamboorail.TargetID, now time.Time) {
@@ -164,47 +209,92 @@
 	w.Add(1, now)
 }
 
-// askForRequest asks the holder of a zone for a request. It returns false if there was
-// no answer.
-func (c *Chooser) askForRequest(ctx context.Context, z ZoneHolder, id bamboorail.TargetID, now time.Time) (ratelimit.Grant, bool) {
+// askForCall asks the holder of a zone to admit a call. It returns false if there was no
+// answer, or none from a holder that issues the permit that the call needs.
+func (c *Chooser) askForCall(ctx context.Context, z ZoneHolder, r callRequest, now time.Time) (admission, bool) {
 	c.mu.Lock()
-	var ungranted []int32
-	if w := c.ungranted[id]; w != nil {
-		ungranted = w.Counts(now)
+	if w := c.ungranted[r.target]; w != nil {
+		r.ungranted = w.Counts(now)
 	}
 	c.mu.Unlock()
 	if z.Local != nil && z.Lease.Leading() {
-		return z.Local.Acquire(id, c.Instance, ungranted), true
+		return z.Local.admit(r), true
 	}
 	_, address := z.Lease.Holder()
 	if address == "" || c.inBackoff(z) {
-		return ratelimit.Grant{}, false
+		return admission{}, false
+	}
+	limit, _ := c.Advisories.LastLimit(advisory.Requests, r.target)
+	limit.Target = r.target
+	message := &wire.AcquireRequest{
+		Zone: z.Zone, Instance: r.instance, Limit: limitMessage(limit, now), Ungranted: r.ungranted, Permit: r.permit, TimeoutMicros: r.timeout.Microseconds(),
+	}
+	if refusals, known := c.Advisories.LastLimit(advisory.Refusals, r.target); known {
+		message.Refusals = limitMessage(refusals, now)
 	}
-	limit, _ := c.Advisories.LastLimit(advisory.Requests, id)
 	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
-	reply, err := c.Peers.Acquire(ctx, address, &wire.AcquireRequest{
-		Zone: z.Zone, Instance: c.Instance, Limit: limitMessage(limit, now), Ungranted: ungranted,
-	})
+	reply, err := c.Peers.Acquire(ctx, address, message)
 	if err != nil || !reply.GetHolder() {
 		c.backOff(z)
-		c.Log.Info("holder grants no requests", "zone", z.Zone, "address", address, "target", id.Name, "error", err)
-		return ratelimit.Grant{}, false
+		c.Log.Info("holder grants no requests", "zone", z.Zone, "address", address, "target", r.target.Name, "error", err)
+		return admission{}, false
 	}
-	return ratelimit.Grant{
-		Granted: reply.GetGranted(), Again: time.Duration(reply.GetAgainMicros()) * time.Microsecond,
-		RetryAfter: time.Duration(reply.GetRetryAfterMicros()) * time.Microsecond,
-	}, true
+	if reply.GetPermit() != 0 {
+		c.addOpen(z.Zone, reply.GetPermit(), now)
+	}
+	a := admission{
+		granted: reply.GetGranted(), permit: reply.GetPermit(), busy: reply.GetBusy(), again: time.Duration(reply.GetAgainMicros()) * time.Microsecond,
+		retryAfter: time.Duration(reply.GetRetryAfterMicros()) * time.Microsecond,
+	}
+	return a, !a.granted || !r.permit || a.permit != 0
+}
+
+// callRequest asks the holder of a zone to admit a call to a target of a plain service.
+type callRequest struct {
+	target   bamboorail.TargetID
+	instance string
+	// ungranted counts the requests that the instance sent without a grant, by age.
+	ungranted []int32
+	// permit is set if the instance takes the target for brittle.
+	permit bool
+	// timeout is the time within which the call ends.
+	timeout time.Duration
 }
 
-// Acquire grants or denies a request to a target of the zone. ungranted counts the
-// requests that the instance sent without a grant, by age.
-func (h *Holder) Acquire(id bamboorail.TargetID, instance string, ungranted []int32) ratelimit.Grant {
+// admit admits a call to a target of the zone or denies it.
+func (h *Holder) admit(r callRequest) admission {
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.limits.RecordUngranted(id, instance, ungranted, now)
-	return h.limits.Acquire(id, now)
+	var permit uint64
+	if r.permit || h.Brittle.IsBrittle(r.target) {
+		g := h.permits.Acquire(h.permitRequest(r), now)
+		if g.Permit == 0 {
+			return admission{busy: true, again: g.Again, retryAfter: max(g.Again, noCapacityRetry)}
+		}
+		permit = g.Permit
+	}
+	h.limits.RecordUngranted(r.target, r.instance, r.ungranted, now)
+	g := h.limits.Acquire(r.target, now)
+	if !g.Granted {
+		h.permits.Release(permit, concurrency.Ended, now)
+		permit = 0
+	}
+	return admission{granted: g.Granted, permit: permit, again: g.Again, retryAfter: g.RetryAfter}
+}
+
+// permitRequest returns the request for a permit of a call. A holder whose tenure is not in
+// force grants a part of the slots, since another instance may hold the zone.
+func (h *Holder) permitRequest(r callRequest) concurrency.Request {
+	share := 1.0
+	if _, acting := h.Lease.Tenure(); !acting {
+		share = lapsedShare
+	}
+	known, _ := h.Fleet.Target(r.target.Name)
+	return concurrency.Request{
+		Target: r.target.Name, Instance: r.instance, Slots: known.Slots, Share: share, MaxRefusals: h.Brittle.MaxRefusals(r.target), Timeout: r.timeout,
+	}
 }
 
 // tenureRates are the limits that a holder may grant.
@@ -239,7 +329,7 @@
 	return h.limits.Wait(id, time.Now()) > 0
 }
 
-// Acquire grants a request to a target with a limit.
+// Acquire admits a call to a target with a limit.
 func (s *Server) Acquire(_ context.Context, r *wire.AcquireRequest) (*wire.AcquireReply, error) {
 	h := s.zones[r.GetZone()]
 	if h == nil || !h.Lease.Leading() {
@@ -247,10 +337,16 @@
 	}
 	limit := r.GetLimit()
 	s.limits.merge(advisory.Requests, []*wire.TargetLimit{limit}, r.GetInstance())
-	id := bamboorail.TargetID{Name: limit.GetTarget(), StartMillis: limit.GetBorn()}
-	g := h.Acquire(id, r.GetInstance(), r.GetUngranted())
+	if refusals := r.GetRefusals(); refusals != nil {
+		s.limits.merge(advisory.Refusals, []*wire.TargetLimit{refusals}, r.GetInstance())
+	}
+	h.recordContact(r.GetInstance())
+	a := h.admit(callRequest{
+		target: bamboorail.TargetID{Name: limit.GetTarget(), StartMillis: limit.GetBorn()}, instance: r.GetInstance(), ungranted: r.GetUngranted(),
+		permit: r.GetPermit(), timeout: time.Duration(r.GetTimeoutMicros()) * time.Microsecond,
+	})
 	return &wire.AcquireReply{
-		Holder: true, Granted: g.Granted, AgainMicros: g.Again.Microseconds(), RetryAfterMicros: g.RetryAfter.Microseconds(),
+		Holder: true, Granted: a.granted, Permit: a.permit, Busy: a.busy, AgainMicros: a.again.Microseconds(), RetryAfterMicros: a.retryAfter.Microseconds(),
 	}, nil
 }
 
--- a/internal/placer/brittle.go
+++ b/internal/placer/brittle.go
@@ -1,21 +1,18 @@
 package placer
 
 import (
-	"context"
-	"slices"
 	"time"
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/balance"
-	"bamboorail.example/bamboorail/internal/relay"
-	"bamboorail.example/bamboorail/internal/task"
+	"bamboorail.example/bamboorail/internal/concurrency"
 )
 
 // maxRoomWait bounds the wait of a call for room at a brittle target.
 const maxRoomWait = 350 * time.Millisecond
 
-// hasRoom reports whether a target has room for a call. A brittle one gets no more calls
-// of this instance at once than its share of the slots.
+// hasRoom reports whether a target has room for a call that no holder admits. A brittle
+// one gets no more calls of this instance at once than its share of the slots.
 func (c *Chooser) hasRoom(e bamboorail.TargetEntry, now time.Time) bool {
 	if !c.Limits.IsBrittle(e.ID) {
 		return true
@@ -24,17 +21,66 @@
 	return c.Advisories.RefusalPause(e.ID, now) == 0 && c.Balancer.InFlight(e.ID) < share
 }
 
-// awaitRoom returns the targets with room. If there are some, but all are brittle and
-// busy, it waits for one.
-func (c *Chooser) awaitRoom(ctx context.Context, a relay.ChooseRequest, targets func(now time.Time) []bamboorail.TargetEntry) []bamboorail.TargetEntry {
-	for end := earlier(time.Now().Add(maxRoomWait), a.StartBy.Add(-dispatchMargin)); ; {
-		now := time.Now()
-		all := targets(now)
-		list := slices.DeleteFunc(slices.Clone(all), func(e bamboorail.TargetEntry) bool { return !c.hasRoom(e, now) })
-		if len(list) > 0 || len(all) == 0 || !now.Before(end) || task.Sleep(ctx, minRetryDelay) != nil {
-			return list
-		}
+// Brittleness states which targets must not be sent calls that they may have no room for.
+type Brittleness interface {
+	IsBrittle(id bamboorail.TargetID) bool
+	// MaxRefusals returns the refusals a second after which a target fails.
+	MaxRefusals(id bamboorail.TargetID) float64
+}
+
+// noneBrittle is used by holders without Brittleness.
+type noneBrittle struct{}
+
+func (noneBrittle) IsBrittle(bamboorail.TargetID) bool      { return false }
+func (noneBrittle) MaxRefusals(bamboorail.TargetID) float64 { return 0 }
+
+// permitBit distinguishes the numbers of permits from those of placements.
+const permitBit = 1 << (ticketBits - 1)
+
+// newPermits returns a table for a tenure.
+func newPermits(fencingToken uint64) *concurrency.Table {
+	return concurrency.NewTable(firstTicket(fencingToken) | permitBit)
+}
+
+// endOf returns how a call with a result ended at its target.
+func endOf(r balance.Result) concurrency.End {
+	switch r {
+	case balance.Refused:
+		return concurrency.Refused
+	case balance.Unreachable, balance.Dropped, balance.Abandoned:
+		return concurrency.GivenUp
+	case balance.Answered, balance.Failed, balance.Misdirected, balance.CutShort:
 	}
+	return concurrency.Ended
+}
+
+const (
+	// initialCallTime is assumed for a service until a call was answered.
+	initialCallTime = time.Second
+	// callTimeWeight is the weight of one call in the moving average of call times.
+	callTimeWeight = 0.05
+)
+
+// recordCallTime records the time of an answered call.
+func (c *Chooser) recordCallTime(service string, r balance.Result, took time.Duration) {
+	if r != balance.Answered || took <= 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known, ok := c.callTimes[service]; ok {
+		took = known + time.Duration(callTimeWeight*float64(took-known))
+	}
+	c.callTimes[service] = took
+}
+
+func (c *Chooser) callTime(service string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known, ok := c.callTimes[service]; ok {
+		return known
+	}
+	return initialCallTime
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -57,15 +103,21 @@
 	}
 }
 
-// balancedDone returns the function that ends a call which the balancer placed.
-func (c *Chooser) balancedDone(id bamboorail.TargetID) func(balance.Result, time.Duration) {
-	known := c.Limits.IsBrittle(id)
+// balancedDone returns the function that ends a call which the balancer placed, with the
+// permit of the holder of the target's zone if it is not 0.
+func (c *Chooser) balancedDone(t bamboorail.TargetEntry, permit uint64) func(balance.Result, time.Duration) {
+	known := c.Limits.IsBrittle(t.ID)
 	return func(r balance.Result, took time.Duration) {
 		now := time.Now()
 		if r == balance.Refused {
-			c.Advisories.RecordRefusal(id, c.Instances(), now)
-			c.reportRefusal(id, ownChoice, known)
+			c.Advisories.RecordRefusal(t.ID, c.Instances(), now)
+			c.reportRefusal(t.ID, ownChoice, known)
+		}
+		c.recordCallTime(t.Service, r, took)
+		c.Balancer.Done(t.ID, r, took, now)
+		if permit != 0 {
+			c.reportEnd(t.Zone, EndedPlacement{Ticket: permit, Result: r})
+			c.settleSoon(t.Zone)
 		}
-		c.Balancer.Done(id, r, took, now)
 	}
 }
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"math/rand/v2"
@@ -49,6 +50,8 @@
 	// minRetryDelay is the minimum time between two rounds of queries for a
 	// call.
 	minRetryDelay = 25 * time.Millisecond
+	// defaultTimeout is the timeout of a route without one.
+	defaultTimeout = 30 * time.Second
 	// maxReleasesWait bounds the wait of a call for the first list of releases.
 	// It covers a list request that was rejected twice (retries after 0.1 and
 	// 0.2 s).
@@ -111,6 +114,10 @@
 	// that this instance sent to each target without a grant.
 	throttles map[bamboorail.TargetID]*throttle
 	ungranted map[bamboorail.TargetID]*ratelimit.Window
+	// callTimes are the moving averages of the times of answered calls, by service.
+	callTimes map[string]time.Duration
+	// urgent signals that ends of permits are to be reported, by zone.
+	urgent map[string]chan struct{}
 	// open are the placements made by the holders of other instances, by zone.
 	open map[string]*openPlacements
 	// suspects are the engines that this instance cannot reach; other instances
@@ -122,8 +129,9 @@
 
 // NewChooser returns a chooser.
 func NewChooser(c ChooserConfig) *Chooser {
-	open, now := map[string]*openPlacements{}, time.Now()
+	open, urgent, now := map[string]*openPlacements{}, map[string]chan struct{}{}, time.Now()
 	for _, z := range c.Zones {
+		urgent[z.Zone] = make(chan struct{}, 1)
 		// An earlier process of this instance may have left placements open.
 		open[z.Zone] = &openPlacements{tickets: map[uint64]bool{}, lastPlaced: now}
 	}
@@ -131,6 +139,7 @@
 		ChooserConfig: c, holderBackoffs: map[string]backoff{}, ended: map[string][]EndedPlacement{},
 		breaks: map[string][]quarantine.Break{}, limits: map[string][]advisory.Limit{}, throttles: map[bamboorail.TargetID]*throttle{},
 		ungranted: map[bamboorail.TargetID]*ratelimit.Window{}, open: open, suspects: map[string]backoff{},
+		callTimes: map[string]time.Duration{}, urgent: urgent,
 	}
 }
 
@@ -240,6 +249,8 @@
 	return relay.Reservation{}, retryAfter, failure
 }
 
+// chooseBalanced selects a target of a plain service. If all targets are brittle and busy,
+// it waits for one.
 func (c *Chooser) chooseBalanced(ctx context.Context, a relay.ChooseRequest) (relay.Reservation, error) {
 	now := time.Now()
 	if err := c.Quarantine.check(a.Call); err != nil {
@@ -248,31 +259,49 @@
 	if err := c.checkQuiet(a.Service.Name, now); err != nil {
 		return relay.Reservation{}, err
 	}
-	open := func(now time.Time) []bamboorail.TargetEntry {
-		return slices.DeleteFunc(c.openTargets(a.Service.Name, now), func(e bamboorail.TargetEntry) bool { return !hasSoftware(e, a) })
-	}
-	targets := c.awaitRoom(ctx, a, open)
-	now = time.Now()
-	if len(targets) == 0 && len(open(now)) > 0 {
-		return relay.Reservation{}, failRetry("choose-target", bamboorail.KindOverloaded, noCapacityRetry+rand.N(noCapacityRetry/retrySpread), errTargetsBusy)
+	end := earlier(now.Add(maxRoomWait), a.StartBy.Add(-dispatchMargin))
+	for {
+		reservation, busyFor, err := c.tryBalanced(ctx, a)
+		if err == nil || busyFor == 0 || time.Now().Add(busyFor).After(end) {
+			return reservation, err
+		}
+		if err := task.Sleep(ctx, busyFor); err != nil {
+			return reservation, fail("choose-target", bamboorail.KindCancelled, err)
+		}
 	}
-	var retryAfter time.Duration
+}
+
+// tryBalanced selects a target of a plain service that admits the call now. If brittle
+// targets are busy, it returns the time after which one should be tried again.
+func (c *Chooser) tryBalanced(ctx context.Context, a relay.ChooseRequest) (relay.Reservation, time.Duration, error) {
+	const op = "choose-target"
+	now := time.Now()
+	targets := slices.DeleteFunc(c.openTargets(a.Service.Name, now), func(e bamboorail.TargetEntry) bool { return !hasSoftware(e, a) })
+	timeout := cmp.Or(a.Route.Timeout, defaultTimeout) - time.Since(a.Received)
+	var retryAfter, busyFor time.Duration
 	for {
 		target, ok := c.Balancer.Choose(targets, a.Avoid, now)
-		if !ok && retryAfter > 0 {
-			return relay.Reservation{}, failRetry("choose-target", bamboorail.KindOverloaded, retryAfter, errTargetsLimited)
+		switch {
+		case ok:
+		case busyFor > 0:
+			after := max(retryAfter, noCapacityRetry)
+			return relay.Reservation{}, busyFor, failRetry(op, bamboorail.KindOverloaded, after+rand.N(after/retrySpread), errTargetsBusy)
+		case retryAfter > 0:
+			return relay.Reservation{}, 0, failRetry(op, bamboorail.KindOverloaded, retryAfter, errTargetsLimited)
+		default:
+			return relay.Reservation{}, 0, failRetry(op, bamboorail.KindNoTarget, noEngineRetry, errNoTarget)
 		}
-		if !ok {
-			return relay.Reservation{}, failRetry("choose-target", bamboorail.KindNoTarget, noEngineRetry, errNoTarget)
-		}
-		granted, after := c.acquire(ctx, target, now)
-		if granted {
-			return c.observe(a, relay.Reservation{Target: target, ReadyAt: now, Valid: c.valid(target), Done: c.balancedDone(target.ID)}), nil
+		admitted := c.acquire(ctx, target, timeout, now)
+		if admitted.granted {
+			return c.observe(a, relay.Reservation{Target: target, ReadyAt: now, Valid: c.valid(target), Done: c.balancedDone(target, admitted.permit)}), 0, nil
 		}
 		c.Balancer.Done(target.ID, balance.Abandoned, 0, now)
 		targets = slices.DeleteFunc(targets, func(e bamboorail.TargetEntry) bool { return e.ID == target.ID })
-		if retryAfter == 0 || after < retryAfter {
-			retryAfter = max(after, minRetryDelay)
+		if after := max(admitted.retryAfter, minRetryDelay); retryAfter == 0 || after < retryAfter {
+			retryAfter = after
+		}
+		if again := max(admitted.again, minRetryDelay); admitted.busy && (busyFor == 0 || again < busyFor) {
+			busyFor = again
 		}
 	}
 }
@@ -287,15 +316,14 @@
 	var engines []bamboorail.TargetEntry
 	for _, e := range c.openTargets(a.Service.Name, now) {
 		held, loaded := e.Models[key.Model]
-		if !loaded || slices.Contains(a.Avoid, e.ID.Name) || !hasSoftware(e, a) || !c.hasRoom(e, now) ||
-			full[e.Zone] && c.Limits.IsBrittle(e.ID) {
+		if !loaded || slices.Contains(a.Avoid, e.ID.Name) || !hasSoftware(e, a) || full[e.Zone] && c.Limits.IsBrittle(e.ID) {
 			continue
 		}
 		version, present := held[key.Adapter]
 		if key.Adapter != "" && (!present || releases.OutdatedFor(version, now) > oldVersionGrace) {
 			continue
 		}
-		if rate, limited := c.Advisories.Limit(e.ID); limited && !c.useEngineShare(e.ID, rate, now) {
+		if !c.mayUseEngine(e, now) {
 			continue
 		}
 		engines = append(engines, e)
@@ -307,7 +335,7 @@
 	c.Log.Info("engine chosen without a holder", "id", a.Call.ID, "engine", target.ID.Name, "adapter", key.Adapter)
 	return relay.Reservation{
 		Target: target, Version: target.Models[key.Model][key.Adapter], ReadyAt: now, Assumed: true, Valid: c.valid(target),
-		Done: c.balancedDone(target.ID), BeginBy: c.beginBy(key, target.Models[key.Model][key.Adapter]),
+		Done: c.balancedDone(target, 0), BeginBy: c.beginBy(key, target.Models[key.Model][key.Adapter]),
 	}, true
 }
 
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -17,6 +17,7 @@
 	"bamboorail.example/bamboorail/internal/adapters"
 	"bamboorail.example/bamboorail/internal/advisory"
 	"bamboorail.example/bamboorail/internal/balance"
+	"bamboorail.example/bamboorail/internal/concurrency"
 	"bamboorail.example/bamboorail/internal/fleet"
 	"bamboorail.example/bamboorail/internal/lease"
 	"bamboorail.example/bamboorail/internal/ratelimit"
@@ -62,9 +63,9 @@
 	Permit func(id bamboorail.TargetID) error
 	// Rates are the limits of targets; nil limits none.
 	Rates ratelimit.Rates
-	// Brittle reports whether an engine must not be sent more calls than it has slots;
-	// nil is never.
-	Brittle func(id bamboorail.TargetID) bool
+	// Brittle states which targets must not be sent calls that they may have no room for;
+	// nil is none.
+	Brittle Brittleness
 	Metrics *telemetry.Metrics
 	Log     hclog.Logger
 }
@@ -91,6 +92,8 @@
 	engineLocks map[bamboorail.TargetID]chan struct{}
 	// limits counts and grants the requests to the targets of the zone.
 	limits *ratelimit.Table
+	// permits are those of the calls at brittle targets of plain services.
+	permits *concurrency.Table
 }
 
 // NewHolder returns a holder that does not lead.
@@ -101,8 +104,12 @@
 	if c.Rates == nil {
 		c.Rates = advisory.New()
 	}
+	if c.Brittle == nil {
+		c.Brittle = noneBrittle{}
+	}
 	h := &Holder{
-		HolderConfig: c, limits: ratelimit.NewTable(tenureRates{c.Rates, c.Lease}), background: make(chan []bamboorail.AdapterOrder, backgroundQueueSize),
+		HolderConfig: c, permits: newPermits(0),
+		limits: ratelimit.NewTable(tenureRates{c.Rates, c.Lease}), background: make(chan []bamboorail.AdapterOrder, backgroundQueueSize),
 		usage: &usage{metrics: c.Metrics.Holder(c.Zone)}, engineLocks: map[bamboorail.TargetID]chan struct{}{},
 		waiters: map[uint64]chan adapters.Placement{}, timerReset: make(chan time.Time, 1),
 	}
@@ -114,7 +121,7 @@
 func (h *Holder) setPlanner(afterTicket uint64) {
 	h.planner = adapters.NewPlanner(h.Tuning, afterTicket)
 	h.planner.SetLimits(h.limits)
-	h.planner.SetBrittle(h.Brittle)
+	h.planner.SetBrittle(h.Brittle.IsBrittle)
 }
 
 // Run maintains the state of the engines until ctx ends.
@@ -175,6 +182,7 @@
 		// The engine state of an earlier tenure is outdated.
 		h.setPlanner(firstTicket(h.Lease.FencingToken()))
 		h.limits.Reset()
+		h.permits = newPermits(h.Lease.FencingToken())
 		h.leading = leading
 		for number, w := range h.waiters {
 			close(w)
@@ -214,6 +222,11 @@
 		known, ok := h.Fleet.Target(id.Name)
 		return ok && known.ID == id
 	})
+	h.permits.Expire(now)
+	h.permits.Retain(func(name string) bool {
+		_, ok := h.Fleet.Target(name)
+		return ok
+	})
 	return h.planner.Unsynced()
 }
 
@@ -334,6 +347,9 @@
 	defer h.mu.Unlock()
 	defer h.grantWaiting(now)
 	for _, e := range list {
+		if h.permits.Release(e.Ticket, endOf(e.Result), now) {
+			continue
+		}
 		if e.Result == balance.Answered {
 			h.planner.RecordAnswer(e.Ticket, now)
 		}
--- a/internal/placer/limits.go
+++ b/internal/placer/limits.go
@@ -56,6 +56,15 @@
 	return l.registry.IsBrittle(id, l.service(id))
 }
 
+// MaxRefusals returns the refusals a second after which a brittle target fails, one if it is
+// not known.
+func (l *Limits) MaxRefusals(id bamboorail.TargetID) float64 {
+	if limit, _ := l.registry.LastLimit(advisory.Refusals, id); limit.Named {
+		return limit.Rate
+	}
+	return 1
+}
+
 // merge records limits of a kind that another instance reported.
 func (l *Limits) merge(kind advisory.LimitKind, messages []*wire.TargetLimit, source string) {
 	if len(messages) == 0 {
--- a/internal/placer/queries.go
+++ b/internal/placer/queries.go
@@ -101,7 +101,7 @@
 		}
 		return relay.Reservation{
 			Target: p.Target, Version: p.Version, ReadyAt: p.ReadyAt, BeginBy: c.beginBy(a.Call.Key, p.Version), Valid: c.valid(p.Target),
-			Done: c.settleFunc(z.Zone, p.Target.ID, p.Ticket),
+			Done: c.settleFunc(z.Zone, p.Target, p.Ticket),
 		}, nil
 	}
 	_, address := z.Lease.Holder()
@@ -180,6 +180,6 @@
 	ready := received.Add(time.Duration(reply.GetReadyInMicros()) * time.Microsecond)
 	return relay.Reservation{
 		Target: target, Version: int(reply.GetVersion()), ReadyAt: ready, BeginBy: c.beginBy(a.Call.Key, int(reply.GetVersion())), Valid: c.valid(target),
-		Done: c.settleFunc(z.Zone, target.ID, reply.GetTicket()),
+		Done: c.settleFunc(z.Zone, target, reply.GetTicket()),
 	}, nil
 }
--- a/internal/placer/settle.go
+++ b/internal/placer/settle.go
@@ -13,22 +13,48 @@
 )
 
 // settleFunc returns the function that ends a placement.
-func (c *Chooser) settleFunc(zone string, target bamboorail.TargetID, ticket uint64) func(balance.Result, time.Duration) {
-	known := c.Limits.IsBrittle(target)
-	return func(r balance.Result, _ time.Duration) {
+func (c *Chooser) settleFunc(zone string, target bamboorail.TargetEntry, ticket uint64) func(balance.Result, time.Duration) {
+	known := c.Limits.IsBrittle(target.ID)
+	return func(r balance.Result, took time.Duration) {
 		if r == balance.Refused {
-			c.reportRefusal(target, "holder of "+zone, known)
+			c.reportRefusal(target.ID, "holder of "+zone, known)
 		}
-		c.recordResult(target.Name, r)
-		c.removeOpen(zone, ticket)
-		end := []EndedPlacement{{Ticket: ticket, Result: r, Leaving: c.Advisories.IsLeaving(target)}}
-		for _, z := range c.Zones {
-			if z.Zone == zone && z.Local != nil && z.Lease.Leading() {
-				z.Local.Settle(end)
-				return
-			}
+		c.recordResult(target.ID.Name, r)
+		c.recordCallTime(target.Service, r, took)
+		c.reportEnd(zone, EndedPlacement{Ticket: ticket, Result: r, Leaving: c.Advisories.IsLeaving(target.ID)})
+	}
+}
+
+// reportEnd reports the end of a placement or permit to this instance's own holder of the
+// zone, or queues it for another one.
+func (c *Chooser) reportEnd(zone string, end EndedPlacement) {
+	c.removeOpen(zone, end.Ticket)
+	for _, z := range c.Zones {
+		if z.Zone == zone && z.Local != nil && z.Lease.Leading() {
+			z.Local.Settle([]EndedPlacement{end})
+			return
+		}
+	}
+	c.requeueEnded(zone, []EndedPlacement{end})
+}
+
+// settleSoon reports to the holder of a zone without waiting for the settle interval.
+func (c *Chooser) settleSoon(zone string) {
+	select {
+	case c.urgent[zone] <- struct{}{}:
+	default:
+	}
+}
+
+// runUrgent reports to the holder of a zone when there is something urgent.
+func (c *Chooser) runUrgent(ctx context.Context, z ZoneHolder) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-c.urgent[z.Zone]:
+			c.settle(ctx, z)
 		}
-		c.requeueEnded(zone, end)
 	}
 }
 
@@ -59,13 +85,20 @@
 // Run reports ended and open placements, and blocks what crashes targets, until ctx
 // ends.
 func (c *Chooser) Run(ctx context.Context) error {
-	return task.Every(ctx, settleInterval, func(ctx context.Context) {
-		c.object()
-		for _, z := range c.Zones {
-			c.settle(ctx, z)
-		}
-		c.Quarantine.decide(slices.ContainsFunc(c.Zones, func(z ZoneHolder) bool { return z.Local != nil && z.Lease.Leading() }))
+	g := task.NewGroup(ctx)
+	for _, z := range c.Zones {
+		g.Start("urgent "+z.Zone, func(ctx context.Context) error { return c.runUrgent(ctx, z) })
+	}
+	g.Start("settle", func(ctx context.Context) error {
+		return task.Every(ctx, settleInterval, func(ctx context.Context) {
+			c.object()
+			for _, z := range c.Zones {
+				c.settle(ctx, z)
+			}
+			c.Quarantine.decide(slices.ContainsFunc(c.Zones, func(z ZoneHolder) bool { return z.Local != nil && z.Lease.Leading() }))
+		})
 	})
+	return g.Wait()
 }
 
 func (c *Chooser) settle(ctx context.Context, z ZoneHolder) {
