concurrency: a part of the slots is rounded up; postmortem of the brittle targets

A holder whose tenure is not in force issued one permit for 6 slots, and a new one has none in force for 3 s: with all holders replaced at once a third of the slots serves what a sixth did not. With the holder in force that makes 8 calls at 6 slots and 2 places.

--- a/internal/concurrency/concurrency.go
+++ b/internal/concurrency/concurrency.go
@@ -5,6 +5,7 @@
 
 import (
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -112,7 +113,7 @@
 
 // capacity returns the number of calls that may be at the target at once.
 func (x *target) capacity(r Request, now time.Time) int {
-	capacity := max(int(float64(r.Slots)*r.Share), 1)
+	capacity := max(int(math.Ceil(float64(r.Slots)*r.Share)), 1)
 	x.refusals = recent(x.refusals, now)
 	if n := len(x.refusals); n > 0 && float64(n) >= r.MaxRefusals {
 		return 0
