--- a/internal/advisory/advisory.go
+++ b/internal/advisory/advisory.go
@@ -1,5 +1,5 @@
 // Package advisory tracks what targets say of themselves in their answers: that they
-// leave, that they want no requests for a while, and the rates that they accept. It decides what an instance may
+// leave, that they pause, and the rates that they accept. It decides what an instance may
 // send to a target; the time is passed in.
 package advisory
 
--- a/internal/concurrency/concurrency.go
+++ b/internal/concurrency/concurrency.go
@@ -35,9 +35,9 @@
 	reportMargin = time.Second
 )
 
-// Request asks for a permit for one call.
+// Request is a request for a permit for one call.
 type Request struct {
-	// Target is the name of the target: while it starts again, instances know different
+	// Target is the name of the target: while it starts again, instances use different
 	// starts of it.
 	Target   string
 	Instance string
@@ -149,7 +149,7 @@
 const (
 	// Ended calls are not at the target any more.
 	Ended End = iota
-	// Refused calls were turned away for want of room.
+	// Refused calls found no room.
 	Refused
 	// GivenUp calls may be at the target for a while.
 	GivenUp
@@ -201,7 +201,7 @@
 	}
 }
 
-// Retain forgets the targets for which live returns false.
+// Retain removes the targets for which live returns false.
 func (t *Table) Retain(live func(name string) bool) {
 	for number, p := range t.permits {
 		if !live(p.target) {
--- a/internal/concurrency/concurrency_test.go
+++ b/internal/concurrency/concurrency_test.go
@@ -8,7 +8,7 @@
 // step is a request for a permit, or the end of one that was issued before.
 type step struct {
 	after time.Duration
-	// acquire is the instance that asks, empty for an end.
+	// acquire is the requesting instance, empty for an end.
 	acquire string
 	granted bool
 	// ended is the number of the grant, from 1, and end how its call ended.
--- a/internal/placer/acquire.go
+++ b/internal/placer/acquire.go
@@ -35,7 +35,8 @@
 
 // throttle is the state of an instance for one target with a limit.
 type throttle struct {
-	// deniedUntil is the time until which the holder is not asked again, denial its answer.
+	// deniedUntil is the time until which no further request is made to the holder, denial
+	// its answer.
 	deniedUntil time.Time
 	denial      admission
 	// shareUsed and slotsUsed are the last times at which this instance considered its own
@@ -104,7 +105,7 @@
 	c.keepLimits(zone, list...)
 }
 
-// acquire asks for permission to send a call, which ends within a timeout, to a target of
+// acquire requests permission to send a call, which ends within a timeout, to a target of
 // a plain service.
 func (c *Chooser) acquire(ctx context.Context, t bamboorail.TargetEntry, timeout time.Duration, now time.Time) admission {
 	rate, limited := c.Advisories.Limit(t.ID)
@@ -209,8 +210,8 @@
 	w.Add(1, now)
 }
 
-// askForCall asks the holder of a zone to admit a call. It returns false if there was no
-// answer, or none from a holder that issues the permit that the call needs.
+// askForCall requests the admission of a call from the holder of a zone. It returns false
+// without an answer of a holder that issues the permit that the call needs.
 func (c *Chooser) askForCall(ctx context.Context, z ZoneHolder, r callRequest, now time.Time) (admission, bool) {
 	c.mu.Lock()
 	if w := c.ungranted[r.target]; w != nil {
@@ -250,7 +251,8 @@
 	return a, !a.granted || !r.permit || a.permit != 0
 }
 
-// callRequest asks the holder of a zone to admit a call to a target of a plain service.
+// callRequest is a request to the holder of a zone to admit a call to a target of a plain
+// service.
 type callRequest struct {
 	target   bamboorail.TargetID
 	instance string
@@ -284,7 +286,7 @@
 	return admission{granted: g.Granted, permit: permit, again: g.Again, retryAfter: g.RetryAfter}
 }
 
-// permitRequest returns the request for a permit of a call. A holder whose tenure is not in
+// permitRequest returns the request for a permit of a call. A holder whose lease is not in
 // force grants a part of the slots, since another instance may hold the zone.
 func (h *Holder) permitRequest(r callRequest) concurrency.Request {
 	share := 1.0
--- a/internal/placer/brittle.go
+++ b/internal/placer/brittle.go
@@ -37,7 +37,7 @@
 // permitBit distinguishes the numbers of permits from those of placements.
 const permitBit = 1 << (ticketBits - 1)
 
-// newPermits returns a table for a tenure.
+// newPermits returns a table for the lease with a fencing token.
 func newPermits(fencingToken uint64) *concurrency.Table {
 	return concurrency.NewTable(firstTicket(fencingToken) | permitBit)
 }
@@ -93,7 +93,7 @@
 // ownChoice is the source of a placement that this instance made without a holder.
 const ownChoice = "instance"
 
-// reportRefusal records that a target refused a call for want of room. source is who placed
+// reportRefusal records that a target refused a call since it was full. source is who placed
 // the call, known whether this instance took the target for brittle then.
 func (c *Chooser) reportRefusal(id bamboorail.TargetID, source string, known bool) {
 	c.Metrics.TargetRefused(known)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -58,7 +58,7 @@
 	m.store = newCounterVec("store_calls_total", "Calls to the object store by call, kind of object, and result.", "call", "kind", "result")
 	m.blocked = newCounter("prompt_segments_blocked_total", "Prompt segments that were blocked because they crash engines.")
 	m.advised = newCounterVec("target_advisories_total", "Targets that said that they leave or asked for a pause.", "reason")
-	m.refusals = newCounterVec("target_refusals_total", "Calls that targets refused for want of room, by what was known of the target.", "brittle")
+	m.refusals = newCounterVec("target_refusals_total", "Calls that full targets refused, by whether they were known as brittle.", "brittle")
 	m.registry.MustRegister(m.store, m.blocked, m.advised, m.refusals, m.late, m.requests, m.duration, m.loads, m.loadTime, m.evictions, m.waited, m.loadWait,
 		m.running, m.maxBatch, m.revision, m.faults, m.mismatch,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -146,8 +146,8 @@
 // TargetAdvised counts a target that said that it leaves or asked for a pause.
 func (m *Metrics) TargetAdvised(reason string) { m.advised.WithLabelValues(reason).Inc() }
 
-// TargetRefused counts a call that a target refused for want of room. knownBrittle tells
-// whether the call was sent in the knowledge that the target is brittle.
+// TargetRefused counts a call that a target refused since it was full. knownBrittle is set
+// if this instance took the target for brittle when the call was sent.
 func (m *Metrics) TargetRefused(knownBrittle bool) {
 	m.refusals.WithLabelValues(strconv.FormatBool(knownBrittle)).Inc()
 }
