--- a/internal/concurrency/concurrency.go
+++ b/internal/concurrency/concurrency.go
@@ -201,14 +201,14 @@
 	}
 }
 
-// Retain removes the targets for which live returns false.
-func (t *Table) Retain(live func(name string) bool) {
+// Retain removes the targets that keep rejects.
+func (t *Table) Retain(keep func(name string) bool) {
 	for number, p := range t.permits {
-		if !live(p.target) {
+		if !keep(p.target) {
 			t.remove(number, p)
 		}
 	}
-	maps.DeleteFunc(t.targets, func(name string, _ *target) bool { return !live(name) })
+	maps.DeleteFunc(t.targets, func(name string, _ *target) bool { return !keep(name) })
 }
 
 func (t *Table) target(name string) *target {
