placer: calls at brittle targets without a holder are served

The draw is made for the target that the balancer chose, then for the next. A call whose engines have no share left waits like one that finds no capacity. An unused share lasts 8 calls, and is counted from the holder's last answer: the calls that it admitted are still there. A new holder takes the calls of its predecessor at brittle engines to last a mean call time before they decay.

--- a/internal/adapters/engine.go
+++ b/internal/adapters/engine.go
@@ -133,6 +133,10 @@
 		return
 	}
 	age := now.Sub(e.reportedAt)
+	if p.brittle(e.entry.ID) {
+		// A mean is not enough where one call too many counts.
+		age = max(age-p.callTime, 0)
+	}
 	e.inherited = int(math.Round(float64(e.reported) * math.Exp(-float64(age)/float64(p.callTime))))
 }
 
--- a/internal/placer/acquire.go
+++ b/internal/placer/acquire.go
@@ -29,8 +29,10 @@
 	// instances without access to a holder send together. It is low, since their moments
 	// are random.
 	slotFallbackShare = 0.33
-	// maxShareTime bounds the time for which an unused share accumulates.
+	// maxShareTime bounds the time for which an unused share accumulates; a share of slots
+	// does so for the time of unusedCalls calls if that is longer.
 	maxShareTime = time.Second
+	unusedCalls  = 8
 )
 
 // throttle is the state of an instance for one target with a limit.
@@ -161,26 +163,17 @@
 // useShare reports whether this instance may use its share of a limit without a
 // holder.
 func (c *Chooser) useShare(th *throttle, rate float64, now time.Time) bool {
-	return c.draw(&th.shareUsed, fallbackShare*rate, now)
-}
-
-// useSlots reports whether this instance may send a call to a brittle target without a
-// holder.
-func (c *Chooser) useSlots(th *throttle, t bamboorail.TargetEntry, now time.Time) bool {
-	if !c.hasRoom(t, now) {
-		return false
-	}
-	callTime := c.callTime(t.Service)
-	return c.draw(&th.slotsUsed, slotFallbackShare*float64(t.Slots)/callTime.Seconds(), now)
+	return c.draw(&th.shareUsed, fallbackShare*rate, maxShareTime, now)
 }
 
 // draw reports whether this instance may use its share of a rate of all instances now;
-// used is the last time at which it considered that. The decision is random and unused
-// shares expire: instances that accumulated them could spend them at the same time.
-func (c *Chooser) draw(used *time.Time, rate float64, now time.Time) bool {
+// used is the last time at which it considered that. The decision is random and shares that
+// are unused for maxUnused expire: instances that accumulated them could spend them at the
+// same time.
+func (c *Chooser) draw(used *time.Time, rate float64, maxUnused time.Duration, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	unused := min(now.Sub(*used), maxShareTime)
+	unused := min(now.Sub(*used), maxUnused)
 	*used = now
 	return rand.Float64() < rate/float64(max(c.Instances(), 1))*unused.Seconds()
 }
@@ -219,6 +212,7 @@
 	}
 	c.mu.Unlock()
 	if z.Local != nil && z.Lease.Leading() {
+		c.recordContact(z.Zone)
 		return z.Local.admit(r), true
 	}
 	_, address := z.Lease.Holder()
@@ -241,6 +235,7 @@
 		c.Log.Info("holder grants no requests", "zone", z.Zone, "address", address, "target", r.target.Name, "error", err)
 		return admission{}, false
 	}
+	c.recordContact(z.Zone)
 	if reply.GetPermit() != 0 {
 		c.addOpen(z.Zone, reply.GetPermit(), now)
 	}
--- a/internal/placer/brittle.go
+++ b/internal/placer/brittle.go
@@ -11,14 +11,27 @@
 // maxRoomWait bounds the wait of a call for room at a brittle target.
 const maxRoomWait = 350 * time.Millisecond
 
-// hasRoom reports whether a target has room for a call that no holder admits. A brittle
-// one gets no more calls of this instance at once than its share of the slots.
-func (c *Chooser) hasRoom(e bamboorail.TargetEntry, now time.Time) bool {
-	if !c.Limits.IsBrittle(e.ID) {
-		return true
+// useSlots reports whether this instance may send a call, which the balancer counts already,
+// to a brittle target without a holder. All instances together use a part of the slots.
+func (c *Chooser) useSlots(th *throttle, t bamboorail.TargetEntry, now time.Time) bool {
+	share := max(t.Slots/max(c.Instances(), 1), 1)
+	if c.Advisories.RefusalPause(t.ID, now) > 0 || c.Balancer.InFlight(t.ID) > share {
+		return false
 	}
-	share := max(e.Slots/max(c.Instances(), 1), 1)
-	return c.Advisories.RefusalPause(e.ID, now) == 0 && c.Balancer.InFlight(e.ID) < share
+	callTime := c.callTime(t.Service)
+	rate := slotFallbackShare * float64(t.Slots) / callTime.Seconds()
+	c.mu.Lock()
+	// The calls that the holder admitted are still at the target.
+	th.slotsUsed = latest(th.slotsUsed, c.holderContacts[t.Zone])
+	c.mu.Unlock()
+	return c.draw(&th.slotsUsed, rate, max(maxShareTime, unusedCalls*callTime), now)
+}
+
+// recordContact records an answer of the holder of a zone.
+func (c *Chooser) recordContact(zone string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holderContacts[zone] = time.Now()
 }
 
 // Brittleness states which targets must not be sent calls that they may have no room for.
--- a/internal/placer/brittle_sim_test.go
+++ b/internal/placer/brittle_sim_test.go
@@ -60,8 +60,9 @@
 	burst float64
 	// fall makes a target fall over by itself once.
 	fall bool
-	// loses makes an instance with a lease end during the load.
-	loses bool
+	// loses makes an instance with a lease end during the load, leaderless leaves all
+	// zones without a holder.
+	loses, leaderless bool
 }
 
 // brittleResult counts what callers and targets saw once falls count.
@@ -164,6 +165,9 @@
 		s.instances = append(s.instances, s.newInstance(fmt.Sprintf("i%d", n), n%len(brittleZones)))
 	}
 	for n, zone := range brittleZones {
+		if l.leaderless {
+			break
+		}
 		s.lead(ctx, zone, s.instances[n%len(s.instances)])
 	}
 	for _, i := range s.instances {
--- a/internal/placer/brittle_test.go
+++ b/internal/placer/brittle_test.go
@@ -85,10 +85,12 @@
 		"plain":                plain,
 		"plain, crowd":         with(plain, func(l *brittleLoad) { l.burst = 1.3 }),
 		"plain, one crashes":   with(plain, func(l *brittleLoad) { l.load, l.fall = 0.4, true }),
+		"plain, no holder":     with(plain, func(l *brittleLoad) { l.load, l.leaderless = 0.2, true }),
 		"plain, holder ends":   with(plain, func(l *brittleLoad) { l.load, l.loses = 0.4, true }),
 		"engines":              engines,
 		"engines, crowd":       with(engines, func(l *brittleLoad) { l.burst = 1.3 }),
 		"engines, one crashes": with(engines, func(l *brittleLoad) { l.fall = true }),
+		"engines, no holder":   with(engines, func(l *brittleLoad) { l.load, l.leaderless = 0.2, true }),
 		"engines, holder ends": with(engines, func(l *brittleLoad) { l.loses = true }),
 		"engines, ends, crowd": with(engines, func(l *brittleLoad) { l.loses, l.burst = true, 1.3 }),
 	}
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -114,6 +114,8 @@
 	// that this instance sent to each target without a grant.
 	throttles map[bamboorail.TargetID]*throttle
 	ungranted map[bamboorail.TargetID]*ratelimit.Window
+	// holderContacts are the times of the last answers of holders, by zone.
+	holderContacts map[string]time.Time
 	// callTimes are the moving averages of the times of answered calls, by service.
 	callTimes map[string]time.Duration
 	// urgent signals that ends of permits are to be reported, by zone.
@@ -139,7 +141,7 @@
 		ChooserConfig: c, holderBackoffs: map[string]backoff{}, ended: map[string][]EndedPlacement{},
 		breaks: map[string][]quarantine.Break{}, limits: map[string][]advisory.Limit{}, throttles: map[bamboorail.TargetID]*throttle{},
 		ungranted: map[bamboorail.TargetID]*ratelimit.Window{}, open: open, suspects: map[string]backoff{},
-		callTimes: map[string]time.Duration{}, urgent: urgent,
+		callTimes: map[string]time.Duration{}, urgent: urgent, holderContacts: map[string]time.Time{},
 	}
 }
 
@@ -237,15 +239,20 @@
 		}
 		failure, lastPolicy = preferOverload(failure, err), q.policy
 	}
-	if reservation, ok := c.chooseLoaded(a, full); ok {
+	reservation, ok, used := c.chooseLoaded(a, full)
+	if ok {
 		return reservation, 0, nil
 	}
-	if failure == nil {
-		failure = failRetry("choose-engine", bamboorail.KindNoTarget, noEngineRetry, errNoHolder)
-	}
 	if retryAfter == math.MaxInt64 {
 		retryAfter = noEngineRetry
 	}
+	if used {
+		overload := failRetry("choose-engine", bamboorail.KindOverloaded, noCapacityRetry, errNoCapacity)
+		return relay.Reservation{}, min(retryAfter, noCapacityRetry), preferOverload(failure, overload)
+	}
+	if failure == nil {
+		failure = failRetry("choose-engine", bamboorail.KindNoTarget, noEngineRetry, errNoHolder)
+	}
 	return relay.Reservation{}, retryAfter, failure
 }
 
@@ -308,8 +315,9 @@
 
 // chooseLoaded selects an engine that already holds the adapter according to
 // its own entry, without a holder. It selects no brittle engine of a zone whose holder has
-// refused the call, which may have given all slots of the engine to other calls.
-func (c *Chooser) chooseLoaded(a relay.ChooseRequest, full map[string]bool) (relay.Reservation, bool) {
+// refused the call, which may have given all slots of the engine to other calls. used is set
+// if there are engines, but this instance used its share of them.
+func (c *Chooser) chooseLoaded(a relay.ChooseRequest, full map[string]bool) (r relay.Reservation, ok, used bool) {
 	now := time.Now()
 	key := a.Call.Key
 	releases := c.Fleet.Releases(key)
@@ -323,20 +331,23 @@
 		if key.Adapter != "" && (!present || releases.OutdatedFor(version, now) > oldVersionGrace) {
 			continue
 		}
-		if !c.mayUseEngine(e, now) {
-			continue
-		}
 		engines = append(engines, e)
 	}
 	target, ok := c.Balancer.Choose(engines, a.Avoid, now)
+	for ok && !c.mayUseEngine(target, now) {
+		used = true
+		c.Balancer.Done(target.ID, balance.Abandoned, 0, now)
+		engines = slices.DeleteFunc(engines, func(e bamboorail.TargetEntry) bool { return e.ID == target.ID })
+		target, ok = c.Balancer.Choose(engines, a.Avoid, now)
+	}
 	if !ok {
-		return relay.Reservation{}, false
+		return relay.Reservation{}, false, used
 	}
 	c.Log.Info("engine chosen without a holder", "id", a.Call.ID, "engine", target.ID.Name, "adapter", key.Adapter)
 	return relay.Reservation{
 		Target: target, Version: target.Models[key.Model][key.Adapter], ReadyAt: now, Assumed: true, Valid: c.valid(target),
 		Done: c.balancedDone(target, 0), BeginBy: c.beginBy(key, target.Models[key.Model][key.Adapter]),
-	}, true
+	}, true, used
 }
 
 // beginBy returns a function that returns the time by which a call must begin to run on a
--- a/internal/placer/queries.go
+++ b/internal/placer/queries.go
@@ -91,6 +91,7 @@
 	releases := c.Fleet.Releases(a.Call.Key)
 	newest := releases.Newest()
 	if z.Local != nil && z.Lease.Leading() {
+		c.recordContact(z.Zone)
 		p, err := z.Local.Place(ctx, adapters.Request{
 			Key: a.Call.Key, Service: a.Service.Name, Software: a.Software, Version: newest, Releases: releases, Avoid: a.Avoid,
 			Loads: loads, CallID: a.Call.ID, Waited: time.Since(a.Received), Objective: a.Route.Objective, Priority: a.Route.Priority,
@@ -165,10 +166,12 @@
 		return relay.Reservation{}, failRetry(op, bamboorail.KindNotOwner, noEngineRetry, errNotHolder)
 	case reply.GetTarget() == "":
 		c.clearBackoff(z)
+		c.recordContact(z.Zone)
 		after := time.Duration(reply.GetRetryAfterMicros()) * time.Microsecond
 		return relay.Reservation{}, failRetry(op, bamboorail.KindOverloaded, after, errors.New(reply.GetReason()))
 	}
 	c.clearBackoff(z)
+	c.recordContact(z.Zone)
 	c.addOpen(z.Zone, reply.GetTicket(), received)
 	target := bamboorail.TargetEntry{
 		ID: bamboorail.TargetID{Name: reply.GetTarget(), StartMillis: reply.GetBorn()}, Service: a.Service.Name,
