placer: refusals of brittle targets are sent after changes and each 3 s

What brittle targets bear was in each reply to a follower, 4.2 a second: by the size of the messages 17 KB/s for each instance with 140 brittle engines, 240 KB/s with 1,900, where 4 are planned for all control. An instance gets it after a change, and each 3 s.

--- a/internal/placer/acquire.go
+++ b/internal/placer/acquire.go
@@ -351,7 +351,7 @@
 func (s *Server) Follow(ctx context.Context, r *wire.FollowRequest) (*wire.FollowReply, error) {
 	reply, err := s.Follower.Follow(ctx, r)
 	if err == nil && reply != nil {
-		reply.Limits, reply.RefusalLimits = s.limits.messages(advisory.Requests), s.limits.messages(advisory.Refusals)
+		reply.Limits, reply.RefusalLimits = s.limits.messages(advisory.Requests), s.limits.refusalMessages(r.GetInstance())
 		reply.Blocks, reply.Baselines = s.quarantine.blockMessages(), s.Baselines()
 	}
 	return reply, err
--- a/internal/placer/acquire_test.go
+++ b/internal/placer/acquire_test.go
@@ -149,6 +149,40 @@
 	}
 }
 
+// TestRefusalLimitsAreSentWhenTheyChange guards against replies that all carry what many
+// brittle targets said.
+func TestRefusalLimitsAreSentWhenTheyChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		chooser, _, _ := newTestChooser(t)
+		limits := chooser.Limits
+		say := func(name string) {
+			chooser.Advise(bamboorail.TargetID{Name: name}, bamboorail.Advisory{Brittle: true, MaxRefusals: 5}, time.Now())
+		}
+		check := func(instance string, expected int) {
+			t.Helper()
+			if n := len(limits.refusalMessages(instance)); n != expected {
+				t.Errorf("%d limits for %s, expected %d", n, instance, expected)
+			}
+			time.Sleep(time.Millisecond)
+		}
+		say("a")
+		check("i", 1)
+		check("i", 0)
+		check("j", 1)
+		say("b")
+		check("i", 2)
+		check("i", 0)
+		time.Sleep(refusalsInterval)
+		check("i", 2)
+		for n := range 2 * maxRefusalsSent {
+			limits.refusalMessages(fmt.Sprint(n))
+		}
+		if n := len(limits.refusalsSent); n > maxRefusalsSent {
+			t.Errorf("%d instances kept", n)
+		}
+	})
+}
+
 // TestTwoHoldersTogetherKeepLimit guards against a holder that was replaced but does
 // not know it yet, and grants a limit beside its successor.
 func TestTwoHoldersTogetherKeepLimit(t *testing.T) {
--- a/internal/placer/brittle_sim_test.go
+++ b/internal/placer/brittle_sim_test.go
@@ -247,7 +247,7 @@
 			_, address := i.zones[0].Lease.Holder()
 			for _, other := range i.sim.instances {
 				if other.name == address && !other.ended.Load() && other != i {
-					if reply, err := other.server.Follow(ctx, &wire.FollowRequest{}); err == nil {
+					if reply, err := other.server.Follow(ctx, &wire.FollowRequest{Instance: i.name}); err == nil {
 						i.chooser.Learn(i.zones[0].Zone, reply)
 					}
 				}
--- a/internal/placer/limits.go
+++ b/internal/placer/limits.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -21,11 +22,17 @@
 	fleet    *fleet.Fleet
 	metrics  *telemetry.Metrics
 	log      hclog.Logger
+
+	mu sync.Mutex
+	// refusalsChanged is the time of the last change of a limit of refusals, refusalsSent
+	// the times at which other instances got all of them.
+	refusalsChanged time.Time
+	refusalsSent    map[string]time.Time
 }
 
 // NewLimits returns the exchange of the limits in a registry.
 func NewLimits(r *advisory.Registry, f *fleet.Fleet, m *telemetry.Metrics, log hclog.Logger) *Limits {
-	return &Limits{registry: r, fleet: f, metrics: m, log: log}
+	return &Limits{registry: r, fleet: f, metrics: m, log: log, refusalsSent: map[string]time.Time{}}
 }
 
 // limitKinds are the kinds of limits that targets name.
@@ -90,6 +97,9 @@
 
 func (l *Limits) report(limit advisory.Limit, source string) {
 	if limit.Kind == advisory.Refusals {
+		l.mu.Lock()
+		l.refusalsChanged = time.Now()
+		l.mu.Unlock()
 		l.log.Info("target changes the refusals that it bears", "target", limit.Target.Name, "born", limit.Target.StartMillis, "brittle", limit.Named,
 			"refusals-per-second", limit.Rate, "source", source)
 		if limit.Named {
@@ -111,6 +121,34 @@
 	return limitMessages(l.registry.Limits(kind, now), kind, now)
 }
 
+const (
+	// refusalsInterval is the time after which an instance gets all limits of refusals
+	// again; changes are sent at once.
+	refusalsInterval = 3 * time.Second
+	// maxRefusalsSent bounds the instances that are distinguished.
+	maxRefusalsSent = 1024
+)
+
+// refusalMessages returns all limits of refusals if they are due for an instance: in each
+// reply, those of many brittle targets would exceed the traffic for control.
+func (l *Limits) refusalMessages(instance string) []*wire.TargetLimit {
+	now := time.Now()
+	l.mu.Lock()
+	sent, known := l.refusalsSent[instance]
+	due := !known || sent.Before(l.refusalsChanged) || now.Sub(sent) >= refusalsInterval
+	if due {
+		if len(l.refusalsSent) >= maxRefusalsSent {
+			clear(l.refusalsSent)
+		}
+		l.refusalsSent[instance] = now
+	}
+	l.mu.Unlock()
+	if !due {
+		return nil
+	}
+	return l.messages(advisory.Refusals)
+}
+
 // limitMessages returns the messages of the limits of a kind in a list.
 func limitMessages(list []advisory.Limit, kind advisory.LimitKind, now time.Time) []*wire.TargetLimit {
 	messages := make([]*wire.TargetLimit, 0, len(list))
