--- a/internal/placer/brittle_test.go
+++ b/internal/placer/brittle_test.go
@@ -70,29 +70,52 @@
 	return result
 }
 
-// TestBrittleTargetsStayUpBehindManyInstances guards against targets that fall over again and
-// again under the refusals of many instances (incident archive-grown-brittle-targets).
-func TestBrittleTargetsStayUpBehindManyInstances(t *testing.T) {
+// The loads of the tests, at random moments.
+var (
+	plainLoad  = brittleLoad{targets: 3, work: 30 * time.Millisecond, load: 0.65}
+	engineLoad = brittleLoad{targets: 12, work: 1400 * time.Millisecond, load: 0.65, engine: true}
+)
+
+// with returns a load that f has changed.
+func (l brittleLoad) with(f func(l *brittleLoad)) brittleLoad {
+	f(&l)
+	return l
+}
+
+// check plays a load with targets that bear each number of refusals a second.
+func (l brittleLoad) check(t *testing.T, refusals ...int) {
+	t.Helper()
 	// minServed is the part of the calls that targets serve if they are not brittle.
 	const minServed = 0.9
-	plain := brittleLoad{targets: 3, work: 30 * time.Millisecond, load: 0.65}
-	engines := brittleLoad{targets: 12, work: 1400 * time.Millisecond, load: 0.65, engine: true}
-	with := func(l brittleLoad, f func(l *brittleLoad)) brittleLoad {
-		f(&l)
-		return l
+	l.bears = -1
+	sound := playBrittle(t, l, 1)
+	for _, l.bears = range refusals {
+		got := playBrittle(t, l, 1)
+		t.Logf("%d instances, %d refusals a second: %+v, sound %+v", l.instances, l.bears, got, sound)
+		if got.falls > 2+l.targets/10 {
+			t.Errorf("%d instances, %d refusals a second: %d falls of %d targets", l.instances, l.bears, got.falls, l.targets)
+		}
+		if float64(got.served) < minServed*float64(sound.served) {
+			t.Errorf("%d instances, %d refusals a second: %d calls served, %d by sound targets", l.instances, l.bears, got.served, sound.served)
+		}
 	}
+}
+
+// TestBrittleTargetsStayUpBehindManyInstances guards against targets that fall over again and
+// again under the refusals of many instances (incident archive-grown-brittle-targets).
+func TestBrittleTargetsStayUpBehindManyInstances(t *testing.T) {
 	cases := map[string]brittleLoad{
-		"plain":                plain,
-		"plain, crowd":         with(plain, func(l *brittleLoad) { l.burst = 1.3 }),
-		"plain, one crashes":   with(plain, func(l *brittleLoad) { l.load, l.fall = 0.4, true }),
-		"plain, no holder":     with(plain, func(l *brittleLoad) { l.load, l.leaderless = 0.2, true }),
-		"plain, holder ends":   with(plain, func(l *brittleLoad) { l.load, l.loses = 0.4, true }),
-		"engines":              engines,
-		"engines, crowd":       with(engines, func(l *brittleLoad) { l.burst = 1.3 }),
-		"engines, one crashes": with(engines, func(l *brittleLoad) { l.fall = true }),
-		"engines, no holder":   with(engines, func(l *brittleLoad) { l.load, l.leaderless = 0.2, true }),
-		"engines, holder ends": with(engines, func(l *brittleLoad) { l.loses = true }),
-		"engines, ends, crowd": with(engines, func(l *brittleLoad) { l.loses, l.burst = true, 1.3 }),
+		"plain":                plainLoad,
+		"plain, crowd":         plainLoad.with(func(l *brittleLoad) { l.burst = 1.3 }),
+		"plain, one crashes":   plainLoad.with(func(l *brittleLoad) { l.load, l.fall = 0.4, true }),
+		"plain, no holder":     plainLoad.with(func(l *brittleLoad) { l.load, l.leaderless = 0.2, true }),
+		"plain, holder ends":   plainLoad.with(func(l *brittleLoad) { l.load, l.loses = 0.4, true }),
+		"engines":              engineLoad,
+		"engines, crowd":       engineLoad.with(func(l *brittleLoad) { l.burst = 1.3 }),
+		"engines, one crashes": engineLoad.with(func(l *brittleLoad) { l.fall = true }),
+		"engines, no holder":   engineLoad.with(func(l *brittleLoad) { l.load, l.leaderless = 0.2, true }),
+		"engines, holder ends": engineLoad.with(func(l *brittleLoad) { l.loses = true }),
+		"engines, ends, crowd": engineLoad.with(func(l *brittleLoad) { l.loses, l.burst = true, 1.3 }),
 	}
 	// all are the numbers of instances with the refusals that the targets bear; few are
 	// enough for the other cases.
@@ -105,20 +128,21 @@
 				sizes = all
 			}
 			for instances, refusals := range sizes {
-				l.instances, l.bears = instances, -1
-				sound := playBrittle(t, l, 1)
-				for _, bears := range refusals {
-					l.bears = bears
-					got := playBrittle(t, l, 1)
-					t.Logf("%d instances, %d refusals a second: %+v, sound %+v", instances, bears, got, sound)
-					if got.falls > 2+l.targets/10 {
-						t.Errorf("%d instances, %d refusals a second: %d falls of %d targets", instances, bears, got.falls, l.targets)
-					}
-					if float64(got.served) < minServed*float64(sound.served) {
-						t.Errorf("%d instances, %d refusals a second: %d calls served, %d by sound targets", instances, bears, got.served, sound.served)
-					}
-				}
+				l.instances = instances
+				l.check(t, refusals...)
 			}
 		})
 	}
 }
+
+// TestBrittleTargetsOfLargeFleetAreServedWithoutHolder guards against calls that are refused
+// although brittle targets have room, while no zone has a holder.
+func TestBrittleTargetsOfLargeFleetAreServedWithoutHolder(t *testing.T) {
+	for name, l := range map[string]brittleLoad{"plain": plainLoad, "engines": engineLoad} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l.instances, l.load, l.leaderless = 195, 0.2, true
+			l.check(t, 1, 5)
+		})
+	}
+}
