--- a/internal/concurrency/concurrency.go
+++ b/internal/concurrency/concurrency.go
@@ -25,7 +25,7 @@
 	unclearEnd = 100 * time.Millisecond
 	// minAgain and maxAgain bound the time after which a denied request should be made
 	// again.
-	minAgain = 20 * time.Millisecond
+	minAgain = 5 * time.Millisecond
 	maxAgain = time.Second
 	// attemptFactor is the number of requests that are made for each permit while
 	// instances wait, so that few slots idle.
--- a/internal/placer/acquire.go
+++ b/internal/placer/acquire.go
@@ -133,7 +133,9 @@
 			break
 		}
 		if !a.granted {
-			a.again = max(a.again, minAcquireRetry)
+			if !a.busy {
+				a.again = max(a.again, minAcquireRetry)
+			}
 			c.mu.Lock()
 			th.deniedUntil, th.denial = now.Add(a.again), a
 			c.mu.Unlock()
--- a/internal/placer/brittle.go
+++ b/internal/placer/brittle.go
@@ -8,8 +8,12 @@
 	"bamboorail.example/bamboorail/internal/concurrency"
 )
 
-// maxRoomWait bounds the wait of a call for room at a brittle target.
-const maxRoomWait = 350 * time.Millisecond
+const (
+	// maxRoomWait bounds the wait of a call for room at a brittle target, minRoomRetry is
+	// the minimum time between two requests for it.
+	maxRoomWait  = 350 * time.Millisecond
+	minRoomRetry = 5 * time.Millisecond
+)
 
 // useSlots reports whether this instance may send a call, which the balancer counts already,
 // to a brittle target without a holder. All instances together use a part of the slots.
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -307,7 +307,7 @@
 		if after := max(admitted.retryAfter, minRetryDelay); retryAfter == 0 || after < retryAfter {
 			retryAfter = after
 		}
-		if again := max(admitted.again, minRetryDelay); admitted.busy && (busyFor == 0 || again < busyFor) {
+		if again := max(admitted.again, minRoomRetry); admitted.busy && (busyFor == 0 || again < busyFor) {
 			busyFor = again
 		}
 	}
