placer: log and count what engines answer to orders

Each answered order is logged with its number, its result and how many adapters the engine was taken to hold; holder_orders_total counts results by zone.

No change of logic.

--- a/internal/adapters/loads.go
+++ b/internal/adapters/loads.go
@@ -74,6 +74,14 @@
 	return key.Adapter == "" || taken < e.slots
 }
 
+// Room returns the number of adapters that an engine is taken to hold, and its slots.
+func (p *Planner) Room(id bamboorail.TargetID) (taken, slots int) {
+	if e := p.engine(id); e != nil {
+		return len(e.adapters), e.slots
+	}
+	return 0, 0
+}
+
 // OrderNumber returns the number of orders that an engine has accepted, and
 // false if the engine is not synced.
 func (p *Planner) OrderNumber(id bamboorail.TargetID) (uint64, bool) {
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -100,17 +100,18 @@
 		sent := time.Now()
 		result, err := h.Engines.Order(sendCtx, o)
 		cancel()
-		h.usage.recordOrder(time.Since(sent))
 		if err != nil {
+			h.usage.recordOrder("no-answer", time.Since(sent))
 			h.Log.Warn("order not answered", "zone", h.Zone, "engine", o.Target.Name, "unload", o.Unload,
 				"adapter", o.Key.Adapter, "number", o.Orders, "fencing", o.FencingToken, "error", err)
 			return err
 		}
+		h.usage.recordOrder(result.String(), time.Since(sent))
+		h.logOrder(o, result)
 		done, err := h.recordOrderResult(o, result)
 		if done {
 			return err
 		}
-		h.Log.Info("order conflicts with engine state", "zone", h.Zone, "engine", o.Target.Name, "adapter", o.Key.Adapter, "number", o.Orders)
 		if err := h.Permit(o.Target); err != nil {
 			return err
 		}
@@ -130,6 +131,20 @@
 	return fail(op, bamboorail.KindUnavailable, errEngineUnsynced)
 }
 
+// logOrder writes what an engine answered to an order, and how many adapters it was taken
+// to hold before.
+func (h *Holder) logOrder(o bamboorail.AdapterOrder, result bamboorail.OrderResult) {
+	h.mu.Lock()
+	taken, slots := h.planner.Room(o.Target)
+	h.mu.Unlock()
+	message := "order answered"
+	if result == bamboorail.OrderConflict {
+		message = "order conflicts with engine state"
+	}
+	h.Log.Info(message, "zone", h.Zone, "engine", o.Target.Name, "unload", o.Unload, "model", o.Key.Model, "adapter", o.Key.Adapter,
+		"version", o.Version, "number", o.Orders, "result", result, "taken", taken, "slots", slots)
+}
+
 // prepare numbers and signs an order, as the last step before it is sent. It returns
 // an error if the order must not be sent now.
 func (h *Holder) prepare(o *bamboorail.AdapterOrder) error {
--- a/internal/placer/usage.go
+++ b/internal/placer/usage.go
@@ -74,8 +74,8 @@
 	u.counts.decision.add(decision)
 }
 
-func (u *usage) recordOrder(took time.Duration) {
-	u.metrics.RecordOrder(took)
+func (u *usage) recordOrder(result string, took time.Duration) {
+	u.metrics.RecordOrder(result, took)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.counts.orders++
--- a/internal/telemetry/holder.go
+++ b/internal/telemetry/holder.go
@@ -11,6 +11,7 @@
 type holderVectors struct {
 	waiting *prometheus.GaugeVec
 	looks   *prometheus.CounterVec
+	orders  *prometheus.CounterVec
 	seconds *prometheus.HistogramVec
 	// fetchLimit and fetchSeconds are the estimates of the weight store.
 	fetchLimit, fetchSeconds *prometheus.GaugeVec
@@ -20,6 +21,7 @@
 	v := holderVectors{
 		waiting: newGaugeVec("holder_waiting_calls", "Calls that wait for a place in an availability zone.", "zone"),
 		looks:   newCounterVec("holder_looks_total", "Decisions about one call, tried or taken, by availability zone.", "zone"),
+		orders:  newCounterVec("holder_orders_total", "Orders to engines by availability zone and result.", "zone", "result"),
 		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "holder_seconds", Buckets: waitBuckets,
 			Help: "Time of a question (question), of it for the lock (lock) and for decisions (look), and of an order (order).",
@@ -28,7 +30,7 @@
 		fetchSeconds: newGaugeVec(
 			"holder_fetch_seconds", "Estimated time of an adapter fetch now (expected) and at full speed (flat), by availability zone.", "zone", "estimate"),
 	}
-	r.MustRegister(v.waiting, v.looks, v.seconds, v.fetchLimit, v.fetchSeconds)
+	r.MustRegister(v.waiting, v.looks, v.orders, v.seconds, v.fetchLimit, v.fetchSeconds)
 	return v
 }
 
@@ -36,6 +38,7 @@
 type Holder struct {
 	waiting               prometheus.Gauge
 	looks                 prometheus.Counter
+	orders                *prometheus.CounterVec
 	question, lock, order prometheus.Observer
 	look                  prometheus.Observer
 	fetchLimit            prometheus.Gauge
@@ -48,6 +51,7 @@
 	v := m.holders
 	return &Holder{
 		waiting: v.waiting.WithLabelValues(zone), looks: v.looks.WithLabelValues(zone),
+		orders:   v.orders.MustCurryWith(prometheus.Labels{"zone": zone}),
 		question: v.seconds.WithLabelValues(zone, "question"), lock: v.seconds.WithLabelValues(zone, "lock"),
 		look: v.seconds.WithLabelValues(zone, "look"), order: v.seconds.WithLabelValues(zone, "order"),
 		fetchLimit: v.fetchLimit.WithLabelValues(zone), expectedFetch: v.fetchSeconds.WithLabelValues(zone, "expected"),
@@ -77,5 +81,8 @@
 // RecordPlacement records the duration of a placement request.
 func (h *Holder) RecordPlacement(took time.Duration) { h.question.Observe(took.Seconds()) }
 
-// RecordOrder records the duration of an order to an engine.
-func (h *Holder) RecordOrder(took time.Duration) { h.order.Observe(took.Seconds()) }
+// RecordOrder records the result and the duration of an order to an engine.
+func (h *Holder) RecordOrder(result string, took time.Duration) {
+	h.orders.WithLabelValues(result).Inc()
+	h.order.Observe(took.Seconds())
+}
--- a/orders.go
+++ b/orders.go
@@ -35,6 +35,21 @@
 	OrderRejected
 )
 
+// String returns the result in one word.
+func (r OrderResult) String() string {
+	switch r {
+	case OrderAccepted:
+		return "accepted"
+	case OrderDone:
+		return "done"
+	case OrderConflict:
+		return "conflict"
+	case OrderRejected:
+		return "rejected"
+	}
+	return "unknown"
+}
+
 // EngineState is the state reported by an engine.
 type EngineState struct {
 	Orders uint64
