adapters: a waiting load keeps its slot, and orders are checked against what an engine holds

What callers see: an engine that is ordered to load more than it holds crashes with the calls that it runs.

Cause: the planner had one view of an engine for what it holds and for what was decided. A report that was read while a load waited (in the background queue, or for an order before it) dropped the load from the view; its slot was given away, and the load was decided again with an eviction. The first order of the pair of decisions then found its adapter in the view, one other missing and the number right. A load that waited could also be evicted, and an order that failed removed the load of a later decision.

Change: an engine has contents, changed by its reports and its answers only, and planned loads, each of which reserves its slot until the engine has accepted it or it is canceled. The view that calls are placed on is the one after the other. An order is checked against the contents when it is sent, under the lock of its engine, not when it is decided. An order that is not sent makes no engine unsynced any more. A new version is loaded after the old one was unloaded, as both may occupy slots meanwhile.

In TestUnconfirmedAdapterIsFetched and TestReportHandledLateKeepsLoads only the calls are renamed: a load that is not accepted is canceled, not accepted and then removed.

--- a/internal/adapters/cost.go
+++ b/internal/adapters/cost.go
@@ -105,7 +105,7 @@
 // loadOption returns the cost of loading the adapter on an engine first.
 func (p *Planner) loadOption(o option, e *engine, r Request, q *requestContext, now time.Time) (option, bool) {
 	held := e.adapters[r.Key]
-	if held != nil && (held.unloading || held.running > 0) {
+	if held != nil && (held.planned || held.unloading || held.running > 0) {
 		// A replacement waits until the calls that use the old version have
 		// ended.
 		return o, false
@@ -137,7 +137,7 @@
 
 // idle reports whether no call uses an adapter or waits for it.
 func (r *adapterState) idle(minIdle time.Duration, now time.Time) bool {
-	return r.running == 0 && !r.unloading && !r.readyAt.After(now) && now.Sub(r.lastUsed) >= minIdle
+	return r.running == 0 && !r.planned && !r.unloading && !r.readyAt.After(now) && now.Sub(r.lastUsed) >= minIdle
 }
 
 // isLoadAllowed reports whether a request may cause a load on an engine.
--- a/internal/adapters/engine.go
+++ b/internal/adapters/engine.go
@@ -20,9 +20,13 @@
 	// desyncedAt is the time at which the engine became unsynced.
 	desyncedAt time.Time
 	models     map[string]time.Time // model to the time from which it is usable
-	adapters   map[bamboorail.AdapterKey]*adapterState
-	cached     map[bamboorail.AdapterKey]time.Time
-	running    int
+	// contents are the adapters that occupy slots, adapters those that calls may be placed
+	// on: the contents after all planned loads.
+	contents contents
+	adapters map[bamboorail.AdapterKey]*adapterState
+	planned  map[uint64]*plannedLoad
+	cached   map[bamboorail.AdapterKey]time.Time
+	running  int
 	// inherited estimates the calls that run or wait at the engine and were
 	// placed by an earlier holder: initially reported at reportedAt, and fewer
 	// as they end.
@@ -38,6 +42,9 @@
 	version int
 	readyAt time.Time
 	loading bool
+	// planned is set until the engine accepts the load, background if no call waits for
+	// its orders.
+	planned, background bool
 	// fetch is set for a load from the weight store; started is its start.
 	fetch   bool
 	started time.Time
@@ -71,7 +78,7 @@
 		}
 	}
 	for key, r := range e.adapters {
-		if _, ok := e.entry.Models[key.Model][key.Adapter]; !ok && now.Sub(r.readyAt) > maxEntryLag {
+		if _, ok := e.entry.Models[key.Model][key.Adapter]; !ok && !r.planned && now.Sub(r.readyAt) > maxEntryLag {
 			e.desync(now)
 		}
 	}
@@ -92,38 +99,13 @@
 		p.decayInherited(e, now)
 	}
 	e.stateRead, e.synced, e.orders = true, true, s.Orders
-	models := map[string]time.Time{}
-	states := map[bamboorail.AdapterKey]*adapterState{}
-	for model, list := range s.Models {
-		models[model] = now
+	e.models = map[string]time.Time{}
+	for model := range s.Models {
+		e.models[model] = now
 		p.markAvailable(bamboorail.AdapterKey{Model: model})
-		for name, version := range list {
-			key := bamboorail.AdapterKey{Model: model, Adapter: name}
-			r := &adapterState{version: version, readyAt: now, confirmedAt: now}
-			if old := e.adapters[key]; old != nil {
-				r.running, r.usedSince, r.lastUsed = old.running, old.usedSince, old.lastUsed
-			}
-			states[key] = r
-			e.cached[key] = now
-			p.markAvailable(key)
-		}
-	}
-	for _, key := range s.Pending {
-		if states[key] == nil {
-			states[key] = &adapterState{readyAt: now.Add(p.fetchTime()), started: now, loading: true, fetch: true, lastUsed: now}
-		}
-	}
-	for key, old := range e.adapters {
-		// A load that was accepted after the report was made is missing from
-		// it.
-		if states[key] == nil && old.loading && asked.Sub(old.started) < maxReportLag {
-			states[key] = old
-		}
-	}
-	e.models, e.adapters = models, states
-	for _, r := range states {
-		e.extendLoadsUntil(r)
 	}
+	e.contents = e.contents.update(s, asked)
+	p.rebuild(e, now)
 }
 
 // decayInherited updates the estimate of the calls of an earlier holder. Calls
--- a/internal/adapters/loads.go
+++ b/internal/adapters/loads.go
@@ -6,78 +6,114 @@
 	"bamboorail.example/bamboorail"
 )
 
-// startLoad records an adapter as loading, after evicting another one if evict
-// is set, and returns the orders.
-func (p *Planner) startLoad(e *engine, r Request, evict bool, now time.Time) []bamboorail.AdapterOrder {
-	var orders []bamboorail.AdapterOrder
-	if evict {
-		if victim, ok := p.victim(e, now); ok {
-			orders = append(orders, bamboorail.AdapterOrder{Target: e.entry.ID, Address: e.entry.Address, Unload: true, Key: victim})
-			delete(e.adapters, victim)
-		}
+// OrderCheck states whether an order may be sent.
+type OrderCheck int
+
+// The results of CheckOrder.
+const (
+	// OrderFits means that the order may be sent.
+	OrderFits OrderCheck = iota
+	// OrderNeedless means that the engine already is in the requested state.
+	OrderNeedless
+	// OrderUnsynced means that the number of orders that the engine has accepted is not
+	// certain.
+	OrderUnsynced
+	// OrderWithoutRoom means that the engine has no slot for the adapter, or must keep it.
+	OrderWithoutRoom
+)
+
+// CheckOrder checks an order that is sent next against what the engine holds, and returns
+// the number of orders that the engine has accepted.
+func (p *Planner) CheckOrder(o bamboorail.AdapterOrder) (uint64, OrderCheck) {
+	e := p.engine(o.Target)
+	if e == nil || !e.synced {
+		return 0, OrderUnsynced
 	}
-	orders = append(orders, bamboorail.AdapterOrder{Target: e.entry.ID, Address: e.entry.Address, Key: r.Key, Version: r.Version})
-	running := 0
-	if old := e.adapters[r.Key]; old != nil {
-		running = old.running
+	if o.Key.Adapter == "" {
+		return e.orders, OrderFits
 	}
-	e.adapters[r.Key] = p.newLoadingAdapter(e, r.Key, r.Version, now)
-	e.adapters[r.Key].running, e.adapters[r.Key].usedSince = running, now
-	if e.adapters[r.Key].fetch {
-		p.trackFetch(e, r.Key, e.adapters[r.Key], now)
+	c, held := e.contents[o.Key]
+	switch {
+	case held && c.unloading:
+		return e.orders, OrderWithoutRoom
+	case held != o.Unload && (o.Unload || c.version >= o.Version):
+		return e.orders, OrderNeedless
+	case !o.Unload && (held || e.contents.taken() >= e.slots):
+		return e.orders, OrderWithoutRoom
 	}
-	p.waiting.loadStarted(r.Key, e.entry.Slots)
-	p.markAvailable(r.Key)
-	return orders
+	return e.orders, OrderFits
 }
 
-// RecordOrder records that an engine accepted an order as its next one.
+// RecordOrder records that an engine accepted an order as its next one: a load, or an unload
+// that it has carried out.
 func (p *Planner) RecordOrder(o bamboorail.AdapterOrder, now time.Time) {
 	e := p.engine(o.Target)
-	if e == nil || !e.synced {
+	if e == nil {
 		return
 	}
 	e.orders = o.Orders + 1
-	if r := e.adapters[o.Key]; r != nil && !o.Unload && r.loading && !r.late && !r.observed {
-		// The load begins now, not when it was decided.
-		delay := now.Sub(r.started)
-		r.started, r.readyAt = now, r.readyAt.Add(delay)
-		e.extendLoadsUntil(r)
-	}
-	if !o.Unload && o.Key.Adapter != "" && e.adapters[o.Key] == nil {
-		e.adapters[o.Key] = p.newLoadingAdapter(e, o.Key, o.Version, now)
-		p.markAvailable(o.Key)
+	switch {
+	case o.Key.Adapter == "":
+	case o.Unload:
+		delete(e.contents, o.Key)
+		if l := e.planned[o.Plan]; l != nil {
+			l.evictedState = nil
+		}
+	default:
+		e.contents[o.Key] = content{version: o.Version, loading: true, accepted: now}
+		p.endPlan(e, o)
+		p.startedLoading(e, o, now)
 	}
 }
 
-// newLoadingAdapter returns the state of an adapter whose load starts now.
-func (p *Planner) newLoadingAdapter(e *engine, key bamboorail.AdapterKey, version int, now time.Time) *adapterState {
-	_, cached := e.cached[key]
-	r := &adapterState{
-		version: version, readyAt: now.Add(p.loadTime(e, key)), started: now, loading: true, fetch: !cached, lastUsed: now,
-	}
-	e.extendLoadsUntil(r)
-	return r
+// endPlan ends the planned load of an order that was accepted.
+func (p *Planner) endPlan(e *engine, o bamboorail.AdapterOrder) {
+	l := e.planned[o.Plan]
+	if l == nil {
+		return
+	}
+	delete(e.planned, o.Plan)
+	l.state.planned = false
+	p.restoreEvicted(e, l)
+	p.markAvailable(o.Key)
 }
 
-// HasFreeSlot reports whether an engine has a free slot for an adapter, or
-// holds the adapter already.
-func (p *Planner) HasFreeSlot(id bamboorail.TargetID, key bamboorail.AdapterKey) bool {
-	e := p.engine(id)
-	if e == nil {
-		return false
+// startedLoading times a load from its order, not from its decision.
+func (p *Planner) startedLoading(e *engine, o bamboorail.AdapterOrder, now time.Time) {
+	r := e.adapters[o.Key]
+	switch {
+	case r == nil:
+		e.adapters[o.Key] = p.newLoadingAdapter(e, o.Key, o.Version, now)
+		p.markAvailable(o.Key)
+	case r.loading && !r.late && !r.observed:
+		delay := now.Sub(r.started)
+		r.started, r.readyAt = now, r.readyAt.Add(delay)
+		e.extendLoadsUntil(r)
 	}
-	taken := len(e.adapters)
-	if e.adapters[key] != nil {
-		taken--
+}
+
+// RecordNeedless records that an engine already was in the state that an order requests.
+func (p *Planner) RecordNeedless(o bamboorail.AdapterOrder, now time.Time) {
+	e := p.engine(o.Target)
+	l := (*plannedLoad)(nil)
+	if e != nil {
+		l = e.planned[o.Plan]
+	}
+	switch {
+	case l == nil:
+	case o.Unload:
+		l.evictedState = nil
+	default:
+		running := l.state.running
+		p.CancelLoad(o, now)
+		e.adapters[o.Key].running += running
 	}
-	return key.Adapter == "" || taken < e.slots
 }
 
-// Room returns the number of adapters that an engine is taken to hold, and its slots.
+// Room returns the number of slots that are taken of an engine's slots.
 func (p *Planner) Room(id bamboorail.TargetID) (taken, slots int) {
 	if e := p.engine(id); e != nil {
-		return len(e.adapters), e.slots
+		return e.contents.taken(), e.slots
 	}
 	return 0, 0
 }
@@ -91,36 +127,35 @@
 	return 0, false
 }
 
-// LoadFailed removes an adapter whose load was not accepted.
-func (p *Planner) LoadFailed(id bamboorail.TargetID, key bamboorail.AdapterKey) {
-	if e := p.engine(id); e != nil {
-		if r := e.adapters[key]; r != nil && r.loading {
-			delete(e.adapters, key)
-		}
+// RecordHeld records that an engine already held the adapter that it was ordered to load. It
+// counts no order for that.
+func (p *Planner) RecordHeld(o bamboorail.AdapterOrder, now time.Time) {
+	e := p.engine(o.Target)
+	if e == nil {
+		return
 	}
+	if o.Key.Adapter != "" {
+		e.contents[o.Key] = content{version: o.Version}
+		p.endPlan(e, o)
+	}
+	p.RecordLoaded(o.Target, o.Key, now)
 }
 
-// Evict evicts an adapter again after its unload was rejected because the
-// engine's state had changed. It reports whether the engine holds the adapter,
-// and whether no call uses it; the adapter is removed only then.
-func (p *Planner) Evict(id bamboorail.TargetID, key bamboorail.AdapterKey) (held, idle bool) {
-	e := p.engine(id)
-	if e == nil || e.adapters[key] == nil {
-		return false, false
-	}
-	if e.adapters[key].running > 0 {
-		return true, false
-	}
-	delete(e.adapters, key)
-	return true, true
-}
-
-// RecordUnloading records an adapter that the engine keeps until the calls that
-// use it have ended.
-func (p *Planner) RecordUnloading(id bamboorail.TargetID, key bamboorail.AdapterKey, now time.Time) {
-	if e := p.engine(id); e != nil {
-		e.adapters[key] = &adapterState{unloading: true, readyAt: now}
+// RecordUnloading records that an engine accepted an unload as its next order, and keeps the
+// adapter until the calls that use it have ended.
+func (p *Planner) RecordUnloading(o bamboorail.AdapterOrder, now time.Time) {
+	e := p.engine(o.Target)
+	if e == nil {
+		return
+	}
+	e.orders = o.Orders + 1
+	c := e.contents[o.Key]
+	c.unloading = true
+	e.contents[o.Key] = c
+	if l := e.planned[o.Plan]; l != nil {
+		l.evictedState = nil
 	}
+	e.adapters[o.Key] = &adapterState{unloading: true, readyAt: now}
 }
 
 // ModelLoads returns at most limit orders that load base models on engines
--- a/internal/adapters/loads_test.go
+++ b/internal/adapters/loads_test.go
@@ -33,9 +33,10 @@
 	}{
 		"load not accepted": {func(p *Planner, first Placement) {
 			p.End(first.Ticket)
-			p.LoadFailed(first.Target.ID, testRequest(1).Key)
+			p.CancelLoad(first.Orders[0], start)
 		}, 0},
 		"dropped by the engine unnoticed": {func(p *Planner, first Placement) {
+			acceptOrders(p, first.Orders, start)
 			p.End(first.Ticket)
 			p.RecordLoaded(first.Target.ID, testRequest(1).Key, start)
 			p.Sync(first.Target.ID, bamboorail.EngineState{Orders: 1, Models: map[string]map[string]int{"m": {}}}, start.Add(time.Second), start.Add(time.Second))
@@ -45,7 +46,6 @@
 		t.Run(name, func(t *testing.T) {
 			p := newTestPlanner(1, 21)
 			first, _ := p.Place(testRequest(1), start)
-			acceptOrders(p, first.Orders, start)
 			c.lose(p, first)
 			now := start.Add(2 * time.Second)
 			loaded := now.Add(p.fetchTime())
--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -64,6 +64,8 @@
 	demand      map[bamboorail.AdapterKey]*demand
 	tickets     map[uint64]ticket
 	lastTicket  uint64
+	// lastPlan is the number of the last planned load.
+	lastPlan uint64
 	// lastContact is the time of the last message of each instance that reports
 	// its open placements.
 	lastContact map[string]time.Time
@@ -127,8 +129,8 @@
 		known := p.engines[e.ID.Name]
 		if known == nil || known.entry.ID != e.ID || known.entry.Address != e.Address {
 			known = &engine{
-				models: map[string]time.Time{}, adapters: map[bamboorail.AdapterKey]*adapterState{},
-				cached: map[bamboorail.AdapterKey]time.Time{},
+				models: map[string]time.Time{}, contents: contents{}, adapters: map[bamboorail.AdapterKey]*adapterState{},
+				planned: map[uint64]*plannedLoad{}, cached: map[bamboorail.AdapterKey]time.Time{},
 			}
 			p.engines[e.ID.Name] = known
 		}
--- a/internal/adapters/planner_test.go
+++ b/internal/adapters/planner_test.go
@@ -298,8 +298,9 @@
 			placeLoading(t, p, testRequest(1))
 			p.Desync(engineID(0), start)
 			p.Sync(engineID(0), bamboorail.EngineState{Orders: 1, Models: map[string]map[string]int{"m": {}}}, start.Add(c.asked), start.Add(c.handled))
-			if free := p.HasFreeSlot(engineID(0), testRequest(2).Key); free != c.free {
-				t.Errorf("slot free: %t, want %t", free, c.free)
+			other := bamboorail.AdapterOrder{Target: engineID(0), Key: testRequest(2).Key}
+			if _, check := p.CheckOrder(other); (check == OrderFits) != c.free {
+				t.Errorf("check of the next load: %v, want a free slot: %t", check, c.free)
 			}
 		})
 	}
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/adapters"
 )
 
 // lockEngine serializes the orders to one engine and the reads of its state, so
@@ -30,26 +30,26 @@
 func (h *Holder) execute(ctx context.Context, orders []bamboorail.AdapterOrder) error {
 	unlock, err := h.lockEngine(ctx, orders[0].Target)
 	if err != nil {
-		h.revertOrders(orders, err)
+		h.revertOrders(orders)
 		return fail("send-orders", bamboorail.KindUnavailable, err)
 	}
 	defer unlock()
 	for i, o := range orders {
 		if err := h.send(ctx, o); err != nil {
-			h.revertOrders(orders[i:], err)
+			h.revertOrders(orders[i:])
 			return err
 		}
 	}
 	return nil
 }
 
-// revertOrders undoes the planner's assumptions about orders that failed.
-func (h *Holder) revertOrders(orders []bamboorail.AdapterOrder, err error) {
+// revertOrders withdraws what orders that failed were planned for.
+func (h *Holder) revertOrders(orders []bamboorail.AdapterOrder) {
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	defer h.grantWaiting(now)
-	h.revertOrdersLocked(orders, err, now)
+	h.revertOrdersLocked(orders, now)
 }
 
 // enqueueBackground queues orders that no call waits for. The caller holds the
@@ -58,24 +58,26 @@
 	select {
 	case h.background <- orders:
 	default:
-		h.revertOrdersLocked(orders, errEngineUnsynced, now)
+		h.revertOrdersLocked(orders, now)
 	}
 }
 
 // revertOrdersLocked implements revertOrders. The caller holds the lock.
-func (h *Holder) revertOrdersLocked(orders []bamboorail.AdapterOrder, err error, now time.Time) {
+func (h *Holder) revertOrdersLocked(orders []bamboorail.AdapterOrder, now time.Time) {
 	for _, o := range orders {
 		if !o.Unload && o.Key.Adapter == "" {
 			h.planner.ModelLoadFailed(o.Target, o.Key.Model)
-		} else if !o.Unload {
-			h.planner.LoadFailed(o.Target, o.Key)
+		} else {
+			h.planner.CancelLoad(o, now)
 		}
 	}
-	if !errors.Is(err, errAdapterInUse) {
-		// The engine may have accepted an order, or may still hold the adapter
-		// that was to be evicted.
-		h.planner.Desync(orders[0].Target, now)
-	}
+}
+
+// desync makes the holder read the state of an engine before the next order.
+func (h *Holder) desync(id bamboorail.TargetID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.planner.Desync(id, time.Now())
 }
 
 // maxOrderAttempts bounds the attempts to send an order, each based on a newer
@@ -86,13 +88,8 @@
 // again.
 func (h *Holder) send(ctx context.Context, o bamboorail.AdapterOrder) error {
 	const op = "send-order"
-	for attempt := range maxOrderAttempts {
-		if attempt > 0 && o.Unload {
-			if done, err := h.reevaluateUnload(o); done {
-				return err
-			}
-		}
-		if err := h.prepare(&o); err != nil {
+	for range maxOrderAttempts {
+		if needed, err := h.prepare(&o); err != nil || !needed {
 			return err
 		}
 		h.recordRequest(o.Target)
@@ -104,6 +101,7 @@
 			h.usage.recordOrder("no-answer", time.Since(sent))
 			h.Log.Warn("order not answered", "zone", h.Zone, "engine", o.Target.Name, "unload", o.Unload,
 				"adapter", o.Key.Adapter, "number", o.Orders, "fencing", o.FencingToken, "error", err)
+			h.desync(o.Target)
 			return err
 		}
 		h.usage.recordOrder(result.String(), time.Since(sent))
@@ -112,6 +110,7 @@
 		if done {
 			return err
 		}
+		h.desync(o.Target)
 		if err := h.Permit(o.Target); err != nil {
 			return err
 		}
@@ -123,7 +122,6 @@
 		}
 		now := time.Now()
 		h.mu.Lock()
-		h.planner.Desync(o.Target, now)
 		h.planner.Sync(o.Target, state, asked, now)
 		h.grantWaiting(now)
 		h.mu.Unlock()
@@ -146,44 +144,47 @@
 }
 
 // prepare numbers and signs an order, as the last step before it is sent. It returns
-// an error if the order must not be sent now.
-func (h *Holder) prepare(o *bamboorail.AdapterOrder) error {
+// an error if the order must not be sent now, and false if it is not needed.
+func (h *Holder) prepare(o *bamboorail.AdapterOrder) (bool, error) {
 	const op = "send-order"
-	h.mu.Lock()
-	number, known := h.planner.OrderNumber(o.Target)
-	hasSlot := o.Unload || h.planner.HasFreeSlot(o.Target, o.Key)
-	h.mu.Unlock()
-	switch {
-	case !known:
-		return fail(op, bamboorail.KindUnavailable, errEngineUnsynced)
-	case !hasSlot:
-		return fail(op, bamboorail.KindOverloaded, errNoCapacity)
+	number, check := h.checkOrder(*o)
+	switch check {
+	case adapters.OrderFits:
+	case adapters.OrderNeedless:
+		h.Log.Info("order no longer needed", "zone", h.Zone, "engine", o.Target.Name, "unload", o.Unload, "adapter", o.Key.Adapter)
+		return false, nil
+	case adapters.OrderUnsynced:
+		return false, fail(op, bamboorail.KindUnavailable, errEngineUnsynced)
+	case adapters.OrderWithoutRoom:
+		return false, fail(op, bamboorail.KindOverloaded, errNoCapacity)
 	}
 	if err := h.Permit(o.Target); err != nil {
-		return err
+		return false, err
 	}
 	fencingToken, acting := h.Lease.Tenure()
 	if !acting {
-		return fail(op, bamboorail.KindNotOwner, errMayNotAct)
+		return false, fail(op, bamboorail.KindNotOwner, errMayNotAct)
 	}
 	o.Orders, o.Holder, o.FencingToken = number, h.Instance, fencingToken
-	return nil
+	return true, nil
 }
 
-// reevaluateUnload checks an unload against the engine state that was read
-// after a conflict. It reports true if the order must not be sent.
-func (h *Holder) reevaluateUnload(o bamboorail.AdapterOrder) (bool, error) {
+// checkOrder checks an order against what its engine holds.
+func (h *Holder) checkOrder(o bamboorail.AdapterOrder) (uint64, adapters.OrderCheck) {
+	now := time.Now()
 	h.mu.Lock()
-	held, idle := h.planner.Evict(o.Target, o.Key)
-	h.mu.Unlock()
-	switch {
-	case !held:
-		h.Log.Info("unload no longer needed", "zone", h.Zone, "engine", o.Target.Name, "adapter", o.Key.Adapter)
-		return true, nil
-	case !idle:
-		return true, fail("send-order", bamboorail.KindOverloaded, errAdapterInUse)
+	defer h.mu.Unlock()
+	number, check := h.planner.CheckOrder(o)
+	switch check {
+	case adapters.OrderNeedless:
+		h.planner.RecordNeedless(o, now)
+		h.grantWaiting(now)
+	case adapters.OrderWithoutRoom:
+		// A new report may list less.
+		h.planner.Desync(o.Target, now)
+	case adapters.OrderFits, adapters.OrderUnsynced:
 	}
-	return false, nil
+	return number, check
 }
 
 // recordOrderResult applies the result of an order to the planner. It reports
@@ -196,22 +197,23 @@
 	defer h.grantWaiting(now)
 	switch result {
 	case bamboorail.OrderAccepted:
-		h.planner.RecordOrder(o, now)
 		if o.Unload {
-			h.planner.RecordUnloading(o.Target, o.Key, now)
+			h.planner.RecordUnloading(o, now)
 			return true, fail(op, bamboorail.KindOverloaded, errAdapterInUse)
 		}
+		h.planner.RecordOrder(o, now)
 		return true, nil
 	case bamboorail.OrderDone:
 		if o.Unload {
 			h.planner.RecordOrder(o, now)
 		} else {
-			h.planner.RecordLoaded(o.Target, o.Key, now)
+			h.planner.RecordHeld(o, now)
 		}
 		return true, nil
 	case bamboorail.OrderConflict:
 		return false, nil
 	case bamboorail.OrderRejected:
+		h.planner.Desync(o.Target, now)
 	}
 	return true, fail(op, bamboorail.KindConflict, errOrderRejected)
 }
--- a/internal/placer/room_sequence_test.go
+++ b/internal/placer/room_sequence_test.go
@@ -216,8 +216,7 @@
 		e := s.engines["e1"]
 		s.serve("x0", "e0")
 		s.serve("x1", "e0")
-		s.serve("x2", "e0")
-		s.replace("x2")
+		s.replace("x1")
 		var late bamboorail.AdapterOrder
 		e.intercept = func(o bamboorail.AdapterOrder) { late = o }
 		if _, err := s.place("y", 1, "e0"); err == nil {
--- a/orders.go
+++ b/orders.go
@@ -17,6 +17,8 @@
 	// holder.
 	Holder       string
 	FencingToken uint64
+	// Plan identifies the planned load that the order belongs to, 0 for a base model.
+	Plan uint64
 }
 
 // OrderResult is the response of an engine to an order.
