adapters: a base model is ordered once in a start of an engine

Cause: reports do not list a base model before it is loaded, so that a report or a refused call in the meantime made the planner order it again. The engine answers 202 to what it is already carrying out and counts nothing, the holder counted one order more; its next order conflicted, and newer reports looked like old ones for two seconds. A number that is too high may also match later.

Change: the load of a base model is kept until a report lists it or shows that the engine is not busy; while it lasts the engine gets no adapters, and its state is read when it is due. An engine that is busy with the order of another holder is read again instead of ordered.

--- a/internal/adapters/engine.go
+++ b/internal/adapters/engine.go
@@ -20,6 +20,10 @@
 	// desyncedAt is the time at which the engine became unsynced.
 	desyncedAt time.Time
 	models     map[string]time.Time // model to the time from which it is usable
+	// modelLoad is the load of a base model, or nil. busy is set while an order is in
+	// progress that excludes others.
+	modelLoad *modelLoad
+	busy      bool
 	// contents are the adapters that occupy slots, adapters those that calls may be placed
 	// on: the contents after all planned loads.
 	contents contents
@@ -99,11 +103,7 @@
 		p.decayInherited(e, now)
 	}
 	e.stateRead, e.synced, e.orders = true, true, s.Orders
-	e.models = map[string]time.Time{}
-	for model := range s.Models {
-		e.models[model] = now
-		p.markAvailable(bamboorail.AdapterKey{Model: model})
-	}
+	p.syncModels(e, s, asked, now)
 	e.contents = e.contents.update(s, asked)
 	p.rebuild(e, now)
 }
--- a/internal/adapters/loads.go
+++ b/internal/adapters/loads.go
@@ -30,6 +30,9 @@
 		return 0, OrderUnsynced
 	}
 	if o.Key.Adapter == "" {
+		if e.busy {
+			return e.orders, OrderUnsynced
+		}
 		return e.orders, OrderFits
 	}
 	c, held := e.contents[o.Key]
@@ -54,6 +57,7 @@
 	e.orders = o.Orders + 1
 	switch {
 	case o.Key.Adapter == "":
+		e.recordModelOrder(now)
 	case o.Unload:
 		delete(e.contents, o.Key)
 		if l := e.planned[o.Plan]; l != nil {
@@ -134,9 +138,10 @@
 	if e == nil {
 		return
 	}
-	if o.Key.Adapter != "" {
-		e.contents[o.Key] = content{version: o.Version}
-		p.endPlan(e, o)
+	if o.Key.Adapter == "" {
+		e.modelLoad = nil
+		e.models[o.Key.Model] = now
+		return
 	}
 	p.RecordLoaded(o.Target, o.Key, now)
 }
@@ -157,32 +162,3 @@
 	}
 	e.adapters[o.Key] = &adapterState{unloading: true, readyAt: now}
 }
-
-// ModelLoads returns at most limit orders that load base models on engines
-// without one.
-func (p *Planner) ModelLoads(models func(service string) []bamboorail.ModelSpec, limit int, now time.Time) []bamboorail.AdapterOrder {
-	var orders []bamboorail.AdapterOrder
-	for _, name := range p.engineNames() {
-		e := p.engines[name]
-		if len(orders) >= limit || !e.synced || e.entry.Leaving || len(e.models) > 0 {
-			continue
-		}
-		list := models(e.entry.Service)
-		if len(list) == 0 {
-			continue
-		}
-		e.models[list[0].Name] = now.Add(list[0].LoadTime)
-		p.markAvailable(bamboorail.AdapterKey{Model: list[0].Name})
-		orders = append(orders, bamboorail.AdapterOrder{
-			Target: e.entry.ID, Address: e.entry.Address, Key: bamboorail.AdapterKey{Model: list[0].Name},
-		})
-	}
-	return orders
-}
-
-// ModelLoadFailed removes a base model whose load was not accepted.
-func (p *Planner) ModelLoadFailed(id bamboorail.TargetID, model string) {
-	if e := p.engine(id); e != nil {
-		delete(e.models, model)
-	}
-}
--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -136,6 +136,7 @@
 		}
 		known.entry, known.slots = e, slots(e.Service)
 		known.checkEntry(now)
+		known.checkModelLoad(now)
 	}
 	for name := range p.engines {
 		if !live[name] {
--- a/internal/adapters/results.go
+++ b/internal/adapters/results.go
@@ -32,7 +32,7 @@
 // adapter or, for a call without an adapter, the base model.
 func (p *Planner) RecordMissing(c EndedPlacement, now time.Time) {
 	e := p.engine(c.Target)
-	if e == nil || p.extendLoad(e, c, now) {
+	if e == nil || p.extendLoad(e, c, now) || e.extendModelLoad(c, now) {
 		return
 	}
 	if r := e.adapters[c.Key]; r != nil && c.Sent.Before(r.confirmedAt) {
@@ -41,6 +41,7 @@
 	}
 	if c.Key.Adapter == "" {
 		delete(e.models, c.Key.Model)
+		e.modelLoad = nil
 	}
 	delete(e.adapters, c.Key)
 	e.desync(now)
