adapters: adapters on their way or in use are not unloaded

What callers see: calls that are sent to an engine for an adapter that was unloaded below them are refused; the engine accepts no order until the calls that it still runs have ended.

Cause: an adapter counted as idle once its load was expected to have ended, though neither a call nor a report had shown that; an engine that is told to unload what it has not loaded yet answers 200, counts nothing and holds the adapter a moment later, which is one more than the holder counts. And an adapter that was dropped from the view after a refusal came back with the next report as unused, whatever calls ran on it.

Change: a load whose end is not known is not evicted or replaced before four times its usual duration; an adapter that comes back counts its open placements.

Evidence: TestAdapterOnItsWayIsNotEvicted and TestAdapterInUseIsNotEvictedAfterARefusal fail on the code before, as do 8 of the 24 runs of TestOrdersFitTheRoomOfEngines. Its engine no longer objects to an unload that was sent to a former start of it, which is no fault of the holder.

--- a/internal/adapters/cost.go
+++ b/internal/adapters/cost.go
@@ -105,9 +105,9 @@
 // loadOption returns the cost of loading the adapter on an engine first.
 func (p *Planner) loadOption(o option, e *engine, r Request, q *requestContext, now time.Time) (option, bool) {
 	held := e.adapters[r.Key]
-	if held != nil && (held.planned || held.unloading || held.running > 0) {
-		// A replacement waits until the calls that use the old version have
-		// ended.
+	if held != nil && (held.planned || held.unloading || held.running > 0 || p.mayBeLoading(held, now)) {
+		// The old version is unloaded first, which waits until the calls that use it
+		// have ended.
 		return o, false
 	}
 	if !e.acceptsLoads() || e.activeLoads(now) >= p.tuning.MaxLoadsPerEngine || !p.isLoadAllowed(e, r, q, now) {
@@ -120,24 +120,44 @@
 	}
 	if held == nil && len(e.adapters) >= e.slots {
 		o.evict = true
-		return o, e.hasVictim(p.tuning.MinIdleTime, now)
+		return o, p.hasVictim(e, now)
 	}
 	return o, true
 }
 
 // hasVictim reports whether an adapter can be evicted.
-func (e *engine) hasVictim(minIdle time.Duration, now time.Time) bool {
+func (p *Planner) hasVictim(e *engine, now time.Time) bool {
 	for _, r := range e.adapters {
-		if r.idle(minIdle, now) {
+		if p.isIdle(r, now) {
 			return true
 		}
 	}
 	return false
 }
 
-// idle reports whether no call uses an adapter or waits for it.
-func (r *adapterState) idle(minIdle time.Duration, now time.Time) bool {
-	return r.running == 0 && !r.planned && !r.unloading && !r.readyAt.After(now) && now.Sub(r.lastUsed) >= minIdle
+// isIdle reports whether no call uses an adapter or waits for it.
+func (p *Planner) isIdle(r *adapterState, now time.Time) bool {
+	return r.running == 0 && !r.planned && !r.unloading && !p.evictableFrom(r).After(now)
+}
+
+// evictableFrom returns the time from which an adapter that no call uses may be evicted. Unless
+// a call or a report shows that it was loaded, it may still be on its way.
+func (p *Planner) evictableFrom(r *adapterState) time.Time {
+	at := latest(r.readyAt, r.lastUsed.Add(p.tuning.MinIdleTime))
+	if r.loading {
+		at = latest(at, p.loadEnd(r))
+	}
+	return at
+}
+
+// loadEnd returns the latest end of a load.
+func (p *Planner) loadEnd(r *adapterState) time.Time {
+	return r.started.Add(maxLoadFactor * p.fetchTime())
+}
+
+// mayBeLoading reports whether neither a call nor a report has shown the end of a load.
+func (p *Planner) mayBeLoading(r *adapterState, now time.Time) bool {
+	return r.loading && p.loadEnd(r).After(now)
 }
 
 // isLoadAllowed reports whether a request may cause a load on an engine.
@@ -189,7 +209,7 @@
 			o.Throttled++
 		case e.activeLoads(now) >= p.tuning.MaxLoadsPerEngine:
 			o.AtLoadLimit++
-		case len(e.adapters) >= e.slots && !e.hasVictim(p.tuning.MinIdleTime, now):
+		case len(e.adapters) >= e.slots && !p.hasVictim(e, now):
 			o.NoFreeSlot++
 		}
 		o.Engines++
@@ -285,7 +305,7 @@
 func (p *Planner) victim(e *engine, now time.Time) (bamboorail.AdapterKey, bool) {
 	best, least := bamboorail.AdapterKey{}, math.Inf(1)
 	for key, r := range e.adapters {
-		if !r.idle(p.tuning.MinIdleTime, now) {
+		if !p.isIdle(r, now) {
 			continue
 		}
 		if d := p.demandOf(key, now); d < least || (d == least && key.Adapter < best.Adapter) {
--- a/internal/adapters/engine.go
+++ b/internal/adapters/engine.go
@@ -105,6 +105,10 @@
 	e.stateRead, e.synced, e.orders = true, true, s.Orders
 	p.syncModels(e, s, asked, now)
 	e.contents = e.contents.update(s, asked)
+	for key, c := range e.contents {
+		c.unloading = c.unloading || p.isUnloading(e, key)
+		e.contents[key] = c
+	}
 	p.rebuild(e, now)
 }
 
--- /dev/null
+++ b/internal/adapters/eviction_test.go
@@ -0,0 +1,58 @@
+package adapters
+
+import (
+	"testing"
+	"time"
+
+	"bamboorail.example/bamboorail"
+)
+
+// TestAdapterOnItsWayIsNotEvicted guards against an unload of an adapter that is still being
+// loaded: the engine takes it for done, and holds the adapter later.
+func TestAdapterOnItsWayIsNotEvicted(t *testing.T) {
+	cases := map[string]struct {
+		after    time.Duration // since the load was accepted
+		answered bool
+		want     bool
+	}{
+		"its end is not known":          {800 * time.Millisecond, false, false},
+		"long after its usual duration": {maxLoadFactor * 300 * time.Millisecond, false, true},
+		"a call has run":                {800 * time.Millisecond, true, true},
+	}
+	for name, c := range cases {
+		for kind, next := range map[string]Request{"another adapter": testRequest(2), "a new version": withVersion(testRequest(1), 2)} {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				p := newTestPlanner(1, 1)
+				first, _ := p.Place(withVersion(testRequest(1), 1), start)
+				acceptOrders(p, first.Orders, start)
+				ended, _ := p.End(first.Ticket)
+				if c.answered {
+					p.RecordLoaded(ended.Target, ended.Key, start.Add(300*time.Millisecond))
+				}
+				if _, ok := p.Place(next, start.Add(c.after)); ok != c.want {
+					t.Errorf("placed: %t, want %t", ok, c.want)
+				}
+			})
+		}
+	}
+}
+
+func withVersion(r Request, n int) Request {
+	r.Version = n
+	return r
+}
+
+// TestAdapterInUseIsNotEvictedAfterARefusal guards against an unload of an adapter in use: the
+// engine accepts no other order until its calls have ended.
+func TestAdapterInUseIsNotEvictedAfterARefusal(t *testing.T) {
+	p := newTestPlanner(1, 1)
+	placeAndLoad(t, p, testRequest(1), start)
+	refused, _ := p.Place(testRequest(1), start.Add(time.Second))
+	ended, _ := p.End(refused.Ticket)
+	p.RecordMissing(ended, start.Add(time.Second))
+	now := start.Add(2 * time.Second)
+	p.Sync(engineID(0), bamboorail.EngineState{Orders: 1, Models: map[string]map[string]int{"m": {"a1": 0}}}, now, now)
+	if got, ok := p.Place(testRequest(2), now.Add(time.Second)); ok {
+		t.Errorf("the adapter of an open call is evicted: %+v", got.Orders)
+	}
+}
--- a/internal/adapters/grants.go
+++ b/internal/adapters/grants.go
@@ -211,7 +211,7 @@
 func (p *Planner) canLoadAny(now time.Time) bool {
 	for _, e := range p.engines {
 		if e.acceptsLoads() && !e.entry.Leaving && len(e.models) > 0 && e.activeLoads(now) < p.tuning.MaxLoadsPerEngine &&
-			(len(e.adapters) < e.slots || e.hasVictim(p.tuning.MinIdleTime, now)) {
+			(len(e.adapters) < e.slots || p.hasVictim(e, now)) {
 			return true
 		}
 	}
@@ -237,7 +237,7 @@
 		for _, r := range e.adapters {
 			earlier(r.readyAt)
 			if r.running == 0 {
-				earlier(r.lastUsed.Add(p.tuning.MinIdleTime))
+				earlier(p.evictableFrom(r))
 			}
 		}
 	}
--- a/internal/adapters/loads.go
+++ b/internal/adapters/loads.go
@@ -24,7 +24,7 @@
 
 // CheckOrder checks an order that is sent next against what the engine holds, and returns
 // the number of orders that the engine has accepted.
-func (p *Planner) CheckOrder(o bamboorail.AdapterOrder) (uint64, OrderCheck) {
+func (p *Planner) CheckOrder(o bamboorail.AdapterOrder, now time.Time) (uint64, OrderCheck) {
 	e := p.engine(o.Target)
 	if e == nil || !e.synced {
 		return 0, OrderUnsynced
@@ -41,7 +41,7 @@
 		return e.orders, OrderWithoutRoom
 	case held != o.Unload && (o.Unload || c.version >= o.Version):
 		return e.orders, OrderNeedless
-	case !o.Unload && (held || e.contents.taken() >= e.slots):
+	case !o.Unload && (held || e.contents.taken() >= e.slots || !p.fitsUnanswered(e, now)):
 		return e.orders, OrderWithoutRoom
 	}
 	return e.orders, OrderFits
@@ -108,9 +108,7 @@
 	case o.Unload:
 		l.evictedState = nil
 	default:
-		running := l.state.running
 		p.CancelLoad(o, now)
-		e.adapters[o.Key].running += running
 	}
 }
 
@@ -143,6 +141,8 @@
 		e.models[o.Key.Model] = now
 		return
 	}
+	e.contents[o.Key] = content{version: o.Version}
+	p.endPlan(e, o)
 	p.RecordLoaded(o.Target, o.Key, now)
 }
 
--- a/internal/adapters/planned.go
+++ b/internal/adapters/planned.go
@@ -87,13 +87,13 @@
 // restoreHeld makes an adapter available that the engine holds and whose load was canceled.
 func (p *Planner) restoreHeld(e *engine, key bamboorail.AdapterKey, now time.Time) {
 	if c, held := e.contents[key]; held && e.adapters[key] == nil {
-		e.adapters[key] = p.stateOf(key, c, nil, now)
+		e.adapters[key] = p.stateOf(e, key, c, nil, now)
 		p.markAvailable(key)
 	}
 }
 
 // stateOf returns the state of an adapter that occupies a slot, after its former state.
-func (p *Planner) stateOf(key bamboorail.AdapterKey, c content, old *adapterState, now time.Time) *adapterState {
+func (p *Planner) stateOf(e *engine, key bamboorail.AdapterKey, c content, old *adapterState, now time.Time) *adapterState {
 	if c.loading && old != nil && old.loading && !old.planned {
 		return old
 	}
@@ -105,15 +105,28 @@
 	}
 	if old != nil {
 		r.running, r.usedSince, r.lastUsed = old.running, old.usedSince, old.lastUsed
+	} else if r.running = p.openCalls(e.entry.ID, key); r.running > 0 {
+		r.usedSince, r.lastUsed = now, now
 	}
 	return r
 }
 
+// openCalls returns the number of placements on an adapter of an engine.
+func (p *Planner) openCalls(id bamboorail.TargetID, key bamboorail.AdapterKey) int {
+	n := 0
+	for _, t := range p.tickets {
+		if t.id == id && t.key == key {
+			n++
+		}
+	}
+	return n
+}
+
 // rebuild derives the planner's view of an engine from its contents and the planned loads.
 func (p *Planner) rebuild(e *engine, now time.Time) {
 	states := make(map[bamboorail.AdapterKey]*adapterState, len(e.contents)+len(e.planned))
 	for key, c := range e.contents {
-		states[key] = p.stateOf(key, c, e.adapters[key], now)
+		states[key] = p.stateOf(e, key, c, e.adapters[key], now)
 		if !c.loading {
 			e.cached[key] = now
 		}
--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -64,6 +64,8 @@
 	demand      map[bamboorail.AdapterKey]*demand
 	tickets     map[uint64]ticket
 	lastTicket  uint64
+	// unanswered are the orders that engines may still carry out, by engine name.
+	unanswered map[string][]unansweredOrder
 	// lastPlan is the number of the last planned load.
 	lastPlan uint64
 	// lastContact is the time of the last message of each instance that reports
@@ -113,8 +115,8 @@
 func NewPlanner(t Tuning, after uint64) *Planner {
 	return &Planner{
 		tuning: t, lastTicket: after, engines: map[string]*engine{}, demand: map[bamboorail.AdapterKey]*demand{}, tickets: map[uint64]ticket{},
-		lastContact: map[string]time.Time{},
-		waiting:     newWaitQueue(), fetchLimiter: fetchlimit.New(t.MinFetchLimit, t.FetchTime), callTime: t.CallTime, limits: unlimited{},
+		lastContact: map[string]time.Time{}, unanswered: map[string][]unansweredOrder{},
+		waiting: newWaitQueue(), fetchLimiter: fetchlimit.New(t.MinFetchLimit, t.FetchTime), callTime: t.CallTime, limits: unlimited{},
 		brittle: func(bamboorail.TargetID) bool { return false },
 	}
 }
@@ -296,6 +298,7 @@
 		}
 	}
 	maps.DeleteFunc(p.lastContact, func(_ string, at time.Time) bool { return at.Before(before) })
+	p.expireUnanswered(now)
 	p.waiting.prune(now)
 	for _, e := range p.engines {
 		p.decayInherited(e, now)
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -73,6 +73,13 @@
 	}
 }
 
+// recordUnanswered records that an engine did not answer an order.
+func (h *Holder) recordUnanswered(o bamboorail.AdapterOrder) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.planner.RecordUnanswered(o, time.Now())
+}
+
 // desync makes the holder read the state of an engine before the next order.
 func (h *Holder) desync(id bamboorail.TargetID) {
 	h.mu.Lock()
@@ -101,7 +108,7 @@
 			h.usage.recordOrder("no-answer", time.Since(sent))
 			h.Log.Warn("order not answered", "zone", h.Zone, "engine", o.Target.Name, "unload", o.Unload,
 				"adapter", o.Key.Adapter, "number", o.Orders, "fencing", o.FencingToken, "error", err)
-			h.desync(o.Target)
+			h.recordUnanswered(o)
 			return err
 		}
 		h.usage.recordOrder(result.String(), time.Since(sent))
@@ -174,7 +181,7 @@
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	number, check := h.planner.CheckOrder(o)
+	number, check := h.planner.CheckOrder(o, now)
 	switch check {
 	case adapters.OrderNeedless:
 		h.planner.RecordNeedless(o, now)
--- a/internal/placer/room_engine_test.go
+++ b/internal/placer/room_engine_test.go
@@ -138,7 +138,9 @@
 		return bamboorail.OrderAccepted
 	case o.Unload:
 		if _, ok := e.held[name]; !ok {
-			e.violate("%s is unloaded, which is not held", name)
+			if o.Target.StartMillis == e.start {
+				e.violate("%s is unloaded, which is not held", name)
+			}
 			return bamboorail.OrderDone
 		}
 		e.orders++
