adapters: an engine that accepts no order is left alone for a while

What callers see: calls wait for loads that an engine refuses again and again, while other engines have room.

Cause: an engine that keeps an adapter for the calls that use it, after an unload or the order of a new version, answers 409 to every order. Its report has the number that the holder sent, so that the holder took the conflict for settled and sent the next order into it, twice for each call.

Change: a conflict is open until a report lists another order, or was asked for 300 ms after it and lists none; then the engine gets no orders for 0.5 to 4 s.

--- a/internal/adapters/contents.go
+++ b/internal/adapters/contents.go
@@ -17,8 +17,10 @@
 	// accepted at the time accepted.
 	loading  bool
 	accepted time.Time
-	// unloading is set while the engine keeps the adapter for the calls that use it.
+	// unloading is set while the engine keeps the adapter for the calls that use it. It
+	// accepts no order meanwhile; unload is the number of the order.
 	unloading bool
+	unload    uint64
 	// replaced is set while another version is loaded, in a slot of its own.
 	replaced bool
 }
@@ -63,8 +65,8 @@
 		case !listed && old.loading && asked.Sub(old.accepted) < maxReportLag:
 			// The load was accepted after the report was made.
 			next[key] = old
-		case listed && old.unloading:
-			item.unloading = true
+		case listed && old.unloading && s.Orders == old.unload+1:
+			item.unloading, item.unload = true, old.unload
 			next[key] = item
 		case listed && item.loading && old.loading:
 			// Reports name no versions of loads.
--- a/internal/adapters/cost.go
+++ b/internal/adapters/cost.go
@@ -110,7 +110,7 @@
 		// have ended.
 		return o, false
 	}
-	if !e.acceptsLoads() || e.activeLoads(now) >= p.tuning.MaxLoadsPerEngine || !p.isLoadAllowed(e, r, q, now) {
+	if !e.acceptsLoads(now) || e.activeLoads(now) >= p.tuning.MaxLoadsPerEngine || !p.isLoadAllowed(e, r, q, now) {
 		return o, false
 	}
 	o.load = true
@@ -203,7 +203,7 @@
 		switch {
 		case !e.usable(r):
 			continue
-		case !e.acceptsLoads():
+		case !e.acceptsLoads(now):
 			o.Unsynced++
 		case p.limitWait(e, now) > 0:
 			o.Throttled++
--- a/internal/adapters/engine.go
+++ b/internal/adapters/engine.go
@@ -24,6 +24,7 @@
 	// progress that excludes others.
 	modelLoad *modelLoad
 	busy      bool
+	conflict  conflict
 	// contents are the adapters that occupy slots, adapters those that calls may be placed
 	// on: the contents after all planned loads.
 	contents contents
@@ -98,6 +99,9 @@
 		// The report is older than an order that the engine accepted.
 		return
 	}
+	if !e.conflict.sync(s.Orders, asked, now) {
+		return
+	}
 	if !e.stateRead {
 		e.reported, e.reportedAt = max(s.Active+s.Queued-e.running, 0), now
 		p.decayInherited(e, now)
@@ -105,10 +109,7 @@
 	e.stateRead, e.synced, e.orders = true, true, s.Orders
 	p.syncModels(e, s, asked, now)
 	e.contents = e.contents.update(s, asked)
-	for key, c := range e.contents {
-		c.unloading = c.unloading || p.isUnloading(e, key)
-		e.contents[key] = c
-	}
+	p.markUnloading(e)
 	p.rebuild(e, now)
 }
 
--- a/internal/adapters/grants.go
+++ b/internal/adapters/grants.go
@@ -210,7 +210,7 @@
 // canLoadAny reports whether some engine could load an adapter.
 func (p *Planner) canLoadAny(now time.Time) bool {
 	for _, e := range p.engines {
-		if e.acceptsLoads() && !e.entry.Leaving && len(e.models) > 0 && e.activeLoads(now) < p.tuning.MaxLoadsPerEngine &&
+		if e.acceptsLoads(now) && !e.entry.Leaving && len(e.models) > 0 && e.activeLoads(now) < p.tuning.MaxLoadsPerEngine &&
 			(len(e.adapters) < e.slots || p.hasVictim(e, now)) {
 			return true
 		}
--- a/internal/adapters/loads.go
+++ b/internal/adapters/loads.go
@@ -26,7 +26,7 @@
 // the number of orders that the engine has accepted.
 func (p *Planner) CheckOrder(o bamboorail.AdapterOrder, now time.Time) (uint64, OrderCheck) {
 	e := p.engine(o.Target)
-	if e == nil || !e.synced {
+	if e == nil || !e.synced || now.Before(e.conflict.blockedUntil) {
 		return 0, OrderUnsynced
 	}
 	if o.Key.Adapter == "" {
@@ -54,7 +54,7 @@
 	if e == nil {
 		return
 	}
-	e.orders = o.Orders + 1
+	p.countOrder(e, o)
 	switch {
 	case o.Key.Adapter == "":
 		e.recordModelOrder(now)
@@ -70,6 +70,12 @@
 	}
 }
 
+// countOrder counts an order that an engine accepted.
+func (p *Planner) countOrder(e *engine, o bamboorail.AdapterOrder) {
+	e.orders, e.conflict.blocks = o.Orders+1, 0
+	p.forgetUnanswered(o)
+}
+
 // endPlan ends the planned load of an order that was accepted.
 func (p *Planner) endPlan(e *engine, o bamboorail.AdapterOrder) {
 	l := e.planned[o.Plan]
@@ -153,9 +159,9 @@
 	if e == nil {
 		return
 	}
-	e.orders = o.Orders + 1
+	p.countOrder(e, o)
 	c := e.contents[o.Key]
-	c.unloading = true
+	c.unloading, c.unload = true, o.Orders
 	e.contents[o.Key] = c
 	if l := e.planned[o.Plan]; l != nil {
 		l.evictedState = nil
--- a/internal/adapters/models.go
+++ b/internal/adapters/models.go
@@ -21,7 +21,7 @@
 	var orders []bamboorail.AdapterOrder
 	for _, name := range p.engineNames() {
 		e := p.engines[name]
-		if len(orders) >= limit || !e.acceptsLoads() || e.entry.Leaving || len(e.models) > 0 {
+		if len(orders) >= limit || !e.acceptsLoads(now) || e.entry.Leaving || len(e.models) > 0 {
 			continue
 		}
 		list := models(e.entry.Service)
@@ -39,8 +39,10 @@
 }
 
 // acceptsLoads reports whether the number of the next order is certain and no order makes
-// the engine busy.
-func (e *engine) acceptsLoads() bool { return e.synced && !e.busy && e.modelLoad == nil }
+// the engine refuse others.
+func (e *engine) acceptsLoads(now time.Time) bool {
+	return e.synced && !e.busy && e.modelLoad == nil && !now.Before(e.conflict.blockedUntil)
+}
 
 // recordModelOrder records that an engine accepted the load of its base model.
 func (e *engine) recordModelOrder(now time.Time) {
--- a/internal/adapters/unanswered.go
+++ b/internal/adapters/unanswered.go
@@ -52,10 +52,24 @@
 	})
 }
 
-// isUnloading reports whether an adapter that a report lists is unloaded by an order without
-// an answer, and is kept for its calls. An unload that waits for no call is carried out at once.
-func (p *Planner) isUnloading(e *engine, key bamboorail.AdapterKey) bool {
-	return slices.ContainsFunc(p.unanswered[e.entry.ID.Name], func(u unansweredOrder) bool {
-		return u.Unload && u.Target == e.entry.ID && u.Key == key && u.Orders < e.orders
-	})
+// markUnloading marks the adapters that a report lists although the engine has accepted an
+// unload that it did not answer: it keeps them for their calls, and accepts no other order.
+func (p *Planner) markUnloading(e *engine) {
+	for _, u := range p.unanswered[e.entry.ID.Name] {
+		c, listed := e.contents[u.Key]
+		if listed && u.Unload && u.Target == e.entry.ID && u.Orders+1 == e.orders {
+			c.unloading, c.unload = true, u.Orders
+			e.contents[u.Key] = c
+		}
+	}
+}
+
+// forgetUnanswered removes the unloads whose number was used by another order. Loads are
+// kept, as a later start of the engine may still carry them out.
+func (p *Planner) forgetUnanswered(o bamboorail.AdapterOrder) {
+	if list := p.unanswered[o.Target.Name]; list != nil {
+		p.unanswered[o.Target.Name] = slices.DeleteFunc(list, func(u unansweredOrder) bool {
+			return u.Unload && u.Target == o.Target && u.Orders <= o.Orders
+		})
+	}
 }
--- a/internal/placer/orders.go
+++ b/internal/placer/orders.go
@@ -80,11 +80,11 @@
 	h.planner.RecordUnanswered(o, time.Now())
 }
 
-// desync makes the holder read the state of an engine before the next order.
-func (h *Holder) desync(id bamboorail.TargetID) {
+// recordConflict records that an engine did not accept an order.
+func (h *Holder) recordConflict(o bamboorail.AdapterOrder) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.planner.Desync(id, time.Now())
+	h.planner.RecordConflict(o, time.Now())
 }
 
 // maxOrderAttempts bounds the attempts to send an order, each based on a newer
@@ -117,7 +117,7 @@
 		if done {
 			return err
 		}
-		h.desync(o.Target)
+		h.recordConflict(o)
 		if err := h.Permit(o.Target); err != nil {
 			return err
 		}
