adapters: calls are not sent for background loads that wait

What callers see: calls are sent to an engine for an adapter that it was not ordered to load yet, and are refused; each one loses an attempt.

Cause: the ready time of a load counts from its decision. Orders that no call waits for are sent one after the other, and each one without an answer holds those behind it up for 300 ms.

Change: a background load takes no calls before the engine has accepted it. Its calls have another engine, or an older version, by its definition.

TestCallsAreNotSentForLoadsThatWait fails on the code before. Ruled out: to let calls wait for the whole load from now on where a call waits for the orders.

--- a/internal/adapters/cost.go
+++ b/internal/adapters/cost.go
@@ -97,7 +97,8 @@
 		if held.readyAt.After(now) {
 			o.cost += held.readyAt.Sub(now)
 		}
-		return o, true
+		// A load that no call waits for may wait for others before it is ordered.
+		return o, !held.background
 	}
 	return p.loadOption(o, e, r, q, now)
 }
--- a/internal/adapters/grants.go
+++ b/internal/adapters/grants.go
@@ -169,7 +169,10 @@
 		p.waiting.groups[key].replicationRejected = true
 		return orders
 	}
-	return append(orders, p.startLoad(p.engines[best.name], r, best.evict, now))
+	e := p.engines[best.name]
+	load := p.startLoad(e, r, best.evict, now)
+	e.adapters[key].background = true
+	return append(orders, load)
 }
 
 // grantFor places the enqueued calls for one adapter.
--- a/internal/adapters/loads.go
+++ b/internal/adapters/loads.go
@@ -83,7 +83,7 @@
 		return
 	}
 	delete(e.planned, o.Plan)
-	l.state.planned = false
+	l.state.planned, l.state.background = false, false
 	p.restoreEvicted(e, l)
 	p.markAvailable(o.Key)
 }
--- a/internal/adapters/loads_test.go
+++ b/internal/adapters/loads_test.go
@@ -167,6 +167,29 @@
 	}
 }
 
+// TestCallsAreNotSentForLoadsThatWait guards against calls that are sent to an engine for a load
+// that it was not ordered yet, and are refused (incident archive-grown-overfull-engines).
+func TestCallsAreNotSentForLoadsThatWait(t *testing.T) {
+	const wait = 700 * time.Millisecond // of the order, longer than a load
+	p, now, r := newTestPlanner(2, 21), start, withVersion(testRequest(1), 1)
+	first := placeAndLoad(t, p, r, now)
+	now = now.Add(time.Second)
+	r.Version, r.Releases = 2, bamboorail.ReleaseHistory{{Version: 2, LearnedAt: now}}
+	planned, ok := p.Place(r, now)
+	if !ok || len(planned.Background) == 0 {
+		t.Fatalf("nothing is loaded in the background: %+v", planned)
+	}
+	now = now.Add(wait)
+	if got, ok := p.Place(r, now); !ok || got.Target.ID != first.Target.ID || got.Version != 1 {
+		t.Errorf("placed on %s, version %d, before the load was ordered", got.Target.ID.Name, got.Version)
+	}
+	acceptOrders(p, planned.Background, now)
+	now = now.Add(wait)
+	if got, ok := p.Place(r, now); !ok || got.Version != 2 {
+		t.Errorf("version %d is used after the load", got.Version)
+	}
+}
+
 // TestOldVersionIsNotQueued guards against calls that begin in the queue of an engine on a version that has
 // expired meanwhile (incident archive-queued-version).
 func TestOldVersionIsNotQueued(t *testing.T) {
--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -214,6 +214,9 @@
 		}
 	}
 	if old.name != "" && (best.name == "" || p.engines[best.name].adapters[r.Key].readyAt.After(now)) {
+		if best.load {
+			p.engines[best.name].adapters[r.Key].background = true
+		}
 		best, placement.Background = old, orders
 	} else {
 		placement.Orders = orders
