placer: background loads do not wait for orders to other engines

Cause: one goroutine sends all background orders of a zone, and waits 300 ms for each one without an answer. What is at the end of the queue is out of date.

Change: four goroutines send them; the orders to one engine stay one after the other under its lock.

TestUnansweredOrderDelaysNoBackgroundLoads fails with one goroutine.

--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -35,6 +35,9 @@
 	placementExpiry = 30 * time.Second
 	// backgroundQueueSize is the capacity of the queue of background loads.
 	backgroundQueueSize = 64
+	// backgroundWorkers is the number of engines that get background orders at the same
+	// time. Most orders are answered at once; a few hold their worker up for orderTimeout.
+	backgroundWorkers = 4
 	// ticketBits is the number of low ticket bits that are numbered within one
 	// tenure. The high bits hold a hash of the fencing token, so that a ticket of
 	// an earlier tenure ends no placement of the current one.
@@ -128,7 +131,9 @@
 func (h *Holder) Run(ctx context.Context) error {
 	g := task.NewGroup(ctx)
 	g.Start("upkeep", h.runUpkeep)
-	g.Start("background", h.runBackground)
+	for n := range backgroundWorkers {
+		g.Start(fmt.Sprintf("background-%d", n), h.runBackground)
+	}
 	g.Start("report", h.runReport)
 	g.Start("calls", h.runGrants)
 	return g.Wait()
--- a/internal/placer/room_sequence_test.go
+++ b/internal/placer/room_sequence_test.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -319,3 +320,26 @@
 		s.check()
 	})
 }
+
+// TestUnansweredOrderDelaysNoBackgroundLoads guards against background loads that wait for an
+// order to another engine.
+func TestUnansweredOrderDelaysNoBackgroundLoads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRoomSequence(t)
+		s.waitInBackground()
+		s.engines["e0"].faults.unanswered = 1
+		slow := bamboorail.AdapterOrder{Target: bamboorail.TargetID{Name: "e0", StartMillis: 1}, Key: bamboorail.AdapterKey{Model: "m", Adapter: "y"}}
+		waiting := <-s.holder.background
+		s.holder.background <- []bamboorail.AdapterOrder{slow}
+		s.holder.background <- waiting
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- s.holder.Run(ctx) }()
+		time.Sleep(orderTimeout / 2)
+		if _, ordered := s.engines["e1"].pending["z"]; !ordered {
+			t.Error("the load is not ordered while an order to another engine has no answer")
+		}
+		cancel()
+		<-done
+	})
+}
