adapters: loads that wait for their orders count as fetches

Cause: a planned load counted as under way from its decision until its expected end. Loads that waited longer than that were not counted, and were then ordered beside those that had taken their places.

Change: a load counts until it is ordered and has ended. TestWaitingLoadsCountAsFetches fails on the code before.

--- a/internal/adapters/engine.go
+++ b/internal/adapters/engine.go
@@ -155,14 +155,14 @@
 	}
 }
 
-// activeLoads returns the number of adapters that the engine is loading.
+// activeLoads returns the number of adapters that the engine is loading or is to load.
 func (e *engine) activeLoads(now time.Time) int {
-	n := 0
+	n := len(e.planned)
 	if !e.loadsUntil.After(now) {
 		return n
 	}
 	for _, r := range e.adapters {
-		if r.loading && r.readyAt.After(now) {
+		if r.loading && !r.planned && r.readyAt.After(now) {
 			n++
 		}
 	}
--- a/internal/adapters/eviction_test.go
+++ b/internal/adapters/eviction_test.go
@@ -56,3 +56,25 @@
 		t.Errorf("the adapter of an open call is evicted: %+v", got.Orders)
 	}
 }
+
+// TestWaitingLoadsCountAsFetches guards against more fetches at the same time than permitted,
+// once loads that waited for orders before them are ordered together.
+func TestWaitingLoadsCountAsFetches(t *testing.T) {
+	p := newTestPlanner(1, 21)
+	var orders []bamboorail.AdapterOrder
+	for n := range testTuning().FetchLimit {
+		got, ok := p.Place(testRequest(n), start)
+		if !ok {
+			t.Fatalf("call %d was not placed", n)
+		}
+		orders = append(orders, got.Orders...)
+	}
+	now := start.Add(2 * time.Second)
+	if _, ok := p.Place(testRequest(20), now); ok {
+		t.Error("a load is started while all permitted ones wait for their orders")
+	}
+	acceptOrders(p, orders, now)
+	if _, ok := p.Place(testRequest(20), now.Add(time.Second)); !ok {
+		t.Error("no load is started after the others have ended")
+	}
+}
--- a/internal/adapters/fetches.go
+++ b/internal/adapters/fetches.go
@@ -59,7 +59,7 @@
 func (p *Planner) activeFetches(now time.Time) int {
 	n := 0
 	for _, e := range p.engines {
-		if !e.loadsUntil.After(now) {
+		if !e.loadsUntil.After(now) && len(e.planned) == 0 {
 			continue
 		}
 		for _, r := range e.adapters {
@@ -71,8 +71,11 @@
 	return n
 }
 
-// isInFlight reports whether a fetch is still on its way.
+// isInFlight reports whether a fetch is still on its way, or to be ordered.
 func (p *Planner) isInFlight(r *adapterState, now time.Time) bool {
+	if r.planned {
+		return true
+	}
 	if r.late {
 		return r.readyAt.After(now) || now.Sub(r.started) < p.fetchTime()
 	}
