--- a/internal/adapters/eviction_test.go
+++ b/internal/adapters/eviction_test.go
@@ -78,3 +78,20 @@
 		t.Error("no load is started after the others have ended")
 	}
 }
+
+// TestCanceledLoadEvictsNothing guards against an adapter that is taken for evicted though the
+// load that it was to leave for was not ordered.
+func TestCanceledLoadEvictsNothing(t *testing.T) {
+	p := newTestPlanner(1, 1)
+	placed := placeAndLoad(t, p, testRequest(1), start)
+	_, _ = p.End(placed.Ticket)
+	now := start.Add(time.Second)
+	got, ok := p.Place(testRequest(2), now)
+	if !ok || len(got.Orders) != 2 || !got.Orders[0].Unload {
+		t.Fatalf("nothing is evicted: %+v", got)
+	}
+	p.CancelLoad(got.Orders[0], now)
+	if again, ok := p.Place(testRequest(1), now); !ok || len(again.Orders) != 0 {
+		t.Errorf("the adapter is not used after the load was canceled: %+v, %t", again.Orders, ok)
+	}
+}
--- a/internal/placer/room_sequence_test.go
+++ b/internal/placer/room_sequence_test.go
@@ -287,6 +287,9 @@
 				if !s.engines["e1"].model {
 					t.Error("the base model is not loaded")
 				}
+				if _, err := s.place("x", 1, "e0"); err != nil {
+					t.Errorf("no adapter is loaded 3 s later: %v", err)
+				}
 				s.check()
 			})
 		})
