adapters: unanswered orders that follow each other, and unloads that wait unknown

Two late loads with consecutive numbers filled an engine of which only the slot of the first was left free: an order now leaves the slots of all loads that could follow it. An unload to a former start, carried out late while calls used the adapter, left the adapter in the report; the holder unloaded it once more after its end, was answered 200 and counted an order that the engine had not counted: any unanswered unload with the number of the last accepted order counts, if that order is not one of the holder's.

--- a/internal/adapters/engine.go
+++ b/internal/adapters/engine.go
@@ -106,10 +106,11 @@
 		e.reported, e.reportedAt = max(s.Active+s.Queued-e.running, 0), now
 		p.decayInherited(e, now)
 	}
+	before := e.orders
 	e.stateRead, e.synced, e.orders = true, true, s.Orders
 	p.syncModels(e, s, asked, now)
 	e.contents = e.contents.update(s, asked)
-	p.markUnloading(e)
+	p.markUnloading(e, before)
 	p.rebuild(e, now)
 }
 
--- a/internal/adapters/loads.go
+++ b/internal/adapters/loads.go
@@ -41,7 +41,7 @@
 		return e.orders, OrderWithoutRoom
 	case held != o.Unload && (o.Unload || c.version >= o.Version):
 		return e.orders, OrderNeedless
-	case !o.Unload && (held || e.contents.taken() >= e.slots || !p.fitsUnanswered(e, now)):
+	case !o.Unload && (held || e.contents.taken() >= e.slots), !p.fitsUnanswered(e, o, now):
 		return e.orders, OrderWithoutRoom
 	}
 	return e.orders, OrderFits
@@ -54,7 +54,7 @@
 	if e == nil {
 		return
 	}
-	p.countOrder(e, o)
+	e.orders, e.conflict.blocks = o.Orders+1, 0
 	switch {
 	case o.Key.Adapter == "":
 		e.recordModelOrder(now)
@@ -70,12 +70,6 @@
 	}
 }
 
-// countOrder counts an order that an engine accepted.
-func (p *Planner) countOrder(e *engine, o bamboorail.AdapterOrder) {
-	e.orders, e.conflict.blocks = o.Orders+1, 0
-	p.forgetUnanswered(o)
-}
-
 // endPlan ends the planned load of an order that was accepted.
 func (p *Planner) endPlan(e *engine, o bamboorail.AdapterOrder) {
 	l := e.planned[o.Plan]
@@ -159,7 +153,7 @@
 	if e == nil {
 		return
 	}
-	p.countOrder(e, o)
+	e.orders, e.conflict.blocks = o.Orders+1, 0
 	c := e.contents[o.Key]
 	c.unloading, c.unload = true, o.Orders
 	e.contents[o.Key] = c
--- a/internal/adapters/unanswered.go
+++ b/internal/adapters/unanswered.go
@@ -40,36 +40,47 @@
 	}
 }
 
-// fitsUnanswered reports whether a load leaves the slot that an unanswered order with the next
-// number would take. Such an order may have been sent to a former start of the engine: it
-// names the engine and the number of accepted orders, which begins anew.
-func (p *Planner) fitsUnanswered(e *engine, now time.Time) bool {
-	if e.contents.taken()+1 < e.slots {
-		return true
+// fitsUnanswered reports whether an order leaves the slots that unanswered loads with the next
+// numbers would take one after the other. They may have been sent to a former start of the
+// engine: an order names the engine and the number of accepted orders, which begins anew.
+func (p *Planner) fitsUnanswered(e *engine, o bamboorail.AdapterOrder, now time.Time) bool {
+	taken := e.contents.taken() + 1
+	if o.Unload {
+		taken -= 2
 	}
-	return !slices.ContainsFunc(p.unanswered[e.entry.ID.Name], func(u unansweredOrder) bool {
-		return !u.Unload && u.Orders == e.orders+1 && now.Sub(u.sent) <= maxOrderDelay
-	})
+	for number := e.orders + 1; ; number++ {
+		load, found := p.unansweredAt(e.entry.ID.Name, number, now)
+		if load {
+			taken++
+		}
+		if !found {
+			return taken <= e.slots
+		}
+	}
+}
+
+// unansweredAt reports whether there is an unanswered load with a number, and whether there is
+// any unanswered order.
+func (p *Planner) unansweredAt(engine string, number uint64, now time.Time) (load, found bool) {
+	for _, u := range p.unanswered[engine] {
+		if u.Orders == number && now.Sub(u.sent) <= maxOrderDelay {
+			load, found = load || !u.Unload, true
+		}
+	}
+	return load, found
 }
 
 // markUnloading marks the adapters that a report lists although the engine has accepted an
 // unload that it did not answer: it keeps them for their calls, and accepts no other order.
-func (p *Planner) markUnloading(e *engine) {
+// before is the number of orders that the planner had counted.
+func (p *Planner) markUnloading(e *engine, before uint64) {
+	if e.orders <= before {
+		return
+	}
 	for _, u := range p.unanswered[e.entry.ID.Name] {
-		c, listed := e.contents[u.Key]
-		if listed && u.Unload && u.Target == e.entry.ID && u.Orders+1 == e.orders {
+		if c, listed := e.contents[u.Key]; listed && u.Unload && u.Orders+1 == e.orders {
 			c.unloading, c.unload = true, u.Orders
 			e.contents[u.Key] = c
 		}
 	}
 }
-
-// forgetUnanswered removes the unloads whose number was used by another order. Loads are
-// kept, as a later start of the engine may still carry them out.
-func (p *Planner) forgetUnanswered(o bamboorail.AdapterOrder) {
-	if list := p.unanswered[o.Target.Name]; list != nil {
-		p.unanswered[o.Target.Name] = slices.DeleteFunc(list, func(u unansweredOrder) bool {
-			return u.Unload && u.Target == o.Target && u.Orders <= o.Orders
-		})
-	}
-}
