adapters: one check of the slots of an engine

The check for unanswered loads contains the one for the order itself, which no test could tell apart.

--- a/internal/adapters/loads.go
+++ b/internal/adapters/loads.go
@@ -46,7 +46,7 @@
 		return e.orders, OrderWithoutRoom
 	case held != o.Unload && (o.Unload || c.version >= o.Version):
 		return e.orders, OrderNeedless
-	case !o.Unload && (held || e.contents.taken() >= e.slots), !p.fitsUnanswered(e, o, now):
+	case !o.Unload && held, !p.hasSlots(e, o, now):
 		return e.orders, OrderWithoutRoom
 	}
 	return e.orders, OrderFits
--- a/internal/adapters/unanswered.go
+++ b/internal/adapters/unanswered.go
@@ -40,10 +40,11 @@
 	}
 }
 
-// fitsUnanswered reports whether an order leaves the slots that unanswered loads with the next
-// numbers would take one after the other. They may have been sent to a former start of the
-// engine: an order names the engine and the number of accepted orders, which begins anew.
-func (p *Planner) fitsUnanswered(e *engine, o bamboorail.AdapterOrder, now time.Time) bool {
+// hasSlots reports whether an engine has slots for what it holds after an order and for the
+// unanswered loads with the next numbers, which it may carry out one after the other. They may
+// have been sent to a former start of the engine: an order names the engine and the number of
+// accepted orders, which begins anew.
+func (p *Planner) hasSlots(e *engine, o bamboorail.AdapterOrder, now time.Time) bool {
 	taken := e.contents.taken() + 1
 	if o.Unload {
 		taken -= 2
