--- a/internal/adapters/conflicts.go
+++ b/internal/adapters/conflicts.go
@@ -32,7 +32,7 @@
 	}
 }
 
-// sync reports whether a report that was asked for at the given time explains the conflict. If
+// sync reports whether a report that was requested at the given time explains the conflict. If
 // it lists no other order, the engine is blocked.
 func (c *conflict) sync(orders uint64, asked, now time.Time) bool {
 	switch {
--- a/internal/adapters/contents.go
+++ b/internal/adapters/contents.go
@@ -56,7 +56,7 @@
 	return c
 }
 
-// update applies a report that was asked for at the given time.
+// update applies a report that was requested at the given time.
 func (c contents) update(s bamboorail.EngineState, asked time.Time) contents {
 	next := reportedContents(s)
 	for key, old := range c {
--- a/internal/adapters/eviction_test.go
+++ b/internal/adapters/eviction_test.go
@@ -30,7 +30,7 @@
 					p.RecordLoaded(ended.Target, ended.Key, start.Add(300*time.Millisecond))
 				}
 				if _, ok := p.Place(next, start.Add(c.after)); ok != c.want {
-					t.Errorf("placed: %t, want %t", ok, c.want)
+					t.Errorf("placed: %t, expected %t", ok, c.want)
 				}
 			})
 		}
--- a/internal/adapters/models.go
+++ b/internal/adapters/models.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// syncModels applies the models of a report that was asked for at the given time.
+// syncModels applies the models of a report that was requested at the given time.
 func (p *Planner) syncModels(e *engine, s bamboorail.EngineState, asked, now time.Time) {
 	models := make(map[string]time.Time, len(s.Models))
 	for model := range s.Models {
--- a/internal/adapters/order_check_test.go
+++ b/internal/adapters/order_check_test.go
@@ -46,7 +46,7 @@
 			p.Sync(engineID(0), bamboorail.EngineState{Models: map[string]map[string]int{"m": {"a1": 1}}}, start, start)
 			c.before(p)
 			if _, got := p.CheckOrder(c.order, start.Add(time.Millisecond)); got != c.want {
-				t.Errorf("check %v, want %v", got, c.want)
+				t.Errorf("check %v, expected %v", got, c.want)
 			}
 		})
 	}
--- a/internal/adapters/planner_test.go
+++ b/internal/adapters/planner_test.go
@@ -300,7 +300,7 @@
 			p.Sync(engineID(0), bamboorail.EngineState{Orders: 1, Models: map[string]map[string]int{"m": {}}}, start.Add(c.asked), start.Add(c.handled))
 			other := bamboorail.AdapterOrder{Target: engineID(0), Key: testRequest(2).Key}
 			if _, check := p.CheckOrder(other, start.Add(c.handled)); (check == OrderFits) != c.free {
-				t.Errorf("check of the next load: %v, want a free slot: %t", check, c.free)
+				t.Errorf("check of the next load: %v, expected a free slot: %t", check, c.free)
 			}
 		})
 	}
--- a/internal/adapters/unanswered.go
+++ b/internal/adapters/unanswered.go
@@ -23,9 +23,7 @@
 	if o.Key.Adapter == "" {
 		return
 	}
-	name := o.Target.Name
-	p.unanswered[name] = append(slices.DeleteFunc(p.unanswered[name], func(u unansweredOrder) bool { return now.Sub(u.sent) > maxOrderDelay }),
-		unansweredOrder{o, now})
+	p.unanswered[o.Target.Name] = append(p.unanswered[o.Target.Name], unansweredOrder{o, now})
 }
 
 // expireUnanswered removes orders that are not carried out any more.
--- a/internal/adapters/unanswered_test.go
+++ b/internal/adapters/unanswered_test.go
@@ -56,7 +56,7 @@
 				o.Unload, o.Key = true, testRequest(1).Key
 			}
 			if _, got := p.CheckOrder(o, now); got != c.want {
-				t.Errorf("check %v, want %v", got, c.want)
+				t.Errorf("check %v, expected %v", got, c.want)
 			}
 		})
 	}
@@ -87,7 +87,7 @@
 			sync(c.reported, now)
 			unload := bamboorail.AdapterOrder{Target: engineID(0), Key: testRequest(1).Key, Unload: true}
 			if _, got := p.CheckOrder(unload, now); got != c.want {
-				t.Errorf("check %v, want %v", got, c.want)
+				t.Errorf("check %v, expected %v", got, c.want)
 			}
 			sync(accepted+3, now.Add(time.Second))
 			if _, got := p.CheckOrder(unload, now.Add(time.Second)); got != OrderFits {
@@ -127,7 +127,7 @@
 			unload := bamboorail.AdapterOrder{Target: engineID(0), Key: testRequest(1).Key, Unload: true, Orders: c.reported}
 			p.RecordOrder(unload, start.Add(time.Second))
 			if _, counted := p.OrderNumber(engineID(0)); counted != c.counted {
-				t.Errorf("counted: %t, want %t", counted, c.counted)
+				t.Errorf("counted: %t, expected %t", counted, c.counted)
 			}
 		})
 	}
--- a/internal/placer/room_engine_test.go
+++ b/internal/placer/room_engine_test.go
@@ -22,7 +22,7 @@
 type roomFaults struct {
 	// late orders are carried out 2 to 12 s later, unanswered ones at once.
 	late, unanswered float64
-	// unknownUnloads is set if holders cannot know of all unloads that wait for calls.
+	// unknownUnloads is set if unloads of earlier holders may wait for calls.
 	unknownUnloads bool
 	// replacedInPlace is set if a new version takes no slot of its own while it is loaded.
 	replacedInPlace bool
--- a/internal/placer/room_sequence_test.go
+++ b/internal/placer/room_sequence_test.go
@@ -42,7 +42,7 @@
 	}
 }
 
-// upkeep runs one round of the holder's upkeep.
+// upkeep runs one round of the holder's maintenance.
 func (s *roomSequence) upkeep() {
 	s.t.Helper()
 	if err := s.holder.Lease.Renew(s.t.Context()); err != nil {
--- a/internal/placer/room_test.go
+++ b/internal/placer/room_test.go
@@ -51,8 +51,7 @@
 	return c.engines[id.Name].state(ctx, id)
 }
 
-// newRoomCluster returns a holder that leads, in front of engines whose addresses and
-// entries the fleet knows.
+// newRoomCluster returns a holder that leads, in front of engines without entries.
 func newRoomCluster(t *testing.T, engines int, seed uint64, f roomFaults) *roomCluster {
 	t.Helper()
 	c := &roomCluster{fleet: fleet.New(time.Second), engines: map[string]*roomEngine{}, releases: map[string]bamboorail.ReleaseHistory{}}
@@ -85,7 +84,7 @@
 	return c
 }
 
-// register writes the entry of an engine as the engine sees itself now.
+// register writes the current entry of an engine.
 func (c *roomCluster) register(name string) {
 	e := c.engines[name]
 	e.mu.Lock()
@@ -117,8 +116,7 @@
 	})
 }
 
-// beginTenure makes the holder forget what it knew, as after it lost its lease and took it
-// again.
+// beginTenure resets the holder, as after it lost its lease and took it again.
 func (c *roomCluster) beginTenure(n uint64) {
 	c.holder.mu.Lock()
 	defer c.holder.mu.Unlock()
