--- a/internal/adapters/eviction_test.go
+++ b/internal/adapters/eviction_test.go
@@ -13,7 +13,7 @@
 	cases := map[string]struct {
 		after    time.Duration // since the load was accepted
 		answered bool
-		want     bool
+		expected bool
 	}{
 		"its end is not known":          {800 * time.Millisecond, false, false},
 		"long after its usual duration": {maxLoadFactor * 300 * time.Millisecond, false, true},
@@ -29,8 +29,8 @@
 				if c.answered {
 					p.RecordLoaded(ended.Target, ended.Key, start.Add(300*time.Millisecond))
 				}
-				if _, ok := p.Place(next, start.Add(c.after)); ok != c.want {
-					t.Errorf("placed: %t, expected %t", ok, c.want)
+				if _, ok := p.Place(next, start.Add(c.after)); ok != c.expected {
+					t.Errorf("placed: %t, expected %t", ok, c.expected)
 				}
 			})
 		}
--- a/internal/adapters/order_check_test.go
+++ b/internal/adapters/order_check_test.go
@@ -20,9 +20,9 @@
 	fill := func(p *Planner) { accept(p, order(2, 1, false)) }
 	// One of two slots holds a1, version 1.
 	cases := map[string]struct {
-		before func(p *Planner)
-		order  bamboorail.AdapterOrder
-		want   OrderCheck
+		before   func(p *Planner)
+		order    bamboorail.AdapterOrder
+		expected OrderCheck
 	}{
 		"a load, free slot":             {func(*Planner) {}, order(3, 1, false), OrderFits},
 		"a load, no free slot":          {fill, order(3, 1, false), OrderWithoutRoom},
@@ -45,8 +45,8 @@
 			p := newTestPlanner(1, 2)
 			p.Sync(engineID(0), bamboorail.EngineState{Models: map[string]map[string]int{"m": {"a1": 1}}}, start, start)
 			c.before(p)
-			if _, got := p.CheckOrder(c.order, start.Add(time.Millisecond)); got != c.want {
-				t.Errorf("check %v, expected %v", got, c.want)
+			if _, got := p.CheckOrder(c.order, start.Add(time.Millisecond)); got != c.expected {
+				t.Errorf("check %v, expected %v", got, c.expected)
 			}
 		})
 	}
--- a/internal/adapters/unanswered_test.go
+++ b/internal/adapters/unanswered_test.go
@@ -22,19 +22,19 @@
 		loads, unloads []uint64
 		unload         bool // check the unload of a1, not the load of a9
 		after          time.Duration
-		want           OrderCheck
+		expected       OrderCheck
 	}{
-		"none":                      {held: []string{"a1", "a2"}, want: OrderFits},
-		"next number":               {held: []string{"a1", "a2"}, loads: []uint64{8}, want: OrderWithoutRoom},
-		"number of this order":      {held: []string{"a1", "a2"}, loads: []uint64{7}, want: OrderFits},
-		"a later number":            {held: []string{"a1", "a2"}, loads: []uint64{9}, want: OrderFits},
-		"two in a row":              {held: []string{"a1"}, loads: []uint64{8, 9}, want: OrderWithoutRoom},
-		"one, and a slot for it":    {held: []string{"a1"}, loads: []uint64{8}, want: OrderFits},
-		"two of one number":         {held: []string{"a1"}, loads: []uint64{8, 8}, want: OrderFits},
-		"a load after an unload":    {held: []string{"a1", "a2"}, unloads: []uint64{8}, loads: []uint64{9}, want: OrderWithoutRoom},
-		"an unload, then two loads": {held: []string{"a1", "a2", "a3"}, loads: []uint64{8, 9}, unload: true, want: OrderWithoutRoom},
-		"an unload, then one load":  {held: []string{"a1", "a2", "a3"}, loads: []uint64{8}, unload: true, want: OrderFits},
-		"long ago":                  {held: []string{"a1", "a2"}, loads: []uint64{8}, after: 2 * maxOrderDelay, want: OrderFits},
+		"none":                      {held: []string{"a1", "a2"}, expected: OrderFits},
+		"next number":               {held: []string{"a1", "a2"}, loads: []uint64{8}, expected: OrderWithoutRoom},
+		"number of this order":      {held: []string{"a1", "a2"}, loads: []uint64{7}, expected: OrderFits},
+		"a later number":            {held: []string{"a1", "a2"}, loads: []uint64{9}, expected: OrderFits},
+		"two in a row":              {held: []string{"a1"}, loads: []uint64{8, 9}, expected: OrderWithoutRoom},
+		"one, and a slot for it":    {held: []string{"a1"}, loads: []uint64{8}, expected: OrderFits},
+		"two of one number":         {held: []string{"a1"}, loads: []uint64{8, 8}, expected: OrderFits},
+		"a load after an unload":    {held: []string{"a1", "a2"}, unloads: []uint64{8}, loads: []uint64{9}, expected: OrderWithoutRoom},
+		"an unload, then two loads": {held: []string{"a1", "a2", "a3"}, loads: []uint64{8, 9}, unload: true, expected: OrderWithoutRoom},
+		"an unload, then one load":  {held: []string{"a1", "a2", "a3"}, loads: []uint64{8}, unload: true, expected: OrderFits},
+		"long ago":                  {held: []string{"a1", "a2"}, loads: []uint64{8}, after: 2 * maxOrderDelay, expected: OrderFits},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -55,8 +55,8 @@
 			if c.unload {
 				o.Unload, o.Key = true, testRequest(1).Key
 			}
-			if _, got := p.CheckOrder(o, now); got != c.want {
-				t.Errorf("check %v, expected %v", got, c.want)
+			if _, got := p.CheckOrder(o, now); got != c.expected {
+				t.Errorf("check %v, expected %v", got, c.expected)
 			}
 		})
 	}
@@ -68,7 +68,7 @@
 	const accepted = 7
 	cases := map[string]struct {
 		number, reported uint64 // of the unload, and accepted by the report
-		want             OrderCheck
+		expected         OrderCheck
 	}{
 		"it was the last order":          {accepted, accepted + 1, OrderWithoutRoom},
 		"it was not carried out":         {accepted, accepted, OrderFits},
@@ -86,8 +86,8 @@
 			now := start.Add(time.Second)
 			sync(c.reported, now)
 			unload := bamboorail.AdapterOrder{Target: engineID(0), Key: testRequest(1).Key, Unload: true}
-			if _, got := p.CheckOrder(unload, now); got != c.want {
-				t.Errorf("check %v, expected %v", got, c.want)
+			if _, got := p.CheckOrder(unload, now); got != c.expected {
+				t.Errorf("check %v, expected %v", got, c.expected)
 			}
 			sync(accepted+3, now.Add(time.Second))
 			if _, got := p.CheckOrder(unload, now.Add(time.Second)); got != OrderFits {
--- a/internal/placer/room_sequence_test.go
+++ b/internal/placer/room_sequence_test.go
@@ -21,7 +21,7 @@
 func newRoomSequence(t *testing.T) *roomSequence {
 	s := &roomSequence{newRoomCluster(t, 2, 0, roomFaults{}), t}
 	for range 30 {
-		s.upkeep()
+		s.maintain()
 	}
 	return s
 }
@@ -42,8 +42,8 @@
 	}
 }
 
-// upkeep runs one round of the holder's maintenance.
-func (s *roomSequence) upkeep() {
+// maintain runs one round of the holder's maintenance.
+func (s *roomSequence) maintain() {
 	s.t.Helper()
 	if err := s.holder.Lease.Renew(s.t.Context()); err != nil {
 		s.t.Fatal(err)
@@ -93,7 +93,7 @@
 	s.t.Helper()
 	s.release(name, 2)
 	s.wait(5 * time.Second)
-	s.upkeep()
+	s.maintain()
 	p, err := s.place(name, 2, "e0")
 	if err != nil {
 		s.t.Fatal(err)
@@ -107,7 +107,7 @@
 	s.holder.mu.Lock()
 	s.holder.planner.Desync(bamboorail.TargetID{Name: name, StartMillis: s.engines[name].start}, time.Now())
 	s.holder.mu.Unlock()
-	s.upkeep()
+	s.maintain()
 }
 
 // check reports what the engines object to, and orders whose number the holder and an
@@ -186,7 +186,7 @@
 			}
 			s.engines["e1"].faults.unanswered = 0
 			for range 4 {
-				s.upkeep()
+				s.maintain()
 			}
 			s.serve("y", "e0")
 		},
@@ -227,7 +227,7 @@
 		s.crash("e1", time.Second)
 		s.wait(time.Second)
 		for range 20 {
-			s.upkeep()
+			s.maintain()
 		}
 		placed := 0
 		for _, name := range []string{"w0", "w1", "w2", "w3", "w4"} {
@@ -278,11 +278,11 @@
 				s.crash("e1", time.Second)
 				time.Sleep(time.Second)
 				for s.engines["e1"].modelLoads == 0 {
-					s.upkeep()
+					s.maintain()
 				}
 				disturb(s)
 				for range 12 {
-					s.upkeep()
+					s.maintain()
 				}
 				if !s.engines["e1"].model {
 					t.Error("the base model is not loaded")
@@ -315,7 +315,7 @@
 			if p, err := s.place("y", 1, "e0"); err == nil {
 				s.end(p, balance.Misdirected)
 			}
-			s.upkeep()
+			s.maintain()
 		}
 		if e.conflicts > maxConflicts {
 			t.Errorf("%d orders conflicted in 5 s", e.conflicts)
--- a/internal/placer/room_test.go
+++ b/internal/placer/room_test.go
@@ -51,7 +51,7 @@
 	return c.engines[id.Name].state(ctx, id)
 }
 
-// newRoomCluster returns a holder that leads, in front of engines without entries.
+// newRoomCluster returns a holder that leads, in front of engines that are registered.
 func newRoomCluster(t *testing.T, engines int, seed uint64, f roomFaults) *roomCluster {
 	t.Helper()
 	c := &roomCluster{fleet: fleet.New(time.Second), engines: map[string]*roomEngine{}, releases: map[string]bamboorail.ReleaseHistory{}}
@@ -116,8 +116,8 @@
 	})
 }
 
-// beginTenure resets the holder, as after it lost its lease and took it again.
-func (c *roomCluster) beginTenure(n uint64) {
+// resetHolder resets the holder, as after it lost its lease and took it again.
+func (c *roomCluster) resetHolder(n uint64) {
 	c.holder.mu.Lock()
 	defer c.holder.mu.Unlock()
 	c.holder.setPlanner(n << ticketBits)
@@ -173,8 +173,8 @@
 	// releaseInterval and crashInterval are the times between releases of often used
 	// adapters and between crashes, 0 for none.
 	releaseInterval, crashInterval time.Duration
-	// tenure is the time after which the holder begins anew, 0 for never.
-	tenure time.Duration
+	// resetInterval is the time between resets of the holder, 0 for none.
+	resetInterval time.Duration
 }
 
 func (l roomLoad) run(t *testing.T, seed uint64) *roomCluster {
@@ -205,7 +205,7 @@
 	})
 	every(l.releaseInterval, func(n int) { c.release(fmt.Sprintf("a%d", n%8), n+1) })
 	every(l.crashInterval, func(n int) { c.crash(fmt.Sprintf("e%d", n%roomEngines), time.Second) })
-	every(l.tenure, func(n int) { c.beginTenure(uint64(n)) })
+	every(l.resetInterval, func(n int) { c.resetHolder(uint64(n)) })
 	end := time.Now().Add(roomDuration)
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(random.ExpFloat64() / roomCallRate * float64(time.Second)))
@@ -234,7 +234,7 @@
 		"new versions in place, late": {faults: roomFaults{late: 0.35, unanswered: 0.1, replacedInPlace: true}, releaseInterval: 500 * time.Millisecond},
 		"late, new versions":          {faults: roomFaults{late: 0.35, unanswered: 0.1}, releaseInterval: 500 * time.Millisecond},
 		"engines crash":               {crashInterval: 2 * time.Second},
-		"holder changes":              {faults: roomFaults{late: 0.35, unanswered: 0.1, unknownUnloads: true}, releaseInterval: time.Second, tenure: 3 * time.Second},
+		"holder changes":              {faults: roomFaults{late: 0.35, unanswered: 0.1, unknownUnloads: true}, releaseInterval: time.Second, resetInterval: 3 * time.Second},
 		"all together":                {faults: roomFaults{late: 0.35, unanswered: 0.1}, releaseInterval: time.Second, crashInterval: 2 * time.Second},
 	}
 	for name, l := range cases {
