--- a/internal/placer/room_engine_test.go
+++ b/internal/placer/room_engine_test.go
@@ -94,6 +94,13 @@
 	e.errors = append(e.errors, fmt.Sprintf(format, a...))
 }
 
+// with runs f under the lock of the engine.
+func (e *roomEngine) with(f func(e *roomEngine)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f(e)
+}
+
 // order handles an order.
 func (e *roomEngine) order(ctx context.Context, o bamboorail.AdapterOrder) (bamboorail.OrderResult, error) {
 	e.mu.Lock()
--- a/internal/placer/room_sequence_test.go
+++ b/internal/placer/room_sequence_test.go
@@ -105,7 +105,9 @@
 // reread makes the holder read the state of an engine again.
 func (s *roomSequence) reread(name string) {
 	s.holder.mu.Lock()
-	s.holder.planner.Desync(bamboorail.TargetID{Name: name, StartMillis: s.engines[name].start}, time.Now())
+	s.engines[name].with(func(e *roomEngine) {
+		s.holder.planner.Desync(bamboorail.TargetID{Name: name, StartMillis: e.start}, time.Now())
+	})
 	s.holder.mu.Unlock()
 	s.maintain()
 }
@@ -114,16 +116,18 @@
 // engine count differently.
 func (s *roomSequence) check() {
 	s.t.Helper()
+	s.holder.mu.Lock()
+	defer s.holder.mu.Unlock()
 	for name, e := range s.engines {
-		if len(e.errors) > 0 {
-			s.t.Errorf("%s: %s", name, strings.Join(e.errors, "; "))
-		}
-		s.holder.mu.Lock()
-		number, synced := s.holder.planner.OrderNumber(bamboorail.TargetID{Name: name, StartMillis: e.start})
-		s.holder.mu.Unlock()
-		if synced && number != e.orders {
-			s.t.Errorf("%s has accepted %d orders, the holder counts %d", name, e.orders, number)
-		}
+		e.with(func(e *roomEngine) {
+			if len(e.errors) > 0 {
+				s.t.Errorf("%s: %s", name, strings.Join(e.errors, "; "))
+			}
+			number, synced := s.holder.planner.OrderNumber(bamboorail.TargetID{Name: name, StartMillis: e.start})
+			if synced && number != e.orders {
+				s.t.Errorf("%s has accepted %d orders, the holder counts %d", name, e.orders, number)
+			}
+		})
 	}
 }
 
@@ -180,11 +184,11 @@
 		"the first of two orders is not answered": func(s *roomSequence) {
 			s.waitInBackground()
 			s.runBackground()
-			s.engines["e1"].faults.unanswered = 1
+			s.engines["e1"].with(func(e *roomEngine) { e.faults.unanswered = 1 })
 			if _, err := s.place("y", 1, "e0"); err == nil {
 				s.t.Error("a call was placed without an answer")
 			}
-			s.engines["e1"].faults.unanswered = 0
+			s.engines["e1"].with(func(e *roomEngine) { e.faults.unanswered = 0 })
 			for range 4 {
 				s.maintain()
 			}
@@ -219,11 +223,11 @@
 		s.serve("x1", "e0")
 		s.replace("x1")
 		var late bamboorail.AdapterOrder
-		e.intercept = func(o bamboorail.AdapterOrder) { late = o }
+		e.with(func(e *roomEngine) { e.intercept = func(o bamboorail.AdapterOrder) { late = o } })
 		if _, err := s.place("y", 1, "e0"); err == nil {
 			t.Error("a call was placed without an answer")
 		}
-		e.intercept = nil
+		e.with(func(e *roomEngine) { e.intercept = nil })
 		s.crash("e1", time.Second)
 		s.wait(time.Second)
 		for range 20 {
@@ -236,9 +240,11 @@
 				s.wait(time.Until(p.ReadyAt) + roomFetchTime)
 				s.end(p, balance.Answered)
 			}
-			if late.Orders > 0 && e.orders == late.Orders {
-				_ = e.apply(late)
-			}
+			e.with(func(e *roomEngine) {
+				if late.Orders > 0 && e.orders == late.Orders {
+					_ = e.apply(late)
+				}
+			})
 		}
 		if placed < roomSlots-1 {
 			t.Errorf("%d of 5 calls were placed", placed)
@@ -277,16 +283,18 @@
 				s := newRoomSequence(t)
 				s.crash("e1", time.Second)
 				time.Sleep(time.Second)
-				for s.engines["e1"].modelLoads == 0 {
+				for ordered := false; !ordered; s.engines["e1"].with(func(e *roomEngine) { ordered = e.modelLoads > 0 }) {
 					s.maintain()
 				}
 				disturb(s)
 				for range 12 {
 					s.maintain()
 				}
-				if !s.engines["e1"].model {
-					t.Error("the base model is not loaded")
-				}
+				s.engines["e1"].with(func(e *roomEngine) {
+					if !e.model {
+						t.Error("the base model is not loaded")
+					}
+				})
 				if _, err := s.place("x", 1, "e0"); err != nil {
 					t.Errorf("no adapter is loaded 3 s later: %v", err)
 				}
@@ -317,9 +325,11 @@
 			}
 			s.maintain()
 		}
-		if e.conflicts > maxConflicts {
-			t.Errorf("%d orders conflicted in 5 s", e.conflicts)
-		}
+		e.with(func(e *roomEngine) {
+			if e.conflicts > maxConflicts {
+				t.Errorf("%d orders conflicted in 5 s", e.conflicts)
+			}
+		})
 		s.check()
 	})
 }
@@ -330,7 +340,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newRoomSequence(t)
 		s.waitInBackground()
-		s.engines["e0"].faults.unanswered = 1
+		s.engines["e0"].with(func(e *roomEngine) { e.faults.unanswered = 1 })
 		slow := bamboorail.AdapterOrder{Target: bamboorail.TargetID{Name: "e0", StartMillis: 1}, Key: bamboorail.AdapterKey{Model: "m", Adapter: "y"}}
 		waiting := <-s.holder.background
 		s.holder.background <- []bamboorail.AdapterOrder{slow}
@@ -339,9 +349,11 @@
 		done := make(chan error, 1)
 		go func() { done <- s.holder.Run(ctx) }()
 		time.Sleep(orderTimeout / 2)
-		if _, ordered := s.engines["e1"].pending["z"]; !ordered {
-			t.Error("the load is not ordered while an order to another engine has no answer")
-		}
+		s.engines["e1"].with(func(e *roomEngine) {
+			if _, ordered := e.pending["z"]; !ordered {
+				t.Error("the load is not ordered while an order to another engine has no answer")
+			}
+		})
 		cancel()
 		<-done
 	})
