relay, platform: workspaces, keys and the messages of quotas and shared targets

Cause: the system does not know who calls. Keys are passed on to targets, unknown keys are served, and priorities of workspaces have no effect.

Change: the configuration names workspaces with keys, priority and quota. A call is resolved to its workspace once, where it arrives; the key goes no further, and is kept as a digest only, also in the copies of the configuration that instances exchange.

--- a/failure.go
+++ b/failure.go
@@ -28,6 +28,7 @@
 	KindTooLarge         Kind = "too-large"
 	KindUnauthenticated  Kind = "unauthenticated"
 	KindForbidden        Kind = "forbidden"
+	KindQuotaExceeded    Kind = "quota-exceeded"
 	KindUnknownAdapter   Kind = "unknown-adapter"
 	KindUnknownVersion   Kind = "unknown-version"
 	KindUnknownService   Kind = "unknown-service"
--- a/fleet.go
+++ b/fleet.go
@@ -44,6 +44,11 @@
 	MaxAttempts int
 	// Priority is the priority of the route; 0 is the most urgent.
 	Priority int
+	// Public marks routes that need no key.
+	Public bool
+	// MaxEventGap is the longest pause between the events of a stream that is on time, 0
+	// for no limit.
+	MaxEventGap time.Duration
 }
 
 // ModelSpec declares a base model of a service.
@@ -64,6 +69,12 @@
 	// LoadsPerSecond is the rate at which the weight store serves base models.
 	LoadsPerSecond float64
 	Models         []ModelSpec
+	// MaxConnections is the number of connections that a target accepts from all
+	// instances together, 0 if unknown.
+	MaxConnections int
+	// MemoryTokens is the number of tokens that fit into the memory of an engine, 0 if
+	// unknown.
+	MemoryTokens int
 }
 
 // ListenerLimits limits the requests of callers.
@@ -80,6 +91,13 @@
 	Routes   []RouteSpec
 	Services []ServiceSpec
 	Limits   ListenerLimits
+	// HasWorkspaces is set if calls need the key of a workspace, unless their route is
+	// public. Workspaces are those whose keys are accepted.
+	HasWorkspaces bool
+	Workspaces    []Workspace
+	// Warnings describe the parts of the configuration that were left out because they
+	// are invalid.
+	Warnings []string
 }
 
 // AdapterKey names an adapter of a base model. An empty adapter stands for
@@ -173,6 +191,21 @@
 	Release(o Object) (AdapterRelease, error)
 }
 
+// CallSize is the size of a call in tokens.
+type CallSize struct {
+	Prompt, Output int
+}
+
+// Tokens returns the sum of prompt and output tokens.
+func (s CallSize) Tokens() int { return s.Prompt + s.Output }
+
+// PromptPart is a part of a prompt. Calls with the same parts in the same order share
+// what an engine keeps of them.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
 // Call is a caller's request that is forwarded unchanged.
 type Call struct {
 	ID string
@@ -188,6 +221,20 @@
 	// PromptSegments are the ids of the parts of the prompt that the call may share
 	// with others, in order.
 	PromptSegments []string
+	// Prompt lists all parts of the prompt with their sizes, in order. The last one is
+	// not shared.
+	Prompt []PromptPart
+	// Size is the size of the call in tokens, zero if the caller does not say.
+	Size CallSize
+	// Credential is the key that the caller presented. It is cleared once the call has a
+	// workspace.
+	Credential Credential
+	// Workspace is the name of the workspace that the call belongs to, empty if the
+	// configuration has none or the route is public.
+	Workspace string
+	// Authenticated is set if the workspace of the call, or its absence, was determined by
+	// an instance. Targets then get it in place of the key.
+	Authenticated bool
 	// Fingerprint is the same for calls that repeat one another: those of one caller
 	// with the same host, path and body. Call ids differ.
 	Fingerprint string
@@ -251,6 +298,9 @@
 	// SetErrorHeaders sets the header of a response that the instance generates
 	// itself. The caller may retry after retryAfter, unless it is 0.
 	SetErrorHeaders(h http.Header, c *Call, retryAfter time.Duration)
+	// RemoveCredential removes the caller's credential, and what it says of its workspace,
+	// from the fields to forward.
+	RemoveCredential(h http.Header)
 	// ReadyPath returns the path of the readiness probe.
 	ReadyPath() string
 }
--- a/internal/detour/forward.go
+++ b/internal/detour/forward.go
@@ -116,7 +116,7 @@
 
 func requestMessage(c relay.ForwardCall) *wire.ForwardRequest {
 	return &wire.ForwardRequest{
-		Instance: c.Instance, Method: c.Method, Uri: c.URI, Host: c.Host, Header: peer.EncodeHeader(c.Header), Body: c.Body,
+		Instance: c.Instance, Method: c.Method, Uri: c.URI, Host: c.Host, Header: peer.EncodeHeader(c.Header), Body: c.Body, Workspace: c.Workspace,
 		RemainingMicros: c.Remaining.Microseconds(), StartMicros: c.StartWithin.Microseconds(), Service: c.Service, Software: c.Software,
 		Runs: int32(c.Runs),
 	}
@@ -191,6 +191,7 @@
 	}
 	err := s.runner.ServeForwarded(stream.Context(), relay.ForwardCall{
 		Instance: m.GetInstance(), Method: m.GetMethod(), URI: m.GetUri(), Host: m.GetHost(), Header: peer.DecodeHeader(m.GetHeader()), Body: m.GetBody(),
+		Workspace: m.GetWorkspace(),
 		Remaining: microseconds(m.GetRemainingMicros()), StartWithin: microseconds(m.GetStartMicros()),
 		Service: m.GetService(), Software: m.GetSoftware(), Runs: int(m.GetRuns()),
 	}, &streamWriter{stream})
--- a/internal/gateway/records.go
+++ b/internal/gateway/records.go
@@ -36,9 +36,13 @@
 	if t := h.g.table.Load(); t != nil && c.Version <= t.Version() {
 		return
 	}
+	for _, warning := range c.Warnings {
+		h.g.log.Warn("part of the configuration ignored", "config", c.Version, "reason", warning)
+	}
 	h.g.table.Store(route.NewTable(c))
 	h.g.metrics.Configuration(c.Version, 0)
-	h.g.log.Info("configuration activated", "config", c.Version, "revision", o.Version, "routes", len(c.Routes), "services", len(c.Services))
+	h.g.log.Info("configuration activated", "config", c.Version, "revision", o.Version, "routes", len(c.Routes), "services", len(c.Services),
+		"workspaces", len(c.Workspaces))
 }
 
 // targetHandler applies the entries that targets write.
--- a/internal/peer/placer.go
+++ b/internal/peer/placer.go
@@ -22,6 +22,7 @@
 	RecordOrigins(ctx context.Context, r *wire.RecordOriginsRequest) (*wire.RecordOriginsReply, error)
 	Forward(r *wire.ForwardRequest, stream wire.DRPCPlacer_ForwardStream) error
 	Neighbors(ctx context.Context, r *wire.NeighborsRequest) (*wire.NeighborsReply, error)
+	Credit(ctx context.Context, r *wire.CreditRequest) (*wire.CreditReply, error)
 }
 
 // ServePlacer serves the placer protocol on the listener until ctx ends.
@@ -96,6 +97,15 @@
 	return reply, nil
 }
 
+// Credit asks the instance at address for quota credit of workspaces.
+func (c *Client) Credit(ctx context.Context, address string, r *wire.CreditRequest) (*wire.CreditReply, error) {
+	reply, err := wire.NewDRPCPlacerClient(c.pool.Get(ctx, address, c.dial)).Credit(ctx, r)
+	if err != nil {
+		return nil, callError("move-credit", err)
+	}
+	return reply, nil
+}
+
 // ForwardStream is the answer to a forwarded call.
 type ForwardStream struct {
 	stream wire.DRPCPlacer_ForwardClient
--- /dev/null
+++ b/internal/relay/authenticate.go
@@ -0,0 +1,41 @@
+package relay
+
+import (
+	"time"
+
+	"bamboorail.example/bamboorail"
+)
+
+// maxConfigurationAge is the age of the configuration up to which a key that it does not
+// list is unknown. A key that was added later may be valid.
+const maxConfigurationAge = 3 * time.Second
+
+// authenticate determines the workspace of the call. It is done once, at the instance that
+// received the call from its caller; the key is not passed on.
+func (x *exchange) authenticate() error {
+	const op = "authenticate-call"
+	if !x.table.HasWorkspaces() {
+		return nil
+	}
+	var workspace bamboorail.Workspace
+	var known bool
+	if x.forwarded != nil {
+		// This instance may not have learned of the workspace yet.
+		x.call.Workspace = x.forwarded.Workspace
+		workspace, known = x.table.Workspace(x.forwarded.Workspace)
+	} else if workspace, known = x.table.Authenticate(x.call.Credential); known {
+		x.call.Workspace = workspace.Name
+	}
+	x.call.Credential, x.call.Authenticated = bamboorail.Credential{}, true
+	x.h.Ingress.RemoveCredential(x.call.Header)
+	if known && workspace.HasPriority {
+		x.route.Priority = workspace.Priority
+	}
+	switch {
+	case known || x.route.Public || x.call.Workspace != "":
+		return nil
+	case x.h.ConfigurationAge() > maxConfigurationAge:
+		return notRun(op, bamboorail.KindUnavailable, defaultRetryAfter, errKeyUnconfirmed)
+	}
+	return notRun(op, bamboorail.KindUnauthenticated, 0, errUnknownKey)
+}
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -74,7 +74,7 @@
 	case err != nil:
 		return notRun(op, bamboorail.KindBadRequest, 0, err)
 	}
-	x.call.Fingerprint = fingerprint(x.r, x.body)
+	x.call.Fingerprint = fingerprint(x.r, &x.call, x.body)
 	return nil
 }
 
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -29,6 +29,8 @@
 	Service, Software string
 	// Runs is the number of targets that may have run the call.
 	Runs int
+	// Workspace is the workspace of the call, empty if it has none.
+	Workspace string
 }
 
 // ForwardedAnswer is the answer of a target to a forwarded call.
@@ -134,6 +136,7 @@
 	return ForwardCall{
 		Instance: x.h.Instance, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: header, Body: x.body,
 		Remaining: time.Until(x.deadline), StartWithin: time.Until(l.start.startBy), Service: l.start.service.Name, Software: l.start.software, Runs: l.start.runs,
+		Workspace: x.call.Workspace,
 	}
 }
 
--- a/internal/relay/errors.go
+++ b/internal/relay/errors.go
@@ -20,6 +20,8 @@
 
 var (
 	errNoConfiguration = errors.New("no configuration received yet")
+	errUnknownKey      = errors.New("the key is missing or unknown")
+	errKeyUnconfirmed  = errors.New("the key is unknown to a configuration that may be out of date")
 	errNoRoute         = errors.New("no route matches the host and path")
 	errInvalidResponse = errors.New("the response does not belong to this call")
 	errNoLength        = errors.New("the HTTP/1.0 request has no Content-Length")
--- a/internal/relay/fingerprint_test.go
+++ b/internal/relay/fingerprint_test.go
@@ -3,13 +3,15 @@
 import (
 	"net/http"
 	"testing"
+
+	"bamboorail.example/bamboorail"
 )
 
 func TestFingerprint(t *testing.T) {
 	request := func(method, host, uri, credentials string) *http.Request {
 		return &http.Request{Method: method, Host: host, RequestURI: uri, Header: http.Header{"Authorization": {credentials}, "Bamboorail-Request-Id": {host + uri}}}
 	}
-	first := fingerprint(request(http.MethodPost, "h", "/a/b?c", "k"), []byte("body"))
+	first := fingerprint(request(http.MethodPost, "h", "/a/b?c", "k"), &bamboorail.Call{}, []byte("body"))
 	cases := map[string]struct {
 		request *http.Request
 		body    string
@@ -27,7 +29,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			if got := fingerprint(c.request, []byte(c.body)); (got == first) != c.same {
+			if got := fingerprint(c.request, &bamboorail.Call{}, []byte(c.body)); (got == first) != c.same {
 				t.Errorf("fingerprint %s beside %s", got, first)
 			}
 		})
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -14,12 +14,16 @@
 	switch f.Kind {
 	case bamboorail.KindBadRequest, bamboorail.KindBadDeadline:
 		return http.StatusBadRequest
+	case bamboorail.KindUnauthenticated:
+		return http.StatusUnauthorized
 	case bamboorail.KindNotFound:
 		return http.StatusNotFound
 	case bamboorail.KindTooLarge:
 		return http.StatusRequestEntityTooLarge
 	}
 	switch {
+	case f.Outcome == bamboorail.OutcomeNotRun && f.Kind == bamboorail.KindQuotaExceeded:
+		return http.StatusTooManyRequests
 	case f.Outcome == bamboorail.OutcomeNotRun:
 		return http.StatusServiceUnavailable
 	case f.Kind == bamboorail.KindDeadlineExceeded:
@@ -34,7 +38,7 @@
 	header := x.w.Header()
 	x.status = statusOf(f)
 	after := time.Duration(0)
-	if x.status == http.StatusServiceUnavailable {
+	if x.status == http.StatusServiceUnavailable || x.status == http.StatusTooManyRequests {
 		after = max(f.RetryAfter, time.Millisecond)
 		if f.RetryAfter <= 0 {
 			after = defaultRetryAfter
@@ -59,6 +63,9 @@
 	if x.call.Fingerprint != "" {
 		fields = append(fields, "fingerprint", x.call.Fingerprint)
 	}
+	if x.call.Workspace != "" {
+		fields = append(fields, "workspace", x.call.Workspace)
+	}
 	if x.forwarded != nil {
 		fields = append(fields, "forwarded-by", x.forwarded.Instance)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -96,8 +96,11 @@
 	Ingress  bamboorail.Ingress
 	Egress   bamboorail.Egress
 	// Table returns the current routes, or nil if none are known.
-	Table   func() *route.Table
-	Chooser Chooser
+	Table func() *route.Table
+	// ConfigurationAge returns the time since the routes were known to be current; nil
+	// returns 0.
+	ConfigurationAge func() time.Duration
+	Chooser          Chooser
 	// Budget returns the retry budget of a service.
 	Budget  func(service string) *retry.WindowBudget
 	Dialer  Dialer
@@ -131,6 +134,9 @@
 	if c.Detour == nil {
 		c.Detour = noDetour{}
 	}
+	if c.ConfigurationAge == nil {
+		c.ConfigurationAge = func() time.Duration { return 0 }
+	}
 	return &Handler{Config: c, pool: newPool(c.Dialer), bodies: newBodyMemory(c.BodyMemory)}
 }
 
@@ -241,6 +247,9 @@
 	}
 	x.route = spec
 	x.table = table
+	if err := x.authenticate(); err != nil {
+		return err
+	}
 	x.setService(route.PickService(spec, rand.Float64()))
 	x.deadline = x.received.Add(callTimeout(x.call.Timeout, x.route.Timeout))
 	x.startBy = x.startDeadline()
@@ -249,7 +258,7 @@
 		return notRun(op, bamboorail.KindUnavailable, defaultRetryAfter, err)
 	}
 	if x.forwarded != nil {
-		x.call.Fingerprint = fingerprint(x.r, x.body)
+		x.call.Fingerprint = fingerprint(x.r, &x.call, x.body)
 		return nil
 	}
 	return x.readBody(table.Limits().MaxBodyBytes)
--- a/internal/relay/testrelay_test.go
+++ b/internal/relay/testrelay_test.go
@@ -36,6 +36,8 @@
 	return c, nil
 }
 
+func (testDialect) RemoveCredential(h http.Header) { h.Del("Authorization") }
+
 func (testDialect) ReadyPath() string { return "/ready" }
 
 func (testDialect) SetErrorHeaders(h http.Header, _ *bamboorail.Call, after time.Duration) {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -16,6 +16,9 @@
 	byHost   map[string][]bamboorail.RouteSpec // longest prefix first
 	services map[string]bamboorail.ServiceSpec
 	limits   bamboorail.ListenerLimits
+	// workspaces are nil if calls need no key.
+	workspaces map[string]bamboorail.Workspace
+	keys       map[bamboorail.KeyDigest]string
 }
 
 // NewTable builds the table of a configuration.
@@ -35,9 +38,41 @@
 	for _, s := range c.Services {
 		t.services[s.Name] = s
 	}
+	if !c.HasWorkspaces {
+		return t
+	}
+	t.workspaces, t.keys = map[string]bamboorail.Workspace{}, map[bamboorail.KeyDigest]string{}
+	for _, w := range c.Workspaces {
+		t.workspaces[w.Name] = w
+		for _, k := range w.Keys {
+			t.keys[k] = w.Name
+		}
+	}
 	return t
 }
 
+// HasWorkspaces reports whether calls need the key of a workspace.
+func (t *Table) HasWorkspaces() bool { return t.workspaces != nil }
+
+// Workspaces returns the workspaces by name.
+func (t *Table) Workspaces() map[string]bamboorail.Workspace { return t.workspaces }
+
+// Workspace returns the workspace with a name.
+func (t *Table) Workspace(name string) (bamboorail.Workspace, bool) {
+	w, ok := t.workspaces[name]
+	return w, ok
+}
+
+// Authenticate returns the workspace of a credential. The lookup compares digests, whose
+// timing discloses nothing about the key.
+func (t *Table) Authenticate(c bamboorail.Credential) (bamboorail.Workspace, bool) {
+	if c.IsEmpty() {
+		return bamboorail.Workspace{}, false
+	}
+	name, ok := t.keys[c.Digest()]
+	return t.workspaces[name], ok
+}
+
 // Version returns the version of the configuration.
 func (t *Table) Version() uint64 { return t.version }
 
--- a/orders.go
+++ b/orders.go
@@ -58,7 +58,10 @@
 	Busy   bool
 	Active int
 	Queued int
-	Models map[string]map[string]int
+	// MemoryUsed and MemoryTotal count the tokens in the memory of the engine that it
+	// cannot evict, and all that fit; 0 if unknown.
+	MemoryUsed, MemoryTotal int
+	Models                  map[string]map[string]int
 	// Pending lists the adapters with a load in progress.
 	Pending []AdapterKey
 }
