--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,6 +126,8 @@
 	ports      *ports
 	// storeCalls is the store of platform, whose calls it counts.
 	storeCalls *countedStore
+	// configuration follows the operators' configuration.
+	configuration *informer.Informer
 
 	// current holds the settings in effect, initial those at startup.
 	current      atomic.Pointer[settings.Gateway]
@@ -215,10 +217,12 @@
 	g.detour = g.newDetour()
 	g.mirror.SetReachability(s.PeerAddress, func() bool { return g.shuttingDown.Load() || g.detour.IsPartitioned() })
 	g.elector.SetResigned(g.detour.ShouldResign)
+	g.configuration = g.informer(g.platform.ConfigurationKind, configurations, &configurationHandler{g})
 	g.relay = relay.NewHandler(relay.Config{
 		Instance: s.Instance, Detour: g.detour,
 		Ingress: g.platform.Ingress, Egress: g.platform.Egress, Table: g.table.Load, Chooser: g.chooser, Budget: g.budget,
-		Dialer: g.detour, Metrics: g.metrics, Tracer: tracer, Advise: g.advise, Origins: g.origins, ShuttingDown: g.shuttingDown.Load,
+		ConfigurationAge: g.configuration.SinceLastAnswer,
+		Dialer:           g.detour, Metrics: g.metrics, Tracer: tracer, Advise: g.advise, Origins: g.origins, ShuttingDown: g.shuttingDown.Load,
 		BodyMemory: int64(float64(s.MaxMemory) * bodyMemoryShare),
 		Log:        g.logs.Layer("relay"),
 	})
@@ -312,7 +316,7 @@
 // informers returns the informers of the store's object kinds by task name.
 func (g *Gateway) informers() map[string]*informer.Informer {
 	return map[string]*informer.Informer{
-		"configuration": g.informer(g.platform.ConfigurationKind, configurations, &configurationHandler{g}),
+		"configuration": g.configuration,
 		"targets":       g.informer(g.platform.TargetKind, targets, &targetHandler{g}),
 		"releases":      g.informer(g.platform.ReleaseKind, releases, &releaseHandler{g}),
 	}
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -81,8 +82,8 @@
 	Config
 	// listed is the version of the last list, newest the newest one heard of.
 	listed, newest bamboorail.StoreVersion
-	// lastAnswer is the time of the last answer to a list or watch.
-	lastAnswer time.Time
+	// lastAnswer is the time of the last answer to a list or watch, nil before the first.
+	lastAnswer atomic.Pointer[time.Time]
 }
 
 var errEarlierEra = errors.New("the list is older than the last restore of the store")
@@ -165,26 +166,33 @@
 		i.Resync.trigger()
 	}
 	if state != storeAvailable {
-		i.Log.Info("store regained", "kind", i.Kind, "revision", revision, "objects", len(objects), "since-last-answer", i.sinceLastAnswer().String())
+		i.Log.Info("store regained", "kind", i.Kind, "revision", revision, "objects", len(objects), "since-last-answer", i.SinceLastAnswer().String())
 	}
-	i.lastAnswer = time.Now()
+	i.markAnswer()
 	i.Handler.Replace(objects, state != storeAvailable || restored)
 }
 
-// sinceLastAnswer returns the time since the last answer, 0 before the first one.
-func (i *Informer) sinceLastAnswer() time.Duration {
-	if i.lastAnswer.IsZero() {
+// SinceLastAnswer returns the time since the last answer, 0 before the first one. What is
+// known of the kind may be older by the time that an answer takes.
+func (i *Informer) SinceLastAnswer() time.Duration {
+	at := i.lastAnswer.Load()
+	if at == nil {
 		return 0
 	}
-	return time.Since(i.lastAnswer)
+	return time.Since(*at)
+}
+
+func (i *Informer) markAnswer() {
+	now := time.Now()
+	i.lastAnswer.Store(&now)
 }
 
 // recordAnswer records the answer to a watch after a number of failed ones.
 func (i *Informer) recordAnswer(e bamboorail.Events, failures int) {
 	if failures > 0 {
-		i.Log.Info("watch resumed", "kind", i.Kind, "revision", e.Revision, "from-peer", e.FromPeer, "since-last-answer", i.sinceLastAnswer().String())
+		i.Log.Info("watch resumed", "kind", i.Kind, "revision", e.Revision, "from-peer", e.FromPeer, "since-last-answer", i.SinceLastAnswer().String())
 	}
-	i.lastAnswer = time.Now()
+	i.markAnswer()
 }
 
 // watch processes changes until the history is gone, another informer triggers
