adapters: an engine that is said to hold a load already gets no order before its report is read

Cause: an order of a load that the engine accepted and counted was answered with 200, the answer to an earlier order. The holder took the adapter for held and the order for not counted. A second answer of that kind, to an unload that the engine refused for its number, made the holder count one order, so that its number was right again while the engine held one adapter more: the next load was one too many (LIMIT). Seen in TestCopiedOrderResultsHarmNoCall/200 beside load, traced from the log of the holder and the engine.

Change: a load is ordered only while the adapter is not known to be held. The answer that it is contradicts the holder's view, so the engine gets no orders until a report that was asked for 0.3 s later, or counts more orders, is read.

--- a/internal/adapters/conflicts.go
+++ b/internal/adapters/conflicts.go
@@ -19,6 +19,8 @@
 	number uint64
 	// at is the time of the answer, zero if there is no open conflict.
 	at time.Time
+	// held is set if the engine answered that it holds the adapter already.
+	held bool
 	// blocks counts the conflicts in a row that were no matter of the number.
 	blocks       int
 	blockedUntil time.Time
@@ -27,7 +29,7 @@
 // RecordConflict records that an engine did not accept an order with its number.
 func (p *Planner) RecordConflict(o bamboorail.AdapterOrder, now time.Time) {
 	if e := p.engine(o.Target); e != nil {
-		e.conflict.number, e.conflict.at = o.Orders, now
+		e.conflict.number, e.conflict.at, e.conflict.held = o.Orders, now, false
 		e.desync(now)
 	}
 }
@@ -42,6 +44,8 @@
 	case asked.Sub(c.at) < maxReportLag:
 		// The report may have been made before the engine accepted another order.
 		return false
+	case c.held:
+		c.at = time.Time{}
 	default:
 		c.at = time.Time{}
 		c.blockedUntil = now.Add(min(minBlockTime<<c.blocks, maxBlockTime))
--- a/internal/adapters/loads.go
+++ b/internal/adapters/loads.go
@@ -155,6 +155,10 @@
 	e.contents[o.Key] = content{version: o.Version}
 	p.endPlan(e, o)
 	p.RecordLoaded(o.Target, o.Key, now)
+	// The order was sent because the adapter was not known to be held. If the answer was
+	// that of another order, the engine has counted this one.
+	e.conflict.number, e.conflict.at, e.conflict.held = o.Orders, now, true
+	e.desync(now)
 }
 
 // RecordUnloading records that an engine accepted an unload as its next order, and keeps the
