quota: limits of workspaces over all instances

Cause: calls of a workspace were not limited. docs/SHARED-LOAD.md section 5 asks for rate and burst over all instances together. Change: internal/quota has the buckets of a zone's holder and the credit of an instance; internal/placer/credit*.go requests credit in batches, moves it between zones and answers Credit; the relay takes credit before it reads the body of a call. Lease.Confirmed states whether the store confirmed a tenure.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,6 +109,7 @@
 	balancer *balance.Balancer
 	relay    *relay.Handler
 	chooser  *placer.Chooser
+	credit   *placer.Credit
 	// quarantine and advisories are shared by the chooser and the holders.
 	quarantine *placer.Quarantine
 	advisories *advisory.Registry
@@ -207,6 +208,10 @@
 		Tracer: tracer, PollLease: g.elector.PollNow, Quarantine: g.quarantine, Advisories: g.advisories, Limits: g.limits,
 		Instances: g.instances, BeginTimeout: s.ReleaseTimeout * beginPercent / 100, Metrics: g.metrics, Log: g.logs.Layer("placer"),
 	})
+	g.credit = placer.NewCredit(placer.CreditConfig{
+		Instance: s.Instance, Zones: g.holders, Peers: g.peers, Table: g.table.Load, Instances: g.instances, ZoneSize: g.mirror.ZoneSize,
+		Metrics: g.metrics, Log: g.logs.Layer("quota"),
+	})
 	g.origins = g.newOrigins()
 	g.mirror.SetOnReply(func(zone string, r *wire.FollowReply) {
 		g.chooser.Learn(zone, r)
@@ -216,7 +221,7 @@
 	g.mirror.SetReachability(s.PeerAddress, func() bool { return g.shuttingDown.Load() || g.detour.IsPartitioned() })
 	g.elector.SetResigned(g.detour.ShouldResign)
 	g.relay = relay.NewHandler(relay.Config{
-		Instance: s.Instance, Detour: g.detour,
+		Instance: s.Instance, Detour: g.detour, Quotas: g.credit,
 		Ingress: g.platform.Ingress, Egress: g.platform.Egress, Table: g.table.Load, Chooser: g.chooser, Budget: g.budget,
 		Dialer: g.detour, Metrics: g.metrics, Tracer: tracer, Advise: g.advise, Origins: g.origins, ShuttingDown: g.shuttingDown.Load,
 		BodyMemory: int64(float64(s.MaxMemory) * bodyMemoryShare),
@@ -266,6 +271,7 @@
 	tasks := task.NewGroup(ctx)
 	tasks.Start("peers", func(ctx context.Context) error {
 		server := placer.NewServer(g.holders, g.fleet, g.mirror, g.origins, g.forwarder, g.quarantine, g.limits)
+		server.SetCredit(g.credit)
 		return peer.ServePlacer(ctx, g.ports.peer, server, g.logs.Layer("peer"))
 	})
 	tasks.Start("readiness", g.ports.readiness.Serve)
@@ -276,6 +282,7 @@
 	}
 	tasks.Start("leases", g.elector.Run)
 	tasks.Start("settle", g.chooser.Run)
+	tasks.Start("quotas", g.credit.Run)
 	tasks.Start("origins", g.origins.Run)
 	tasks.Start("detour", g.detour.Run)
 	tasks.Start("store calls", g.storeCalls.run)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -126,6 +126,15 @@
 	return l.held
 }
 
+// Confirmed returns the fencing token, and whether the store confirmed the tenure within the
+// last term. No other instance claims the lease of a confirmed tenure, unless the store lost
+// its record. A tenure is confirmed before it permits orders.
+func (l *Lease) Confirmed() (uint64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fencingToken, l.held && l.clock() < l.actUntil
+}
+
 // RecordZoneRequest records a request by an instance of the lease's zone, which
 // could hold the lease itself.
 func (l *Lease) RecordZoneRequest() {
--- /dev/null
+++ b/internal/placer/credit.go
@@ -0,0 +1,429 @@
+package placer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/peer/wire"
+	"bamboorail.example/bamboorail/internal/quota"
+	"bamboorail.example/bamboorail/internal/route"
+	"bamboorail.example/bamboorail/internal/task"
+	"bamboorail.example/bamboorail/internal/telemetry"
+)
+
+const (
+	// creditTimeout bounds a request for credit. A process with a small share of a processor
+	// is stopped for up to 80 ms at a time. The credit of a later answer would soon expire.
+	creditTimeout = 100 * time.Millisecond
+	// creditFallbackShare is the part of a limit that the instances without access to a
+	// holder use together.
+	creditFallbackShare = 0.1
+	// fallbackRetry is the retry time of a call that the fallback share does not cover.
+	fallbackRetry = time.Second
+	// hopelessRetry is the retry time of a call that no bucket can ever hold.
+	hopelessRetry = 10 * time.Second
+	// limitedLogInterval is the minimum time between the log lines on one workspace.
+	limitedLogInterval = time.Second
+	// tenureInterval is the interval at which a new tenure is noticed without a request.
+	tenureInterval = 250 * time.Millisecond
+	// creditUpkeep is the interval at which unused state is removed.
+	creditUpkeep = time.Minute
+)
+
+var (
+	errQuotaExceeded = errors.New("the calls of the workspace exceed its quota")
+	errCostTooHigh   = errors.New("the call costs more than the quota of its workspace ever permits")
+	errNoCreditYet   = errors.New("no holder granted credit in time")
+)
+
+// CreditPeers sends requests for credit to other instances.
+type CreditPeers interface {
+	Credit(ctx context.Context, address string, r *wire.CreditRequest) (*wire.CreditReply, error)
+}
+
+// CreditConfig configures the quotas at an instance.
+type CreditConfig struct {
+	Instance string
+	// Zones lists the local zone first, then the others by distance.
+	Zones []ZoneHolder
+	Peers CreditPeers
+	Table func() *route.Table
+	// Instances returns an estimate of the number of all instances.
+	Instances func() int
+	// ZoneSize returns the number of the instances of the local zone that are in contact
+	// with its holder, if that is this instance.
+	ZoneSize func() int
+	Metrics  *telemetry.Metrics
+	Log      hclog.Logger
+}
+
+// Credit admits calls within the quotas of their workspaces. It spends credit that it gets
+// from the holder of a zone, and is part of that holder if this instance holds a zone.
+type Credit struct {
+	CreditConfig
+	holders map[string]*zoneCredit
+	// wake signals that calls wait, transfer that the buckets of a zone fall short.
+	wake, transfer chan struct{}
+
+	mu     sync.Mutex
+	wallet *quota.Wallet
+	queues map[string]*creditQueue
+	// backoffs are the holders that did not answer, by zone and address.
+	backoffs map[string]backoff
+	// shareUsed are the times at which the fallback share was last considered, logged those
+	// of the last log lines, by workspace.
+	shareUsed, logged map[string]time.Time
+}
+
+// creditQueue is the queue of the calls of a workspace that wait for credit.
+type creditQueue struct {
+	waiters []*creditWaiter
+	// askAt is the time at which the holder is asked next, asked the least cost that it was
+	// asked for last.
+	askAt time.Time
+	asked float64
+}
+
+type creditWaiter struct {
+	workspace bamboorail.Workspace
+	cost      float64
+	until     time.Time
+	// done receives the result, once.
+	done chan creditResult
+}
+
+type creditResult struct {
+	spending quota.Spending
+	err      error
+}
+
+// NewCredit returns the quotas of an instance.
+func NewCredit(c CreditConfig) *Credit {
+	g := &Credit{
+		CreditConfig: c, holders: map[string]*zoneCredit{}, wake: make(chan struct{}, 1), transfer: make(chan struct{}, 1),
+		wallet: quota.NewWallet(), queues: map[string]*creditQueue{}, backoffs: map[string]backoff{}, shareUsed: map[string]time.Time{},
+		logged: map[string]time.Time{},
+	}
+	for n, z := range c.Zones {
+		g.holders[z.Zone] = &zoneCredit{
+			zone: z, own: n == 0, zones: len(c.Zones), quota: g.quotaOf, size: c.ZoneSize, metrics: c.Metrics, log: c.Log,
+		}
+	}
+	return g
+}
+
+// quotaOf returns the quota of a workspace in the current configuration.
+func (c *Credit) quotaOf(workspace string) (bamboorail.Quota, bool) {
+	table := c.Table()
+	if table == nil {
+		return bamboorail.Quota{}, false
+	}
+	w, known := table.Workspace(workspace)
+	return w.Quota, known
+}
+
+// Admit spends the cost of a call on the quota of its workspace, and waits for credit for at
+// most a time. The caller calls refund if the call was not run. The error is of kind
+// quota-exceeded and has a retry time.
+func (c *Credit) Admit(ctx context.Context, w bamboorail.Workspace, cost float64, wait time.Duration) (refund func(), err error) {
+	const op = "admit-call"
+	if !w.Quota.IsLimited() || cost <= 0 {
+		return func() {}, nil
+	}
+	if cost > w.Quota.Rate+w.Quota.Burst {
+		return nil, c.refuse(w.Name, op, quota.Spread(hopelessRetry), errCostTooHigh)
+	}
+	now := time.Now()
+	c.mu.Lock()
+	c.wallet.Record(w.Name, cost, now)
+	if s, ok := c.wallet.Spend(w.Name, cost, now); ok {
+		c.mu.Unlock()
+		return c.refund(s), nil
+	}
+	if retry := c.wallet.Denied(w.Name, cost, now); retry > 0 {
+		c.mu.Unlock()
+		return nil, c.refuse(w.Name, op, quota.Spread(retry), errQuotaExceeded)
+	}
+	x := &creditWaiter{workspace: w, cost: cost, until: now.Add(wait), done: make(chan creditResult, 1)}
+	q := c.queues[w.Name]
+	if q == nil {
+		q = &creditQueue{}
+		c.queues[w.Name] = q
+	}
+	q.waiters = append(q.waiters, x)
+	c.mu.Unlock()
+	signal(c.wake)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	var r creditResult
+	select {
+	case r = <-x.done:
+	case <-timer.C:
+		r = c.giveUp(x, failRetry(op, bamboorail.KindQuotaExceeded, quota.Spread(fallbackRetry/2), errNoCreditYet))
+	case <-ctx.Done():
+		r = c.giveUp(x, fail(op, bamboorail.KindCancelled, ctx.Err()))
+	}
+	if r.err != nil {
+		return nil, c.refuse(w.Name, op, bamboorail.FailureOf(r.err).RetryAfter, r.err)
+	}
+	return c.refund(r.spending), nil
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// refund returns the function that returns the credit of a call that was not run.
+func (c *Credit) refund(s quota.Spending) func() {
+	return sync.OnceFunc(func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.wallet.Refund(s)
+	})
+}
+
+// refuse counts a refused call and returns its error.
+func (c *Credit) refuse(workspace, op string, retry time.Duration, err error) error {
+	if bamboorail.KindOf(err) == bamboorail.KindCancelled {
+		return err
+	}
+	c.Metrics.QuotaExceeded(workspace)
+	now := time.Now()
+	c.mu.Lock()
+	due := now.Sub(c.logged[workspace]) >= limitedLogInterval
+	if due {
+		c.logged[workspace] = now
+	}
+	c.mu.Unlock()
+	if due {
+		c.Log.Info("workspace is limited", "workspace", workspace, "retry-ms", retry.Milliseconds(), "reason", err)
+	}
+	if bamboorail.KindOf(err) == bamboorail.KindQuotaExceeded {
+		return err
+	}
+	return failRetry(op, bamboorail.KindQuotaExceeded, retry, err)
+}
+
+// giveUp removes a call that no longer waits. It returns the result that the call got
+// meanwhile, or else the failure.
+func (c *Credit) giveUp(x *creditWaiter, failure error) creditResult {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	q := c.queues[x.workspace.Name]
+	if q != nil {
+		q.waiters = slices.DeleteFunc(q.waiters, func(o *creditWaiter) bool { return o == x })
+		c.dropIdle(x.workspace.Name, q)
+	}
+	select {
+	case r := <-x.done:
+		if r.err == nil && bamboorail.KindOf(failure) == bamboorail.KindCancelled {
+			c.wallet.Refund(r.spending)
+			return creditResult{err: failure}
+		}
+		return r
+	default:
+		return creditResult{err: failure}
+	}
+}
+
+// dropIdle removes a queue without calls. The caller holds the lock.
+func (c *Credit) dropIdle(workspace string, q *creditQueue) {
+	if len(q.waiters) == 0 {
+		delete(c.queues, workspace)
+	}
+}
+
+// Run requests the credit of the calls that wait, and moves credit between zones, until ctx
+// ends.
+func (c *Credit) Run(ctx context.Context) error {
+	g := task.NewGroup(ctx)
+	g.Start("requests", c.runRequests)
+	g.Start("transfers", c.runTransfers)
+	g.Start("tenure", func(ctx context.Context) error {
+		return task.Every(ctx, tenureInterval, func(context.Context) {
+			if table := c.Table(); table != nil && table.HasWorkspaces() {
+				c.holders[c.Zones[0].Zone].begin(time.Now())
+			}
+		})
+	})
+	g.Start("upkeep", func(ctx context.Context) error {
+		return task.Every(ctx, creditUpkeep, func(context.Context) { c.expire(time.Now()) })
+	})
+	return g.Wait()
+}
+
+func (c *Credit) expire(now time.Time) {
+	for _, h := range c.holders {
+		h.retain()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wallet.Expire(now)
+	for name, at := range c.logged {
+		if now.Sub(at) > creditUpkeep {
+			delete(c.logged, name)
+		}
+	}
+	for key, b := range c.backoffs {
+		if now.Sub(b.until) > creditUpkeep {
+			delete(c.backoffs, key)
+		}
+	}
+}
+
+// runRequests makes one request at a time, for all calls that wait.
+func (c *Credit) runRequests(ctx context.Context) error {
+	for {
+		needs, next := c.due(time.Now())
+		if len(needs) > 0 {
+			c.request(ctx, needs)
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			continue
+		}
+		var again <-chan time.Time
+		var timer *time.Timer
+		if next > 0 {
+			timer = time.NewTimer(next)
+			again = timer.C
+		}
+		select {
+		case <-ctx.Done():
+		case <-c.wake:
+		case <-again:
+		}
+		if timer != nil {
+			timer.Stop()
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("requests for credit: %w", ctx.Err())
+		}
+	}
+}
+
+// due returns what the calls need whose workspaces may be asked for now, and the time until
+// the next ones may, or 0.
+func (c *Credit) due(now time.Time) ([]quota.Need, time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var needs []quota.Need
+	next := time.Duration(0)
+	for name, q := range c.queues {
+		if left := q.askAt.Sub(now); left > 0 {
+			if next == 0 || left < next {
+				next = left
+			}
+			continue
+		}
+		sum, least := 0.0, q.waiters[0].cost
+		for _, x := range q.waiters {
+			sum, least = sum+x.cost, min(least, x.cost)
+		}
+		q.asked = least
+		need := c.wallet.Ask(name, sum, least, now)
+		need.Instance = c.Instance
+		needs = append(needs, need)
+	}
+	return needs, next
+}
+
+// request requests credit from the holder of the first zone that answers.
+func (c *Credit) request(ctx context.Context, needs []quota.Need) {
+	sent := time.Now()
+	for _, z := range c.Zones {
+		grants, answered := c.ask(ctx, z, needs, false)
+		if answered {
+			c.distribute(needs, grants, sent)
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+	}
+	c.distribute(needs, make([]quota.Grant, len(needs)), sent)
+}
+
+// distribute serves the calls that wait, in order, from the credit that was granted.
+func (c *Credit) distribute(needs []quota.Need, grants []quota.Grant, sent time.Time) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for n, g := range grants {
+		name := needs[n].Workspace
+		c.wallet.Add(name, g.Amount, sent.Add(quota.CreditExpiry), now)
+		q := c.queues[name]
+		if q == nil {
+			continue
+		}
+		undecided := g.Amount == 0 && g.Retry == 0 && needs[n].Amount > 0
+		q.waiters = slices.DeleteFunc(q.waiters, func(x *creditWaiter) bool {
+			if s, ok := c.wallet.Spend(name, x.cost, now); ok {
+				x.done <- creditResult{spending: s}
+				return true
+			}
+			if undecided {
+				x.done <- c.useFallback(x, now)
+				return true
+			}
+			return false
+		})
+		if len(q.waiters) > 0 && g.Retry > 0 {
+			c.deny(name, q, g.Retry, now)
+		}
+		c.dropIdle(name, q)
+	}
+}
+
+// deny keeps the calls that can wait for a retry time, and refuses the others. Calls that
+// arrived after the request and cost less are asked for at once. The caller holds the lock.
+func (c *Credit) deny(name string, q *creditQueue, retry time.Duration, now time.Time) {
+	again := now.Add(retry)
+	least, smaller := 0.0, false
+	q.waiters = slices.DeleteFunc(q.waiters, func(x *creditWaiter) bool {
+		if x.cost < q.asked {
+			smaller = true
+			return false
+		}
+		if again.Before(x.until) {
+			return false
+		}
+		if least == 0 || x.cost < least {
+			least = x.cost
+		}
+		x.done <- creditResult{err: failRetry("admit-call", bamboorail.KindQuotaExceeded, quota.Spread(retry), errQuotaExceeded)}
+		return true
+	})
+	q.askAt = again
+	if smaller {
+		q.askAt = now
+	}
+	if least > 0 {
+		c.wallet.Deny(name, least, quota.Spread(retry), now)
+	}
+}
+
+// useFallback decides on a call without a holder. The decision is random: shares that
+// accumulated at many instances could be spent at the same time. The caller holds the lock.
+func (c *Credit) useFallback(x *creditWaiter, now time.Time) creditResult {
+	name := x.workspace.Name
+	unused := min(now.Sub(c.shareUsed[name]), maxShareTime)
+	c.shareUsed[name] = now
+	share := creditFallbackShare * x.workspace.Quota.Rate / float64(max(c.Instances(), 1))
+	if rand.Float64() < share*unused.Seconds()/x.cost {
+		c.Metrics.CreditMoved(name, telemetry.CreditFallback, x.cost)
+		return creditResult{}
+	}
+	return creditResult{err: failRetry("admit-call", bamboorail.KindQuotaExceeded, quota.Spread(fallbackRetry), errNoHolder)}
+}
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -46,6 +46,8 @@
 	fleet      *fleet.Fleet
 	quarantine *Quarantine
 	limits     *Limits
+	// credit is nil if this instance keeps no quotas.
+	credit *Credit
 }
 
 // NewServer returns a server for the holders of all zones. The local zone comes
@@ -108,11 +110,6 @@
 	}
 }
 
-// Credit grants no credit: this instance keeps no quotas.
-func (s *Server) Credit(context.Context, *wire.CreditRequest) (*wire.CreditReply, error) {
-	return &wire.CreditReply{}, nil
-}
-
 // Settle records the ended placements of another instance and, if requested,
 // reconciles its open ones.
 func (s *Server) Settle(_ context.Context, r *wire.SettleRequest) (*wire.SettleReply, error) {
--- a/internal/relay/authenticate.go
+++ b/internal/relay/authenticate.go
@@ -39,3 +39,32 @@
 	}
 	return notRun(op, bamboorail.KindUnauthenticated, 0, errUnknownKey)
 }
+
+const (
+	// creditWaitDivisor is the divisor of the objective that gives the longest wait for
+	// credit: later refusals cost callers. defaultCreditWait applies without an objective.
+	creditWaitDivisor = 8
+	defaultCreditWait = 50 * time.Millisecond
+)
+
+// takeCredit spends the quota of the workspace. It is done once, at the instance that received
+// the call from its caller, and before the body is read.
+func (x *exchange) takeCredit() error {
+	if x.h.Quotas == nil || x.forwarded != nil || x.call.Workspace == "" {
+		return nil
+	}
+	w, known := x.table.Workspace(x.call.Workspace)
+	if !known {
+		return nil
+	}
+	wait := defaultCreditWait
+	if x.route.Objective > 0 {
+		wait = x.route.Objective / creditWaitDivisor
+	}
+	refund, err := x.h.Quotas.Admit(x.r.Context(), w, w.Quota.Cost(x.call.Size), wait)
+	if err != nil {
+		return err
+	}
+	x.refund = refund
+	return nil
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -84,6 +84,14 @@
 	Choose(ctx context.Context, req ChooseRequest) (Reservation, error)
 }
 
+// Quotas admits calls within the quotas of their workspaces.
+type Quotas interface {
+	// Admit spends the cost of a call, and waits for credit for at most a time. The caller
+	// calls refund if the call was not run. The error states that the call was not run and
+	// carries the time after which to retry.
+	Admit(ctx context.Context, w bamboorail.Workspace, cost float64, wait time.Duration) (refund func(), err error)
+}
+
 // Dialer opens the connections to targets.
 type Dialer interface {
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
@@ -111,6 +119,8 @@
 	// Origins records where streams began.
 	Origins bamboorail.StreamOrigins
 	Detour  Detour
+	// Quotas is nil if calls are not limited.
+	Quotas Quotas
 	// BodyMemory is the memory for the bodies of calls in bytes, 0 for no limit.
 	BodyMemory int64
 	// ShuttingDown reports whether the instance is shutting down.
@@ -148,13 +158,16 @@
 
 // ServeHTTP serves one call.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{h: h, w: w, r: r, received: time.Now(), releaseBody: func() {}}
+	x := &exchange{h: h, w: w, r: r, received: time.Now(), releaseBody: func() {}, refund: func() {}}
 	defer func() { x.releaseBody() }()
 	if h.ShuttingDown() {
 		w.Header().Set("Connection", "close")
 	}
 	span := x.startTrace()
 	err := x.run()
+	if err != nil && bamboorail.NotRun(err) {
+		x.refund()
+	}
 	if err != nil && !x.committed {
 		x.writeFailure(err)
 	}
@@ -183,8 +196,10 @@
 	body    []byte
 	// releaseBody releases the memory that is reserved for the body.
 	releaseBody func()
-	startBy     time.Time
-	deadline    time.Time
+	// refund returns the credit of a call that was not run.
+	refund   func()
+	startBy  time.Time
+	deadline time.Time
 
 	// committed is set once response headers have been sent to the caller.
 	committed bool
@@ -257,6 +272,9 @@
 	if err := httpport.SetDeadlines(x.w, x.r, x.deadline, x.deadline.Add(deliveryTime)); err != nil {
 		return notRun(op, bamboorail.KindUnavailable, defaultRetryAfter, err)
 	}
+	if err := x.takeCredit(); err != nil {
+		return err
+	}
 	if x.forwarded != nil {
 		x.call.Fingerprint = fingerprint(x.r, &x.call, x.body)
 		return nil
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -31,6 +31,8 @@
 	blocked   prometheus.Counter
 	advised   *prometheus.CounterVec
 	refusals  *prometheus.CounterVec
+	credit    *prometheus.CounterVec
+	limited   *prometheus.CounterVec
 }
 
 // waitBuckets are histogram bucket bounds in seconds.
@@ -59,6 +61,9 @@
 	m.blocked = newCounter("prompt_segments_blocked_total", "Prompt segments that were blocked because they crash engines.")
 	m.advised = newCounterVec("target_advisories_total", "Targets that said that they leave or asked for a pause.", "reason")
 	m.refusals = newCounterVec("target_refusals_total", "Calls that full targets refused, by whether they were known as brittle.", "brittle")
+	m.credit = newCounterVec("quota_credit_total", "Quota credit by workspace and movement, in units of the quota.", "workspace", "movement")
+	m.limited = newCounterVec("quota_calls_refused_total", "Calls that were refused because of the quota of their workspace.", "workspace")
+	m.registry.MustRegister(m.credit, m.limited)
 	m.registry.MustRegister(m.store, m.blocked, m.advised, m.refusals, m.late, m.requests, m.duration, m.loads, m.loadTime, m.evictions, m.waited, m.loadWait,
 		m.running, m.maxBatch, m.revision, m.faults, m.mismatch,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
