--- a/internal/concurrency/concurrency.go
+++ b/internal/concurrency/concurrency.go
@@ -64,6 +64,8 @@
 	instance string
 	issued   time.Time
 	expires  time.Time
+	// givenUp is set for a call that was given up.
+	givenUp bool
 }
 
 // target is what is known of the calls at one target.
@@ -153,6 +155,8 @@
 	Refused
 	// GivenUp calls may be at the target for a while.
 	GivenUp
+	// Unused permits were not used.
+	Unused
 )
 
 // Release ends a permit. It returns false if there is none with the number.
