placer: share the slots of plain targets under pressure

Cause: 9,495 of 16,311 calls of a plain service were rejected by its three targets, since each of 89 instances knows its own calls only.

Change: where the configuration has workspaces, or share-targets is set, calls of a service whose targets refused some lately need a permit of the holder of the target's zone. The call waits there, at the target with the least expected wait. Holders tell their followers which targets are under pressure. Holders log and count waits, grants, refusals and refusals by targets.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -102,7 +102,13 @@
 	slots := max(t.Slots, 1)
 	// Calls beyond the slots wait for whole rounds of the calls before them.
 	cost := s.latency * (1 + float64(s.inFlight)/float64(slots)) * (1 + float64(s.inFlight/slots))
-	cost += s.failures * failureCost.Seconds()
+	return cost + b.penalty(t, avoid, now)
+}
+
+// penalty returns the part of the cost of a target that does not depend on its calls.
+func (b *Balancer) penalty(t bamboorail.TargetEntry, avoid []string, now time.Time) float64 {
+	s := b.state(t.ID)
+	cost := s.failures * failureCost.Seconds()
 	if t.Zone != b.zone {
 		cost += otherZoneCost.Seconds()
 	}
@@ -117,6 +123,14 @@
 	return cost
 }
 
+// Cost returns the cost of a call at a target apart from the calls that run there: the time
+// that it takes, and what its failures, its distance and avoiding it are worth.
+func (b *Balancer) Cost(t bamboorail.TargetEntry, avoid []string, now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Duration((b.state(t.ID).latency + b.penalty(t, avoid, now)) * float64(time.Second))
+}
+
 func (b *Balancer) state(id bamboorail.TargetID) *state {
 	s := b.states[id]
 	if s == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -205,7 +205,7 @@
 	g.chooser = placer.NewChooser(placer.ChooserConfig{
 		Instance: s.Instance, Zones: g.holders, Peers: g.peers, Fleet: g.fleet, Balancer: g.balancer,
 		Tracer: tracer, PollLease: g.elector.PollNow, Quarantine: g.quarantine, Advisories: g.advisories, Limits: g.limits,
-		Instances: g.instances, BeginTimeout: s.ReleaseTimeout * beginPercent / 100, Metrics: g.metrics, Log: g.logs.Layer("placer"),
+		Instances: g.instances, ShareTargets: g.shareTargets, BeginTimeout: s.ReleaseTimeout * beginPercent / 100, Metrics: g.metrics, Log: g.logs.Layer("placer"),
 	})
 	g.origins = g.newOrigins()
 	g.mirror.SetOnReply(func(zone string, r *wire.FollowReply) {
--- a/internal/gateway/tuning.go
+++ b/internal/gateway/tuning.go
@@ -120,3 +120,13 @@
 	}
 	return held
 }
+
+// shareTargets reports whether the slots of plain targets under pressure are shared by all
+// instances.
+func (g *Gateway) shareTargets() bool {
+	if g.current.Load().ShareTargets {
+		return true
+	}
+	t := g.table.Load()
+	return t != nil && t.HasWorkspaces()
+}
--- a/internal/placer/acquire.go
+++ b/internal/placer/acquire.go
@@ -56,6 +56,10 @@
 	// again is the time after which a denied request may be granted, retryAfter the delay
 	// to suggest to its caller.
 	again, retryAfter time.Duration
+	// expected is the expected wait of another such call for a shared target, pressed is set
+	// while the target is under pressure.
+	expected time.Duration
+	pressed  bool
 }
 
 // Advise records the limits that a target names in an answer, or that it names none, and
@@ -74,6 +78,7 @@
 
 // Learn merges the limits and blocks in a holder's reply to a follow request.
 func (c *Chooser) Learn(zone string, r *wire.FollowReply) {
+	c.learnPressed(r.GetPressed(), time.Now())
 	c.Limits.merge(advisory.Requests, r.GetLimits(), "holder of "+zone)
 	c.Limits.merge(advisory.Refusals, r.GetRefusalLimits(), "holder of "+zone)
 	c.Quarantine.learn(zone, r.GetBlocks())
@@ -84,6 +89,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	maps.DeleteFunc(c.throttles, func(id bamboorail.TargetID, _ *throttle) bool { return !live(id) })
+	maps.DeleteFunc(c.told, func(k toldKey, _ toldWait) bool { return !live(k.target) })
 	maps.DeleteFunc(c.ungranted, func(id bamboorail.TargetID, _ *ratelimit.Window) bool { return !live(id) })
 }
 
@@ -329,11 +335,15 @@
 }
 
 // Acquire admits a call to a target with a limit.
-func (s *Server) Acquire(_ context.Context, r *wire.AcquireRequest) (*wire.AcquireReply, error) {
+func (s *Server) Acquire(ctx context.Context, r *wire.AcquireRequest) (*wire.AcquireReply, error) {
 	h := s.zones[r.GetZone()]
 	if h == nil || !h.Lease.Leading() {
 		return &wire.AcquireReply{}, nil
 	}
+	if r.GetShared() {
+		h.recordContact(r.GetInstance())
+		return s.acquireShared(ctx, h, r), nil
+	}
 	limit := r.GetLimit()
 	s.limits.merge(advisory.Requests, []*wire.TargetLimit{limit}, r.GetInstance())
 	if refusals := r.GetRefusals(); refusals != nil {
@@ -354,6 +364,7 @@
 	reply, err := s.Follower.Follow(ctx, r)
 	if err == nil && reply != nil {
 		reply.Limits, reply.RefusalLimits = s.limits.messages(advisory.Requests), s.limits.refusalMessages(r.GetInstance())
+		reply.Pressed = s.pressedTargets()
 		reply.Blocks, reply.Baselines = s.quarantine.blockMessages(), s.Baselines()
 	}
 	return reply, err
--- a/internal/placer/brittle.go
+++ b/internal/placer/brittle.go
@@ -18,12 +18,17 @@
 // useSlots reports whether this instance may send a call, which the balancer counts already,
 // to a brittle target without a holder. All instances together use a part of the slots.
 func (c *Chooser) useSlots(th *throttle, t bamboorail.TargetEntry, now time.Time) bool {
+	return c.useSlotShare(th, t, slotFallbackShare, now)
+}
+
+// useSlotShare is useSlots with the part of the slots that all instances use together.
+func (c *Chooser) useSlotShare(th *throttle, t bamboorail.TargetEntry, part float64, now time.Time) bool {
 	share := max(t.Slots/max(c.Instances(), 1), 1)
 	if c.Advisories.RefusalPause(t.ID, now) > 0 || c.Balancer.InFlight(t.ID) > share {
 		return false
 	}
 	callTime := c.callTime(t.Service)
-	rate := slotFallbackShare * float64(t.Slots) / callTime.Seconds()
+	rate := part * float64(t.Slots) / callTime.Seconds()
 	c.mu.Lock()
 	// The calls that the holder admitted are still at the target.
 	th.slotsUsed = latest(th.slotsUsed, c.holderContacts[t.Zone])
@@ -129,6 +134,7 @@
 		if r == balance.Refused {
 			c.Advisories.RecordRefusal(t.ID, c.Instances(), now)
 			c.reportRefusal(t.ID, ownChoice, known)
+			c.markPressed(t.Service, now.Add(ownPressure))
 		}
 		c.recordCallTime(t.Service, r, took)
 		c.Balancer.Done(t.ID, r, took, now)
--- a/internal/placer/brittle_sim_test.go
+++ b/internal/placer/brittle_sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -63,6 +64,28 @@
 	// loses makes an instance with a lease end during the load, leaderless leaves all
 	// zones without a holder.
 	loses, leaderless bool
+	// share makes all instances share the slots of targets under pressure. Messages then
+	// take latency, and the times of calls have the spread (standard deviation of their
+	// logarithm).
+	share   bool
+	latency time.Duration
+	spread  float64
+}
+
+// delay returns the time of a message between instances, or to a target.
+func (l brittleLoad) delay() time.Duration {
+	if l.latency == 0 {
+		return simLatency
+	}
+	return l.latency/2 + rand.N(l.latency)
+}
+
+// duration returns the time of one call.
+func (l brittleLoad) duration() time.Duration {
+	if l.spread == 0 {
+		return l.work
+	}
+	return time.Duration(float64(l.work) * math.Exp(l.spread*rand.NormFloat64()-l.spread*l.spread/2))
 }
 
 // brittleResult counts what callers and targets saw once falls count.
@@ -84,6 +107,15 @@
 	mu     sync.Mutex
 	counts bool
 	result brittleResult
+	// cut are the zones without a connection to the others.
+	cut map[string]bool
+}
+
+// isCut reports whether messages between two zones are lost.
+func (s *brittleSim) isCut(a, b string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return a != b && (s.cut[a] || s.cut[b])
 }
 
 // brittleInstance is an instance: its chooser, its holders and its server.
@@ -107,14 +139,17 @@
 }
 
 // simPeers carries messages between instances; an address is the name of an instance.
-type simPeers struct{ sim *brittleSim }
+type simPeers struct {
+	sim  *brittleSim
+	from *brittleInstance
+}
 
 func (p simPeers) server(ctx context.Context, address string) (*Server, error) {
-	if err := task.Sleep(ctx, simLatency); err != nil {
+	if err := task.Sleep(ctx, p.sim.load.delay()); err != nil {
 		return nil, err
 	}
 	for _, i := range p.sim.instances {
-		if i.name == address && !i.ended.Load() {
+		if i.name == address && !i.ended.Load() && !p.sim.isCut(p.from.zones[0].Zone, i.zones[0].Zone) {
 			return i.server, nil
 		}
 	}
@@ -127,7 +162,7 @@
 		return nil, err
 	}
 	reply, err := s.Place(ctx, r)
-	time.Sleep(simLatency)
+	time.Sleep(p.sim.load.delay())
 	return reply, err
 }
 
@@ -137,7 +172,7 @@
 		return nil, err
 	}
 	reply, err := s.Settle(ctx, r)
-	time.Sleep(simLatency)
+	time.Sleep(p.sim.load.delay())
 	return reply, err
 }
 
@@ -147,7 +182,7 @@
 		return nil, err
 	}
 	reply, err := s.Acquire(ctx, r)
-	time.Sleep(simLatency)
+	time.Sleep(p.sim.load.delay())
 	return reply, err
 }
 
@@ -204,7 +239,7 @@
 	}
 	quarantine := newTestQuarantine()
 	i.chooser = NewChooser(ChooserConfig{
-		Instance: name, Zones: i.zones, Peers: simPeers{s}, Fleet: f, Balancer: balance.New(i.zones[0].Zone), Tracer: noop.NewTracerProvider().Tracer(""),
+		Instance: name, Zones: i.zones, Peers: simPeers{s, i}, ShareTargets: func() bool { return s.load.share }, Fleet: f, Balancer: balance.New(i.zones[0].Zone), Tracer: noop.NewTracerProvider().Tracer(""),
 		PollLease: func() {}, Quarantine: quarantine, Advisories: advisories, Limits: limits, Instances: func() int { return s.load.instances },
 		Metrics: telemetry.NewMetrics(), Log: hclog.NewNullLogger(),
 	})
@@ -246,7 +281,7 @@
 			}
 			_, address := i.zones[0].Lease.Holder()
 			for _, other := range i.sim.instances {
-				if other.name == address && !other.ended.Load() && other != i {
+				if other.name == address && !other.ended.Load() && other != i && !i.sim.isCut(i.zones[0].Zone, other.zones[0].Zone) {
 					if reply, err := other.server.Follow(ctx, &wire.FollowRequest{Instance: i.name}); err == nil {
 						i.chooser.Learn(i.zones[0].Zone, reply)
 					}
--- a/internal/placer/brittle_target_test.go
+++ b/internal/placer/brittle_target_test.go
@@ -50,9 +50,18 @@
 	}()
 }
 
-// serve runs one call and returns its result and what the answer says of the target.
+// serve runs one call and returns its result and what the answer says of the target. The
+// slot is free while the answer is on its way.
 func (x *brittleTarget) serve(ctx context.Context) (balance.Result, bamboorail.Advisory) {
-	time.Sleep(simLatency)
+	r, a := x.run(ctx)
+	if r == balance.Answered || r == balance.Refused {
+		time.Sleep(x.sim.load.delay())
+	}
+	return r, a
+}
+
+func (x *brittleTarget) run(ctx context.Context) (balance.Result, bamboorail.Advisory) {
+	time.Sleep(x.sim.load.delay())
 	x.mu.Lock()
 	a := bamboorail.Advisory{Brittle: x.brittle, MaxRefusals: float64(x.sim.load.bears)}
 	if x.down {
@@ -69,7 +78,6 @@
 			x.fall()
 		}
 		x.mu.Unlock()
-		time.Sleep(simLatency)
 		return balance.Refused, a
 	}
 	x.held++
@@ -87,7 +95,7 @@
 	defer left()
 	select {
 	case slots <- struct{}{}:
-		work.Reset(x.sim.load.work)
+		work.Reset(x.sim.load.duration())
 	case <-crashed:
 		return balance.Dropped, bamboorail.Advisory{Partial: true}
 	case <-ctx.Done():
@@ -96,7 +104,6 @@
 	defer func() { <-slots }()
 	select {
 	case <-work.C:
-		time.Sleep(simLatency)
 		return balance.Answered, a
 	case <-crashed:
 		return balance.Dropped, bamboorail.Advisory{Partial: true}
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -92,8 +92,11 @@
 	BeginTimeout time.Duration
 	// Instances returns an estimate of the number of instances.
 	Instances func() int
-	Metrics   *telemetry.Metrics
-	Log       hclog.Logger
+	// ShareTargets reports whether the slots of plain targets under pressure are shared by
+	// all instances; nil is never.
+	ShareTargets func() bool
+	Metrics      *telemetry.Metrics
+	Log          hclog.Logger
 }
 
 // Chooser selects targets: engines through the holder of a zone, other targets
@@ -122,6 +125,10 @@
 	urgent map[string]chan struct{}
 	// open are the placements made by the holders of other instances, by zone.
 	open map[string]*openPlacements
+	// pressed are the times until which the targets of services are shared, told the waits
+	// that holders expect.
+	pressed map[string]time.Time
+	told    map[toldKey]toldWait
 	// suspects are the engines that this instance cannot reach; other instances
 	// may.
 	suspects map[string]backoff
@@ -137,7 +144,11 @@
 		// An earlier process of this instance may have left placements open.
 		open[z.Zone] = &openPlacements{tickets: map[uint64]bool{}, lastPlaced: now}
 	}
+	if c.ShareTargets == nil {
+		c.ShareTargets = func() bool { return false }
+	}
 	return &Chooser{
+		pressed: map[string]time.Time{}, told: map[toldKey]toldWait{},
 		ChooserConfig: c, holderBackoffs: map[string]backoff{}, ended: map[string][]EndedPlacement{},
 		breaks: map[string][]quarantine.Break{}, limits: map[string][]advisory.Limit{}, throttles: map[bamboorail.TargetID]*throttle{},
 		ungranted: map[bamboorail.TargetID]*ratelimit.Window{}, open: open, suspects: map[string]backoff{},
@@ -284,6 +295,14 @@
 	const op = "choose-target"
 	now := time.Now()
 	targets := slices.DeleteFunc(c.openTargets(a.Service.Name, now), func(e bamboorail.TargetEntry) bool { return !hasSoftware(e, a) })
+	shared, others := c.splitShared(a, targets, now)
+	if len(shared) > 0 {
+		r, err := c.chooseShared(ctx, a, shared)
+		if err == nil || len(others) == 0 || ctx.Err() != nil {
+			return r, 0, err
+		}
+	}
+	targets, now = others, time.Now()
 	timeout := cmp.Or(a.Route.Timeout, defaultTimeout) - time.Since(a.Received)
 	var retryAfter, busyFor time.Duration
 	for {
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -97,6 +97,12 @@
 	limits *ratelimit.Table
 	// permits are those of the calls at brittle targets of plain services.
 	permits *concurrency.Table
+	// shared are the permits of the calls at shared targets of plain services, sharedToken
+	// is the fencing token of their tenure. The channels of sharedWaiters are closed when it
+	// ends.
+	shared        *concurrency.Shared
+	sharedToken   uint64
+	sharedWaiters map[uint64]chan concurrency.SharedGrant
 }
 
 // NewHolder returns a holder that does not lead.
@@ -111,7 +117,7 @@
 		c.Brittle = noneBrittle{}
 	}
 	h := &Holder{
-		HolderConfig: c, permits: newPermits(0),
+		HolderConfig: c, permits: newPermits(0), shared: newShared(0), sharedWaiters: map[uint64]chan concurrency.SharedGrant{},
 		limits: ratelimit.NewTable(tenureRates{c.Rates, c.Lease}), background: make(chan []bamboorail.AdapterOrder, backgroundQueueSize),
 		usage: &usage{metrics: c.Metrics.Holder(c.Zone)}, engineLocks: map[bamboorail.TargetID]chan struct{}{},
 		waiters: map[uint64]chan adapters.Placement{}, timerReset: make(chan time.Time, 1),
@@ -188,7 +194,10 @@
 		h.setPlanner(firstTicket(h.Lease.FencingToken()))
 		h.limits.Reset()
 		h.permits = newPermits(h.Lease.FencingToken())
-		h.leading = leading
+		h.beginShared()
+		if h.leading = leading; !leading {
+			h.endSharedTenure()
+		}
 		for number, w := range h.waiters {
 			close(w)
 			delete(h.waiters, number)
@@ -232,6 +241,7 @@
 		_, ok := h.Fleet.Target(name)
 		return ok
 	})
+	h.retainShared(now)
 	return h.planner.Unsynced()
 }
 
@@ -351,8 +361,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	defer h.grantWaiting(now)
+	defer h.grantShared(now)
 	for _, e := range list {
-		if h.permits.Release(e.Ticket, endOf(e.Result), now) {
+		if h.permits.Release(e.Ticket, endOf(e.Result), now) || h.releaseShared(e, now) {
 			continue
 		}
 		if e.Result == balance.Answered {
--- a/internal/placer/usage.go
+++ b/internal/placer/usage.go
@@ -7,6 +7,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"bamboorail.example/bamboorail/internal/concurrency"
 	"bamboorail.example/bamboorail/internal/task"
 	"bamboorail.example/bamboorail/internal/telemetry"
 )
@@ -20,7 +21,9 @@
 
 	mu      sync.Mutex
 	waiting int
-	counts  counts
+	// sharedWaiting is the number of calls that wait for shared targets.
+	sharedWaiting int
+	counts        counts
 }
 
 // counts are sums and maxima over one interval.
@@ -28,6 +31,13 @@
 	requests, placed, decisions, ended, orders int
 	maxWaiting                                 int
 	lock, decision, request, order             durationStats
+	shared                                     sharedCounts
+}
+
+// sharedCounts counts the requests for permits of shared targets.
+type sharedCounts struct {
+	granted, refused, refusedByTarget, maxWaiting int
+	wait                                          durationStats
 }
 
 // durationStats is the sum and the maximum of several durations.
@@ -88,6 +98,37 @@
 	u.counts.ended += n
 }
 
+// addSharedWaiting adds change to the number of calls that wait for shared targets.
+func (u *usage) addSharedWaiting(change int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.sharedWaiting += change
+	u.counts.shared.maxWaiting = max(u.counts.shared.maxWaiting, u.sharedWaiting)
+	u.metrics.SetSharedWaiting(u.sharedWaiting)
+}
+
+// recordShared records the answer to a request for a shared target.
+func (u *usage) recordShared(g concurrency.SharedGrant, waited time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if g.Permit == 0 {
+		u.counts.shared.refused++
+		u.metrics.RecordShared(telemetry.SharedRefused, waited)
+		return
+	}
+	u.counts.shared.granted++
+	u.counts.shared.wait.add(waited)
+	u.metrics.RecordShared(telemetry.SharedGranted, waited)
+}
+
+// recordSharedRefusal records that a shared target refused a call with a permit.
+func (u *usage) recordSharedRefusal() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.counts.shared.refusedByTarget++
+	u.metrics.RecordShared(telemetry.SharedRefusedByTarget, 0)
+}
+
 // resetCounts returns the counts since the last call and resets them.
 func (u *usage) resetCounts() counts {
 	u.mu.Lock()
@@ -116,4 +157,8 @@
 		"ended", c.ended, "orders", c.orders, "look-us", c.decision.sum.Microseconds(), "lock-us", c.lock.sum.Microseconds(),
 		"longest-lock-ms", c.lock.max.Milliseconds(), "longest-question-ms", c.request.max.Milliseconds(),
 		"longest-order-ms", c.order.max.Milliseconds(), "renewal-ms", renewal.Milliseconds())
+	if s := c.shared; s.granted+s.refused > 0 {
+		log.Info("shared targets", "granted", s.granted, "refused", s.refused, "refused-by-target", s.refusedByTarget, "most-waiting", s.maxWaiting,
+			"longest-wait-ms", s.wait.max.Milliseconds(), "waits-ms", s.wait.sum.Milliseconds())
+	}
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -39,6 +39,9 @@
 	// that the weight store serves at full speed; 0 leaves it to the instances
 	// to learn the number.
 	AdapterLoads int
+	// ShareTargets is set if the slots of plain targets under pressure are shared by all
+	// instances although the configuration has no workspaces.
+	ShareTargets bool
 	// MaxMemory is the memory limit of the process in bytes.
 	MaxMemory int64
 	// ProcessorShare is the fraction of a CPU core available to the instance.
@@ -89,6 +92,7 @@
 		RetrySlack:       f.Float(section, "retry-slack", defaultRetrySlack),
 		RetryWindow:      f.Duration(section, "retry-window", defaultRetryWindow),
 		AdapterLoads:     f.Int(section, "adapter-loads", 0, 1),
+		ShareTargets:     f.Bool(section, "share-targets", false),
 		MaxMemory:        f.Size(section, "max-memory", defaultGatewayMemory),
 		ProcessorShare:   f.Float(section, "processor-share", defaultProcessorShare),
 		PlatformURL:      f.URL("platform", "url"),
--- a/internal/telemetry/holder.go
+++ b/internal/telemetry/holder.go
@@ -15,6 +15,10 @@
 	seconds *prometheus.HistogramVec
 	// fetchLimit and fetchSeconds are the estimates of the weight store.
 	fetchLimit, fetchSeconds *prometheus.GaugeVec
+	// sharedWaiting, shared and sharedWait are about calls to shared targets.
+	sharedWaiting *prometheus.GaugeVec
+	shared        *prometheus.CounterVec
+	sharedWait    *prometheus.HistogramVec
 }
 
 func newHolderVectors(r prometheus.Registerer) holderVectors {
@@ -30,6 +34,12 @@
 		fetchSeconds: newGaugeVec(
 			"holder_fetch_seconds", "Estimated time of an adapter fetch now (expected) and at full speed (flat), by availability zone.", "zone", "estimate"),
 	}
+	v.sharedWaiting = newGaugeVec("shared_waiting_calls", "Calls that wait for a shared target, by availability zone.", "zone")
+	v.shared = newCounterVec("shared_requests_total", "Requests for permits of shared targets, and refusals by these, by zone and result.", "zone", "result")
+	v.sharedWait = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "shared_wait_seconds", Buckets: waitBuckets, Help: "Waits of calls that got a permit of a shared target.",
+	}, []string{"zone"})
+	r.MustRegister(v.sharedWaiting, v.shared, v.sharedWait)
 	r.MustRegister(v.waiting, v.looks, v.orders, v.seconds, v.fetchLimit, v.fetchSeconds)
 	return v
 }
@@ -44,8 +54,19 @@
 	fetchLimit            prometheus.Gauge
 	expectedFetch         prometheus.Gauge
 	flatFetch             prometheus.Gauge
+	sharedWaiting         prometheus.Gauge
+	shared                *prometheus.CounterVec
+	sharedWait            prometheus.Observer
 }
 
+// The results of requests for permits of shared targets.
+const (
+	SharedGranted = "granted"
+	SharedRefused = "refused"
+	// SharedRefusedByTarget counts calls with a permit that their target refused.
+	SharedRefusedByTarget = "refused-by-target"
+)
+
 // Holder returns the metrics of the holder of a zone.
 func (m *Metrics) Holder(zone string) *Holder {
 	v := m.holders
@@ -55,7 +76,8 @@
 		question: v.seconds.WithLabelValues(zone, "question"), lock: v.seconds.WithLabelValues(zone, "lock"),
 		look: v.seconds.WithLabelValues(zone, "look"), order: v.seconds.WithLabelValues(zone, "order"),
 		fetchLimit: v.fetchLimit.WithLabelValues(zone), expectedFetch: v.fetchSeconds.WithLabelValues(zone, "expected"),
-		flatFetch: v.fetchSeconds.WithLabelValues(zone, "flat"),
+		flatFetch: v.fetchSeconds.WithLabelValues(zone, "flat"), sharedWaiting: v.sharedWaiting.WithLabelValues(zone),
+		shared: v.shared.MustCurryWith(prometheus.Labels{"zone": zone}), sharedWait: v.sharedWait.WithLabelValues(zone),
 	}
 }
 
@@ -86,3 +108,15 @@
 	h.orders.WithLabelValues(result).Inc()
 	h.order.Observe(took.Seconds())
 }
+
+// SetSharedWaiting sets the number of calls that wait for a shared target.
+func (h *Holder) SetSharedWaiting(n int) { h.sharedWaiting.Set(float64(n)) }
+
+// RecordShared records the result of a request for a permit of a shared target, and its
+// wait if the permit was granted.
+func (h *Holder) RecordShared(result string, waited time.Duration) {
+	h.shared.WithLabelValues(result).Inc()
+	if result == SharedGranted {
+		h.sharedWait.Observe(waited.Seconds())
+	}
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -31,6 +31,7 @@
 	blocked   prometheus.Counter
 	advised   *prometheus.CounterVec
 	refusals  *prometheus.CounterVec
+	full      prometheus.Counter
 }
 
 // waitBuckets are histogram bucket bounds in seconds.
@@ -59,6 +60,8 @@
 	m.blocked = newCounter("prompt_segments_blocked_total", "Prompt segments that were blocked because they crash engines.")
 	m.advised = newCounterVec("target_advisories_total", "Targets that said that they leave or asked for a pause.", "reason")
 	m.refusals = newCounterVec("target_refusals_total", "Calls that full targets refused, by whether they were known as brittle.", "brittle")
+	m.full = newCounter("shared_calls_refused_total", "Calls that were refused because all shared targets of their service were full.")
+	m.registry.MustRegister(m.full)
 	m.registry.MustRegister(m.store, m.blocked, m.advised, m.refusals, m.late, m.requests, m.duration, m.loads, m.loadTime, m.evictions, m.waited, m.loadWait,
 		m.running, m.maxBatch, m.revision, m.faults, m.mismatch,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -151,3 +154,7 @@
 func (m *Metrics) TargetRefused(knownBrittle bool) {
 	m.refusals.WithLabelValues(strconv.FormatBool(knownBrittle)).Inc()
 }
+
+// SharedRefused counts a call that was refused because all shared targets of its service
+// were full.
+func (m *Metrics) SharedRefused() { m.full.Inc() }
