--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -208,7 +208,7 @@
 	g.chooser = placer.NewChooser(placer.ChooserConfig{
 		Instance: s.Instance, Zones: g.holders, Peers: g.peers, Fleet: g.fleet, Balancer: g.balancer,
 		Tracer: tracer, PollLease: g.elector.PollNow, Quarantine: g.quarantine, Advisories: g.advisories, Limits: g.limits,
-		Instances: g.instances, BeginTimeout: s.ReleaseTimeout * beginPercent / 100, Metrics: g.metrics, Log: g.logs.Layer("placer"),
+		Instances: g.instances, ShareTargets: g.shareTargets, BeginTimeout: s.ReleaseTimeout * beginPercent / 100, Metrics: g.metrics, Log: g.logs.Layer("placer"),
 	})
 	g.credit = placer.NewCredit(placer.CreditConfig{
 		Instance: s.Instance, Zones: g.holders, Peers: g.peers, Table: g.table.Load, Instances: g.instances, ZoneSize: g.mirror.ZoneSize,
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -33,6 +33,7 @@
 	refusals  *prometheus.CounterVec
 	credit    *prometheus.CounterVec
 	limited   *prometheus.CounterVec
+	full      prometheus.Counter
 }
 
 // waitBuckets are histogram bucket bounds in seconds.
@@ -64,6 +65,8 @@
 	m.credit = newCounterVec("quota_credit_total", "Quota credit by workspace and movement, in units of the quota.", "workspace", "movement")
 	m.limited = newCounterVec("quota_calls_refused_total", "Calls that were refused because of the quota of their workspace.", "workspace")
 	m.registry.MustRegister(m.credit, m.limited)
+	m.full = newCounter("shared_calls_refused_total", "Calls that were refused because all shared targets of their service were full.")
+	m.registry.MustRegister(m.full)
 	m.registry.MustRegister(m.store, m.blocked, m.advised, m.refusals, m.late, m.requests, m.duration, m.loads, m.loadTime, m.evictions, m.waited, m.loadWait,
 		m.running, m.maxBatch, m.revision, m.faults, m.mismatch,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -156,3 +159,7 @@
 func (m *Metrics) TargetRefused(knownBrittle bool) {
 	m.refusals.WithLabelValues(strconv.FormatBool(knownBrittle)).Inc()
 }
+
+// SharedRefused counts a call that was refused because all shared targets of its service
+// were full.
+func (m *Metrics) SharedRefused() { m.full.Inc() }
