adapters: placement by the work of calls

Cause: the cost of a placement is 3 ms for each running call, the same for all engines. Prompt tokens, the longest permitted gap, the speed and the memory of an engine do not count, so that slow engines get as many calls as fast ones.

Change: for calls with a prompt size and a longest gap, the cost includes the reading of the prompts ahead and of their own, at a learned pace, and the risk that the call and the running streams of the engine are late. The memory that calls take counts like slots. Other calls have the cost of before.

--- a/internal/adapters/cost.go
+++ b/internal/adapters/cost.go
@@ -18,6 +18,8 @@
 type option struct {
 	name string
 	cost time.Duration
+	// wait is the part of the cost in which the call waits before its prompt is read.
+	wait time.Duration
 	load bool
 	// evict is set if another adapter must be evicted first.
 	evict bool
@@ -45,31 +47,49 @@
 // without a name does not exist.
 func (p *Planner) bestOptions(r Request, now time.Time) (best, old option) {
 	q := p.newRequestContext(r, now)
+	if r.isMeasured() {
+		p.refreshPaces(now)
+	}
 	for _, name := range p.engineNames() {
 		e := p.engines[name]
-		if !e.usable(r) || slices.Contains(r.Avoid, name) || p.limitWait(e, now) > 0 || !p.hasRoom(e) {
+		if !e.usable(r) || slices.Contains(r.Avoid, name) || p.limitWait(e, now) > 0 || !p.hasRoom(e, r) {
 			continue
 		}
-		if o, ok := p.option(name, e, r, q, now); ok && (best.name == "" || o.cost < best.cost) {
-			best = o
+		if o, ok := p.option(name, e, r, q, now); ok {
+			best = p.cheaper(best, o, r, now)
 		}
-		if o, ok := p.oldVersion(name, e, r, now); ok && (old.name == "" || o.cost < old.cost) {
-			old = o
+		if o, ok := p.oldVersion(name, e, r, now); ok {
+			old = p.cheaper(old, o, r, now)
 		}
 	}
 	return best, old
 }
 
+// cheaper returns the cheaper one of two options, of which the second one lacks the cost of
+// its work.
+func (p *Planner) cheaper(best, o option, r Request, now time.Time) option {
+	if best.name != "" && o.cost >= best.cost {
+		return best
+	}
+	if r.isMeasured() {
+		o.cost += p.workCost(p.engines[o.name], r, o.wait, now)
+		if best.name != "" && o.cost >= best.cost {
+			return best
+		}
+	}
+	return o
+}
+
 // oldVersion returns the option to use a version that was replaced within the
 // grace period, at an engine with a free slot: in a queue, the call may begin after the
 // period in which the version may be used.
 func (p *Planner) oldVersion(name string, e *engine, r Request, now time.Time) (option, bool) {
 	held := e.adapters[r.Key]
 	if r.Key.Adapter == "" || held == nil || held.unloading || held.loading || held.version >= r.Version ||
-		r.Releases.OutdatedFor(held.version, now) >= p.tuning.OldVersionGrace || e.isFull() {
+		r.Releases.OutdatedFor(held.version, now) >= p.tuning.OldVersionGrace || p.mustWait(e, r) {
 		return option{}, false
 	}
-	return option{name: name, cost: p.queueCost(e, now)}, true
+	return option{name: name, cost: p.queueCost(e, r, now)}, true
 }
 
 func (e *engine) usable(r Request) bool {
@@ -82,12 +102,14 @@
 
 // option returns the cost of running the call on an engine.
 func (p *Planner) option(name string, e *engine, r Request, q *requestContext, now time.Time) (option, bool) {
-	o := option{name: name, cost: p.queueCost(e, now)}
-	if !r.canWait(p.queueWait(e), now) {
+	wait := p.queueWait(e, r)
+	o := option{name: name, cost: p.queueCost(e, r, now), wait: wait}
+	if !r.canWait(wait, now) {
 		return o, false
 	}
 	if at := e.models[r.Key.Model]; at.After(now) {
 		o.cost += at.Sub(now)
+		o.wait += at.Sub(now)
 	}
 	if r.Key.Adapter == "" {
 		return o, true
@@ -96,6 +118,7 @@
 	if held != nil && !held.unloading && held.version >= r.Version {
 		if held.readyAt.After(now) {
 			o.cost += held.readyAt.Sub(now)
+			o.wait += held.readyAt.Sub(now)
 		}
 		// A load that no call waits for may wait for others before it is ordered.
 		return o, !held.background
@@ -115,7 +138,9 @@
 		return o, false
 	}
 	o.load = true
-	o.cost += p.loadTime(e, r.Key) + time.Duration(q.ranks()[o.name])*p.tuning.RankCost
+	load := p.loadTime(e, r.Key)
+	o.cost += load + p.rankCost(r, q.ranks()[o.name])
+	o.wait += load
 	if p.isLimited(e) {
 		o.cost += limitedLoadCost
 	}
@@ -220,9 +245,9 @@
 
 // queueCost returns the expected wait for the first token behind the calls of
 // an engine. Running calls slow the engine down.
-func (p *Planner) queueCost(e *engine, now time.Time) time.Duration {
+func (p *Planner) queueCost(e *engine, r Request, now time.Time) time.Duration {
 	calls := e.calls()
-	cost := time.Duration(calls)*p.tuning.CallCost + p.queueWait(e)
+	cost := time.Duration(calls)*p.tuning.CallCost + p.queueWait(e, r)
 	if highLoad := e.entry.Slots * highLoadPercent / 100; e.entry.Slots > 0 && calls >= highLoad {
 		cost += time.Duration(calls-highLoad+1) * highLoadFactor * p.tuning.CallCost
 	}
@@ -232,15 +257,19 @@
 	return cost
 }
 
-// queueWait returns the expected wait for a slot. If all slots are taken, the
+// queueWait returns the expected wait for a slot and memory. If all slots are taken, the
 // call waits until one call has ended for each call ahead of it.
-func (p *Planner) queueWait(e *engine) time.Duration {
-	if !e.isFull() {
-		return 0
+func (p *Planner) queueWait(e *engine, r Request) time.Duration {
+	wait := p.memoryWait(e, r)
+	if e.isFull() {
+		wait = max(wait, time.Duration(e.calls()-e.entry.Slots+1)*p.callTime/time.Duration(e.entry.Slots))
 	}
-	return time.Duration(e.calls()-e.entry.Slots+1) * p.callTime / time.Duration(e.entry.Slots)
+	return wait
 }
 
+// mustWait reports whether a call has to wait at an engine until another one ends.
+func (p *Planner) mustWait(e *engine, r Request) bool { return e.isFull() || p.memoryWait(e, r) > 0 }
+
 // calls returns the number of calls that run or wait at the engine.
 func (e *engine) calls() int { return e.running + e.inherited }
 
--- a/internal/adapters/engine.go
+++ b/internal/adapters/engine.go
@@ -42,6 +42,11 @@
 	suspectUntil        time.Time
 	// loadsUntil is an upper bound of the ends of all active loads.
 	loadsUntil time.Time
+	// tokens is the memory that the open placements take.
+	tokens  int
+	pace    pace
+	backlog backlog
+	kept    *keptPrompts
 }
 
 // adapterState is the state of an adapter that an engine holds or loads.
--- a/internal/adapters/grants.go
+++ b/internal/adapters/grants.go
@@ -52,7 +52,7 @@
 		if !e.usable(r) {
 			continue
 		}
-		if w := p.queueWait(e); !found || w < wait {
+		if w := p.queueWait(e, r); !found || w < wait {
 			wait, found = w, true
 		}
 	}
@@ -159,7 +159,7 @@
 			continue
 		}
 		r.Avoid = append(r.Avoid, name)
-		if cost := p.queueCost(e, now); e.isFull() && (queueTime == 0 || cost < queueTime) {
+		if cost := p.placedCost(e, r, now); p.mustWait(e, r) && (queueTime == 0 || cost < queueTime) {
 			queueTime = cost
 		}
 	}
--- a/internal/adapters/limits.go
+++ b/internal/adapters/limits.go
@@ -39,7 +39,9 @@
 }
 
 // hasRoom reports whether an engine may be sent a call that could wait there.
-func (p *Planner) hasRoom(e *engine) bool { return !e.isFull() || !p.brittle(e.entry.ID) }
+func (p *Planner) hasRoom(e *engine, r Request) bool {
+	return !p.mustWait(e, r) || !p.brittle(e.entry.ID)
+}
 
 // limitedLoadCost is added to a load on an engine with a limit, to which its orders
 // count too.
--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -87,6 +87,10 @@
 	limits Limits
 	// brittle reports whether an engine must not be sent more calls than it has slots.
 	brittle func(id bamboorail.TargetID) bool
+	// memory returns the number of tokens that fit into an engine of a service, 0 if unknown.
+	memory func(service string) int
+	// pacesAt is the time of the last update of the paces of the engines.
+	pacesAt time.Time
 }
 
 // ticket is a placement that has not ended.
@@ -100,6 +104,7 @@
 	// placed.
 	sent   time.Time
 	queued bool
+	work   callWork
 }
 
 // EndedPlacement is a placement that has ended.
@@ -117,7 +122,7 @@
 		tuning: t, lastTicket: after, lastPlan: after, engines: map[string]*engine{}, demand: map[bamboorail.AdapterKey]*demand{}, tickets: map[uint64]ticket{},
 		lastContact: map[string]time.Time{}, unanswered: map[string][]unansweredOrder{},
 		waiting: newWaitQueue(), fetchLimiter: fetchlimit.New(t.MinFetchLimit, t.FetchTime), callTime: t.CallTime, limits: unlimited{},
-		brittle: func(bamboorail.TargetID) bool { return false },
+		brittle: func(bamboorail.TargetID) bool { return false }, memory: func(string) int { return 0 },
 	}
 }
 
@@ -133,7 +138,9 @@
 			known = &engine{
 				models: map[string]time.Time{}, contents: contents{}, adapters: map[bamboorail.AdapterKey]*adapterState{},
 				planned: map[uint64]*plannedLoad{}, cached: map[bamboorail.AdapterKey]time.Time{},
+				kept: newKeptPrompts(),
 			}
+			p.pacesAt = time.Time{}
 			p.engines[e.ID.Name] = known
 		}
 		known.entry, known.slots = e, slots(e.Service)
@@ -221,7 +228,7 @@
 	} else {
 		placement.Orders = orders
 	}
-	queued = p.engines[best.name].isFull()
+	queued = p.mustWait(p.engines[best.name], r)
 	p.reserve(&placement, best.name, r, now)
 	return placement, queued, true
 }
@@ -245,7 +252,7 @@
 // reserve assigns a call to an engine.
 func (p *Planner) reserve(placement *Placement, name string, r Request, now time.Time) {
 	e := p.engines[name]
-	queued := e.isFull()
+	queued := p.mustWait(e, r)
 	placement.Target = e.entry
 	if r.Key.Adapter != "" {
 		held := e.adapters[r.Key]
@@ -257,11 +264,13 @@
 	} else if at := e.models[r.Key.Model]; at.After(now) {
 		placement.ReadyAt = at
 	}
+	sent := latest(now, placement.ReadyAt)
+	work := p.recordWork(e, r, sent, now)
 	e.running++
 	p.limits.Record(e.entry.ID, now)
 	p.lastTicket++
 	placement.Ticket = p.lastTicket
-	p.tickets[p.lastTicket] = ticket{id: e.entry.ID, key: r.Key, instance: r.Instance, issued: now, sent: latest(now, placement.ReadyAt), queued: queued}
+	p.tickets[p.lastTicket] = ticket{id: e.entry.ID, key: r.Key, instance: r.Instance, issued: now, sent: sent, queued: queued, work: work}
 }
 
 func latest(a, b time.Time) time.Time {
@@ -279,7 +288,7 @@
 	}
 	delete(p.tickets, number)
 	if e := p.engine(t.id); e != nil {
-		e.running = max(e.running-1, 0)
+		e.running, e.tokens = max(e.running-1, 0), max(e.tokens-t.work.tokens, 0)
 		if r := e.adapters[t.key]; r != nil {
 			r.running = max(r.running-1, 0)
 		}
--- a/internal/adapters/request.go
+++ b/internal/adapters/request.go
@@ -32,6 +32,15 @@
 	StartBy time.Time
 	// Priority ranks the call; 0 is the most urgent.
 	Priority int
+	// Size is the size of the call in tokens, Prompt the parts of its prompt. They are empty
+	// if unknown.
+	Size   bamboorail.CallSize
+	Prompt []bamboorail.PromptPart
+	// MaxGap is the longest pause between two events that is on time, 0 if the route
+	// states none. With it and a size, the call is placed by its work.
+	MaxGap time.Duration
+	// Workspace names the workspace of the caller, empty if there is none.
+	Workspace string
 }
 
 // canWait reports whether the call may start after a wait.
