adapters: price of fetches and evictions for calls placed by work

Cause: a call that is placed by its work loads its adapter on another engine whenever that is a little faster.

Change: a fetch costs two times its time more, an eviction up to a fetch by the demand for the adapter that goes, a late stream 300 ms.

Unit tests as before.

--- a/internal/adapters/cost.go
+++ b/internal/adapters/cost.go
@@ -139,13 +139,16 @@
 	}
 	o.load = true
 	load := p.loadTime(e, r.Key)
-	o.cost += load + p.rankCost(r, q.ranks()[o.name])
+	o.cost += load + p.placeCost(e, r, q.ranks()[o.name])
 	o.wait += load
 	if p.isLimited(e) {
 		o.cost += limitedLoadCost
 	}
 	if held == nil && len(e.adapters) >= e.slots {
 		o.evict = true
+		if r.isMeasured() {
+			o.cost += e.evictionCost
+		}
 		return o, p.hasVictim(e, now)
 	}
 	return o, true
--- a/internal/adapters/engine.go
+++ b/internal/adapters/engine.go
@@ -47,6 +47,8 @@
 	pace    pace
 	backlog backlog
 	kept    *keptPrompts
+	// evictionCost is the cost of evicting an adapter, as of the last update of the paces.
+	evictionCost time.Duration
 }
 
 // adapterState is the state of an adapter that an engine holds or loads.
--- a/internal/adapters/pace.go
+++ b/internal/adapters/pace.go
@@ -76,6 +76,7 @@
 	p.pacesAt = now
 	p.refreshEstimates(func(e *engine) *estimate { return &e.pace.read }, initialReadTime, now)
 	p.refreshEstimates(func(e *engine) *estimate { return &e.pace.event }, initialEventTime, now)
+	p.refreshEvictionCosts(now)
 }
 
 func (p *Planner) refreshEstimates(of func(e *engine) *estimate, initial time.Duration, now time.Time) {
--- a/internal/adapters/work.go
+++ b/internal/adapters/work.go
@@ -17,12 +17,15 @@
 }
 
 const (
-	// lateCost is the cost of a stream that is certainly late. A late stream loses most of
-	// its worth, so that a second of delay within the objectives is worth less.
-	lateCost = time.Second
+	// lateCost is the cost of a stream that is certainly late: about a fetch. With more, adapters
+	// are loaded on so many engines that other adapters lack fetches.
+	lateCost = 300 * time.Millisecond
 	// riskFrom is the share of a limit from which its violation becomes possible: engines
 	// slow down to 1 / 2.5 of their pace at times.
 	riskFrom = 0.4
+	// fetchPrice is the cost of a fetch beyond its time, in times of a fetch: it delays the
+	// fetches of other adapters, and occupies a slot.
+	fetchPrice = 2
 	// rankScale is the cost of a doubling of the rank in an adapter's order of engines, so
 	// that the order decides between engines of about the same cost.
 	rankScale = 15 * time.Millisecond
@@ -114,12 +117,31 @@
 	return cost
 }
 
-// rankCost returns the cost of a rank in an adapter's order of engines.
-func (p *Planner) rankCost(r Request, rank int) time.Duration {
+// placeCost returns the cost of loading an adapter on this engine and not on another one, by
+// the rank of the engine in the adapter's order.
+func (p *Planner) placeCost(e *engine, r Request, rank int) time.Duration {
 	if !r.isMeasured() {
 		return time.Duration(rank) * p.tuning.RankCost
 	}
-	return time.Duration(math.Log2(float64(1+rank)) * float64(rankScale))
+	cost := time.Duration(math.Log2(float64(1+rank)) * float64(rankScale))
+	if _, cached := e.cached[r.Key]; !cached {
+		cost += time.Duration(fetchPrice * float64(p.fetchTime()))
+	}
+	return cost
+}
+
+// refreshEvictionCosts updates the costs of an eviction, which rise with the demand for the
+// adapter that would be evicted: if it is asked for again soon, it has to be loaded again.
+func (p *Planner) refreshEvictionCosts(now time.Time) {
+	for _, e := range p.engines {
+		e.evictionCost = 0
+		if len(e.adapters) < e.slots {
+			continue
+		}
+		if key, ok := p.victim(e, now); ok {
+			e.evictionCost = time.Duration(min(p.demandOf(key, now), 1) * float64(p.fetchTime()))
+		}
+	}
 }
 
 // recordWork records the work of a call that is sent to an engine at the given time.
