adapters: estimate of the prompts that an engine keeps

Cause: nothing tells the planner which beginnings of prompts an engine still keeps for an adapter, so calls are placed as if every prompt were read whole.

Request states the size and the prompt of a call, Placement the tokens expected to be kept.

--- a/internal/adapters/request.go
+++ b/internal/adapters/request.go
@@ -32,6 +32,13 @@
 	StartBy time.Time
 	// Priority ranks the call; 0 is the most urgent.
 	Priority int
+	// Size is the size of the call in tokens, Prompt the parts of its prompt in order.
+	Size   bamboorail.CallSize
+	Prompt []bamboorail.PromptPart
+	// MaxGap is the longest permitted time between events, 0 if the route states none.
+	MaxGap time.Duration
+	// Workspace is the workspace of the call, empty if it has none.
+	Workspace string
 }
 
 // canWait reports whether the call may start after a wait.
@@ -73,4 +80,6 @@
 	Orders []bamboorail.AdapterOrder
 	// Background are orders that the call does not wait for.
 	Background []bamboorail.AdapterOrder
+	// KeptTokens is the number of prompt tokens that the engine probably still keeps.
+	KeptTokens int
 }
