relay: measure the events of streams

Cause: two thirds of the late streams are late because of a gap between events, and nothing measures gaps: neither the pace of a target nor an operator sees them.

Change: each leg measures the time to its first event, the mean time between events and the longest gap, from the time in which it waits for the target. Time in which the caller does not read is not counted; what was buffered meanwhile does not count for the pace. A stream that breaks off counts its last silence. Reservation.Observe gets the times before Done. The line of an ended call has events, first-event-ms and longest-gap-ms over all its targets, and the metrics stream_first_event_seconds and stream_longest_gap_seconds have them by route.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -192,9 +192,13 @@
 		x.standby.watch(eventTimeout, errEventTimeout, x.legStart(), x.attempted)
 	}
 	body, buffer := &answerReader{x: x, body: l.response.Body, events: events}, make([]byte, readSize)
+	l.timer.start(time.Now())
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
+			if events {
+				x.recordEvents(l, buffer[:n])
+			}
 			if sendErr := x.forwardChunk(l, flusher, buffer[:n], resumable); sendErr != nil {
 				return x.chunkError(op, sendErr)
 			}
@@ -203,6 +207,7 @@
 			continue
 		}
 		if !errors.Is(err, io.EOF) {
+			l.timer.interrupt(time.Now())
 			return x.truncatedError(l, op, err)
 		}
 		if err := x.endStream(l, flusher); err != nil {
@@ -252,9 +257,15 @@
 		}
 		x.events.forwarded(batch)
 		data = batch.data
-		// The time in which the caller does not read is not the target's.
-		defer x.standby.resume()
 	}
+	defer func() {
+		// The time in which the caller does not read is not the target's.
+		now := time.Now()
+		l.timer.passed(now)
+		if resumable {
+			x.standby.resume(now)
+		}
+	}()
 	x.commit(l.response)
 	if _, err := x.w.Write(data); err != nil {
 		return err
--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/balance"
@@ -55,8 +56,10 @@
 func (l *leg) readFirstEvent(body io.Reader) (data []byte, end, err error) {
 	check, buffer := eventBuffer{sequence: l.start.sequence}, make([]byte, readSize)
 	check.begin()
+	l.timer.start(time.Now())
 	for {
 		n, end := body.Read(buffer)
+		l.timer.read(buffer[:n], l.sentAt, time.Now())
 		data = append(data, buffer[:n]...)
 		if _, err := check.add(buffer[:n]); err != nil {
 			return nil, nil, err
--- a/internal/relay/leg.go
+++ b/internal/relay/leg.go
@@ -88,6 +88,7 @@
 	response        *http.Response
 	span            trace.Span
 	started, sentAt time.Time
+	timer           eventTimer
 	// admitted is set once a standby leg is counted as sent, unsent if admit returned an
 	// error.
 	admitted, unsent bool
@@ -254,9 +255,7 @@
 		endSpan(l.span, err)
 	}
 	took := time.Since(l.sentAt)
-	if l.reservation.Done != nil {
-		l.reservation.Done(result, took)
-	}
+	l.release(result, took)
 	if entry := l.describe(took); entry != "" {
 		l.trail = append(l.trail, entry)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -74,6 +74,9 @@
 	// Valid reports whether the target still takes calls. It is called once,
 	// immediately before the call is sent.
 	Valid func() bool
+	// Observe receives the times of the events of an answer, before Done. It is nil if they
+	// are of no use.
+	Observe func(t Timing)
 	// Done releases the reservation. It is called once.
 	Done func(r balance.Result, took time.Duration)
 }
@@ -210,6 +213,7 @@
 	forwarded *ForwardCall
 	trail     []string
 	firstByte time.Duration
+	times     streamTimes
 }
 
 func (x *exchange) run() error {
--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -90,13 +90,13 @@
 	s.wait, s.cause, s.start, s.base = wait, cause, start, base
 	s.silent = cmp.Or(s.current.neighbor, s.current.target.ID.Name)
 	s.start.exclude(s.current)
-	s.arm(wait)
+	s.arm(wait, time.Now())
 }
 
 // arm starts the timer. The caller holds the lock.
-func (s *standby) arm(wait time.Duration) {
+func (s *standby) arm(wait time.Duration, now time.Time) {
 	if s.wait > 0 && s.winner == nil && !s.ended {
-		s.due = time.Now().Add(wait)
+		s.due = now.Add(wait)
 		s.timer.Reset(wait)
 	}
 }
@@ -106,7 +106,7 @@
 func (s *standby) armRetry() {
 	delay := standbyRetryDelay << min(s.failures, maxStandbyDoublings)
 	s.failures++
-	s.arm(delay)
+	s.arm(delay, time.Now())
 }
 
 // disarm stops the timer. The caller holds the lock.
@@ -124,11 +124,11 @@
 }
 
 // resume watches the current leg again after progress.
-func (s *standby) resume() {
+func (s *standby) resume(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.start.committed = s.x.committed
-	s.arm(s.wait)
+	s.arm(s.wait, now)
 }
 
 // progress records that the current leg continues, now after event lastEvent of sequence.
@@ -204,7 +204,7 @@
 		s.run(l)
 		return nil
 	}))
-	s.arm(s.wait)
+	s.arm(s.wait, now)
 }
 
 // admit takes a standby leg out of the retry budget before its call is sent, and counts it:
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -31,6 +31,7 @@
 	blocked   prometheus.Counter
 	advised   *prometheus.CounterVec
 	refusals  *prometheus.CounterVec
+	streams   streamVectors
 }
 
 // waitBuckets are histogram bucket bounds in seconds.
@@ -55,6 +56,7 @@
 	m.mismatch = newCounter("answer_mismatches_total", "Answers that belonged to another request or adapter.")
 	m.late = newHistogram("timer_late_seconds", "Time by which a timer of the instance fired late: it waited for the processor.")
 	m.holders = newHolderVectors(m.registry)
+	m.streams = newStreamVectors(m.registry)
 	m.store = newCounterVec("store_calls_total", "Calls to the object store by call, kind of object, and result.", "call", "kind", "result")
 	m.blocked = newCounter("prompt_segments_blocked_total", "Prompt segments that were blocked because they crash engines.")
 	m.advised = newCounterVec("target_advisories_total", "Targets that said that they leave or asked for a pause.", "reason")
