placer: holders learn the work of calls and the events of streams

Cause: the holder of a zone knows of a call only its adapter and its objective, and of its answer only that it ended.

Change: for routes that limit the gap between events, the request for a place states the tokens of the call, the parts of its prompt, the limit and the workspace, and the end of a placement the times of its events. The name of the last part of a prompt, which no other call shares, is not sent. Numbers from messages are bounded. The holder passes the times and the memory of engines to its planner, and counts the prompt tokens of placed calls and those expected to be kept (holder_prompt_tokens_total, and in the line "holder load").

--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -221,6 +221,10 @@
 		s, _ := table.Service(service)
 		return s.AdapterSlots
 	}, now)
+	h.planner.SetMemory(func(service string) int {
+		s, _ := table.Service(service)
+		return s.MemoryTokens
+	})
 	h.planner.SetFetchLimit(h.FetchShare())
 	h.planner.Expire(now.Add(-placementExpiry), now)
 	h.limits.Retain(func(id bamboorail.TargetID) bool {
@@ -316,6 +320,7 @@
 	if err != nil {
 		return adapters.Placement{}, err
 	}
+	h.usage.recordPrompt(promptTokens(r), p.KeptTokens)
 	if len(p.Background) > 0 {
 		h.mu.Lock()
 		h.enqueueBackground(p.Background, start)
@@ -342,6 +347,8 @@
 	Result balance.Result
 	// Leaving is set if the target said in an answer that it leaves.
 	Leaving bool
+	// Timing are the times of the events of the answer.
+	Timing adapters.Timing
 }
 
 // Settle records the ends of placements.
@@ -355,6 +362,9 @@
 		if h.permits.Release(e.Ticket, endOf(e.Result), now) {
 			continue
 		}
+		if e.Timing != (adapters.Timing{}) {
+			h.planner.RecordTiming(e.Ticket, e.Timing, now)
+		}
 		if e.Result == balance.Answered {
 			h.planner.RecordAnswer(e.Ticket, now)
 		}
--- a/internal/placer/queries.go
+++ b/internal/placer/queries.go
@@ -92,18 +92,17 @@
 	newest := releases.Newest()
 	if z.Local != nil && z.Lease.Leading() {
 		c.recordContact(z.Zone)
-		p, err := z.Local.Place(ctx, adapters.Request{
+		request := adapters.Request{
 			Key: a.Call.Key, Service: a.Service.Name, Software: a.Software, Version: newest, Releases: releases, Avoid: a.Avoid,
 			Loads: loads, CallID: a.Call.ID, Waited: time.Since(a.Received), Objective: a.Route.Objective, Priority: a.Route.Priority,
 			StartBy: a.StartBy,
-		})
+		}
+		addWork(&request, a)
+		p, err := z.Local.Place(ctx, request)
 		if err != nil {
 			return relay.Reservation{}, unplaced(err)
 		}
-		return relay.Reservation{
-			Target: p.Target, Version: p.Version, ReadyAt: p.ReadyAt, BeginBy: c.beginBy(a.Call.Key, p.Version), Valid: c.valid(p.Target),
-			Done: c.settleFunc(z.Zone, p.Target, p.Ticket),
-		}, nil
+		return c.reservation(z.Zone, a, p), nil
 	}
 	_, address := z.Lease.Holder()
 	if address == "" {
@@ -139,13 +138,15 @@
 	queryCtx, span := c.Tracer.Start(queryCtx, "holder "+z.Zone, trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	ended := c.takeEnded(z.Zone)
-	reply, err := c.Peers.Place(queryCtx, address, &wire.PlaceRequest{
+	message := &wire.PlaceRequest{
 		Zone: z.Zone, Instance: c.Instance, Service: a.Service.Name, Model: a.Call.Key.Model, Adapter: a.Call.Key.Adapter,
 		Version: int64(newest), Avoid: a.Avoid, Ended: endedMessages(ended), Loads: int32(loads),
 		CallId: callID(a.Call.ID), WaitedMicros: time.Since(a.Received).Microseconds(), ObjectiveMicros: a.Route.Objective.Microseconds(),
 		Priority: int32(a.Route.Priority), InstanceZone: c.Zones[0].Zone, RemainingMicros: time.Until(a.StartBy).Microseconds(),
 		Software: a.Software,
-	})
+	}
+	addWorkMessage(message, a)
+	reply, err := c.Peers.Place(queryCtx, address, message)
 	received := time.Now()
 	c.Quarantine.learn(z.Zone, reply.GetBlocks())
 	switch {
@@ -181,8 +182,5 @@
 		target.Software = known.Software
 	}
 	ready := received.Add(time.Duration(reply.GetReadyInMicros()) * time.Microsecond)
-	return relay.Reservation{
-		Target: target, Version: int(reply.GetVersion()), ReadyAt: ready, BeginBy: c.beginBy(a.Call.Key, int(reply.GetVersion())), Valid: c.valid(target),
-		Done: c.settleFunc(z.Zone, target, reply.GetTicket()),
-	}, nil
+	return c.reservation(z.Zone, a, adapters.Placement{Target: target, Version: int(reply.GetVersion()), ReadyAt: ready, Ticket: reply.GetTicket()}), nil
 }
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -86,11 +86,13 @@
 	if remaining := r.GetRemainingMicros(); remaining != 0 {
 		startBy = time.Now().Add(time.Duration(remaining) * time.Microsecond)
 	}
-	p, err := h.Place(ctx, adapters.Request{
+	request := adapters.Request{
 		Key: key, Service: r.GetService(), Software: r.GetSoftware(), Version: releases.Newest(), Releases: releases, Avoid: r.GetAvoid(),
 		Loads: adapters.LoadPolicy(r.GetLoads()), Instance: r.GetInstance(), CallID: r.GetCallId(), Waited: time.Duration(r.GetWaitedMicros()) * time.Microsecond,
 		Objective: time.Duration(r.GetObjectiveMicros()) * time.Microsecond, Priority: int(r.GetPriority()), StartBy: startBy,
-	})
+	}
+	addWorkFromWire(&request, r)
+	p, err := h.Place(ctx, request)
 	if err != nil {
 		f := bamboorail.FailureOf(err)
 		return &wire.PlaceReply{
@@ -134,7 +136,9 @@
 func endedFromWire(messages []*wire.EndedPlacement) []EndedPlacement {
 	list := make([]EndedPlacement, 0, len(messages))
 	for _, m := range messages {
-		list = append(list, EndedPlacement{Ticket: m.GetTicket(), Result: balance.Result(m.GetResult()), Leaving: m.GetLeaving()})
+		list = append(list, EndedPlacement{
+			Ticket: m.GetTicket(), Result: balance.Result(m.GetResult()), Leaving: m.GetLeaving(), Timing: timingFromWire(m),
+		})
 	}
 	return list
 }
--- a/internal/placer/settle.go
+++ b/internal/placer/settle.go
@@ -12,8 +12,8 @@
 	"bamboorail.example/bamboorail/internal/task"
 )
 
-// settleFunc returns the function that ends a placement.
-func (c *Chooser) settleFunc(zone string, target bamboorail.TargetEntry, ticket uint64) func(balance.Result, time.Duration) {
+// settleFunc returns the function that ends a placement. It completes end.
+func (c *Chooser) settleFunc(zone string, target bamboorail.TargetEntry, end *EndedPlacement) func(balance.Result, time.Duration) {
 	known := c.Limits.IsBrittle(target.ID)
 	return func(r balance.Result, took time.Duration) {
 		if r == balance.Refused {
@@ -21,7 +21,8 @@
 		}
 		c.recordResult(target.ID.Name, r)
 		c.recordCallTime(target.Service, r, took)
-		c.reportEnd(zone, EndedPlacement{Ticket: ticket, Result: r, Leaving: c.Advisories.IsLeaving(target.ID)})
+		end.Result, end.Leaving = r, c.Advisories.IsLeaving(target.ID)
+		c.reportEnd(zone, *end)
 	}
 }
 
@@ -77,7 +78,10 @@
 func endedMessages(list []EndedPlacement) []*wire.EndedPlacement {
 	out := make([]*wire.EndedPlacement, 0, len(list))
 	for _, e := range list {
-		out = append(out, &wire.EndedPlacement{Ticket: e.Ticket, Result: int32(e.Result), Leaving: e.Leaving})
+		out = append(out, &wire.EndedPlacement{
+			Ticket: e.Ticket, Result: int32(e.Result), Leaving: e.Leaving, FirstEventMicros: e.Timing.FirstEvent.Microseconds(),
+			EventMicros: e.Timing.Event.Microseconds(), LongestGapMicros: e.Timing.LongestGap.Microseconds(),
+		})
 	}
 	return out
 }
--- a/internal/placer/usage.go
+++ b/internal/placer/usage.go
@@ -27,7 +27,10 @@
 type counts struct {
 	requests, placed, decisions, ended, orders int
 	maxWaiting                                 int
-	lock, decision, request, order             durationStats
+	// promptTokens are the prompt tokens of placed calls that state their work, keptTokens
+	// those of them that their engines are expected to keep.
+	promptTokens, keptTokens       int
+	lock, decision, request, order durationStats
 }
 
 // durationStats is the sum and the maximum of several durations.
@@ -82,6 +85,19 @@
 	u.counts.order.add(took)
 }
 
+// recordPrompt records the prompt of a placed call and the part of it that its engine is
+// expected to keep.
+func (u *usage) recordPrompt(tokens, kept int) {
+	if tokens == 0 {
+		return
+	}
+	u.metrics.RecordPrompt(tokens, kept)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.counts.promptTokens += tokens
+	u.counts.keptTokens += kept
+}
+
 func (u *usage) recordEnded(n int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -115,5 +131,6 @@
 	log.Info("holder load", "questions", c.requests, "placed", c.placed, "looks", c.decisions, "most-waiting", c.maxWaiting,
 		"ended", c.ended, "orders", c.orders, "look-us", c.decision.sum.Microseconds(), "lock-us", c.lock.sum.Microseconds(),
 		"longest-lock-ms", c.lock.max.Milliseconds(), "longest-question-ms", c.request.max.Milliseconds(),
-		"longest-order-ms", c.order.max.Milliseconds(), "renewal-ms", renewal.Milliseconds())
+		"longest-order-ms", c.order.max.Milliseconds(), "renewal-ms", renewal.Milliseconds(),
+		"prompt-tokens", c.promptTokens, "kept-tokens", c.keptTokens)
 }
--- a/internal/telemetry/holder.go
+++ b/internal/telemetry/holder.go
@@ -13,6 +13,7 @@
 	looks   *prometheus.CounterVec
 	orders  *prometheus.CounterVec
 	seconds *prometheus.HistogramVec
+	prompts *prometheus.CounterVec
 	// fetchLimit and fetchSeconds are the estimates of the weight store.
 	fetchLimit, fetchSeconds *prometheus.GaugeVec
 }
@@ -26,11 +27,13 @@
 			Namespace: namespace, Name: "holder_seconds", Buckets: waitBuckets,
 			Help: "Time of a question (question), of it for the lock (lock) and for decisions (look), and of an order (order).",
 		}, []string{"zone", "part"}),
+		prompts: newCounterVec("holder_prompt_tokens_total",
+			"Prompt tokens of placed calls (sent), and those that engines are expected to keep from earlier calls (kept), by availability zone.", "zone", "part"),
 		fetchLimit: newGaugeVec("holder_fetch_limit", "Concurrent adapter fetches permitted in an availability zone.", "zone"),
 		fetchSeconds: newGaugeVec(
 			"holder_fetch_seconds", "Estimated time of an adapter fetch now (expected) and at full speed (flat), by availability zone.", "zone", "estimate"),
 	}
-	r.MustRegister(v.waiting, v.looks, v.orders, v.seconds, v.fetchLimit, v.fetchSeconds)
+	r.MustRegister(v.waiting, v.looks, v.orders, v.seconds, v.prompts, v.fetchLimit, v.fetchSeconds)
 	return v
 }
 
@@ -44,6 +47,8 @@
 	fetchLimit            prometheus.Gauge
 	expectedFetch         prometheus.Gauge
 	flatFetch             prometheus.Gauge
+	sentPrompt            prometheus.Counter
+	keptPrompt            prometheus.Counter
 }
 
 // Holder returns the metrics of the holder of a zone.
@@ -55,7 +60,8 @@
 		question: v.seconds.WithLabelValues(zone, "question"), lock: v.seconds.WithLabelValues(zone, "lock"),
 		look: v.seconds.WithLabelValues(zone, "look"), order: v.seconds.WithLabelValues(zone, "order"),
 		fetchLimit: v.fetchLimit.WithLabelValues(zone), expectedFetch: v.fetchSeconds.WithLabelValues(zone, "expected"),
-		flatFetch: v.fetchSeconds.WithLabelValues(zone, "flat"),
+		flatFetch:  v.fetchSeconds.WithLabelValues(zone, "flat"),
+		sentPrompt: v.prompts.WithLabelValues(zone, "sent"), keptPrompt: v.prompts.WithLabelValues(zone, "kept"),
 	}
 }
 
@@ -81,6 +87,13 @@
 // RecordPlacement records the duration of a placement request.
 func (h *Holder) RecordPlacement(took time.Duration) { h.question.Observe(took.Seconds()) }
 
+// RecordPrompt records the prompt tokens of a placed call, and those of them that its engine is
+// expected to keep.
+func (h *Holder) RecordPrompt(tokens, kept int) {
+	h.sentPrompt.Add(float64(tokens))
+	h.keptPrompt.Add(float64(max(kept, 0)))
+}
+
 // RecordOrder records the result and the duration of an order to an engine.
 func (h *Holder) RecordOrder(result string, took time.Duration) {
 	h.orders.WithLabelValues(result).Inc()
