--- a/internal/adapters/request.go
+++ b/internal/adapters/request.go
@@ -82,4 +82,6 @@
 	Orders []bamboorail.AdapterOrder
 	// Background are orders that the call does not wait for.
 	Background []bamboorail.AdapterOrder
+	// KeptTokens is the number of prompt tokens that the engine probably still keeps.
+	KeptTokens int
 }
