--- a/internal/placer/credit.go
+++ b/internal/placer/credit.go
@@ -20,9 +20,12 @@
 )
 
 const (
-	// creditTimeout bounds a request for credit. A process with a small share of a processor
-	// is stopped for up to 80 ms at a time. The credit of a later answer would soon expire.
-	creditTimeout = 100 * time.Millisecond
+	// creditTimeout bounds a request for credit, so that a call that waits for 100 ms can be
+	// asked for in another zone. The credit of a late answer is lost.
+	creditTimeout = 60 * time.Millisecond
+	// minCreditBackoff is the time for which a holder that did not answer is skipped. It
+	// doubles with each failure up to maxHolderBackoff.
+	minCreditBackoff = 250 * time.Millisecond
 	// creditFallbackShare is the part of a limit that the instances without access to a
 	// holder use together.
 	creditFallbackShare = 0.1
--- a/internal/placer/credit_holder.go
+++ b/internal/placer/credit_holder.go
@@ -221,7 +221,7 @@
 	if err != nil || callCtx.Err() != nil || !reply.GetHolder() || len(reply.GetGrants()) != len(needs) {
 		if ctx.Err() == nil {
 			c.mu.Lock()
-			c.backoffs[key] = c.backoffs[key].next(minHolderBackoff, maxHolderBackoff, now)
+			c.backoffs[key] = c.backoffs[key].next(minCreditBackoff, maxHolderBackoff, now)
 			c.mu.Unlock()
 			c.Log.Info("holder gives no credit", "zone", z.Zone, "address", address, "transfer", transfer, "holder", reply.GetHolder(), "error", errorText(err))
 		}
--- a/internal/placer/credit_sim_test.go
+++ b/internal/placer/credit_sim_test.go
@@ -27,6 +27,8 @@
 	quotaSlack  = 11_000
 	// creditSimWait is an eighth of an objective of 800 ms.
 	creditSimWait = 100 * time.Millisecond
+	// creditSimWarmUp is the time in which the buckets fill before the load.
+	creditSimWarmUp = 2 * time.Second
 	// creditBin is the resolution with which spending is checked.
 	creditBin = 100 * time.Millisecond
 )
@@ -202,8 +204,7 @@
 	for n, i := range s.instances {
 		i.run(ctx, n/len(brittleZones))
 	}
-	time.Sleep(2 * time.Second)
-	s.start = s.start.Add(0)
+	time.Sleep(creditSimWarmUp)
 	var calls, loads sync.WaitGroup
 	begin := time.Now()
 	for at, f := range events {
--- a/internal/quota/buckets.go
+++ b/internal/quota/buckets.go
@@ -42,7 +42,7 @@
 	transferTime     = 12 * time.Millisecond
 	// retryPerInstance is the time between two requests for a workspace at its limit, from
 	// all instances together.
-	retryPerInstance = 4 * time.Millisecond
+	retryPerInstance = 10 * time.Millisecond
 	// minDryTime is the time for which no transfer is requested after the other zones had
 	// nothing to give. It doubles with each such answer up to maxDryTime.
 	minDryTime = 100 * time.Millisecond
