relay, gateway, service: answers are accepted by one transport only

Cause: partial answers counted as complete, and invalid statuses and field names reached callers, or closed their connections without an answer.

Change: the pool of the relay, the transport of store, orders and reports, the clients of the project's own interface and railctl use httpport.Transport. The head of an answer that another instance forwards passes the same check. A rejected answer is a failure of its target that may have run: it is logged ("answer rejected"), counted in bamboorail_answers_rejected_total, repeated where the route permits it, and answered with 502 otherwise. Connections of rejected answers are not reused. gateway.NewTransport takes its dialer, as the transport replaces DialContext.

--- a/cmd/railctl/cmds/commands.go
+++ b/cmd/railctl/cmds/commands.go
@@ -13,6 +13,7 @@
 
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/cli"
+	"bamboorail.example/bamboorail/internal/httpport"
 	"bamboorail.example/bamboorail/internal/settings"
 	"bamboorail.example/bamboorail/internal/tlsconf"
 	"bamboorail.example/bamboorail/pkg/operatorapi"
@@ -83,7 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return operatorapi.NewClient(c.String("server"), token, &http.Transport{TLSClientConfig: config}), nil
+	return operatorapi.NewClient(c.String("server"), token, httpport.NewTransport(&http.Transport{TLSClientConfig: config}, nil)), nil
 }
 
 // argument returns the only argument of a command.
--- a/cmd/railentry/cmds/commands.go
+++ b/cmd/railentry/cmds/commands.go
@@ -17,6 +17,7 @@
 	"bamboorail.example/bamboorail/internal/cli"
 	"bamboorail.example/bamboorail/internal/gateway"
 	"bamboorail.example/bamboorail/internal/logflags"
+	"bamboorail.example/bamboorail/internal/relay"
 	"bamboorail.example/bamboorail/internal/service"
 	"bamboorail.example/bamboorail/internal/settings"
 	"bamboorail.example/bamboorail/internal/task"
@@ -103,7 +104,7 @@
 		log: s.Log, out: stdout,
 		start: func(ctx context.Context, logs *logflags.Logs) (instance, error) {
 			logs = logs.With("instance", s.Instance)
-			return gateway.New(ctx, s, platform.NewAdapter(s.PlatformURL, gateway.NewTransport(), logs.Layer("store")), logs)
+			return gateway.New(ctx, s, platform.NewAdapter(s.PlatformURL, gateway.NewTransport(relay.NewDialer()), logs.Layer("store")), logs)
 		},
 		watch: func(ctx context.Context, i instance, hangups <-chan struct{}, logs *logflags.Logs) error {
 			return reloadSettings(ctx, path, s, i.(*gateway.Gateway), hangups, logs)
--- a/internal/application/application.go
+++ b/internal/application/application.go
@@ -43,16 +43,17 @@
 
 // Transport returns a copy of base that uses each connection for one request and
 // does not attempt HTTP/2.
-func Transport(base *http.Transport) *http.Transport {
+// Observe is told of rejected answers; it may be nil.
+func Transport(base *http.Transport, observe func(httpport.Rejection)) *httpport.Transport {
 	t := base.Clone()
 	t.DisableKeepAlives = true
 	t.ForceAttemptHTTP2 = false
-	return t
+	return httpport.NewTransport(t, observe)
 }
 
 // New returns a client for a target. The transport must be one that Transport
 // returned, because a transport with keep-alive may replay a call.
-func New(t record.Target, transport *http.Transport) *Client {
+func New(t record.Target, transport *httpport.Transport) *Client {
 	return &Client{
 		base: strings.TrimSuffix(t.URL(), "/"),
 		http: &http.Client{
--- a/internal/application/application_test.go
+++ b/internal/application/application_test.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return application.New(target, application.Transport(&http.Transport{}))
+	return application.New(target, application.Transport(&http.Transport{}, nil))
 }
 
 type sink struct {
--- a/internal/detour/forward.go
+++ b/internal/detour/forward.go
@@ -12,6 +12,7 @@
 	"unicode/utf8"
 
 	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/httpport"
 	"bamboorail.example/bamboorail/internal/peer"
 	"bamboorail.example/bamboorail/internal/peer/wire"
 	"bamboorail.example/bamboorail/internal/relay"
@@ -45,19 +46,24 @@
 	}
 	body := &answerBody{stream: stream, cancel: cancel}
 	event, err := stream.Recv()
+	head := event.GetHead()
+	header := peer.DecodeHeader(head.GetHeader())
 	switch {
 	case event == nil:
 		err = d.pathFailed(ctx, address, err)
-	case err == nil && event.GetHead() == nil:
+	case err == nil && head == nil:
 		err = d.pathFailed(ctx, address, errNoHead)
+	case err == nil:
+		if bad := httpport.CheckHead(int(head.GetStatus()), header); bad != nil {
+			err = d.pathFailed(ctx, address, bad)
+		}
 	}
 	if err != nil {
 		return relay.ForwardedAnswer{}, errors.Join(err, body.Close())
 	}
-	head := event.GetHead()
 	return relay.ForwardedAnswer{
 		Response: &http.Response{
-			Status: http.StatusText(int(head.GetStatus())), StatusCode: int(head.GetStatus()), Header: peer.DecodeHeader(head.GetHeader()), Body: body,
+			Status: http.StatusText(int(head.GetStatus())), StatusCode: int(head.GetStatus()), Header: header, Body: body,
 			Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: -1, TransferEncoding: []string{"chunked"},
 		},
 		Target: head.GetTarget(), Origin: bamboorail.StreamOrigin{Service: head.GetService(), Software: head.GetSoftware()},
--- a/internal/detour/forward_test.go
+++ b/internal/detour/forward_test.go
@@ -1,6 +1,7 @@
 package detour
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -28,6 +29,9 @@
 type scriptedRunner struct {
 	parts []string
 	err   error
+	// status is that of the answer, 200 if it is 0; field is the name of a header field.
+	status int
+	field  string
 	// got is the last call; block keeps it running until its context ends.
 	got   chan relay.ForwardCall
 	block bool
@@ -38,7 +42,7 @@
 	r.got <- c
 	for n, part := range r.parts {
 		if n == 0 {
-			if err := to.Begin(http.StatusOK, http.Header{"Stamp": {"t"}}, "t", bamboorail.StreamOrigin{Service: "s", Software: "v1"}); err != nil {
+			if err := to.Begin(cmp.Or(r.status, http.StatusOK), http.Header{cmp.Or(r.field, "Stamp"): {"t"}}, "t", bamboorail.StreamOrigin{Service: "s", Software: "v1"}); err != nil {
 				return err
 			}
 		}
@@ -95,6 +99,8 @@
 		"failed, may have run":      {runner: scriptedRunner{err: unknown}, kind: bamboorail.KindTargetFailed},
 		"nothing at all":            {runner: scriptedRunner{}, kind: bamboorail.KindUnavailable},
 		"an error of another type":  {runner: scriptedRunner{err: errTest}, kind: bamboorail.KindInternal},
+		"invalid status":            {runner: scriptedRunner{parts: []string{"a"}, status: 99}, kind: bamboorail.KindUnavailable},
+		"invalid field name":        {runner: scriptedRunner{parts: []string{"a"}, field: "X Y"}, kind: bamboorail.KindUnavailable},
 		"large answer, many pieces": {runner: scriptedRunner{parts: []string{string(make([]byte, 1<<20)), "x"}}, body: string(make([]byte, 1<<20)) + "x"},
 	}
 	for name, c := range cases {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,6 +81,9 @@
 	Engines bamboorail.EngineController
 	// Dialer opens the connections for calls to targets.
 	Dialer relay.Dialer
+	// Transport is that of Store and Engines, whose rejected answers are logged; it may be
+	// nil.
+	Transport *httpport.Transport
 	// ConfigurationKind, TargetKind and ReleaseKind are the kinds of the
 	// objects that operators and targets write; ConfigurationKey is the key of
 	// the current configuration.
@@ -139,11 +142,11 @@
 
 // NewTransport returns the transport for calls to the platform and orders to
 // engines.
-func NewTransport() *http.Transport {
-	return &http.Transport{
-		DialContext: relay.NewDialer().DialContext, MaxIdleConnsPerHost: storeIdleConns,
+func NewTransport(d relay.Dialer) *httpport.Transport {
+	return httpport.NewTransport(&http.Transport{
+		DialContext: d.DialContext, MaxIdleConnsPerHost: storeIdleConns,
 		IdleConnTimeout: storeIdleTimeout, DisableCompression: true, MaxResponseHeaderBytes: httpport.MaxResponseHeaderBytes,
-	}
+	}, nil)
 }
 
 // New opens the ports of a gateway and returns it without starting it.
@@ -163,6 +166,9 @@
 		return nil, err
 	}
 	g.assemble()
+	if p.Transport != nil {
+		p.Transport.Observe(g.recordRejection)
+	}
 	if e, ok := p.Engines.(bamboorail.AdvisedController); ok {
 		e.OnAdvisory(g.advise)
 	}
@@ -225,6 +231,13 @@
 	g.forwarder = detour.NewServer(g.detour, g.relay)
 }
 
+// recordRejection logs and counts a rejected answer of the store or an engine to a call of
+// the gateway itself.
+func (g *Gateway) recordRejection(r httpport.Rejection) {
+	g.metrics.AnswerRejected("platform", string(r.Err.Reason))
+	g.log.Warn("answer rejected", "from", "platform", "address", r.Address, "reason", string(r.Err.Reason), "error", r.Err.Err)
+}
+
 // budget returns the retry budget of a service, which it creates on first use.
 func (g *Gateway) budget(service string) *retry.WindowBudget {
 	g.mu.Lock()
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -11,6 +11,7 @@
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/balance"
 	"bamboorail.example/bamboorail/internal/eventstream"
+	"bamboorail.example/bamboorail/internal/httpport"
 )
 
 // ForwardCall is a call that an instance forwards to another one, which reaches the
@@ -103,6 +104,7 @@
 	}
 	answer, err := l.x.h.Detour.Forward(sendCtx, l.neighbor, l.forwardCall())
 	if err != nil {
+		l.recordRejection(err)
 		l.ran, l.sent = !bamboorail.NotRun(err), !bamboorail.NotRun(err)
 		l.found = useful(err)
 		if l.start.runs > 0 && bamboorail.NotRun(err) {
@@ -118,6 +120,18 @@
 	}
 }
 
+// recordRejection logs and counts an answer with an invalid head that came through another
+// instance.
+func (l *leg) recordRejection(err error) {
+	var rejected *httpport.Error
+	if !errors.As(err, &rejected) {
+		return
+	}
+	h := l.x.h
+	h.Metrics.AnswerRejected("instance", string(rejected.Reason))
+	h.Log.Warn("answer rejected", "from", "instance", "address", l.neighbor, "reason", string(rejected.Reason), "error", rejected.Err)
+}
+
 // useful reports whether another attempt is useful after one through another instance,
 // which has already made its own. That instance cannot check whether the answer of its
 // target continues a stream.
--- a/internal/relay/leg.go
+++ b/internal/relay/leg.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"slices"
 	"strings"
@@ -19,6 +18,7 @@
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/balance"
 	"bamboorail.example/bamboorail/internal/eventstream"
+	"bamboorail.example/bamboorail/internal/httpport"
 	"bamboorail.example/bamboorail/internal/task"
 )
 
@@ -195,12 +195,13 @@
 	l.sent = true
 	// A repeated response to an earlier attempt names this call, too.
 	single := x.route.Repeat == bamboorail.RepeatNever && !x.route.Streaming || slices.Contains(l.start.reached, l.target.ID.Name)
-	reused := false
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused = i.Reused }})
 	transport := x.h.pool.transport(l.target, single)
 	defer l.withdrawOutdated()()
-	resp, err := transport.RoundTrip(l.newRequest().WithContext(ctx)) //nolint:bodyclose // closed by end
+	resp, reused, err := transport.Send(l.newRequest().WithContext(ctx)) //nolint:bodyclose // closed by end
 	if err != nil {
+		if isRejected(err) {
+			x.h.pool.discard(l.target.ID, transport)
+		}
 		l.result, l.err = l.transportError(op, err)
 		return
 	}
@@ -309,6 +310,8 @@
 		return " unacknowledged"
 	case errors.Is(err, eventstream.ErrNotContinued):
 		return " not-continued"
+	case isRejected(err):
+		return " rejected"
 	case closedByTarget(err):
 		return " closed"
 	}
@@ -342,6 +345,9 @@
 	if result, err := l.canceledError(op, bamboorail.KindDeadlineExceeded, err); err != nil {
 		return result, err
 	}
+	if isRejected(err) {
+		return balance.Failed, mayHaveRun(op, bamboorail.KindTargetFailed, err)
+	}
 	if closedByTarget(err) {
 		return balance.Dropped, mayHaveRun(op, bamboorail.KindUnavailable, err)
 	}
@@ -373,6 +379,12 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
 }
 
+// isRejected reports whether the target sent an answer that is not valid or not complete.
+func isRejected(err error) bool {
+	var rejected *httpport.Error
+	return errors.As(err, &rejected)
+}
+
 // newRequest builds the request to the target. Method, path and body are byte
 // for byte those of the caller.
 func (l *leg) newRequest() *http.Request {
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/httpport"
 )
 
 // statusOf maps a failure to an HTTP status. Statuses that imply that the call
@@ -51,6 +52,12 @@
 	_, _ = io.WriteString(x.w, f.Error()+"\n")
 }
 
+// recordRejection logs and counts a rejected answer of a target.
+func (h *Handler) recordRejection(id bamboorail.TargetID, r httpport.Rejection) {
+	h.Metrics.AnswerRejected("target", string(r.Err.Reason))
+	h.Log.Warn("answer rejected", "from", "target", "target", id.Name, "address", r.Address, "reason", string(r.Err.Reason), "error", r.Err.Err)
+}
+
 // report logs the call in one line and records its metrics.
 func (x *exchange) report(err error) {
 	took := time.Since(x.received)
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -59,6 +59,8 @@
 // pool keeps separate connections for each incarnation of a target.
 type pool struct {
 	dialer Dialer
+	// reject is told of the rejected answers of targets; it may be nil.
+	reject func(id bamboorail.TargetID, r httpport.Rejection)
 
 	mu      sync.Mutex
 	targets map[bamboorail.TargetID]*connections
@@ -66,26 +68,27 @@
 
 // connections holds the transports to one target.
 type connections struct {
+	target  bamboorail.TargetID
 	address string
-	reused  *http.Transport
-	single  *http.Transport
+	reused  *httpport.Transport
+	single  *httpport.Transport
 	idle    time.Duration
 }
 
-func newPool(d Dialer) *pool {
-	return &pool{dialer: d, targets: map[bamboorail.TargetID]*connections{}}
+func newPool(d Dialer, reject func(id bamboorail.TargetID, r httpport.Rejection)) *pool {
+	return &pool{dialer: d, reject: reject, targets: map[bamboorail.TargetID]*connections{}}
 }
 
 // transport returns the transport for a call. A call that must not be repeated
 // gets a new connection: the peer may close a reused one while the call is in
 // transit, or still send the answer to an earlier call on it.
-func (p *pool) transport(t bamboorail.TargetEntry, single bool) http.RoundTripper {
+func (p *pool) transport(t bamboorail.TargetEntry, single bool) *httpport.Transport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := p.targets[t.ID]
 	if c == nil || c.address != t.Address {
-		c = &connections{address: t.Address, idle: idleTimeout, reused: p.newTransport(idleTimeout), single: p.newTransport(idleTimeout)}
-		c.single.DisableKeepAlives = true
+		c = &connections{target: t.ID, address: t.Address, idle: idleTimeout}
+		c.reused, c.single = p.newTransport(c, false), p.newTransport(c, true)
 		p.targets[t.ID] = c
 	}
 	if single {
@@ -94,11 +97,15 @@
 	return c.reused
 }
 
-func (p *pool) newTransport(idle time.Duration) *http.Transport {
-	return &http.Transport{
-		DialContext: p.dialer.DialContext, DisableCompression: true,
-		MaxIdleConnsPerHost: idlePerTarget, IdleConnTimeout: idle, MaxResponseHeaderBytes: httpport.MaxResponseHeaderBytes,
+func (p *pool) newTransport(c *connections, single bool) *httpport.Transport {
+	var observe func(httpport.Rejection)
+	if id := c.target; p.reject != nil {
+		observe = func(r httpport.Rejection) { p.reject(id, r) }
 	}
+	return httpport.NewTransport(&http.Transport{
+		DialContext: p.dialer.DialContext, DisableCompression: true, DisableKeepAlives: single,
+		MaxIdleConnsPerHost: idlePerTarget, IdleConnTimeout: c.idle, MaxResponseHeaderBytes: httpport.MaxResponseHeaderBytes,
+	}, observe)
 }
 
 // limitIdle shortens the idle timeout of a target's connections to the one that
@@ -122,12 +129,12 @@
 // idle. The caller holds the lock.
 func (p *pool) replace(c *connections) {
 	old := c.reused
-	c.reused = p.newTransport(c.idle)
+	c.reused = p.newTransport(c, false)
 	old.CloseIdleConnections()
 }
 
 // discard keeps further calls from the connections of a transport.
-func (p *pool) discard(id bamboorail.TargetID, used http.RoundTripper) {
+func (p *pool) discard(id bamboorail.TargetID, used *httpport.Transport) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c := p.targets[id]; c != nil && used == c.reused {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -137,7 +137,9 @@
 	if c.ConfigurationAge == nil {
 		c.ConfigurationAge = func() time.Duration { return 0 }
 	}
-	return &Handler{Config: c, pool: newPool(c.Dialer), bodies: newBodyMemory(c.BodyMemory)}
+	h := &Handler{Config: c, bodies: newBodyMemory(c.BodyMemory)}
+	h.pool = newPool(c.Dialer, h.recordRejection)
+	return h
 }
 
 // Retain closes the connections to targets for which live returns false.
--- a/internal/relay/standby_test.go
+++ b/internal/relay/standby_test.go
@@ -243,7 +243,7 @@
 		a, spare := newTarget(t, "a", first), newTarget(t, "spare", silentFor(25*time.Millisecond, stream(true, event(2), event(3))))
 		b := newTestRelay(t, resumable, a, spare)
 		if dialer != nil {
-			b.handler.pool = newPool(dialer)
+			b.handler.pool = newPool(dialer, b.handler.recordRejection)
 		}
 		got := b.call(t, http.MethodPost, "/p/x", "body")
 		if got.broken || got.body != event(1)+event(2)+event(3) {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -59,7 +59,7 @@
 	tracer    trace.Tracer
 
 	engineTransport    http.RoundTripper
-	singleUseTransport *http.Transport
+	singleUseTransport *httpport.Transport
 
 	ports      *listeners
 	config     *configuration
@@ -80,11 +80,11 @@
 	self := platform.Session{
 		ID: uuid.NewString(), Instance: s.Instance, Zone: s.Zone, Region: s.Region, Peer: s.PeerAnnounce, Caller: s.CallerAddress,
 	}
+	i.metrics = telemetry.NewMetrics()
 	if err := i.connect(self); err != nil {
 		return nil, err
 	}
 	i.holder = weightstore.NewHolder(s.MaxConcurrentLoads)
-	i.metrics = telemetry.NewMetrics()
 	i.spans = telemetry.NewSpanStore(s.Instance, s.TraceCapacity)
 	i.tracer = telemetry.NewTracer(i.spans)
 	i.config = newConfiguration(i)
@@ -126,10 +126,10 @@
 		return err
 	}
 	dialer := &net.Dialer{Timeout: targetDialTimeout}
-	i.store = platform.NewClient(i.settings.PlatformURL, &http.Transport{
+	i.store = platform.NewClient(i.settings.PlatformURL, httpport.NewTransport(&http.Transport{
 		DialContext: dialer.DialContext, TLSClientConfig: platformTLS, MaxIdleConnsPerHost: platformIdleConns, IdleConnTimeout: idleConnTimeout,
 		MaxResponseHeaderBytes: httpport.MaxResponseHeaderBytes,
-	})
+	}, i.recordRejection("platform")))
 	i.writer = platform.NewWriter(i.store)
 	i.sessions = platform.NewSessionRenewer(i.store, self)
 	i.peers = peer.NewClient(peerTLS)
@@ -137,11 +137,20 @@
 		DialContext: dialer.DialContext, TLSClientConfig: targetTLS, MaxIdleConnsPerHost: idleConnsPerTarget,
 		IdleConnTimeout: idleConnTimeout, DisableCompression: true, MaxResponseHeaderBytes: httpport.MaxResponseHeaderBytes,
 	}
-	i.engineTransport = engines
-	i.singleUseTransport = application.Transport(engines)
+	i.singleUseTransport = application.Transport(engines, i.recordRejection("target"))
+	i.engineTransport = httpport.NewTransport(engines, i.recordRejection("target"))
 	return nil
 }
 
+// recordRejection returns the function that logs and counts rejected answers of a kind of
+// peer.
+func (i *Instance) recordRejection(from string) func(httpport.Rejection) {
+	return func(r httpport.Rejection) {
+		i.metrics.AnswerRejected(from, string(r.Err.Reason))
+		i.log.Warn("answer rejected", "from", from, "address", r.Address, "reason", string(r.Err.Reason), "error", r.Err.Err)
+	}
+}
+
 // CallerAddress returns the address on which callers are served.
 func (i *Instance) CallerAddress() string { return i.ports.caller.Address() }
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -31,6 +31,7 @@
 	blocked   prometheus.Counter
 	advised   *prometheus.CounterVec
 	refusals  *prometheus.CounterVec
+	rejected  *prometheus.CounterVec
 }
 
 // waitBuckets are histogram bucket bounds in seconds.
@@ -59,7 +60,8 @@
 	m.blocked = newCounter("prompt_segments_blocked_total", "Prompt segments that were blocked because they crash engines.")
 	m.advised = newCounterVec("target_advisories_total", "Targets that said that they leave or asked for a pause.", "reason")
 	m.refusals = newCounterVec("target_refusals_total", "Calls that full targets refused, by whether they were known as brittle.", "brittle")
-	m.registry.MustRegister(m.store, m.blocked, m.advised, m.refusals, m.late, m.requests, m.duration, m.loads, m.loadTime, m.evictions, m.waited, m.loadWait,
+	m.rejected = newCounterVec("answers_rejected_total", "Answers that were not valid or not complete, by sender and reason.", "from", "reason")
+	m.registry.MustRegister(m.rejected, m.store, m.blocked, m.advised, m.refusals, m.late, m.requests, m.duration, m.loads, m.loadTime, m.evictions, m.waited, m.loadWait,
 		m.running, m.maxBatch, m.revision, m.faults, m.mismatch,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -146,6 +148,9 @@
 // TargetAdvised counts a target that said that it leaves or asked for a pause.
 func (m *Metrics) TargetAdvised(reason string) { m.advised.WithLabelValues(reason).Inc() }
 
+// AnswerRejected counts an answer that was not valid or not complete.
+func (m *Metrics) AnswerRejected(from, reason string) { m.rejected.WithLabelValues(from, reason).Inc() }
+
 // TargetRefused counts a call that a target refused since it was full. knownBrittle is set
 // if this instance took the target for brittle when the call was sent.
 func (m *Metrics) TargetRefused(knownBrittle bool) {
