httpport: heads that state the framing more than once are rejected

Cause: net/http drops a Content-Length beside chunks, a second equal length, and the Transfer-Encoding of HTTP/1.0, whose chunk sizes then count as the body. The parsed head does not show it.

Change: connections count the fields for the framing while the head arrives. An answer with more than one, or with chunks in HTTP/1.0, is rejected with the reason "framing". Connections with TLS are not covered, as their bytes are encrypted.

--- a/internal/httpport/check.go
+++ b/internal/httpport/check.go
@@ -17,6 +17,7 @@
 const (
 	ReasonStatus        Reason = "status"
 	ReasonField         Reason = "field"
+	ReasonFraming       Reason = "framing"
 	ReasonInformational Reason = "informational"
 	ReasonTrailer       Reason = "trailer"
 	ReasonIncomplete    Reason = "incomplete"
--- a/internal/httpport/conn.go
+++ b/internal/httpport/conn.go
@@ -20,7 +20,8 @@
 // the end of the stream.
 type conn struct {
 	net.Conn
-	raw syscall.RawConn
+	raw     syscall.RawConn
+	framing framingScanner
 
 	// mu is held by a write, failed is set once one has failed.
 	mu     sync.Mutex
@@ -62,6 +63,7 @@
 // Read reads from the connection. It returns io.EOF only for an orderly end.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.framing.scan(p[:n])
 	if errors.Is(err, io.EOF) && c.isClosed() && c.hasFailed() {
 		return n, errBrokenUnnoticed
 	}
--- a/internal/httpport/transport.go
+++ b/internal/httpport/transport.go
@@ -73,7 +73,7 @@
 	x.trace = httptrace.ClientTrace{GotConn: x.gotConn, WroteRequest: x.wroteRequest, Got1xxResponse: x.gotInformational}
 	resp, err = t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), &x.trace)))
 	if err == nil {
-		if err = checkResponse(resp); err == nil {
+		if err = x.checkHead(resp); err == nil {
 			x.checkBody(resp)
 			return resp, x.reused, nil
 		}
@@ -104,6 +104,9 @@
 // sends a request again of which it had sent nothing.
 func (x *exchange) gotConn(i httptrace.GotConnInfo) {
 	x.conn, x.reused, x.informationalBytes = i.Conn, i.Reused, 0
+	if c, ok := i.Conn.(*conn); ok {
+		c.framing.start()
+	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.written, x.writeErr = false, nil
@@ -135,6 +138,15 @@
 	return checkFields(ReasonInformational, h)
 }
 
+// checkHead checks the head of an answer. How often the framing is stated is not known of
+// connections with TLS.
+func (x *exchange) checkHead(r *http.Response) error {
+	if c, ok := x.conn.(*conn); ok && c.framing.ambiguous.Load() {
+		return rejected(ReasonFraming, errFramings)
+	}
+	return checkResponse(r)
+}
+
 // observed reports a rejection and closes its connection, which net/http may keep otherwise.
 // It returns err.
 func (x *exchange) observed(err error) error {
--- a/internal/httpport/transport_test.go
+++ b/internal/httpport/transport_test.go
@@ -47,9 +47,9 @@
 		answer string
 		reason httpport.Reason
 	}{
-		"status":        {"HTTP/1.1 099 OK\r\nContent-Length: 0\r\n\r\n", httpport.ReasonStatus},
-		"field":         {"HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n", httpport.ReasonField},
-		"informational": {"HTTP/1.1 103 Early Hints\r\nLi nk: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", httpport.ReasonInformational},
+		"status":             {"HTTP/1.1 099 OK\r\nContent-Length: 0\r\n\r\n", httpport.ReasonStatus},
+		"field":              {"HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n", httpport.ReasonField},
+		"informational head": {"HTTP/1.1 103 Early Hints\r\nLi nk: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", httpport.ReasonInformational},
 		"many heads": {
 			strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: "+strings.Repeat("x", 8<<10)+"\r\n\r\n", 9) + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 			httpport.ReasonInformational,
--- a/internal/relay/complete_test.go
+++ b/internal/relay/complete_test.go
@@ -175,8 +175,10 @@
 	const chunks = "3\r\nabc\r\n0\r\n"
 	answers := map[string]struct {
 		status, rest string
-		// begun is set if the fault follows the body, modern if HTTP/1.0 does not have it.
-		begun, modern bool
+		// begun is set if the fault follows the body; only is the version that has the fault,
+		// empty if both have.
+		begun bool
+		only  string
 	}{
 		"status 000":                    {status: "000 OK", rest: "Content-Length: 3\r\n\r\nabc"},
 		"status 000, no body":           {status: "000 OK", rest: "Content-Length: 0\r\n\r\n"},
@@ -192,24 +194,27 @@
 		"blank after Transfer-Encoding": {status: "200 OK", rest: "Transfer-Encoding : chunked\r\n\r\n" + chunks + "\r\n"},
 		"blank after Content-Length":    {status: "200 OK", rest: "Content-Length : 3\r\n\r\nabc"},
 		"blank after other length":      {status: "200 OK", rest: "Content-Length: 3\r\nContent-Length : 5\r\n\r\nabcde"},
+		"length and chunks":             {status: "200 OK", rest: "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + "\r\n"},
+		"length twice":                  {status: "200 OK", rest: "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc"},
+		"chunks in HTTP/1.0":            {status: "200 OK", rest: "Transfer-Encoding: chunked\r\n\r\n" + chunks + "\r\n", only: "1.0"},
 		"blank in a name":               {status: "200 OK", rest: "X Y: z\r\nContent-Length: 3\r\n\r\nabc"},
 		"blank in an informational head": {
-			status: "103 Early Hints", rest: "Li nk: x\r\n\r\nHTTP/1.1 200 OK\r\nId: id-1\r\nContent-Length: 3\r\n\r\nabc", modern: true,
+			status: "103 Early Hints", rest: "Li nk: x\r\n\r\nHTTP/1.1 200 OK\r\nId: id-1\r\nContent-Length: 3\r\n\r\nabc", only: "1.1",
 		},
 		"blank after Transfer-Encoding in an informational head": {
-			status: "103 Early Hints", rest: "Transfer-Encoding : chunked\r\n\r\nHTTP/1.1 200 OK\r\nId: id-1\r\nContent-Length: 3\r\n\r\nabc", modern: true,
+			status: "103 Early Hints", rest: "Transfer-Encoding : chunked\r\n\r\nHTTP/1.1 200 OK\r\nId: id-1\r\nContent-Length: 3\r\n\r\nabc", only: "1.1",
 		},
 		"blank in a trailer": {
-			status: "200 OK", rest: "Content-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + "X Y: z\r\n\r\n", begun: true, modern: true,
+			status: "200 OK", rest: "Content-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + "X Y: z\r\n\r\n", begun: true, only: "1.1",
 		},
 		"blank after Content-Length in a trailer": {
-			status: "200 OK", rest: "Content-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + "Content-Length : 1\r\n\r\n", begun: true, modern: true,
+			status: "200 OK", rest: "Content-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + "Content-Length : 1\r\n\r\n", begun: true, only: "1.1",
 		},
 	}
 	for kind, route := range routeKinds {
 		for form, head := range headForms {
 			for name, answer := range answers {
-				if answer.modern && !strings.HasPrefix(form, "1.1") {
+				if !strings.HasPrefix(form, answer.only) {
 					continue
 				}
 				t.Run(fmt.Sprintf("%s, %s, %s", kind, form, name), func(t *testing.T) {
