--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -35,6 +35,7 @@
 	limited   *prometheus.CounterVec
 	full      prometheus.Counter
 	streams   streamVectors
+	rejected  *prometheus.CounterVec
 }
 
 // waitBuckets are histogram bucket bounds in seconds.
@@ -69,8 +70,9 @@
 	m.registry.MustRegister(m.credit, m.limited)
 	m.full = newCounter("shared_calls_refused_total", "Calls that were refused because all shared targets of their service were full.")
 	m.registry.MustRegister(m.full)
-	m.registry.MustRegister(m.store, m.blocked, m.advised, m.refusals, m.late, m.requests, m.duration, m.loads, m.loadTime, m.evictions, m.waited, m.loadWait,
-		m.running, m.maxBatch, m.revision, m.faults, m.mismatch,
+	m.rejected = newCounterVec("answers_rejected_total", "Answers that were not valid or not complete, by sender and reason.", "from", "reason")
+	m.registry.MustRegister(m.rejected, m.store, m.blocked, m.advised, m.refusals, m.late, m.requests, m.duration, m.loads, m.loadTime,
+		m.evictions, m.waited, m.loadWait, m.running, m.maxBatch, m.revision, m.faults, m.mismatch,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -156,6 +158,9 @@
 // TargetAdvised counts a target that said that it leaves or asked for a pause.
 func (m *Metrics) TargetAdvised(reason string) { m.advised.WithLabelValues(reason).Inc() }
 
+// AnswerRejected counts an answer that was not valid or not complete.
+func (m *Metrics) AnswerRejected(from, reason string) { m.rejected.WithLabelValues(from, reason).Inc() }
+
 // TargetRefused counts a call that a target refused since it was full. knownBrittle is set
 // if this instance took the target for brittle when the call was sent.
 func (m *Metrics) TargetRefused(knownBrittle bool) {
