relay: calls that were not sent are not run, idle connections are bounded

A call whose connection was still being opened at its deadline, or was reset before the first byte of the request, counted as one that may have run. Each instance kept up to 32 idle connections to a target, 89 instances 2,848 where a target accepts 590.

Change: a connection counts what is written for a request. A request that got no connection, or of which nothing was written when it failed, is not run; the connection takes no further bytes after that is decided. An instance keeps at most its share of half the connections that the service declares, and at least one.

A reset after one byte still is 502.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -218,7 +218,7 @@
 	g.relay = relay.NewHandler(relay.Config{
 		Instance: s.Instance, Detour: g.detour,
 		Ingress: g.platform.Ingress, Egress: g.platform.Egress, Table: g.table.Load, Chooser: g.chooser, Budget: g.budget,
-		Dialer: g.detour, Metrics: g.metrics, Tracer: tracer, Advise: g.advise, Origins: g.origins, ShuttingDown: g.shuttingDown.Load,
+		Dialer: g.detour, IdleLimit: g.idleLimit, Metrics: g.metrics, Tracer: tracer, Advise: g.advise, Origins: g.origins, ShuttingDown: g.shuttingDown.Load,
 		BodyMemory: int64(float64(s.MaxMemory) * bodyMemoryShare),
 		Log:        g.logs.Layer("relay"),
 	})
--- a/internal/gateway/tuning.go
+++ b/internal/gateway/tuning.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"bamboorail.example/bamboorail"
@@ -130,3 +131,26 @@
 	t := g.table.Load()
 	return t != nil && t.HasWorkspaces()
 }
+
+const (
+	// idleShare is the part of the connections that a target accepts which all instances
+	// together keep idle. The others are for calls, those that run once among them, which
+	// get new connections.
+	idleShare = 0.5
+	// unlimitedIdle is the limit for targets that state no number of connections.
+	unlimitedIdle = math.MaxInt
+)
+
+// idleLimit returns the number of idle connections that this instance may keep to a target
+// of a service: its share of those that the target accepts.
+func (g *Gateway) idleLimit(service string) int {
+	t := g.table.Load()
+	if t == nil {
+		return unlimitedIdle
+	}
+	s, ok := t.Service(service)
+	if !ok || s.MaxConnections == 0 {
+		return unlimitedIdle
+	}
+	return max(int(idleShare*float64(s.MaxConnections))/max(g.instances(), 1), 1)
+}
--- a/internal/relay/leg.go
+++ b/internal/relay/leg.go
@@ -195,16 +195,16 @@
 	l.sent = true
 	// A repeated response to an earlier attempt names this call, too.
 	single := x.route.Repeat == bamboorail.RepeatNever && !x.route.Streaming || slices.Contains(l.start.reached, l.target.ID.Name)
-	reused := false
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused = i.Reused }})
+	var sending sending
+	ctx = httptrace.WithClientTrace(ctx, sending.trace())
 	transport := x.h.pool.transport(l.target, single)
 	defer l.withdrawOutdated()()
 	resp, err := transport.RoundTrip(l.newRequest().WithContext(ctx)) //nolint:bodyclose // closed by end
 	if err != nil {
-		l.result, l.err = l.transportError(op, err)
+		l.result, l.err = l.transportError(op, err, sending.isUnsent())
 		return
 	}
-	class := l.classify(resp, reused)
+	class := l.classify(resp, sending.reused)
 	if x.h.Egress.ResponseID(resp) != x.call.ID {
 		// The connection may still carry the answer to this call.
 		x.h.pool.discard(l.target.ID, transport)
@@ -324,19 +324,22 @@
 	return notRun(op, bamboorail.KindOverloaded, defaultRetryAfter, err)
 }
 
-// transportError returns the failure of a call without a response. Only a
-// connection that could not be established proves that the target did not run
-// the call.
-func (l *leg) transportError(op string, err error) (balance.Result, error) {
+// transportError returns the failure of a call without a response. Only a call of which
+// nothing was sent is certain not to run at the target.
+func (l *leg) transportError(op string, err error, unsent bool) (balance.Result, error) {
 	var dial *net.OpError
-	if errors.As(err, &dial) && dial.Op == "dial" {
+	if unsent || errors.As(err, &dial) && dial.Op == "dial" {
 		// The call did not reach the target, so it does not count against the
 		// budget.
 		l.sent = false
+		result := balance.Unreachable
+		if l.ctx.Err() != nil {
+			result, _ = l.canceledError(op, bamboorail.KindUnavailable, err)
+		}
 		if l.start.runs > 0 {
-			return balance.Unreachable, mayHaveRun(op, bamboorail.KindUnavailable, err)
+			return result, mayHaveRun(op, bamboorail.KindUnavailable, err)
 		}
-		return balance.Unreachable, notRun(op, bamboorail.KindUnavailable, defaultRetryAfter, err)
+		return result, notRun(op, bamboorail.KindUnavailable, defaultRetryAfter, err)
 	}
 	l.ran = true
 	if result, err := l.canceledError(op, bamboorail.KindDeadlineExceeded, err); err != nil {
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -35,6 +35,9 @@
 	// idlePerTarget limits the idle connections to one target, since all
 	// instances share the connections that a target accepts.
 	idlePerTarget = 32
+	// idleLimitGrowth is the factor by which the limit of idle connections must grow to be
+	// applied, since that closes those that are open.
+	idleLimitGrowth = 2
 )
 
 // NewDialer returns a dialer whose connections fail within seconds if the peer
@@ -59,6 +62,9 @@
 // pool keeps separate connections for each incarnation of a target.
 type pool struct {
 	dialer Dialer
+	// idleLimit returns the number of idle connections that this instance may keep to a
+	// target of a service.
+	idleLimit func(service string) int
 
 	mu      sync.Mutex
 	targets map[bamboorail.TargetID]*connections
@@ -70,10 +76,13 @@
 	reused  *http.Transport
 	single  *http.Transport
 	idle    time.Duration
+	// limit is the number of idle connections that are kept.
+	limit int
 }
 
+// newPool returns a pool that keeps idlePerTarget connections to each target.
 func newPool(d Dialer) *pool {
-	return &pool{dialer: d, targets: map[bamboorail.TargetID]*connections{}}
+	return &pool{dialer: d, idleLimit: func(string) int { return idlePerTarget }, targets: map[bamboorail.TargetID]*connections{}}
 }
 
 // transport returns the transport for a call. A call that must not be repeated
@@ -82,22 +91,27 @@
 func (p *pool) transport(t bamboorail.TargetEntry, single bool) http.RoundTripper {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	limit := min(max(p.idleLimit(t.Service), 1), idlePerTarget)
 	c := p.targets[t.ID]
 	if c == nil || c.address != t.Address {
-		c = &connections{address: t.Address, idle: idleTimeout, reused: p.newTransport(idleTimeout), single: p.newTransport(idleTimeout)}
+		c = &connections{address: t.Address, idle: idleTimeout, limit: limit, reused: p.newTransport(idleTimeout, limit), single: p.newTransport(idleTimeout, limit)}
 		c.single.DisableKeepAlives = true
 		p.targets[t.ID] = c
 	}
+	if limit < c.limit || limit > idleLimitGrowth*c.limit {
+		c.limit = limit
+		p.replace(c)
+	}
 	if single {
 		return c.single
 	}
 	return c.reused
 }
 
-func (p *pool) newTransport(idle time.Duration) *http.Transport {
+func (p *pool) newTransport(idle time.Duration, limit int) *http.Transport {
 	return &http.Transport{
-		DialContext: p.dialer.DialContext, DisableCompression: true,
-		MaxIdleConnsPerHost: idlePerTarget, IdleConnTimeout: idle, MaxResponseHeaderBytes: httpport.MaxResponseHeaderBytes,
+		DialContext: trackedDial(p.dialer), DisableCompression: true,
+		MaxIdleConnsPerHost: limit, IdleConnTimeout: idle, MaxResponseHeaderBytes: httpport.MaxResponseHeaderBytes,
 	}
 }
 
@@ -122,7 +136,7 @@
 // idle. The caller holds the lock.
 func (p *pool) replace(c *connections) {
 	old := c.reused
-	c.reused = p.newTransport(c.idle)
+	c.reused = p.newTransport(c.idle, c.limit)
 	old.CloseIdleConnections()
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -102,10 +102,13 @@
 	ConfigurationAge func() time.Duration
 	Chooser          Chooser
 	// Budget returns the retry budget of a service.
-	Budget  func(service string) *retry.WindowBudget
-	Dialer  Dialer
-	Metrics *telemetry.Metrics
-	Tracer  trace.Tracer
+	Budget func(service string) *retry.WindowBudget
+	Dialer Dialer
+	// IdleLimit returns the number of idle connections that this instance may keep to a
+	// target of a service; nil sets no limit beyond that of the package.
+	IdleLimit func(service string) int
+	Metrics   *telemetry.Metrics
+	Tracer    trace.Tracer
 	// Advise is told what targets say of themselves in their answers.
 	Advise func(id bamboorail.TargetID, a bamboorail.Advisory)
 	// Origins records where streams began.
@@ -137,7 +140,11 @@
 	if c.ConfigurationAge == nil {
 		c.ConfigurationAge = func() time.Duration { return 0 }
 	}
-	return &Handler{Config: c, pool: newPool(c.Dialer), bodies: newBodyMemory(c.BodyMemory)}
+	h := &Handler{Config: c, pool: newPool(c.Dialer), bodies: newBodyMemory(c.BodyMemory)}
+	if c.IdleLimit != nil {
+		h.pool.idleLimit = c.IdleLimit
+	}
+	return h
 }
 
 // Retain closes the connections to targets for which live returns false.
