--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -232,8 +232,8 @@
 	g.relay = relay.NewHandler(relay.Config{
 		Instance: s.Instance, Detour: g.detour, Quotas: g.credit,
 		Ingress: g.platform.Ingress, Egress: g.platform.Egress, Table: g.table.Load, Chooser: g.chooser, Budget: g.budget,
-		ConfigurationAge: g.configuration.SinceLastAnswer,
-		Dialer:           g.detour, Metrics: g.metrics, Tracer: tracer, Advise: g.advise, Origins: g.origins, ShuttingDown: g.shuttingDown.Load,
+		ConfigurationAge: g.configuration.SinceLastAnswer, IdleLimit: g.idleLimit,
+		Dialer: g.detour, Metrics: g.metrics, Tracer: tracer, Advise: g.advise, Origins: g.origins, ShuttingDown: g.shuttingDown.Load,
 		BodyMemory: int64(float64(s.MaxMemory) * bodyMemoryShare),
 		Log:        g.logs.Layer("relay"),
 	})
--- a/internal/httpport/conn.go
+++ b/internal/httpport/conn.go
@@ -51,6 +51,9 @@
 	}
 }
 
+// NetConn returns the connection that the dial function returned.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Write writes to the connection.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
--- a/internal/httpport/transport.go
+++ b/internal/httpport/transport.go
@@ -58,6 +58,9 @@
 	t.observe.Store(&observe)
 }
 
+// MaxIdleConns returns the number of idle connections that are kept to each peer.
+func (t *Transport) MaxIdleConns() int { return t.base.MaxIdleConnsPerHost }
+
 // CloseIdleConnections closes the connections that are not in use.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -35,6 +35,9 @@
 	// idlePerTarget limits the idle connections to one target, since all
 	// instances share the connections that a target accepts.
 	idlePerTarget = 32
+	// idleLimitGrowth is the factor by which the limit of idle connections must grow to be
+	// applied, since that closes those that are open.
+	idleLimitGrowth = 2
 )
 
 // NewDialer returns a dialer whose connections fail within seconds if the peer
@@ -61,6 +64,9 @@
 	dialer Dialer
 	// reject is told of the rejected answers of targets; it may be nil.
 	reject func(id bamboorail.TargetID, r httpport.Rejection)
+	// idleLimit returns the number of idle connections that this instance may keep to a
+	// target of a service.
+	idleLimit func(service string) int
 
 	mu      sync.Mutex
 	targets map[bamboorail.TargetID]*connections
@@ -73,10 +79,15 @@
 	reused  *httpport.Transport
 	single  *httpport.Transport
 	idle    time.Duration
+	// limit is the number of idle connections that are kept.
+	limit int
 }
 
+// newPool returns a pool that keeps idlePerTarget connections to each target.
 func newPool(d Dialer, reject func(id bamboorail.TargetID, r httpport.Rejection)) *pool {
-	return &pool{dialer: d, reject: reject, targets: map[bamboorail.TargetID]*connections{}}
+	return &pool{
+		dialer: d, reject: reject, idleLimit: func(string) int { return idlePerTarget }, targets: map[bamboorail.TargetID]*connections{},
+	}
 }
 
 // transport returns the transport for a call. A call that must not be repeated
@@ -85,12 +96,17 @@
 func (p *pool) transport(t bamboorail.TargetEntry, single bool) *httpport.Transport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	limit := min(max(p.idleLimit(t.Service), 1), idlePerTarget)
 	c := p.targets[t.ID]
 	if c == nil || c.address != t.Address {
-		c = &connections{target: t.ID, address: t.Address, idle: idleTimeout}
+		c = &connections{target: t.ID, address: t.Address, idle: idleTimeout, limit: limit}
 		c.reused, c.single = p.newTransport(c, false), p.newTransport(c, true)
 		p.targets[t.ID] = c
 	}
+	if limit < c.limit || limit > idleLimitGrowth*c.limit {
+		c.limit = limit
+		p.replace(c)
+	}
 	if single {
 		return c.single
 	}
@@ -103,8 +119,8 @@
 		observe = func(r httpport.Rejection) { p.reject(id, r) }
 	}
 	return httpport.NewTransport(&http.Transport{
-		DialContext: p.dialer.DialContext, DisableCompression: true, DisableKeepAlives: single,
-		MaxIdleConnsPerHost: idlePerTarget, IdleConnTimeout: c.idle, MaxResponseHeaderBytes: httpport.MaxResponseHeaderBytes,
+		DialContext: trackedDial(p.dialer), DisableCompression: true, DisableKeepAlives: single,
+		MaxIdleConnsPerHost: c.limit, IdleConnTimeout: c.idle, MaxResponseHeaderBytes: httpport.MaxResponseHeaderBytes,
 	}, observe)
 }
 
--- a/internal/relay/quota_test.go
+++ b/internal/relay/quota_test.go
@@ -13,10 +13,10 @@
 	"bamboorail.example/bamboorail/internal/route"
 )
 
-// keyDialect reads the key and the size of a call.
-type keyDialect struct{ testDialect }
+// sizedDialect reads the key and the size of a call.
+type sizedDialect struct{ testDialect }
 
-func (d keyDialect) Decode(r *http.Request) (bamboorail.Call, error) {
+func (d sizedDialect) Decode(r *http.Request) (bamboorail.Call, error) {
 	c, err := d.testDialect.Decode(r)
 	if key := r.Header.Get("Authorization"); key != "" {
 		c.Credential = bamboorail.NewCredential(key)
@@ -90,7 +90,7 @@
 					Name: "w", Keys: []bamboorail.KeyDigest{bamboorail.DigestKey("key")}, Quota: bamboorail.Quota{Unit: bamboorail.QuotaTokens, Rate: 1000},
 				}},
 			})
-			b.handler.Ingress, b.handler.Quotas, b.handler.Table = keyDialect{}, quotas, func() *route.Table { return table }
+			b.handler.Ingress, b.handler.Quotas, b.handler.Table = sizedDialect{}, quotas, func() *route.Table { return table }
 			r := b.call(t, http.MethodPost, "/p/x", "body", "Authorization", c.key)
 			if r.status != c.status || r.header.Get("Retry-After") != c.retry {
 				t.Errorf("status %d, retry after %q", r.status, r.header.Get("Retry-After"))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -113,10 +113,13 @@
 	ConfigurationAge func() time.Duration
 	Chooser          Chooser
 	// Budget returns the retry budget of a service.
-	Budget  func(service string) *retry.WindowBudget
-	Dialer  Dialer
-	Metrics *telemetry.Metrics
-	Tracer  trace.Tracer
+	Budget func(service string) *retry.WindowBudget
+	Dialer Dialer
+	// IdleLimit returns the number of idle connections that this instance may keep to a
+	// target of a service; nil sets no limit beyond that of the package.
+	IdleLimit func(service string) int
+	Metrics   *telemetry.Metrics
+	Tracer    trace.Tracer
 	// Advise is told what targets say of themselves in their answers.
 	Advise func(id bamboorail.TargetID, a bamboorail.Advisory)
 	// Origins records where streams began.
@@ -152,6 +155,9 @@
 	}
 	h := &Handler{Config: c, bodies: newBodyMemory(c.BodyMemory)}
 	h.pool = newPool(c.Dialer, h.recordRejection)
+	if c.IdleLimit != nil {
+		h.pool.idleLimit = c.IdleLimit
+	}
 	return h
 }
 
