adapters: the last queued call stands for those of its adapter

Cause: when an adapter is to be loaded on a further engine, one of its queued calls is taken by the order of a map. With sizes, calls differ, so that equal inputs gave different placements.

Change: the call that was queued last is taken, in constant time.

--- a/internal/adapters/wait_queue.go
+++ b/internal/adapters/wait_queue.go
@@ -48,6 +48,8 @@
 	// waiting sums the calls that delay fetches of other adapters; placed sums
 	// the calls that were placed behind others at a full engine.
 	waiting, placed valueSum
+	// lastPlaced is the last call that was placed behind others at a full engine.
+	lastPlaced Request
 	// enqueued is the number of enqueued calls.
 	enqueued int
 	// replicationRejected is set once a fetch for the placed calls was found
@@ -247,6 +249,7 @@
 	if c := g.calls[callRef{id: r.CallID}]; c != nil && !c.placed {
 		g.waiting.remove(c)
 		c.placed = true
+		g.lastPlaced = c.request
 		g.placed.add(c)
 		g.replicationRejected = false
 	}
@@ -347,16 +350,8 @@
 	return refs
 }
 
-// placedRequest returns one of the calls for an adapter that were placed behind
-// others.
-func (w *waitQueue) placedRequest(key bamboorail.AdapterKey) Request {
-	for _, c := range w.groups[key].calls {
-		if c.placed {
-			return c.request
-		}
-	}
-	return Request{}
-}
+// placedRequest returns the last call for an adapter that was placed behind others.
+func (w *waitQueue) placedRequest(key bamboorail.AdapterKey) Request { return w.groups[key].lastPlaced }
 
 // nextExpiry returns the earliest time at which a call that is gone stops
 // delaying others, zero if there is none. Groups with enqueued calls are
