relay, explain: name the target of the longest gap of a stream

Cause: the line of a call tells how long the longest gap was, but neither where it arose nor whether the route permits it.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -176,7 +176,7 @@
 func cause(ended Line) string {
 	kind, outcome := ended.text("kind"), ended.text("outcome")
 	if kind == "" {
-		return fmt.Sprintf("answered with status %v by the last target of the trail", ended.fields["status"])
+		return fmt.Sprintf("answered with status %v by the last target of the trail", ended.fields["status"]) + lateGap(ended)
 	}
 	meaning := map[bamboorail.Kind]string{
 		bamboorail.KindOverloaded:       "no target had free capacity within the wait limit",
@@ -196,3 +196,15 @@
 	}
 	return fmt.Sprintf("%s (%s, %s): %s", meaning, kind, outcome, ended.text("error"))
 }
+
+// lateGap returns the addition to the cause for a stream that paused for longer than its route
+// permits, or an empty text.
+func lateGap(ended Line) string {
+	longest, _ := ended.fields["longest-gap-ms"].(float64)
+	permitted, limited := ended.fields["max-gap-ms"].(float64)
+	if !limited || longest <= permitted {
+		return ""
+	}
+	return fmt.Sprintf("; late: %v ms without an event of target %s after %v events, where %v ms are permitted",
+		longest, ended.text("gap-target"), ended.fields["gap-after"], permitted)
+}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -50,3 +50,30 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// TestLateGapIsNamed guards against streams that were late by a gap and are explained as
+// answered.
+func TestLateGapIsNamed(t *testing.T) {
+	const late = `late: 512 ms without an event of target e3 after 17 events, where 400 ms are permitted`
+	cases := map[string]struct {
+		fields string
+		late   bool
+	}{
+		"longer than permitted": {`"longest-gap-ms":512,"gap-after":17,"gap-target":"e3","max-gap-ms":400`, true},
+		"as long as permitted":  {`"longest-gap-ms":400,"gap-after":17,"gap-target":"e3","max-gap-ms":400`, false},
+		"no limit":              {`"longest-gap-ms":512,"gap-after":17,"gap-target":"e3"`, false},
+		"one event":             {`"max-gap-ms":400`, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			lines, err := Read(strings.NewReader(`{"@message":"call ended","@timestamp":"2026-01-01T00:00:03.200Z","id":"r","status":200,` + c.fields + "}\n"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			report, err := Request(lines, "r")
+			if err != nil || strings.Contains(report.Cause, late) != c.late || strings.Contains(report.Cause, "late") != c.late {
+				t.Errorf("cause %q, %v", report.Cause, err)
+			}
+		})
+	}
+}
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -81,8 +81,8 @@
 			fields = append(fields, "inside-event", x.answer.InsideEvent())
 		}
 	}
-	if t := x.times; t.events > 0 {
-		fields = append(fields, "events", t.events, "first-event-ms", t.first.Milliseconds(), "longest-gap-ms", t.longest.Milliseconds())
+	if t := &x.times; t.events > 0 {
+		fields = append(fields, t.fields(x.route.MaxEventGap)...)
 		x.h.Metrics.StreamEnded(x.route.Name, t.first, t.longest, t.events > 1)
 	}
 	if err != nil {
--- a/internal/relay/timing.go
+++ b/internal/relay/timing.go
@@ -107,12 +107,28 @@
 	// first is the time from the arrival of the call to its first event, longest the longest
 	// time between events in which the caller did not keep the instance waiting.
 	first, longest time.Duration
+	// longestAfter is the number of events before the longest time, longestAt the target
+	// that was waited for.
+	longestAfter int
+	longestAt    string
 	// last is the leg of the last event.
 	last *leg
 	// events is the number of events.
 	events int
 }
 
+// fields returns the times as fields of the line of an ended call.
+func (t *streamTimes) fields(maxGap time.Duration) []any {
+	list := []any{"events", t.events, "first-event-ms", t.first.Milliseconds()}
+	if t.events > 1 {
+		list = append(list, "longest-gap-ms", t.longest.Milliseconds(), "gap-after", t.longestAfter, "gap-target", t.longestAt)
+	}
+	if maxGap > 0 {
+		list = append(list, "max-gap-ms", maxGap.Milliseconds())
+	}
+	return list
+}
+
 // recordEvents records a part of the answer of a leg.
 func (x *exchange) recordEvents(l *leg, part []byte) {
 	now := time.Now()
@@ -120,13 +136,16 @@
 	if count == 0 {
 		return
 	}
-	t := &x.times
+	t, awaited := &x.times, l
 	switch {
 	case t.last == nil:
 		t.first = now.Sub(x.received)
 	case t.last != l:
 		// The caller waited until another target continued the stream.
-		gap = now.Sub(t.last.timer.lastAt)
+		gap, awaited = now.Sub(t.last.timer.lastAt), t.last
+	}
+	if gap > t.longest {
+		t.longest, t.longestAfter, t.longestAt = gap, t.events, awaited.target.ID.Name
 	}
-	t.longest, t.last, t.events = max(t.longest, gap), l, t.events+count
+	t.last, t.events = l, t.events+count
 }
--- a/internal/relay/timing_test.go
+++ b/internal/relay/timing_test.go
@@ -123,7 +123,7 @@
 func (g *timedTargets) run(t *testing.T, spec bamboorail.RouteSpec, callerPause time.Duration) (log string) {
 	t.Helper()
 	spec.Name, spec.Host, spec.Prefix, spec.Timeout = "r", "host.example", "/p/", 30*time.Second
-	spec.Shares = []bamboorail.ServiceShare{{Service: "s", Weight: 1}}
+	spec.Shares, spec.MaxEventGap = []bamboorail.ServiceShare{{Service: "s", Weight: 1}}, 400*time.Millisecond
 	table := route.NewTable(bamboorail.Configuration{Version: 1, Routes: []bamboorail.RouteSpec{spec}})
 	var lines bytes.Buffer
 	h := NewHandler(Config{
@@ -175,10 +175,10 @@
 			oneStream, [][]timedPart{steady(200, 40, 40, 40)}, false, 0, []Timing{{200 * ms, 40 * ms, 40 * ms}},
 			"events=4 first-event-ms=200 longest-gap-ms=40",
 		},
-		"one event": {resumable, [][]timedPart{steady(200)}, false, 0, []Timing{{200 * ms, 0, 0}}, "events=1 first-event-ms=200 longest-gap-ms=0"},
+		"one event": {resumable, [][]timedPart{steady(200)}, false, 0, []Timing{{200 * ms, 0, 0}}, "events=1 first-event-ms=200 max-gap-ms=400"},
 		"one pause": {
 			resumable, [][]timedPart{steady(200, 40, 350, 30)}, false, 0, []Timing{{200 * ms, 140 * ms, 350 * ms}},
-			"events=4 first-event-ms=200 longest-gap-ms=350",
+			"events=4 first-event-ms=200 longest-gap-ms=350 gap-after=2 gap-target=0 max-gap-ms=400",
 		},
 		"two events at a time": {
 			resumable, [][]timedPart{{{200 * ms, event(1)}, {80 * ms, event(2) + event(3)}, {80 * ms, event(4) + event(5)}}}, false, 0,
@@ -204,7 +204,7 @@
 			resumable, [][]timedPart{steady(200, 40, 5000), {{300 * ms, event(3)}, {50 * ms, event(4)}, {50 * ms, event(5)}}}, false, 0,
 			// The first event of the other target is read before it takes over, and its
 			// second one may have been sent before.
-			[]Timing{{200 * ms, 40 * ms, eventTimeout + 300*ms}, {300 * ms, 50 * ms, 50 * ms}}, "events=5 first-event-ms=200 longest-gap-ms=1500",
+			[]Timing{{200 * ms, 40 * ms, eventTimeout + 300*ms}, {300 * ms, 50 * ms, 50 * ms}}, "events=5 first-event-ms=200 longest-gap-ms=1500 gap-after=2 gap-target=0 max-gap-ms=400",
 		},
 	}
 	for name, c := range cases {
