relay: a target that sent something before the request is no proof that it did not run

Cause: two parts joined: a call of which nothing was written counts as not run, and a target that answers at once may send its answer before the first byte is written. Change: bytes that arrive count as well. The test of a part of a request uses no real connection, whose dial could fail.

--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -267,6 +267,7 @@
 		placement.ReadyAt = at
 	}
 	sent := latest(now, placement.ReadyAt)
+	placement.KeptTokens = e.kept.tokens(r.Key, r.Prompt, now)
 	work := p.recordWork(e, r, sent, now)
 	e.running++
 	p.limits.Record(e.entry.ID, now)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -335,6 +335,9 @@
 
 // informers returns the informers of the store's object kinds by task name.
 func (g *Gateway) informers() map[string]*informer.Informer {
+	if g.configuration == nil {
+		g.configuration = g.informer(g.platform.ConfigurationKind, configurations, &configurationHandler{g})
+	}
 	return map[string]*informer.Informer{
 		"configuration": g.configuration,
 		"targets":       g.informer(g.platform.TargetKind, targets, &targetHandler{g}),
--- a/internal/relay/unsent.go
+++ b/internal/relay/unsent.go
@@ -15,8 +15,8 @@
 
 	mu sync.Mutex
 	// writing is the number of writes that have not returned, written the number of bytes
-	// that the kernel took.
-	writing, written int
+	// that the kernel took, read that of the bytes that arrived.
+	writing, written, read int
 	// sealed is set once it is decided that nothing was written; nothing is any more.
 	sealed bool
 }
@@ -38,19 +38,33 @@
 	return n, err
 }
 
-// begin starts the count for a request.
-func (c *trackedConn) begin() {
+// Read reads from the connection.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.read += n
+	return n, err
+}
+
+// begin starts the count for a request. What a new connection has read already may be
+// its answer.
+func (c *trackedConn) begin(reused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.written = 0
+	if reused {
+		c.read = 0
+	}
 }
 
 // seal reports whether nothing was written for the current request, and makes sure that
-// nothing will be.
+// nothing will be. A target that sent something without the request may have acted on
+// the connection alone.
 func (c *trackedConn) seal() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sealed = c.sealed || c.writing == 0 && c.written == 0
+	c.sealed = c.sealed || c.writing == 0 && c.written == 0 && c.read == 0
 	return c.sealed
 }
 
@@ -95,7 +109,7 @@
 		s.conn = nil
 		if c, ok := conn.(interface{ tracker() *trackedConn }); ok {
 			s.conn = c.tracker()
-			s.conn.begin()
+			s.conn.begin(i.Reused)
 		}
 	}}
 }
--- a/internal/relay/unsent_test.go
+++ b/internal/relay/unsent_test.go
@@ -41,9 +41,9 @@
 			time.Sleep(50 * time.Millisecond) // the reset arrives
 			return c, err
 		}, http.StatusServiceUnavailable, balance.Unreachable},
-		"reset after a part of the request": {func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, address)
-			return &halfConn{Conn: c}, err
+		"reset after a part of the request": {func(context.Context, string, string) (net.Conn, error) {
+			c, _ := net.Pipe()
+			return &halfConn{Conn: c}, nil
 		}, http.StatusBadGateway, balance.Dropped},
 	}
 	for name, c := range cases {
@@ -77,13 +77,10 @@
 	}
 }
 
-// halfConn takes a part of the first write and is reset then.
+// halfConn takes a part of the first write, whatever the peer does, and is reset then.
 type halfConn struct{ net.Conn }
 
-func (c *halfConn) Write(p []byte) (int, error) {
-	n, _ := c.Conn.Write(p[:1])
-	return n, io.ErrUnexpectedEOF
-}
+func (c *halfConn) Write([]byte) (int, error) { return 1, io.ErrUnexpectedEOF }
 
 func (c *halfConn) Read([]byte) (int, error) {
 	time.Sleep(100 * time.Millisecond)
