adapters: an engine with full memory costs the time of a call

Cause: the expected wait for a little memory is short, so that an engine is sent more than fits while another one has room.

Change: such a placement costs the mean time of a call more, as it may preempt one.

--- a/internal/adapters/cost.go
+++ b/internal/adapters/cost.go
@@ -250,7 +250,7 @@
 // an engine. Running calls slow the engine down.
 func (p *Planner) queueCost(e *engine, r Request, now time.Time) time.Duration {
 	calls := e.calls()
-	cost := time.Duration(calls)*p.tuning.CallCost + p.queueWait(e, r)
+	cost := time.Duration(calls)*p.tuning.CallCost + p.queueWait(e, r) + p.preemptionCost(e, r)
 	if highLoad := e.entry.Slots * highLoadPercent / 100; e.entry.Slots > 0 && calls >= highLoad {
 		cost += time.Duration(calls-highLoad+1) * highLoadFactor * p.tuning.CallCost
 	}
--- a/internal/adapters/memory.go
+++ b/internal/adapters/memory.go
@@ -30,3 +30,12 @@
 	// Calls free what they take within callTime.
 	return max(time.Duration(float64(p.callTime)*float64(missing)/float64(taken)), 1)
 }
+
+// preemptionCost returns the cost of sending an engine more than fits into its memory: it may
+// end a running call and repeat it later, which takes about the time of a call.
+func (p *Planner) preemptionCost(e *engine, r Request) time.Duration {
+	if p.memoryWait(e, r) == 0 {
+		return 0
+	}
+	return p.callTime
+}
--- a/internal/adapters/work_test.go
+++ b/internal/adapters/work_test.go
@@ -63,3 +63,36 @@
 		})
 	}
 }
+
+// TestBacklogMovesCallsButRefusesNone guards against prompts that are sent where the running
+// streams become late while another engine is free, and against a call that is refused for that.
+func TestBacklogMovesCallsButRefusesNone(t *testing.T) {
+	cases := map[string]struct {
+		prompt  int
+		engines int
+		moved   bool
+	}{
+		"small prompts":               {100, 2, false},
+		"large prompts":               {6000, 2, true},
+		"large prompts, one engine":   {6000, 1, false},
+		"larger than the gap permits": {20000, 1, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := newTestPlanner(c.engines, 8)
+			first := placeAndLoad(t, p, measuredRequest(1, 100), start)
+			now, moved := start.Add(time.Second), false
+			for n := range 8 {
+				r := measuredRequest(1, c.prompt)
+				got, ok := p.Place(r, now)
+				if !ok {
+					t.Fatalf("call %d is refused", n)
+				}
+				moved = moved || got.Target.ID != first.Target.ID
+			}
+			if moved != c.moved {
+				t.Errorf("moved to another engine: %t, expected %t", moved, c.moved)
+			}
+		})
+	}
+}
