--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -66,10 +65,6 @@
 	memoryLimitShare = 0.7
 	// bodyMemoryShare is the part of the memory limit for the bodies of calls.
 	bodyMemoryShare = 0.4
-	// storeIdleConns and storeIdleTimeout limit the idle connections to the
-	// store, which needs only a few.
-	storeIdleConns   = 8
-	storeIdleTimeout = 30 * time.Second
 )
 
 // Platform holds the interfaces and object names that a platform provides.
@@ -140,15 +135,6 @@
 	budgets map[string]*retry.WindowBudget
 }
 
-// NewTransport returns the transport for calls to the platform and orders to
-// engines.
-func NewTransport(d relay.Dialer) *httpport.Transport {
-	return httpport.NewTransport(&http.Transport{
-		DialContext: d.DialContext, MaxIdleConnsPerHost: storeIdleConns,
-		IdleConnTimeout: storeIdleTimeout, DisableCompression: true, MaxResponseHeaderBytes: httpport.MaxResponseHeaderBytes,
-	}, nil)
-}
-
 // New opens the ports of a gateway and returns it without starting it.
 func New(ctx context.Context, s settings.Gateway, p Platform, logs *logflags.Logs) (*Gateway, error) {
 	g := &Gateway{
@@ -231,13 +217,6 @@
 	g.forwarder = detour.NewServer(g.detour, g.relay)
 }
 
-// recordRejection logs and counts a rejected answer of the store or an engine to a call of
-// the gateway itself.
-func (g *Gateway) recordRejection(r httpport.Rejection) {
-	g.metrics.AnswerRejected("platform", string(r.Err.Reason))
-	g.log.Warn("answer rejected", "from", "platform", "address", r.Address, "reason", string(r.Err.Reason), "error", r.Err.Err)
-}
-
 // budget returns the retry budget of a service, which it creates on first use.
 func (g *Gateway) budget(service string) *retry.WindowBudget {
 	g.mu.Lock()
--- a/internal/relay/errors.go
+++ b/internal/relay/errors.go
@@ -2,9 +2,12 @@
 
 import (
 	"errors"
+	"io"
+	"syscall"
 	"time"
 
 	"bamboorail.example/bamboorail"
+	"bamboorail.example/bamboorail/internal/httpport"
 )
 
 // Error is the error type of the package.
@@ -30,3 +33,15 @@
 	errEventTimeout    = errors.New("no stream event arrived in time")
 	errAttemptTimeout  = errors.New("the target did not answer in time")
 )
+
+// closedByTarget reports whether the target ended the connection, in contrast to a
+// connection that timed out.
+func closedByTarget(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// isRejected reports whether the target sent an answer that is not valid or not complete.
+func isRejected(err error) bool {
+	var rejected *httpport.Error
+	return errors.As(err, &rejected)
+}
--- a/internal/relay/leg.go
+++ b/internal/relay/leg.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -18,7 +17,6 @@
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/balance"
 	"bamboorail.example/bamboorail/internal/eventstream"
-	"bamboorail.example/bamboorail/internal/httpport"
 	"bamboorail.example/bamboorail/internal/task"
 )
 
@@ -373,18 +371,6 @@
 	return balance.Answered, nil
 }
 
-// closedByTarget reports whether the target ended the connection, in contrast to a
-// connection that timed out.
-func closedByTarget(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
-}
-
-// isRejected reports whether the target sent an answer that is not valid or not complete.
-func isRejected(err error) bool {
-	var rejected *httpport.Error
-	return errors.As(err, &rejected)
-}
-
 // newRequest builds the request to the target. Method, path and body are byte
 // for byte those of the caller.
 func (l *leg) newRequest() *http.Request {
