--- a/internal/concurrency/estimate.go
+++ b/internal/concurrency/estimate.go
@@ -96,12 +96,13 @@
 // insert adds a call to the waiting ones. The calls of one workspace and class take their
 // places in the order of their deadlines.
 func (x *sharedTarget) insert(w *waiter) {
-	same := []*waiter{w}
+	var same []*waiter
 	for _, other := range x.waiting {
 		if other.request.Workspace == w.request.Workspace && other.request.class() == w.request.class() {
 			same = append(same, other)
 		}
 	}
+	same = append(same, w)
 	tags := make([]float64, 0, len(same))
 	for _, one := range same {
 		tags = append(tags, one.tag)
