--- a/internal/placer/brittle_sim_test.go
+++ b/internal/placer/brittle_sim_test.go
@@ -67,9 +67,12 @@
 	// share makes all instances share the slots of targets under pressure. Messages then
 	// take latency, and the times of calls have the spread (standard deviation of their
 	// logarithm).
-	share   bool
-	latency time.Duration
-	spread  float64
+	share bool
+	// replacement is the name of a target in the zone of the first one that no instance
+	// knows at first, empty for none.
+	replacement string
+	latency     time.Duration
+	spread      float64
 }
 
 // delay returns the time of a message between instances, or to a target.
@@ -199,6 +202,11 @@
 	for n := range l.instances {
 		s.instances = append(s.instances, s.newInstance(fmt.Sprintf("i%d", n), n%len(brittleZones)))
 	}
+	if l.replacement != "" {
+		entry := s.targets[0].entry
+		entry.ID.Name = l.replacement
+		s.targets = append(s.targets, &brittleTarget{sim: s, queue: simSlots, slots: make(chan struct{}, simSlots), crashed: make(chan struct{}), entry: entry})
+	}
 	for n, zone := range brittleZones {
 		if l.leaderless {
 			break
--- a/internal/placer/shared_sim_test.go
+++ b/internal/placer/shared_sim_test.go
@@ -144,14 +144,13 @@
 			leaderless = 5 * time.Second
 		)
 		ctx, cancel := context.WithCancel(context.Background())
-		l := brittleLoad{instances: 89, targets: 3, work: sharedWork, bears: -1, share: true, latency: 6 * time.Millisecond, spread: 0.5}
+		l := brittleLoad{instances: 89, targets: 3, work: sharedWork, bears: -1, share: true, latency: 6 * time.Millisecond, spread: 0.5, replacement: "replacement"}
 		s := &sharedSim{brittleSim: newBrittleSim(ctx, t, l, seed)}
-		first := s.targets[0].entry
-		replacement := first
-		replacement.ID.Name = "replacement"
-		s.targets = append(s.targets, &brittleTarget{sim: s.brittleSim, slots: make(chan struct{}, simSlots), crashed: make(chan struct{}), entry: replacement})
+		first, replacement := s.targets[0].entry, s.target("replacement").entry
 		for _, x := range s.targets {
+			x.mu.Lock()
 			x.queue = sharedQueue
+			x.mu.Unlock()
 		}
 		time.Sleep(time.Second)
 		var calls sync.WaitGroup
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -53,6 +53,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if g.ShareTargets {
+		t.Error("targets are shared by default")
+	}
 	if g.Zone != "z-a" || len(g.Zones) != 2 || g.RetrySlack != 52 || g.LeaseGap != 3*time.Second || g.MaxMemory != 284<<20 || g.ProcessorShare != 0.4 || g.AdapterLoads != 0 {
 		t.Errorf("settings %+v", g)
 	}
@@ -79,3 +82,11 @@
 		})
 	}
 }
+
+// TestShareTargetsIsRead guards against a setting that has no effect.
+func TestShareTargetsIsRead(t *testing.T) {
+	g, err := ReadGateway(writeSettings(t, strings.Replace(gatewaySettings, "max-memory", "share-targets = yes\nmax-memory", 1)))
+	if err != nil || !g.ShareTargets {
+		t.Errorf("share-targets %t, %v", g.ShareTargets, err)
+	}
+}
