placer: a new holder adopts the calls at shared targets

Cause: a holder that takes over does not know the calls that its predecessor let to the shared targets of the zone, and lets as many again.

Change: the number of a permit has a hash of its target. A new holder adopts the permits of earlier tenures that instances report as open, for 5 s after each report. Permits of its own tenure are not adopted: their end may overtake a report.

Result: TestNewHolderAdoptsOpenCalls, new.

--- a/internal/concurrency/concurrency.go
+++ b/internal/concurrency/concurrency.go
@@ -64,8 +64,8 @@
 	instance string
 	issued   time.Time
 	expires  time.Time
-	// givenUp is set for a call that was given up.
-	givenUp bool
+	// unmeasured is set if the end of the permit does not tell the time of its call.
+	unmeasured bool
 }
 
 // target is what is known of the calls at one target.
--- a/internal/concurrency/estimate.go
+++ b/internal/concurrency/estimate.go
@@ -37,6 +37,9 @@
 
 // observe takes note of the time of a permit that has ended.
 func (x *sharedTarget) observe(p permit, now time.Time) {
+	if p.unmeasured {
+		return
+	}
 	x.hold += holdWeight * (now.Sub(p.issued).Seconds() - x.hold)
 }
 
--- a/internal/concurrency/shared.go
+++ b/internal/concurrency/shared.go
@@ -112,15 +112,19 @@
 // Shared holds the permits of the shared targets of one zone and the calls that wait for
 // them. It is not safe for concurrent use.
 type Shared struct {
-	last    uint64
+	// tenure is the part of the numbers of permits that is the same for all, issued and
+	// waiters are the last numbers within it.
+	tenure  uint64
+	issued  uint64
+	waiters uint64
 	permits map[uint64]permit
 	targets map[string]*sharedTarget
 	ended   []SharedGrant
 }
 
-// NewShared returns a Shared whose permits and waiters are numbered after a number.
-func NewShared(after uint64) *Shared {
-	return &Shared{last: after, permits: map[uint64]permit{}, targets: map[string]*sharedTarget{}}
+// NewShared returns a Shared whose permits have the upper bits of a number.
+func NewShared(number uint64) *Shared {
+	return &Shared{tenure: number & tenureMask, permits: map[uint64]permit{}, targets: map[string]*sharedTarget{}}
 }
 
 // Acquire issues a permit, makes the call wait, or refuses it. The permits and refusals of
@@ -141,8 +145,8 @@
 	}
 	x.fairness(r.class()).record(w)
 	x.meter(r.class()).add(now)
-	s.last++
-	w.number = s.last
+	s.waiters++
+	w.number = s.waiters
 	x.insert(w)
 	s.shed(x, now)
 	return SharedGrant{Waiter: w.number, Expected: expected, Pressed: true}
@@ -150,12 +154,12 @@
 
 func (s *Shared) issue(x *sharedTarget, r SharedRequest, now time.Time) SharedGrant {
 	x.held++
-	s.last++
-	s.permits[s.last] = permit{target: r.Target, instance: r.Instance, issued: now, expires: now.Add(min(r.Timeout+endMargin, x.longHold()))}
+	number := s.nextNumber(r.Target)
+	s.permits[number] = permit{target: r.Target, instance: r.Instance, issued: now, expires: now.Add(min(r.Timeout+endMargin, x.longHold()))}
 	if x.held >= x.capacity(now) {
 		x.press(now)
 	}
-	return SharedGrant{Permit: s.last, Expected: x.wait(r.class(), len(x.waiting), now), Pressed: x.isPressed(now)}
+	return SharedGrant{Permit: number, Expected: x.wait(r.class(), len(x.waiting), now), Pressed: x.isPressed(now)}
 }
 
 // refusal returns the answer to a call that may not wait.
@@ -231,7 +235,7 @@
 		return false
 	}
 	if e == GivenUp {
-		p.expires, p.givenUp = now.Add(unclearEnd), true
+		p.expires, p.unmeasured = now.Add(unclearEnd), true
 		s.permits[number] = p
 		return true
 	}
@@ -274,9 +278,7 @@
 			continue
 		}
 		s.remove(number, p)
-		if !p.givenUp {
-			s.target(p.target).observe(p, now)
-		}
+		s.target(p.target).observe(p, now)
 	}
 }
 
--- a/internal/concurrency/shared_test.go
+++ b/internal/concurrency/shared_test.go
@@ -187,3 +187,32 @@
 		t.Errorf("%d targets, %d permits", len(s.targets), s.Held())
 	}
 }
+
+// TestNewHolderAdoptsOpenCalls guards against a new holder that fills a target beside the
+// calls that its predecessor admitted.
+func TestNewHolderAdoptsOpenCalls(t *testing.T) {
+	s, numbers, now := fullShared(t)
+	next := NewShared(1 << 40)
+	targets := []string{"other", "t"}
+	if n := next.Adopt("i", numbers, targets, now); n != sharedPermits {
+		t.Errorf("%d permits adopted", n)
+	}
+	if n := next.Adopt("i", numbers, targets, now); n != 0 {
+		t.Errorf("%d permits adopted again", n)
+	}
+	waiting := next.Acquire(sharedCall("a", 0), now)
+	if waiting.Permit != 0 {
+		t.Errorf("grant %+v beside the adopted calls", waiting)
+	}
+	next.Release(numbers[0], Ended, now)
+	if list := next.Grant(now); len(list) != 1 || list[0].Waiter != waiting.Waiter {
+		t.Errorf("answers %+v", list)
+	}
+	if next.Expire(now.Add(adoptPeriod + 1)); next.Held() != 0 {
+		t.Errorf("%d permits after they expired", next.Held())
+	}
+	s.Release(numbers[0], Ended, now)
+	if n := s.Adopt("i", numbers, targets, now); n != 0 {
+		t.Errorf("%d ended permits of its own tenure adopted", n)
+	}
+}
--- a/internal/placer/reconcile.go
+++ b/internal/placer/reconcile.go
@@ -62,6 +62,7 @@
 	defer h.grantWaiting(now)
 	h.permits.Reconcile(instance, open, now)
 	h.shared.Reconcile(instance, open, now)
+	h.adoptShared(instance, open, now)
 	h.grantShared(now)
 	if n := h.planner.Reconcile(instance, open, now); n > 0 {
 		h.Log.Info("lost placements ended", "zone", h.Zone, "peer", instance, "count", n, "open", len(open))
--- a/internal/placer/shared_holder.go
+++ b/internal/placer/shared_holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"bamboorail.example/bamboorail"
@@ -170,6 +171,40 @@
 	return true
 }
 
+// adoptShared takes over the permits of earlier holders that an instance reports as open.
+// The caller holds the lock.
+func (h *Holder) adoptShared(instance string, open []uint64, now time.Time) {
+	const bits = permitBit | sharedBit
+	open = slices.DeleteFunc(slices.Clone(open), func(number uint64) bool { return number&bits != bits })
+	if len(open) == 0 {
+		return
+	}
+	h.beginShared()
+	if n := h.shared.Adopt(instance, open, h.plainTargets(), now); n > 0 {
+		h.Log.Info("calls of an earlier holder adopted", "zone", h.Zone, "peer", instance, "count", n)
+	}
+}
+
+// plainTargets returns the names of the targets of plain services in the zone.
+func (h *Holder) plainTargets() []string {
+	table := h.Table()
+	if table == nil {
+		return nil
+	}
+	var names []string
+	for name, s := range table.Services() {
+		if s.Engine {
+			continue
+		}
+		for _, e := range h.Fleet.Service(name) {
+			if e.Zone == h.Zone {
+				names = append(names, e.ID.Name)
+			}
+		}
+	}
+	return names
+}
+
 // retainShared ends the permits that have expired, and those of targets that left. The
 // caller holds the lock.
 func (h *Holder) retainShared(now time.Time) {
