--- a/internal/placer/errors.go
+++ b/internal/placer/errors.go
@@ -25,6 +25,7 @@
 	errTargetsLimited  = errors.New("all targets are at the limits of their request rates")
 	errTargetsBusy     = errors.New("all targets are busy and fail if they have to refuse")
 	errTargetsFull     = errors.New("all targets are full and the calls that wait for them would keep this one too long")
+	errAnswerTooLate   = errors.New("the answer would come after the deadline of the caller")
 	errTargetsQuiet    = errors.New("all targets asked for a pause")
 	errNoTarget        = errors.New("no available target")
 	errNoSoftware      = errors.New("no available target with the software version that began the stream")
--- a/internal/placer/shared.go
+++ b/internal/placer/shared.go
@@ -140,7 +140,11 @@
 func (c *Chooser) chooseShared(ctx context.Context, a relay.ChooseRequest, targets []bamboorail.TargetEntry) (relay.Reservation, error) {
 	const op = "choose-target"
 	retryAfter, denials := time.Duration(0), 0
-	send := c.sendTime(a, time.Now())
+	now := time.Now()
+	send := c.sendTime(a, now)
+	if send.by.Before(now) {
+		return relay.Reservation{}, failRetry(op, bamboorail.KindOverloaded, noCapacityRetry, errAnswerTooLate)
+	}
 	c.orderShared(a, targets, send.late)
 	for _, t := range targets {
 		admitted, denied := c.admitShared(ctx, a, t, send)
