adapters: the assumed work of engines is shown to operators

Cause: the learned paces and backlogs decide where calls run, but nobody can see them.

Change: Planner.Work returns them by engine.

Result: unit test; not yet wired to metrics.

--- a/internal/adapters/pace.go
+++ b/internal/adapters/pace.go
@@ -134,3 +134,32 @@
 	}
 	return e.pace.gapRisk * math.Exp2(-now.Sub(e.pace.gapRiskAt).Seconds()/gapRiskHalfLife.Seconds())
 }
+
+// EngineWork is what the planner assumes about the work of an engine.
+type EngineWork struct {
+	Name string
+	// ReadRate is the number of prompt tokens that are read in a millisecond, Event the time
+	// between two events.
+	ReadRate float64
+	Event    time.Duration
+	// Backlog is the time to read the prompts that were sent. Running calls take Tokens of
+	// the memory.
+	Backlog         time.Duration
+	Running, Tokens int
+	// GapRisk is the recent share of the streams that were late because of a gap.
+	GapRisk float64
+}
+
+// Work returns the work of the engines, by name.
+func (p *Planner) Work(now time.Time) []EngineWork {
+	p.refreshPaces(now)
+	list := make([]EngineWork, 0, len(p.engines))
+	for _, name := range p.engineNames() {
+		e := p.engines[name]
+		list = append(list, EngineWork{
+			Name: name, ReadRate: float64(time.Millisecond) / e.pace.read.value, Event: time.Duration(e.pace.event.value),
+			Backlog: e.backlog.wait(now), Running: e.calls(), Tokens: e.tokens, GapRisk: e.gapRisk(now),
+		})
+	}
+	return list
+}
--- a/internal/adapters/pace_test.go
+++ b/internal/adapters/pace_test.go
@@ -134,3 +134,21 @@
 		})
 	}
 }
+
+// TestWorkOfEnginesIsShown guards against figures for operators that differ from those that
+// decide.
+func TestWorkOfEnginesIsShown(t *testing.T) {
+	p := newTestPlanner(2, 4)
+	now := runCalls(t, p, []float64{1, 1}, 60, start).Add(time.Second)
+	got, _ := p.Place(measuredRequest(1, 2000), now)
+	p.RecordTiming(got.Ticket, Timing{LongestGap: time.Second}, now)
+	for _, w := range p.Work(now) {
+		placed := w.Name == got.Target.ID.Name
+		if w.ReadRate < 15 || w.ReadRate > 18 || w.Event < 34*time.Millisecond || w.Event > 38*time.Millisecond {
+			t.Errorf("%+v", w)
+		}
+		if placed != (w.Running == 1) || placed != (w.Tokens == 2100) || placed != (w.GapRisk > 0) || !placed && w.Backlog > 0 {
+			t.Errorf("call placed there %t: %+v", placed, w)
+		}
+	}
+}
