placer: a holder and its successor do not create credit together

They created credit while instances had asked them within the last 5 s, and their successors from their first moment: some 2 s of the rate of both zones came twice.

Change: a holder whose tenure lapsed counts the instances that read through it within 1.5 s, in which each does; a successor of a lapsed tenure creates credit after 3 s. A tenure that begins after a release, or without one before it, creates credit at once.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -203,7 +203,7 @@
 		Instances: g.instances, ShareTargets: g.shareTargets, BeginTimeout: s.ReleaseTimeout * beginPercent / 100, Metrics: g.metrics, Log: g.logs.Layer("placer"),
 	})
 	g.credit = placer.NewCredit(placer.CreditConfig{
-		Instance: s.Instance, Zones: g.holders, Peers: g.peers, Table: g.table.Load, Instances: g.instances, ZoneSize: g.mirror.ZoneSize,
+		Instance: s.Instance, Zones: g.holders, Peers: g.peers, Table: g.table.Load, Instances: g.instances, Contacts: g.mirror.Contacts,
 		Metrics: g.metrics, Log: g.logs.Layer("quota"),
 	})
 	g.origins = g.newOrigins()
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -48,6 +48,8 @@
 	// between actFrom and actUntil.
 	held         bool
 	fencingToken uint64
+	// takenOver is set for a tenure that began after another one lapsed.
+	takenOver bool
 	// confirmedEra is the era of the last confirmed write of the tenure.
 	confirmedEra uint64
 	// disappeared is set once the lease object was missing after it had been seen.
@@ -135,6 +137,14 @@
 	return l.fencingToken, l.held && l.clock() < l.actUntil
 }
 
+// IsTakenOver reports whether the tenure began after the lease of another instance lapsed, which
+// may not know of it yet.
+func (l *Lease) IsTakenOver() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.takenOver
+}
+
 // RecordZoneRequest records a request by an instance of the lease's zone, which
 // could hold the lease itself.
 func (l *Lease) RecordZoneRequest() {
@@ -215,6 +225,7 @@
 	l.lastRecord, l.revision, l.unchangedSince = next, newRevision, now
 	l.held, l.releasePending, l.fencingToken, l.actUntil = true, false, uint64(newRevision), sent+l.timing.Term
 	l.actFrom = l.earliestActTime(previous, since, now, revision)
+	l.takenOver = revision > 0 && !previous.Released && (previous.Holder != l.self || previous.Address != l.address)
 	if revision == 0 && (newRevision.Era() > 0 || l.disappeared) {
 		// Claims before a restore may be lost.
 		l.actFrom = now + l.timing.Term + l.timing.Gap
--- a/internal/mirror/followers.go
+++ b/internal/mirror/followers.go
@@ -51,6 +51,20 @@
 	return s.instances
 }
 
+// Contacts returns the number of instances of the zone, including this one, that read
+// through this one within a time.
+func (s *Store) Contacts(within time.Duration) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, n := time.Now(), 1
+	for _, f := range s.followers {
+		if now.Sub(f.lastRequest) <= within {
+			n++
+		}
+	}
+	return n
+}
+
 // countFollowers removes expired followers and returns the number of the others.
 // The caller holds the lock.
 func (s *Store) countFollowers(now time.Time) int {
--- a/internal/placer/credit.go
+++ b/internal/placer/credit.go
@@ -59,9 +59,9 @@
 	Table func() *route.Table
 	// Instances returns an estimate of the number of all instances.
 	Instances func() int
-	// ZoneSize returns the number of the instances of the local zone that are in contact
-	// with its holder, if that is this instance.
-	ZoneSize func() int
+	// Contacts returns the number of the instances of the local zone, including this one,
+	// that took this one for its holder within a time.
+	Contacts func(within time.Duration) int
 	Metrics  *telemetry.Metrics
 	Log      hclog.Logger
 }
@@ -115,7 +115,7 @@
 	}
 	for n, z := range c.Zones {
 		g.holders[z.Zone] = &zoneCredit{
-			zone: z, own: n == 0, zones: len(c.Zones), quota: g.quotaOf, size: c.ZoneSize, metrics: c.Metrics, log: c.Log,
+			zone: z, own: n == 0, zones: len(c.Zones), quota: g.quotaOf, contacts: c.Contacts, metrics: c.Metrics, log: c.Log,
 		}
 	}
 	return g
--- a/internal/placer/credit_fault_test.go
+++ b/internal/placer/credit_fault_test.go
@@ -43,6 +43,9 @@
 	"holder loses the store over the limit": {3, func(s *creditSim, failing func() bool) {
 		s.storeDown = func(_ time.Duration, i *creditInstance) bool { return failing() && i.name == "i0" }
 	}, 0},
+	"all holders lose the store over the limit": {3, func(s *creditSim, failing func() bool) {
+		s.storeDown = func(_ time.Duration, i *creditInstance) bool { return failing() && len(i.name) == 2 && i.name < "i3" }
+	}, 0},
 	"holder loses all others over the limit": {3, func(s *creditSim, failing func() bool) {
 		s.storeDown = func(_ time.Duration, i *creditInstance) bool { return failing() && i.name == "i0" }
 		s.cut = func(_ time.Duration, from, to *creditInstance) bool {
--- a/internal/placer/credit_holder.go
+++ b/internal/placer/credit_holder.go
@@ -16,6 +16,14 @@
 const (
 	// sizeInterval is the time for which the counted size of a zone is used.
 	sizeInterval = 250 * time.Millisecond
+	// contactWindow is the time within which each instance of a zone that takes this one for
+	// the holder reads through it: watches last up to a second.
+	contactWindow = 1500 * time.Millisecond
+	// takeoverDelay is the time from the beginning of a tenure, after that of another
+	// instance lapsed, during which no credit is created. An instance that lost the store creates credit until most instances of
+	// its zone have turned to its successor, which they learn of within 2.25 s, and
+	// contactWindow is over.
+	takeoverDelay = 3 * time.Second
 	// maxCreditNeeds bounds the workspaces of one request.
 	maxCreditNeeds = 4096
 )
@@ -24,12 +32,13 @@
 type zoneCredit struct {
 	zone ZoneHolder
 	// own is set for the zone of this instance.
-	own     bool
-	zones   int
-	quota   quota.Lookup
-	size    func() int
-	metrics *telemetry.Metrics
-	log     hclog.Logger
+	own   bool
+	zones int
+	quota quota.Lookup
+	// contacts is that of CreditConfig.
+	contacts func(within time.Duration) int
+	metrics  *telemetry.Metrics
+	log      hclog.Logger
 
 	mu      sync.Mutex
 	buckets *quota.Buckets
@@ -47,14 +56,14 @@
 // A zone that is cut off from the store goes on with its share, so an instance of another
 // zone that claims the lease meanwhile must not create the same credit. Within the zone, a
 // holder whose tenure lapsed goes on only while more than half of the instances of the zone
-// are still in contact with it: they would follow a successor.
+// took it for the holder lately: they would follow a successor.
 func (z *zoneCredit) acting(now time.Time) bool {
 	if !z.own || z.zone.Lease == nil || !z.zone.Lease.Leading() {
 		return false
 	}
 	token, confirmed := z.zone.Lease.Confirmed()
 	if now.Sub(z.countedAt) >= sizeInterval {
-		z.reachable, z.countedAt = z.size(), now
+		z.reachable, z.countedAt = z.contacts(contactWindow), now
 		if confirmed {
 			z.members = z.reachable
 		}
@@ -63,7 +72,11 @@
 		return false
 	}
 	if z.buckets == nil || z.token != token {
-		z.buckets, z.token = quota.NewBuckets(z.zones, z.quota, now), token
+		begin := now
+		if z.zone.Lease.IsTakenOver() {
+			begin = now.Add(takeoverDelay)
+		}
+		z.buckets, z.token = quota.NewBuckets(z.zones, z.quota, begin), token
 		z.log.Info("quota credit of the zone begins", "zone", z.zone.Zone, "fencing", token)
 	}
 	return true
--- a/internal/placer/credit_sim_test.go
+++ b/internal/placer/credit_sim_test.go
@@ -84,6 +84,8 @@
 	cancel context.CancelFunc
 	tasks  []*task.Task
 	ended  atomic.Bool
+	// contacts are the times at which other instances of the zone turned to this one last.
+	contacts map[string]time.Time
 }
 
 func (i *creditInstance) Credit(ctx context.Context, address string, r *wire.CreditRequest) (*wire.CreditReply, error) {
@@ -132,7 +134,7 @@
 }
 
 func (s *creditSim) newInstance(name string, zone int) *creditInstance {
-	i := &creditInstance{sim: s, name: name, zone: brittleZones[zone]}
+	i := &creditInstance{sim: s, name: name, zone: brittleZones[zone], contacts: map[string]time.Time{}}
 	clock := func() time.Duration { return time.Second + time.Since(s.start) }
 	for n := range brittleZones {
 		z := brittleZones[(zone+n)%len(brittleZones)]
@@ -143,33 +145,47 @@
 	}
 	i.credit = NewCredit(CreditConfig{
 		Instance: name, Zones: i.zones, Peers: i, Table: s.table.Load, Instances: func() int { return len(s.instances) },
-		ZoneSize: i.zoneSize, Metrics: telemetry.NewMetrics(), Log: hclog.NewNullLogger(),
+		Contacts: i.recentContacts, Metrics: telemetry.NewMetrics(), Log: hclog.NewNullLogger(),
 	})
 	i.server = &Server{}
 	i.server.SetCredit(i.credit)
 	return i
 }
 
-// zoneSize returns the number of the instances of the zone that take this one for the holder.
-func (i *creditInstance) zoneSize() int {
+// recentContacts returns the number of the instances of the zone that took this one for the
+// holder within a time.
+func (i *creditInstance) recentContacts(within time.Duration) int {
+	i.sim.mu.Lock()
+	defer i.sim.mu.Unlock()
 	n := 0
-	for _, o := range i.sim.instances {
-		if o.zone != i.zone || o.ended.Load() || (i.sim.cut != nil && i.sim.cut(time.Since(i.sim.start), o, i)) {
-			continue
-		}
-		if name, _ := o.zones[0].Lease.Holder(); name == i.name {
+	for _, at := range i.contacts {
+		if time.Since(at) <= within {
 			n++
 		}
 	}
 	return n
 }
 
+// contactHolder lets the holder of the zone, as far as this instance knows, count this one.
+func (i *creditInstance) contactHolder() {
+	name, _ := i.zones[0].Lease.Holder()
+	for _, o := range i.sim.instances {
+		if o.name != name || o.ended.Load() || (i.sim.cut != nil && i.sim.cut(time.Since(i.sim.start), i, o)) {
+			continue
+		}
+		i.sim.mu.Lock()
+		o.contacts[i.name] = time.Now()
+		i.sim.mu.Unlock()
+	}
+}
+
 // run starts the instance. The first instance of a zone claims its lease, and the second one
 // when it may.
 func (i *creditInstance) run(ctx context.Context, rank int) {
 	ctx, i.cancel = context.WithCancel(ctx)
 	i.tasks = append(i.tasks, task.Start(ctx, "credit", i.credit.Run), task.Start(ctx, "leases", func(ctx context.Context) error {
 		return task.Every(ctx, 700*time.Millisecond, func(ctx context.Context) {
+			i.contactHolder()
 			if down := i.sim.storeDown; down != nil && down(time.Since(i.sim.start), i) {
 				return
 			}
