concurrency: less urgent calls don't count in the expected wait of urgent ones

Cause: the wait that a holder tells with a permit counted all calls that wait for the target. An instance refuses calls by itself for up to 300 ms if the told wait is too long, so urgent calls were refused because of less urgent ones. Change: the calls of the class and those before it count, as in refusals. Result: with 100 less urgent calls waiting, the next urgent call is told at most 50 ms; it was 877 ms (TestExpectedWaitIgnoresLessUrgentCalls).

--- a/internal/concurrency/shared.go
+++ b/internal/concurrency/shared.go
@@ -155,7 +155,7 @@
 	if x.held >= x.capacity(now) {
 		x.press(now)
 	}
-	return SharedGrant{Permit: s.last, Expected: x.wait(r.class(), len(x.waiting), now), Pressed: x.isPressed(now)}
+	return SharedGrant{Permit: s.last, Expected: x.wait(r.class(), x.ahead(r.class()), now), Pressed: x.isPressed(now)}
 }
 
 // refusal returns the answer to a call that may not wait.
--- /dev/null
+++ b/internal/concurrency/shared_test.go
@@ -0,0 +1,44 @@
+package concurrency
+
+import (
+	"testing"
+	"time"
+)
+
+var sharedStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fullTarget returns a Shared whose target t has no free permit, and these permits.
+func fullTarget(t *testing.T) (*Shared, []uint64) {
+	t.Helper()
+	s, r := NewShared(0), SharedRequest{Target: "t", Slots: 6, Share: 1, Wait: time.Minute, Timeout: time.Minute}
+	var permits []uint64
+	for {
+		g := s.Acquire(r, sharedStart)
+		if g.Permit == 0 {
+			s.Cancel("t", g.Waiter, sharedStart)
+			return s, permits
+		}
+		permits = append(permits, g.Permit)
+	}
+}
+
+// TestExpectedWaitIgnoresLessUrgentCalls guards against instances that refuse urgent calls by
+// themselves because less urgent ones wait for the same target.
+func TestExpectedWaitIgnoresLessUrgentCalls(t *testing.T) {
+	s, permits := fullTarget(t)
+	for range 100 {
+		if g := s.Acquire(SharedRequest{Target: "t", Slots: 6, Share: 1, Priority: 2, Wait: time.Minute, Timeout: time.Minute}, sharedStart); g.Waiter == 0 {
+			t.Fatal("a call does not wait")
+		}
+	}
+	urgent := s.Acquire(SharedRequest{Target: "t", Slots: 6, Share: 1, Wait: time.Minute, Timeout: time.Minute}, sharedStart)
+	now := sharedStart.Add(10 * time.Millisecond)
+	s.Release(permits[0], Ended, now)
+	list := s.Grant(now)
+	if len(list) != 1 || list[0].Waiter != urgent.Waiter || list[0].Permit == 0 {
+		t.Fatalf("granted %v, expected a permit for the urgent call %d", list, urgent.Waiter)
+	}
+	if got := list[0].Expected; got > 50*time.Millisecond {
+		t.Errorf("the next urgent call is told to expect a wait of %v although none is before it", got)
+	}
+}
