concurrency: calls that stop waiting don't set their workspace back

Cause: each call that waits advances the virtual time of its workspace. If it was refused, cancelled or shed, the advance stayed. A workspace whose calls were overtaken came after all others, so its next calls were shed as well. Change: a call that is not served gives its place to the next one of its workspace and class. Result: after 40 cancelled calls of one workspace, two of the next four calls served are its own; it was none (TestCancelledCallsDontDelayTheirWorkspace).

--- a/internal/concurrency/estimate.go
+++ b/internal/concurrency/estimate.go
@@ -115,6 +115,22 @@
 	slices.SortStableFunc(x.waiting, compareWaiters)
 }
 
+// withdraw removes a waiting call that is not served. The calls of its workspace and class
+// that come after it move up by one place: what was not served does not count.
+func (x *sharedTarget) withdraw(w *waiter) {
+	x.waiting = slices.DeleteFunc(x.waiting, func(other *waiter) bool { return other == w })
+	place, moved := w.tag, false
+	for _, other := range x.waiting {
+		if other.request.Workspace == w.request.Workspace && other.request.class() == w.request.class() && other.tag > place {
+			other.tag, place, moved = place, other.tag, true
+		}
+	}
+	if moved {
+		slices.SortStableFunc(x.waiting, compareWaiters)
+	}
+	x.fairness(w.request.class()).withdraw(w.request)
+}
+
 func (x *sharedTarget) meter(class int) *meter {
 	m := x.arrivals[class]
 	if m == nil {
@@ -157,16 +173,27 @@
 
 // next returns the place of the next call of a workspace.
 func (f *fairness) next(r SharedRequest) float64 {
-	weight := r.Weight
-	if weight <= 0 {
-		weight = 1
+	return max(f.virtual, f.last[r.Workspace]) + r.step()
+}
+
+// step returns the distance between two calls of a workspace.
+func (r SharedRequest) step() float64 {
+	if r.Weight <= 0 {
+		return 1
 	}
-	return max(f.virtual, f.last[r.Workspace]) + 1/weight
+	return 1 / r.Weight
 }
 
 // record takes note of a waiting call.
 func (f *fairness) record(w *waiter) { f.last[w.request.Workspace] = w.tag }
 
+// withdraw takes note that a waiting call is not served.
+func (f *fairness) withdraw(r SharedRequest) {
+	if last, ok := f.last[r.Workspace]; ok {
+		f.last[r.Workspace] = last - r.step()
+	}
+}
+
 // serve takes note that a waiting call is served.
 func (f *fairness) serve(w *waiter) {
 	f.virtual = max(f.virtual, w.tag)
--- a/internal/concurrency/shared.go
+++ b/internal/concurrency/shared.go
@@ -194,9 +194,9 @@
 // Cancel ends the wait of a call. It returns its last answer.
 func (s *Shared) Cancel(target string, number uint64, now time.Time) SharedGrant {
 	x := s.target(target)
-	for i, w := range x.waiting {
+	for _, w := range x.waiting {
 		if w.number == number {
-			x.waiting = slices.Delete(x.waiting, i, i+1)
+			x.withdraw(w)
 			return x.refusal(w.request.class(), now)
 		}
 	}
@@ -218,7 +218,7 @@
 }
 
 func (s *Shared) refuse(x *sharedTarget, w *waiter, now time.Time) {
-	x.waiting = slices.DeleteFunc(x.waiting, func(other *waiter) bool { return other == w })
+	x.withdraw(w)
 	g := x.refusal(w.request.class(), now)
 	g.Waiter = w.number
 	s.ended = append(s.ended, g)
--- a/internal/concurrency/shared_test.go
+++ b/internal/concurrency/shared_test.go
@@ -42,3 +42,40 @@
 		t.Errorf("the next urgent call is told to expect a wait of %v although none is before it", got)
 	}
 }
+
+// TestCancelledCallsDontDelayTheirWorkspace guards against a workspace that is served after all
+// others because calls of it were given up while they waited.
+func TestCancelledCallsDontDelayTheirWorkspace(t *testing.T) {
+	s, permits := fullTarget(t)
+	ask := func(workspace string) uint64 {
+		g := s.Acquire(SharedRequest{Target: "t", Slots: 6, Share: 1, Workspace: workspace, Wait: time.Minute, Timeout: time.Minute}, sharedStart)
+		if g.Waiter == 0 {
+			t.Fatalf("a call of %q does not wait", workspace)
+		}
+		return g.Waiter
+	}
+	var given []uint64
+	for range 40 {
+		given = append(given, ask("a"))
+	}
+	for _, number := range given {
+		s.Cancel("t", number, sharedStart)
+	}
+	workspaces := map[uint64]string{}
+	for range 4 {
+		workspaces[ask("b")] = "b"
+	}
+	for range 4 {
+		workspaces[ask("a")] = "a"
+	}
+	served := map[string]int{}
+	for n := range 4 {
+		s.Release(permits[n], Ended, sharedStart)
+		for _, g := range s.Grant(sharedStart) {
+			served[workspaces[g.Waiter]]++
+		}
+	}
+	if served["a"] != 2 || served["b"] != 2 {
+		t.Errorf("served %v of the first four calls, expected two of each workspace", served)
+	}
+}
