concurrency, placer: expected waits are told for the workspace of a call

Cause: a holder told the wait of all calls of the class, and instances kept it for the priority only. A workspace with many waiting calls thus made instances refuse the calls of other workspaces for up to 300 ms without a question, although these share the target fairly and would be served first. Change: the wait that is told is that of the next call of the same workspace. Instances keep it for the workspace; calls less urgent than it still count it whatever their workspace. Waits that are too old are removed.

--- a/internal/concurrency/estimate.go
+++ b/internal/concurrency/estimate.go
@@ -76,6 +76,11 @@
 	return x.wait(w.request.class(), ahead, now)
 }
 
+// another returns the expected wait of another call like one of a request.
+func (x *sharedTarget) another(r SharedRequest, now time.Time) time.Duration {
+	return x.expected(&waiter{request: r, until: now.Add(r.Wait), tag: x.fairness(r.class()).next(r)}, now)
+}
+
 // ahead returns the number of waiting calls of a class and those before it.
 func (x *sharedTarget) ahead(class int) int {
 	n := 0
--- a/internal/concurrency/shared.go
+++ b/internal/concurrency/shared.go
@@ -75,7 +75,7 @@
 	Permit uint64
 	// Waiter is the number under which the call waits, 0 if it does not.
 	Waiter uint64
-	// Expected is the expected wait of another such call.
+	// Expected is the expected wait of another such call of the same workspace.
 	Expected time.Duration
 	// RetryAfter is the time after which a refused call may come back, with a random part.
 	RetryAfter time.Duration
@@ -137,7 +137,7 @@
 	w := &waiter{request: r, since: now, until: now.Add(r.Wait), tag: x.fairness(r.class()).next(r)}
 	expected := x.expected(w, now)
 	if float64(expected) > admitShare*float64(r.Wait) || len(x.waiting) >= maxWaiters {
-		return x.refusal(r.class(), now)
+		return x.refusal(r, now)
 	}
 	x.fairness(r.class()).record(w)
 	x.meter(r.class()).add(now)
@@ -155,14 +155,13 @@
 	if x.held >= x.capacity(now) {
 		x.press(now)
 	}
-	return SharedGrant{Permit: s.last, Expected: x.wait(r.class(), x.ahead(r.class()), now), Pressed: x.isPressed(now)}
+	return SharedGrant{Permit: s.last, Expected: x.another(r, now), Pressed: x.isPressed(now)}
 }
 
 // refusal returns the answer to a call that may not wait.
-func (x *sharedTarget) refusal(class int, now time.Time) SharedGrant {
-	ahead := x.ahead(class)
-	drain := min(max(x.wait(class, ahead, now), minDrain), maxDrain)
-	return SharedGrant{Expected: x.wait(class, ahead, now), RetryAfter: drain + rand.N(drain), Pressed: x.isPressed(now)}
+func (x *sharedTarget) refusal(r SharedRequest, now time.Time) SharedGrant {
+	drain := min(max(x.wait(r.class(), x.ahead(r.class()), now), minDrain), maxDrain)
+	return SharedGrant{Expected: x.another(r, now), RetryAfter: drain + rand.N(drain), Pressed: x.isPressed(now)}
 }
 
 // Grant issues the permits that are free to the waiting calls, and ends the waits that are
@@ -197,7 +196,7 @@
 	for _, w := range x.waiting {
 		if w.number == number {
 			x.withdraw(w)
-			return x.refusal(w.request.class(), now)
+			return x.refusal(w.request, now)
 		}
 	}
 	return SharedGrant{RetryAfter: minDrain + rand.N(minDrain)}
@@ -219,7 +218,7 @@
 
 func (s *Shared) refuse(x *sharedTarget, w *waiter, now time.Time) {
 	x.withdraw(w)
-	g := x.refusal(w.request.class(), now)
+	g := x.refusal(w.request, now)
 	g.Waiter = w.number
 	s.ended = append(s.ended, g)
 }
--- a/internal/concurrency/shared_test.go
+++ b/internal/concurrency/shared_test.go
@@ -79,3 +79,30 @@
 		t.Errorf("served %v of the first four calls, expected two of each workspace", served)
 	}
 }
+
+// TestExpectedWaitIsThatOfTheWorkspace guards against instances that refuse calls of a
+// workspace by themselves because another one has many calls waiting.
+func TestExpectedWaitIsThatOfTheWorkspace(t *testing.T) {
+	s, permits := fullTarget(t)
+	for range 100 {
+		if g := s.Acquire(SharedRequest{Target: "t", Slots: 6, Share: 1, Workspace: "a", Wait: time.Minute, Timeout: time.Minute}, sharedStart); g.Waiter == 0 {
+			t.Fatal("a call does not wait")
+		}
+	}
+	r := SharedRequest{Target: "t", Slots: 6, Share: 1, Workspace: "b", Wait: 250 * time.Millisecond, Timeout: time.Minute}
+	other := s.Acquire(r, sharedStart)
+	if other.Waiter == 0 {
+		t.Fatal("the call of the other workspace does not wait")
+	}
+	// A call of each workspace is served.
+	s.Release(permits[0], Ended, sharedStart)
+	s.Release(permits[1], Ended, sharedStart)
+	for _, g := range s.Grant(sharedStart) {
+		if g.Waiter == other.Waiter && g.Expected > r.Wait {
+			t.Errorf("the next call of the workspace is told to expect a wait of %v, beyond its %v", g.Expected, r.Wait)
+		}
+	}
+	if next := s.Acquire(r, sharedStart); next.Waiter == 0 {
+		t.Error("the next call of the workspace is refused")
+	}
+}
--- a/internal/placer/acquire.go
+++ b/internal/placer/acquire.go
@@ -89,7 +89,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	maps.DeleteFunc(c.throttles, func(id bamboorail.TargetID, _ *throttle) bool { return !live(id) })
-	maps.DeleteFunc(c.told, func(k toldKey, _ toldWait) bool { return !live(k.target) })
+	now := time.Now()
+	maps.DeleteFunc(c.told, func(k toldKey, w toldWait) bool { return !live(k.target) || now.Sub(w.at) > toldMaxAge })
 	maps.DeleteFunc(c.ungranted, func(id bamboorail.TargetID, _ *ratelimit.Window) bool { return !live(id) })
 }
 
--- a/internal/placer/shared.go
+++ b/internal/placer/shared.go
@@ -37,11 +37,21 @@
 	maxDenials = 2
 )
 
-// toldKey names the calls of a priority at a target.
+// toldKey names the calls of a priority and a workspace at a target. The calls of other
+// workspaces may wait less, since they share the target fairly.
 type toldKey struct {
-	target   bamboorail.TargetID
-	priority int
-	late     bool
+	target    bamboorail.TargetID
+	priority  int
+	late      bool
+	workspace string
+	// any stands for the calls of all workspaces; workspace is empty then.
+	any bool
+}
+
+// anyWorkspace returns the key of the calls of all workspaces.
+func (k toldKey) anyWorkspace() toldKey {
+	k.workspace, k.any = "", true
+	return k
 }
 
 // toldWait is the expected wait that a holder told.
@@ -171,13 +181,13 @@
 	now := time.Now()
 	costs := make(map[bamboorail.TargetID]time.Duration, len(targets))
 	for _, t := range targets {
-		costs[t.ID] = c.toldWait(toldKey{t.ID, a.Route.Priority, late}, now) + c.Balancer.Cost(t, a.Avoid, now)
+		costs[t.ID] = c.toldWait(toldKey{target: t.ID, priority: a.Route.Priority, late: late, workspace: a.Call.Workspace}, now) + c.Balancer.Cost(t, a.Avoid, now)
 	}
 	slices.SortStableFunc(targets, func(x, y bamboorail.TargetEntry) int { return cmp.Compare(costs[x.ID], costs[y.ID]) })
 }
 
-// toldWait returns the longest wait that was told lately for calls of a priority or of more
-// urgent ones, which do not wait longer.
+// toldWait returns the longest wait that was told lately for calls of a priority and
+// workspace, or for more urgent ones of any workspace, which do not wait longer.
 func (c *Chooser) toldWait(k toldKey, now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -186,6 +196,7 @@
 		if told := c.told[k]; now.Sub(told.at) < toldMaxAge {
 			longest = max(longest, told.left(now))
 		}
+		k = k.anyWorkspace()
 	}
 	return longest
 }
@@ -194,7 +205,7 @@
 // refused the call, or would have.
 func (c *Chooser) admitShared(ctx context.Context, a relay.ChooseRequest, t bamboorail.TargetEntry, send sendTime) (_ admission, denied bool) {
 	now := time.Now()
-	key := toldKey{t.ID, min(a.Route.Priority, maxToldPriority), send.late}
+	key := toldKey{target: t.ID, priority: min(a.Route.Priority, maxToldPriority), late: send.late, workspace: a.Call.Workspace}
 	wait := max(send.by.Sub(now), 0)
 	if told := c.toldWait(key, now); told > wait {
 		return admission{retryAfter: max(told, noCapacityRetry)}, true
@@ -235,6 +246,7 @@
 	now := time.Now()
 	c.mu.Lock()
 	c.told[k] = toldWait{wait: a.expected, at: now}
+	c.told[k.anyWorkspace()] = c.told[k]
 	c.mu.Unlock()
 	if a.pressed {
 		c.markPressed(service, now.Add(toldPressure))
