adapters: pace that came back to that of the peers is what calls change

Cause: without observations, the pace in use comes back to that of the peers, so that an engine that was slow is tried again. The first call afterwards changed the old mean, of before that, and the engine counted as slow again although the call was not. Change: an observation changes the mean as it has come back until then.

--- a/internal/adapters/pace.go
+++ b/internal/adapters/pace.go
@@ -51,14 +51,23 @@
 	log   float64
 	count int
 	at    time.Time
-	// value is the mean in nanoseconds that is used until the next update.
-	value float64
+	// value is the mean in nanoseconds that is used until the next update, median the
+	// logarithm of that of the peers at the last one.
+	value, median float64
+}
+
+// decayed returns the logarithm of the mean, which comes back to that of the peers while
+// there are no observations.
+func (s *estimate) decayed(now time.Time) float64 {
+	return s.median + (s.log-s.median)*math.Exp2(-now.Sub(s.at).Seconds()/paceHalfLife.Seconds())
 }
 
 // observe includes a duration in nanoseconds; share scales its weight.
 func (s *estimate) observe(value, share float64, now time.Time) {
 	if s.count == 0 {
 		s.log = math.Log(s.value)
+	} else {
+		s.log = s.decayed(now)
 	}
 	s.count++
 	weight := max(paceWeight, 1/float64(s.count+1)) * share
@@ -93,8 +102,9 @@
 	}
 	for _, e := range p.engines {
 		s, log := of(e), median
+		s.median = median
 		if s.count > 0 {
-			log += (s.log - median) * math.Exp2(-now.Sub(s.at).Seconds()/paceHalfLife.Seconds())
+			log = s.decayed(now)
 		}
 		s.value = math.Exp(log)
 	}
