adapters: prompts of impossible size don't block their engine

Cause: a caller may state a prompt of up to 2^40 tokens. The modeled reading of one such call, 15,270 hours, made its engine the last choice for all later calls of the zone until the engine or the holder changed; the sum of several overflows the cost. Change: the time to read a prompt is bounded by the memory of the engine, and by 30 s if that is unknown. Result: a minute after such a call, the engine has no backlog (TestPromptOfImpossibleSizeDoesNotBlockItsEngine).

--- a/internal/adapters/work.go
+++ b/internal/adapters/work.go
@@ -29,6 +29,9 @@
 	// rankScale is the cost of a doubling of the rank in an adapter's order of engines, so
 	// that the order decides between engines of about the same cost.
 	rankScale = 15 * time.Millisecond
+	// maxReadTime bounds the time to read one prompt. Callers may state sizes that no engine
+	// can read; the calls of a route that states no time-out end after it.
+	maxReadTime = 30 * time.Second
 	// evictionInterval is the time between two updates of the costs of evictions, which take
 	// a sixth of the time of all decisions if they are made every 100 ms.
 	evictionInterval = 500 * time.Millisecond
@@ -91,12 +94,15 @@
 }
 
 // readTime returns the time in which an engine reads what it does not keep of a prompt.
-func (e *engine) readTime(r Request, now time.Time) time.Duration {
+func (p *Planner) readTime(e *engine, r Request, now time.Time) time.Duration {
 	tokens := r.Size.Prompt
+	if limit := p.memory(e.entry.Service); limit > 0 {
+		tokens = min(tokens, limit)
+	}
 	if held := e.adapters[r.Key]; len(r.Prompt) > 0 && (r.Key.Adapter == "" || held != nil) {
 		tokens = max(tokens-e.kept.tokens(r.Key, r.Prompt, now), 1)
 	}
-	return time.Duration(float64(tokens) * e.pace.read.value)
+	return time.Duration(min(float64(tokens)*e.pace.read.value, float64(maxReadTime)))
 }
 
 // workCost returns the cost of the work of a call at an engine, beyond the wait before it is
@@ -104,7 +110,7 @@
 // engine are late. Prompts are read between the steps of all streams, so that each of
 // them has a gap of the time that the backlog takes.
 func (p *Planner) workCost(e *engine, r Request, wait time.Duration, now time.Time) time.Duration {
-	read := e.backlog.wait(now.Add(wait)) + e.readTime(r, now)
+	read := e.backlog.wait(now.Add(wait)) + p.readTime(e, r, now)
 	event := time.Duration(e.pace.event.value)
 	late := risk(wait+read+event+r.Waited, r.Objective) + e.gapRisk(now)
 	late += float64(e.calls()) * risk(read+event, r.MaxGap)
@@ -161,7 +167,7 @@
 	e.tokens += w.tokens
 	if r.Size.Prompt > 0 {
 		p.refreshPaces(now)
-		read := e.readTime(r, now)
+		read := p.readTime(e, r, now)
 		w.read, w.tokenTime = e.backlog.wait(sent)+read, e.pace.read.value
 		e.backlog.add(sent, read, now)
 		if len(r.Prompt) > 0 {
