placer: credit simulation sets up all workspaces before it makes calls

Cause: the loop that starts the callers added entries to a map which the callers that run already read: a data race of the test, seen with -race in TestQuotaOfOneWorkspaceAtTenTimesItsLimit. Change: the entries are added before the first caller starts. Result: no race in go test -race -run 'Shared|Told|Work|Quota' (44 s).

--- a/internal/placer/credit_sim_test.go
+++ b/internal/placer/credit_sim_test.go
@@ -212,6 +212,8 @@
 	}
 	for _, w := range callers {
 		s.spent[w.Name] = &creditSpent{bucket: w.Quota.Burst}
+	}
+	for _, w := range callers {
 		random := rand.New(rand.NewPCG(s.random.Uint64(), 0))
 		loads.Go(func() {
 			for {
