placer: shared simulation adds a target under its lock

Cause: the test appended a target while the upkeep of holders read the list, a data race of the test, seen with -race in TestSharedTargetsServeTheirCapacity. Change: both take the lock of the simulation. Result: no race in go test -race -run 'Shared|Told|Work|Quota' (44 s).

--- a/internal/placer/brittle_target_test.go
+++ b/internal/placer/brittle_target_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -121,7 +122,10 @@
 
 func (e simEngines) State(_ context.Context, id bamboorail.TargetID, _ string) (bamboorail.EngineState, error) {
 	time.Sleep(2 * simLatency)
-	for _, x := range e.sim.targets {
+	e.sim.mu.Lock()
+	targets := slices.Clone(e.sim.targets)
+	e.sim.mu.Unlock()
+	for _, x := range targets {
 		x.mu.Lock()
 		held, down := x.held, x.down || x.entry.ID != id
 		x.mu.Unlock()
--- a/internal/placer/shared_sim_test.go
+++ b/internal/placer/shared_sim_test.go
@@ -149,7 +149,9 @@
 		first := s.targets[0].entry
 		replacement := first
 		replacement.ID.Name = "replacement"
+		s.brittleSim.mu.Lock()
 		s.targets = append(s.targets, &brittleTarget{sim: s.brittleSim, slots: make(chan struct{}, simSlots), crashed: make(chan struct{}), entry: replacement})
+		s.brittleSim.mu.Unlock()
 		for _, x := range s.targets {
 			x.queue = sharedQueue
 		}
