placer: targets that state no number of slots are not shared

Cause: the number of slots in the entry of a target is optional. A shared target without it counted as one with a single slot: after one refusal, all instances together sent it at most two calls at once, and none without a holder. Change: such targets are served as those that are not under pressure. Result: TestTargetsWithoutSlotsAreNotShared fails before and passes now; the load test of shared targets passes.

--- a/internal/placer/shared.go
+++ b/internal/placer/shared.go
@@ -104,13 +104,14 @@
 }
 
 // splitShared returns the targets whose slots are shared now, and the others. Targets that
-// are brittle or name a limit are subject to the rules for these.
+// are brittle or name a limit are subject to the rules for these. Of targets that state no
+// number of slots, there is nothing to share.
 func (c *Chooser) splitShared(a relay.ChooseRequest, targets []bamboorail.TargetEntry, now time.Time) (shared, others []bamboorail.TargetEntry) {
 	if a.Service.Engine || !c.ShareTargets() || !c.isPressed(a.Service.Name, now) {
 		return nil, targets
 	}
 	for _, t := range targets {
-		if _, limited := c.Advisories.Limit(t.ID); limited || c.Limits.IsBrittle(t.ID) {
+		if _, limited := c.Advisories.Limit(t.ID); limited || t.Slots == 0 || c.Limits.IsBrittle(t.ID) {
 			others = append(others, t)
 			continue
 		}
