relay: forwarded calls keep their workspace while configurations differ

Cause: an instance without workspaces ignored the workspace of a forwarded call, so that the target did not get it. An instance with workspaces refused calls with 401 that were forwarded by one without, although they carry a valid key.

Change: a workspace that the forwarding instance has determined always holds. Otherwise the call is authenticated by its key.

--- a/internal/relay/authenticate.go
+++ b/internal/relay/authenticate.go
@@ -11,15 +11,17 @@
 const maxConfigurationAge = 3 * time.Second
 
 // authenticate determines the workspace of the call. It is done once, at the instance that
-// received the call from its caller; the key is not passed on.
+// received the call from its caller; the key is not passed on. An instance that has no
+// workspaces yet passes the key on, and the next one determines the workspace.
 func (x *exchange) authenticate() error {
 	const op = "authenticate-call"
-	if !x.table.HasWorkspaces() {
+	resolved := x.forwarded != nil && x.forwarded.Workspace != ""
+	if !x.table.HasWorkspaces() && !resolved {
 		return nil
 	}
 	var workspace bamboorail.Workspace
 	var known bool
-	if x.forwarded != nil {
+	if resolved {
 		// This instance may not have learned of the workspace yet.
 		x.call.Workspace = x.forwarded.Workspace
 		workspace, known = x.table.Workspace(x.forwarded.Workspace)
--- a/internal/relay/authenticate_test.go
+++ b/internal/relay/authenticate_test.go
@@ -90,3 +90,52 @@
 		})
 	}
 }
+
+// TestForwardedCallsKeepTheirWorkspace guards against forwarded calls that lose their workspace,
+// or are refused in spite of a valid key, while two instances have different configurations.
+func TestForwardedCallsKeepTheirWorkspace(t *testing.T) {
+	workspaces := []bamboorail.Workspace{{Name: "w1", Keys: []bamboorail.KeyDigest{bamboorail.DigestKey("k1")}}}
+	cases := map[string]struct {
+		none           bool // the receiving instance has no workspaces
+		workspace, key string
+		reached        bool
+		want           string
+	}{
+		"both have workspaces":         {workspace: "w1", reached: true, want: "w1"},
+		"a workspace added since":      {workspace: "w2", reached: true, want: "w2"},
+		"receiver lacks workspaces":    {none: true, workspace: "w1", reached: true, want: "w1"},
+		"sender lacks workspaces":      {key: "k1", reached: true, want: "w1"},
+		"sender lacks them, wrong key": {key: "k9"},
+		"key beside a workspace":       {workspace: "w2", key: "k1", reached: true, want: "w2"},
+		"neither workspace nor key":    {},
+		"no instance has workspaces":   {none: true, reached: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			target := newTarget(t, "t1")
+			b := newTestRelay(t, bamboorail.RouteSpec{Repeat: bamboorail.RepeatNever, MaxAttempts: 1}, target)
+			spec := bamboorail.RouteSpec{
+				Name: "r", Host: "host.example", Prefix: "/p/", Timeout: time.Second, MaxAttempts: 1,
+				Shares: []bamboorail.ServiceShare{{Service: "s", Weight: 1}},
+			}
+			table := route.NewTable(bamboorail.Configuration{Version: 2, Routes: []bamboorail.RouteSpec{spec}, HasWorkspaces: !c.none, Workspaces: workspaces})
+			b.handler.Table = func() *route.Table { return table }
+			b.handler.Ingress, b.handler.Egress = keyDialect{}, keyDialect{}
+			header := http.Header{"Id": {"c"}}
+			if c.key != "" {
+				header.Set("Key", c.key)
+			}
+			err := b.handler.ServeForwarded(t.Context(), ForwardCall{
+				Instance: "other", Method: http.MethodPost, URI: "/p/x", Host: "host.example", Header: header,
+				Remaining: time.Second, StartWithin: time.Second, Service: "s", Workspace: c.workspace,
+			}, &recordedAnswer{})
+			seen := target.seen()
+			if len(seen) > 0 != c.reached || err == nil != c.reached {
+				t.Fatalf("%d requests reached the target, %v", len(seen), err)
+			}
+			if c.reached && (seen[0].header.Get("Workspace") != c.want || seen[0].header.Get("Key") != "") {
+				t.Errorf("the target got %v, want workspace %q and no key", seen[0].header, c.want)
+			}
+		})
+	}
+}
