informer: age of a kind includes that of the answers of peers

Cause: the age of the configuration was counted from the last answer. A holder that has lost the store answers its followers for up to 1.6 s more, so that they refused an added key with 401 for up to 4.6 s after the acknowledgement, not 3 s.

Change: Informer.Age adds the largest age of what a peer answers, also to lists, whose source is not known. ConfigurationAge uses it.

Result: TestAgeIncludesThatOfPeers failed (1 s instead of 2.6 s) and passes; TestKeysFollowTheConfiguration passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -218,7 +218,7 @@
 	g.relay = relay.NewHandler(relay.Config{
 		Instance: s.Instance, Detour: g.detour, Quotas: g.credit,
 		Ingress: g.platform.Ingress, Egress: g.platform.Egress, Table: g.table.Load, Chooser: g.chooser, Budget: g.budget,
-		ConfigurationAge: g.configuration.SinceLastAnswer, IdleLimit: g.idleLimit,
+		ConfigurationAge: g.configuration.Age, IdleLimit: g.idleLimit,
 		Dialer: g.detour, Metrics: g.metrics, Tracer: tracer, Advise: g.advise, Origins: g.origins, ShuttingDown: g.shuttingDown.Load,
 		BodyMemory: int64(float64(s.MaxMemory) * bodyMemoryShare),
 		Log:        g.logs.Layer("relay"),
@@ -327,7 +327,8 @@
 func (g *Gateway) informer(kind string, f followedKind, h informer.Handler) *informer.Informer {
 	g.mirror.SetMaxAge(kind, f.maxAge())
 	return informer.New(informer.Config{
-		Store: g.mirror, Kind: kind, BatchDelay: f.batchDelay, WatchTimeout: f.watchTimeout, Resync: g.resync, Handler: h, Log: g.logs.Layer("informer"),
+		Store: g.mirror, Kind: kind, BatchDelay: f.batchDelay, WatchTimeout: f.watchTimeout, PeerAge: f.maxAge(),
+		Resync: g.resync, Handler: h, Log: g.logs.Layer("informer"),
 	})
 }
 
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -72,9 +72,11 @@
 	// WatchTimeout is the maximum duration of one watch. It limits the time for
 	// which a gap or a dead connection goes unnoticed.
 	WatchTimeout time.Duration
-	Resync       *ResyncSignal
-	Handler      Handler
-	Log          hclog.Logger
+	// PeerAge is the largest age of what a peer answers in place of the store.
+	PeerAge time.Duration
+	Resync  *ResyncSignal
+	Handler Handler
+	Log     hclog.Logger
 }
 
 // Informer tracks the objects of one kind.
@@ -84,6 +86,8 @@
 	listed, newest bamboorail.StoreVersion
 	// lastAnswer is the time of the last answer to a list or watch, nil before the first.
 	lastAnswer atomic.Pointer[time.Time]
+	// currentAt is the time as of which all changes are known, nil before the first answer.
+	currentAt atomic.Pointer[time.Time]
 }
 
 var errEarlierEra = errors.New("the list is older than the last restore of the store")
@@ -168,7 +172,7 @@
 	if state != storeAvailable {
 		i.Log.Info("store regained", "kind", i.Kind, "revision", revision, "objects", len(objects), "since-last-answer", i.SinceLastAnswer().String())
 	}
-	i.markAnswer()
+	i.markAnswer(true) // a list does not state its source
 	i.Handler.Replace(objects, state != storeAvailable || restored)
 }
 
@@ -182,9 +186,25 @@
 	return time.Since(*at)
 }
 
-func (i *Informer) markAnswer() {
+// Age returns the time for which changes of the kind may be unknown, 0 before the first
+// answer.
+func (i *Informer) Age() time.Duration {
+	at := i.currentAt.Load()
+	if at == nil {
+		return 0
+	}
+	return time.Since(*at)
+}
+
+// markAnswer records an answer of the store, or one that a peer may have given.
+func (i *Informer) markAnswer(fromPeer bool) {
 	now := time.Now()
 	i.lastAnswer.Store(&now)
+	current := now
+	if fromPeer {
+		current = now.Add(-i.PeerAge)
+	}
+	i.currentAt.Store(&current)
 }
 
 // recordAnswer records the answer to a watch after a number of failed ones.
@@ -192,7 +212,7 @@
 	if failures > 0 {
 		i.Log.Info("watch resumed", "kind", i.Kind, "revision", e.Revision, "from-peer", e.FromPeer, "since-last-answer", i.SinceLastAnswer().String())
 	}
-	i.markAnswer()
+	i.markAnswer(e.FromPeer)
 }
 
 // watch processes changes until the history is gone, another informer triggers
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -333,3 +333,54 @@
 		})
 	}
 }
+
+// peerStore answers one watch in place of the store, and fails after that.
+type peerStore struct {
+	*memory.Store
+	fromPeer, answered bool
+}
+
+func (s *peerStore) Watch(context.Context, []string, bamboorail.StoreVersion, time.Duration) (bamboorail.Events, error) {
+	if s.answered {
+		return bamboorail.Events{}, errUnreachable
+	}
+	s.answered = true
+	return bamboorail.Events{Revision: 1, FromPeer: s.fromPeer}, nil
+}
+
+func (s *peerStore) List(ctx context.Context, kind string) ([]bamboorail.Object, bamboorail.StoreVersion, error) {
+	if s.answered {
+		return nil, 0, errUnreachable
+	}
+	return s.Store.List(ctx, kind)
+}
+
+// TestAgeIncludesThatOfPeers guards against an instance that takes what a peer answers for
+// current, which has lost the store itself: it would refuse a key for good that was added.
+func TestAgeIncludesThatOfPeers(t *testing.T) {
+	const peerAge = 1600 * time.Millisecond
+	for name, c := range map[string]struct {
+		fromPeer bool
+		want     time.Duration
+	}{"store": {false, time.Second}, "peer": {true, time.Second + peerAge}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				i := New(Config{
+					Store: &peerStore{Store: memory.NewStore(), fromPeer: c.fromPeer}, Kind: "k/", WatchTimeout: time.Second, PeerAge: peerAge,
+					Resync: NewResyncSignal(), Handler: newRecorder(), Log: hclog.NewNullLogger(),
+				})
+				if i.Age() != 0 {
+					t.Errorf("age %v before the first answer", i.Age())
+				}
+				d := task.Start(ctx, "informer", i.Run)
+				time.Sleep(time.Second)
+				if i.Age() != c.want || i.SinceLastAnswer() != time.Second {
+					t.Errorf("age %v, expected %v, last answer %v ago", i.Age(), c.want, i.SinceLastAnswer())
+				}
+				cancel()
+				d.Join()
+			})
+		})
+	}
+}
