--- a/internal/adapters/cost.go
+++ b/internal/adapters/cost.go
@@ -52,7 +52,7 @@
 	}
 	for _, name := range p.engineNames() {
 		e := p.engines[name]
-		if !e.usable(r) || slices.Contains(r.Avoid, name) || p.limitWait(e, now) > 0 || !p.hasRoom(e, r) {
+		if !p.isEligible(name, e, r, now) {
 			continue
 		}
 		if o, ok := p.option(name, e, r, q, now); ok {
@@ -65,6 +65,11 @@
 	return best, old
 }
 
+// isEligible reports whether an engine may be sent a call now.
+func (p *Planner) isEligible(name string, e *engine, r Request, now time.Time) bool {
+	return e.usable(r) && !slices.Contains(r.Avoid, name) && p.limitWait(e, now) <= 0 && p.hasRoom(e, r)
+}
+
 // cheaper returns the cheaper one of two options, of which the second one lacks the cost of
 // its work.
 func (p *Planner) cheaper(best, o option, r Request, now time.Time) option {
