--- a/internal/relay/authenticate.go
+++ b/internal/relay/authenticate.go
@@ -57,11 +57,7 @@
 	if !known {
 		return nil
 	}
-	wait := defaultCreditWait
-	if x.route.Objective > 0 {
-		wait = x.route.Objective / creditWaitDivisor
-	}
-	refund, err := x.h.Quotas.Admit(x.r.Context(), w, w.Quota.Cost(x.call.Size), wait)
+	refund, err := x.h.Quotas.Admit(x.r.Context(), w, w.Quota.Cost(x.call.Size), CreditWait(x.route))
 	if err != nil {
 		return err
 	}
