gateway: explain placements at the metrics listener

Cause: an operator could not ask an instance where a call would go and what would refuse it. Change: GET /explain-placement takes the description of a call and answers with route, service, workspace, credit, holder, engines or targets, and refusals with their retry times.

--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -58,6 +58,7 @@
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", promhttp.HandlerFor(g.metrics.Registry(), promhttp.HandlerOpts{}))
 	metrics.HandleFunc("GET /v1/traces/{id}", g.serveTrace)
+	metrics.HandleFunc("GET "+operatorapi.PlacementPath, g.serveExplainPlacement)
 	g.ports.metrics.Handle(metrics)
 }
 
