--- a/cmd/railctl/cmds/commands.go
+++ b/cmd/railctl/cmds/commands.go
@@ -30,7 +30,8 @@
 	return cli.Run(New(os.Stdin, stdout), args, stdout, stderr)
 }
 
-const description = `Every command and query goes to the operators' interface of one instance.
+const description = `Every command and query goes to the operators' interface of one instance;
+explain-placement asks the metrics listener of an instance.
 
 Examples:
   railctl apply --file records.json
@@ -42,6 +43,7 @@
   railctl targets
   railctl trace sala-a.0190c1f2-...
   railctl explain 9c41d07be2a35f68 node-1.log node-2.log
+  railctl explain-placement --instance 10.0.0.1:7381 --host api.example --path /chat --model base/summary-sk
 
 Exit codes: 0 done, 1 failed, 2 wrong command line, record or settings,
 3 conflict with another change, 4 not found, 5 instance or platform
@@ -66,7 +68,7 @@
 			}
 			return ctx, nil
 		},
-		Commands: append(append(a.commands(), a.queries()...), a.explainCommand()),
+		Commands: append(append(a.commands(), a.queries()...), a.explainCommand(), a.placementCommand()),
 	}
 }
 
