--- a/internal/adapters/explain.go
+++ b/internal/adapters/explain.go
@@ -144,7 +144,7 @@
 	}
 	c.Cost.Load = o.cost - c.Cost.Queue - c.Cost.Rank
 	if r.isMeasured() {
-		c.Cost.Backlog, c.Cost.Reading = e.backlog.wait(now.Add(o.wait)), e.readTime(r, now)
+		c.Cost.Backlog, c.Cost.Reading = e.backlog.wait(now.Add(o.wait)), p.readTime(e, r, now)
 		c.Cost.FirstEvent = time.Duration(e.pace.event.value)
 		c.Cost.Risk = o.total - o.cost - c.Cost.Backlog - c.Cost.Reading - c.Cost.FirstEvent
 	}
--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -107,7 +107,7 @@
 		Instances: func() int { return 1 }, ShareTargets: func() bool { return true }, Metrics: g.metrics,
 	})
 	g.credit = placer.NewCredit(placer.CreditConfig{
-		Instance: "i1", Zones: g.holders, Table: g.table.Load, Instances: func() int { return 1 }, ZoneSize: func() int { return 1 }, Metrics: g.metrics, Log: g.log,
+		Instance: "i1", Zones: g.holders, Table: g.table.Load, Instances: func() int { return 1 }, Contacts: func(time.Duration) int { return 1 }, Metrics: g.metrics, Log: g.log,
 	})
 	return g
 }
