--- a/internal/adapters/explain.go
+++ b/internal/adapters/explain.go
@@ -191,8 +191,8 @@
 }
 
 // snapshot returns a copy that gives the same answers about one adapter at one time, and to
-// which calls for that adapter may be added. Groups that such calls do not change are shared, so
-// that an explanation takes about the time of a decision.
+// which calls for that adapter may be added. Groups that such calls do not change are shared: the
+// lock of the holder is held meanwhile.
 func (w *waitQueue) snapshot(key bamboorail.AdapterKey, now time.Time) *waitQueue {
 	s := *w
 	s.groups, s.list = map[bamboorail.AdapterKey]*group{}, make([]*group, 0, len(w.list)+1)
