placer, quota, relay: plainer terms in comments and messages

Cause: comments of the new parts used figurative words where the field has a term. Change: comments and texts of new tests only.

--- a/cmd/railctl/cmds/placement.go
+++ b/cmd/railctl/cmds/placement.go
@@ -17,7 +17,7 @@
 	"bamboorail.example/bamboorail/pkg/operatorapi"
 )
 
-// placementCommand asks one instance where it would place a call.
+// placementCommand queries one instance for the target that it would select for a call.
 func (a *app) placementCommand() *urfave.Command {
 	return &urfave.Command{
 		Name: "explain-placement", Category: categoryQueries, Usage: "show where a described call would be placed, without sending it",
--- a/cmd/railctl/cmds/placement_test.go
+++ b/cmd/railctl/cmds/placement_test.go
@@ -62,7 +62,7 @@
 				}
 			}
 			if want := "/explain-placement?host=h&model=m%2Fx&path=%2Fchat&prompt=s%3A400%2Cown%3A100&tokens=500%2C100&workspace=w1"; query != want {
-				t.Errorf("query %s, want %s", query, want)
+				t.Errorf("query %s, expected %s", query, want)
 			}
 			var got operatorapi.Placement
 			if code := railctl.Main(append(args, "--json"), &asJSON, &stderr); code != 0 || json.Unmarshal(asJSON.Bytes(), &got) != nil || got.Route != "chat" {
@@ -97,7 +97,7 @@
 			var stdout, stderr bytes.Buffer
 			code := railctl.Main(append([]string{"railctl", "explain-placement"}, c.args...), &stdout, &stderr)
 			if code != c.code || !strings.Contains(stderr.String(), c.text) {
-				t.Errorf("exit code %d, want %d with %q: %s", code, c.code, c.text, stderr.String())
+				t.Errorf("exit code %d, expected %d with %q: %s", code, c.code, c.text, stderr.String())
 			}
 		})
 	}
--- a/internal/adapters/explain.go
+++ b/internal/adapters/explain.go
@@ -85,7 +85,7 @@
 	return x
 }
 
-// pricedOption is an option, which lacks the cost of its work, with its whole cost.
+// pricedOption is an option with its total cost, which includes that of its work.
 type pricedOption struct {
 	option
 	total      time.Duration
--- a/internal/adapters/kept.go
+++ b/internal/adapters/kept.go
@@ -12,7 +12,7 @@
 
 const (
 	// maxKeptAge is the time after which a part that no call has used is not believed to be
-	// kept. The planner sees only the calls that it places: an engine may have given its
+	// kept. The planner sees only the calls that it places: an engine may have used its
 	// memory to others.
 	maxKeptAge = 20 * time.Second
 	// maxKeptParts bounds the parts of one engine, at 131 bytes each. An engine of the planned
--- a/internal/adapters/pace.go
+++ b/internal/adapters/pace.go
@@ -110,7 +110,7 @@
 	}
 }
 
-// RecordTiming learns from the timing of a call whose placement has not ended.
+// RecordTiming updates the pace of an engine from a call whose placement has not ended.
 func (p *Planner) RecordTiming(number uint64, t Timing, now time.Time) {
 	k, ok := p.tickets[number]
 	e := p.engine(k.id)
--- a/internal/adapters/work.go
+++ b/internal/adapters/work.go
@@ -140,7 +140,7 @@
 }
 
 // refreshEvictionCosts updates the costs of an eviction, which rise with the demand for the
-// adapter that would be evicted: if it is asked for again soon, it has to be loaded again.
+// adapter that would be evicted: if it is requested again soon, it has to be loaded again.
 func (p *Planner) refreshEvictionCosts(now time.Time) {
 	if now.Sub(p.evictionCostsAt) < evictionInterval {
 		return
--- a/internal/application/application.go
+++ b/internal/application/application.go
@@ -43,7 +43,7 @@
 
 // Transport returns a copy of base that uses each connection for one request and
 // does not attempt HTTP/2.
-// Observe is told of rejected answers; it may be nil.
+// Observe is called for rejected answers; it may be nil.
 func Transport(base *http.Transport, observe func(httpport.Rejection)) *httpport.Transport {
 	t := base.Clone()
 	t.DisableKeepAlives = true
--- a/internal/concurrency/adopt.go
+++ b/internal/concurrency/adopt.go
@@ -9,7 +9,7 @@
 
 const (
 	// counterBits is the number of low bits of the number of a permit that count the permits
-	// of a tenure, hashBits the number of bits before them that tell its target.
+	// of a tenure, hashBits the number of bits before them that identify its target.
 	counterBits = 20
 	hashBits    = 10
 	tenureMask  = math.MaxUint64 &^ (1<<(counterBits+hashBits) - 1)
@@ -18,7 +18,7 @@
 	adoptPeriod = 5 * time.Second
 )
 
-// hashOf returns the bits of the number of a permit that tell its target.
+// hashOf returns the bits of the number of a permit that identify its target.
 func hashOf(target string) uint64 {
 	return xxhash.Sum64String(target) & (1<<hashBits - 1) << counterBits
 }
--- a/internal/concurrency/concurrency.go
+++ b/internal/concurrency/concurrency.go
@@ -64,7 +64,7 @@
 	instance string
 	issued   time.Time
 	expires  time.Time
-	// unmeasured is set if the end of the permit does not tell the time of its call.
+	// unmeasured is set if the end of the permit does not show the time of its call.
 	unmeasured bool
 }
 
--- a/internal/concurrency/estimate.go
+++ b/internal/concurrency/estimate.go
@@ -11,7 +11,7 @@
 const (
 	// meterPeriod is the time over which the arrivals of a class are averaged.
 	meterPeriod = 500 * time.Millisecond
-	// maxFairEntries bounds the workspaces that a class remembers.
+	// maxFairEntries bounds the workspaces of a class for which a position is kept.
 	maxFairEntries = 256
 )
 
--- a/internal/concurrency/shared.go
+++ b/internal/concurrency/shared.go
@@ -11,7 +11,7 @@
 	// refused a call or had no free permit.
 	pressurePeriod = 3 * time.Second
 	// onsetPeriod is the time from the beginning of pressure in which refusals don't bring the
-	// permits below the slots: instances that do not know of it yet fill the target.
+	// permits below the slots: instances without that information fill the target.
 	onsetPeriod = time.Second
 	// placeShare is the number of permits beyond the slots of a target, as a part of the
 	// slots. The end of a call takes up to 15 ms to the holder and the next call as long to
@@ -299,7 +299,7 @@
 	}
 }
 
-// idlePeriod is the time after which a target that no one asks for is forgotten.
+// idlePeriod is the time without a request after which a target is removed.
 const idlePeriod = 30 * time.Second
 
 // Pressed returns the names of the targets that are under pressure, in order.
--- a/internal/eventstream/counter.go
+++ b/internal/eventstream/counter.go
@@ -8,7 +8,7 @@
 // Counter counts the events of a stream that arrives in pieces of any size. The zero value is
 // at the start of a stream.
 type Counter struct {
-	// line is the beginning of the current line, as far as it tells what the line is.
+	// line is the beginning of the current line, as far as needed to classify it.
 	line   [len(retryField) + 1]byte
 	length int
 	// hasField is set if a line of the current event is a field.
--- a/internal/httpport/framing.go
+++ b/internal/httpport/framing.go
@@ -15,7 +15,7 @@
 
 // framingScanner notices answers whose heads state the framing of their body more than once,
 // or by chunks in a protocol that has none. net/http drops one of the fields and does not
-// report it. The scanner sees the bytes of one connection as they arrive.
+// report it. The scanner reads the bytes of one connection as they arrive.
 type framingScanner struct {
 	// started is set when a request gets the connection, ambiguous once its answer has a
 	// head that states the framing more than once.
--- a/internal/httpport/transport.go
+++ b/internal/httpport/transport.go
@@ -37,7 +37,7 @@
 }
 
 // NewTransport returns a transport that sends requests through base, whose DialContext it
-// replaces. Base must not be used otherwise. Observe is told of rejected answers; it may be
+// replaces. Base must not be used otherwise. Observe is called for rejected answers; it may be
 // nil.
 func NewTransport(base *http.Transport, observe func(Rejection)) *Transport {
 	dial := dialFunc(base.DialContext)
@@ -50,7 +50,7 @@
 	return t
 }
 
-// Observe replaces the function that is told of rejected answers.
+// Observe replaces the function that is called for rejected answers.
 func (t *Transport) Observe(observe func(Rejection)) {
 	if observe == nil {
 		observe = func(Rejection) {}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -138,7 +138,7 @@
 }
 
 // IsTakenOver reports whether the tenure began after the lease of another instance lapsed, which
-// may not know of it yet.
+// may not have noticed.
 func (l *Lease) IsTakenOver() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/peer/placer.go
+++ b/internal/peer/placer.go
@@ -97,7 +97,7 @@
 	return reply, nil
 }
 
-// Credit asks the instance at address for quota credit of workspaces.
+// Credit requests quota credit of workspaces from the instance at address.
 func (c *Client) Credit(ctx context.Context, address string, r *wire.CreditRequest) (*wire.CreditReply, error) {
 	reply, err := wire.NewDRPCPlacerClient(c.pool.Get(ctx, address, c.dial)).Credit(ctx, r)
 	if err != nil {
--- a/internal/placer/balanced.go
+++ b/internal/placer/balanced.go
@@ -79,7 +79,7 @@
 	}
 }
 
-// openTargets returns the targets of a service that want requests now.
+// openTargets returns the targets of a service that accept requests now.
 func (c *Chooser) openTargets(service string, now time.Time) []bamboorail.TargetEntry {
 	return slices.DeleteFunc(c.Fleet.Service(service), func(e bamboorail.TargetEntry) bool {
 		reason, _ := c.Advisories.Check(e.ID, now)
@@ -87,7 +87,7 @@
 	})
 }
 
-// checkQuiet returns an error if all targets of a service want no requests, with the
+// checkQuiet returns an error if no target of a service accepts requests, with the
 // time until the first one does.
 func (c *Chooser) checkQuiet(service string, now time.Time) error {
 	if c.Advisories.IsEmpty() {
--- a/internal/placer/chooser.go
+++ b/internal/placer/chooser.go
@@ -123,7 +123,7 @@
 	urgent map[string]chan struct{}
 	// open are the placements made by the holders of other instances, by zone.
 	open map[string]*openPlacements
-	// pressed are the times until which the targets of services are shared, told the waits
+	// pressed are the times until which the targets of services are shared, told the expected waits
 	// that holders expect.
 	pressed map[string]time.Time
 	told    map[toldKey]toldWait
--- a/internal/placer/credit.go
+++ b/internal/placer/credit.go
@@ -19,7 +19,7 @@
 
 const (
 	// creditTimeout bounds a request for credit, so that a call that waits for 100 ms can be
-	// asked for in another zone. The credit of a late answer is lost.
+	// requested in another zone. The credit of a late answer is lost.
 	creditTimeout = 60 * time.Millisecond
 	// minCreditBackoff is the time for which a holder that did not answer is skipped. It
 	// doubles with each failure up to maxHolderBackoff.
@@ -33,7 +33,7 @@
 	hopelessRetry = 10 * time.Second
 	// limitedLogInterval is the minimum time between the log lines on one workspace.
 	limitedLogInterval = time.Second
-	// tenureInterval is the interval at which a new tenure is noticed without a request.
+	// tenureInterval is the interval of the checks for a new lease term, besides requests.
 	tenureInterval = 250 * time.Millisecond
 	// creditUpkeep is the interval at which unused state is removed.
 	creditUpkeep = time.Minute
@@ -71,7 +71,7 @@
 type Credit struct {
 	CreditConfig
 	holders map[string]*zoneCredit
-	// wake signals that calls wait, transfer that the buckets of a zone fall short.
+	// wake signals waiting calls, transfer signals that the buckets of a zone fall short.
 	wake, transfer chan struct{}
 
 	mu     sync.Mutex
@@ -87,8 +87,8 @@
 // creditQueue is the queue of the calls of a workspace that wait for credit.
 type creditQueue struct {
 	waiters []*creditWaiter
-	// askAt is the time at which the holder is asked next, asked the least cost that it was
-	// asked for last.
+	// askAt is the time of the next request to the holder, asked the least cost in the last
+	// one.
 	askAt time.Time
 	asked float64
 }
--- a/internal/placer/credit_holder.go
+++ b/internal/placer/credit_holder.go
@@ -21,7 +21,7 @@
 	contactWindow = 1500 * time.Millisecond
 	// takeoverDelay is the time from the beginning of a tenure, after that of another
 	// instance lapsed, during which no credit is created. An instance that lost the store creates credit until most instances of
-	// its zone have turned to its successor, which they learn of within 2.25 s, and
+	// its zone have turned to its successor, whose lease they read within 2.25 s, and
 	// contactWindow is over.
 	takeoverDelay = 3 * time.Second
 	// maxCreditNeeds bounds the workspaces of one request.
@@ -124,7 +124,7 @@
 	return grants, true
 }
 
-// wanted returns the credit to be requested from other zones.
+// wanted returns the credit to be requested from the holders of other zones.
 func (z *zoneCredit) wanted(now time.Time) []quota.Need {
 	z.mu.Lock()
 	defer z.mu.Unlock()
@@ -210,7 +210,7 @@
 	}
 }
 
-// ask requests credit from the holder of a zone, for this instance or for its own zone. It
+// ask sends a request for credit to the holder of a zone, for this instance or for its own zone. It
 // returns false without an answer. The answers to requests that were given up are dropped.
 func (c *Credit) ask(ctx context.Context, z ZoneHolder, needs []quota.Need, transfer bool) ([]quota.Grant, bool) {
 	if grants, ok := c.serve(z.Zone, needs, transfer); ok {
@@ -284,7 +284,7 @@
 	}
 	reply := &wire.CreditReply{Holder: true, Grants: make([]*wire.CreditGrant, 0, len(grants))}
 	for _, g := range grants {
-		// The index tells the workspace.
+		// The index identifies the workspace.
 		reply.Grants = append(reply.Grants, &wire.CreditGrant{Amount: g.Amount, RetryAfterMicros: g.Retry.Microseconds()})
 	}
 	return reply, nil
--- a/internal/placer/credit_queue.go
+++ b/internal/placer/credit_queue.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// due returns what the calls need whose workspaces may be asked for now, and the time until
+// due returns what the calls need whose workspaces are due for a request now, and the time until
 // the next ones may, or 0.
 func (c *Credit) due(now time.Time) ([]quota.Need, time.Duration) {
 	c.mu.Lock()
@@ -117,7 +117,7 @@
 }
 
 // deny keeps the calls that can wait for a retry time, and refuses the others. Calls that
-// arrived after the request and cost less are asked for at once. The caller holds the lock.
+// arrived after the request and cost less are requested at once. The caller holds the lock.
 func (c *Credit) deny(name string, q *creditQueue, retry time.Duration, now time.Time) {
 	again := now.Add(retry)
 	least, smaller := 0.0, false
--- a/internal/placer/explain.go
+++ b/internal/placer/explain.go
@@ -28,7 +28,7 @@
 	return x, true
 }
 
-// ExplainedTarget is a target as this instance knows it.
+// ExplainedTarget is a target in the view of this instance.
 type ExplainedTarget struct {
 	Target bamboorail.TargetEntry
 	// Cost is the cost by which the balancer compares targets.
@@ -57,7 +57,7 @@
 	// IsHolder is set if this instance is the holder; Plan is known only then.
 	IsHolder bool
 	Plan     adapters.Explanation
-	// Next are the holders that are asked after this one, in order.
+	// Next are the holders that are queried after this one, in order.
 	Next []ExplainedHolder
 	// Known lists the engines that hold the model and adapter by their own entries, in the
 	// order in which this instance would use them without a holder.
@@ -95,7 +95,7 @@
 	return x
 }
 
-// explainedAvoid returns the engines that calls are not sent to, without forgetting suspects.
+// explainedAvoid returns the engines that calls are not sent to, and keeps the list of suspects.
 func (c *Chooser) explainedAvoid(a relay.ChooseRequest, now time.Time) []string {
 	names := slices.Concat(a.Avoid, c.Advisories.Closed(now))
 	c.mu.Lock()
@@ -164,7 +164,7 @@
 	// Credit is the credit of the workspace at this instance, Cost that of the call.
 	Credit, Cost float64
 	// Err is the error that would refuse the call, nil if there is none: a call without
-	// enough credit asks the holder of the zone for it.
+	// enough credit requests it from the holder of the zone.
 	Err error
 }
 
--- a/internal/placer/shared.go
+++ b/internal/placer/shared.go
@@ -27,7 +27,7 @@
 	maxSharedWait = 5 * time.Second
 	// answerMargin is reserved for the way to the target and back.
 	answerMargin = 20 * time.Millisecond
-	// toldMaxAge is the age up to which an expected wait that is too long is not asked for
+	// toldMaxAge is the age up to which an expected wait that is too long is not requested
 	// again.
 	toldMaxAge = 300 * time.Millisecond
 	// maxToldPriority is the priority from which on calls count as equal in this.
@@ -54,13 +54,13 @@
 	return k
 }
 
-// toldWait is the expected wait that a holder told.
+// toldWait is the expected wait that a holder reported.
 type toldWait struct {
 	wait time.Duration
 	at   time.Time
 }
 
-// left returns the wait less the time since it was told.
+// left returns the wait less the time since the report.
 func (w toldWait) left(now time.Time) time.Duration { return max(w.wait-now.Sub(w.at), 0) }
 
 // markPressed shares the targets of a service for a while.
@@ -191,7 +191,7 @@
 	slices.SortStableFunc(targets, func(x, y bamboorail.TargetEntry) int { return cmp.Compare(costs[x.ID], costs[y.ID]) })
 }
 
-// toldWait returns the longest wait that was told lately for calls of a priority and
+// toldWait returns the longest wait that was reported lately for calls of a priority and
 // workspace, or for more urgent ones of any workspace, which do not wait longer.
 func (c *Chooser) toldWait(k toldKey, now time.Time) time.Duration {
 	c.mu.Lock()
@@ -206,7 +206,7 @@
 	return longest
 }
 
-// admitShared asks the holder of a target's zone for a permit. denied is set if the holder
+// admitShared requests a permit from the holder of a target's zone. denied is set if the holder
 // refused the call, or would have.
 func (c *Chooser) admitShared(ctx context.Context, a relay.ChooseRequest, t bamboorail.TargetEntry, send sendTime) (_ admission, denied bool) {
 	now := time.Now()
@@ -258,7 +258,7 @@
 	}
 }
 
-// askShared asks the holder of a zone for a permit. It returns false without an answer of a
+// askShared sends a request for a permit to the holder of a zone. It returns false without an answer of a
 // holder.
 func (c *Chooser) askShared(ctx context.Context, z ZoneHolder, r sharedCall) (admission, bool) {
 	if z.Local != nil && z.Lease.Leading() {
--- a/internal/placer/work.go
+++ b/internal/placer/work.go
@@ -18,7 +18,7 @@
 	maxWireParts = 32
 )
 
-// statesWork reports whether holders are told the work of the calls of a route. It is needed
+// statesWork reports whether requests to holders state the work of the calls of a route. It is needed
 // only if the work at an engine makes streams late that run there.
 func statesWork(r bamboorail.RouteSpec) bool { return r.MaxEventGap > 0 }
 
@@ -40,7 +40,7 @@
 	for n, p := range a.Call.Prompt {
 		part := &wire.PromptPart{Tokens: int64(p.Tokens)}
 		if n < len(a.Call.Prompt)-1 {
-			// The last part belongs to this call alone, so its name tells nothing.
+			// The last part belongs to this call alone, so its name is of no use.
 			part.Id = callID(p.ID)
 		}
 		m.Prompt = append(m.Prompt, part)
--- a/internal/quota/buckets.go
+++ b/internal/quota/buckets.go
@@ -28,8 +28,8 @@
 	minCapacityTime = 250 * time.Millisecond
 	// largestCallTime is the time for which a bucket is enlarged after a large call.
 	largestCallTime = 5 * time.Second
-	// shortTime is the age at which an unmet need is forgotten: an instance whose call still
-	// waits has asked again by then.
+	// shortTime is the age at which an unmet need is dropped: an instance whose call still
+	// waits has sent another request by then.
 	shortTime = 100 * time.Millisecond
 	// aheadTime is the demand for which credit of other zones is requested in advance. It
 	// covers two intervals of transfers and one exchange.
@@ -52,7 +52,7 @@
 // Need is credit that the calls of a workspace need.
 type Need struct {
 	Workspace string
-	// Instance is the instance that asks.
+	// Instance is the requesting instance.
 	Instance string
 	// Amount is what the calls need, Minimum the least that is of use.
 	Amount, Minimum float64
@@ -90,12 +90,12 @@
 	// received is the credit of other zones.
 	received lots
 	demand   demand
-	// largest is the largest cost of a call that was lately asked for, at largestAt.
+	// largest is the largest cost of a call that was lately requested, at largestAt.
 	largest   float64
 	largestAt time.Time
 	// short are the unmet needs by instance.
 	short map[string]need
-	// dryUntil is the time until which other zones are not asked.
+	// dryUntil is the time until which no requests are sent to other zones.
 	dryUntil time.Time
 	dryTime  time.Duration
 }
@@ -111,7 +111,7 @@
 	return &Buckets{zones: float64(max(zones, 1)), quota: quota, since: since, buckets: map[string]*bucket{}}
 }
 
-// Retain forgets the workspaces that are no longer known or limited.
+// Retain removes the workspaces that are not configured or not limited any more.
 func (b *Buckets) Retain() {
 	maps.DeleteFunc(b.buckets, func(name string, _ *bucket) bool {
 		q, known := b.quota(name)
@@ -154,7 +154,7 @@
 	}
 	n.Minimum = min(n.Minimum, n.Amount)
 	k := b.bucket(n.Workspace, q, min(n.Minimum, q.Rate+q.Burst), now)
-	// An instance asks for the same calls again until they are served.
+	// An instance repeats the request for the same calls until they are served.
 	asked := k.short[n.Instance]
 	if now.Sub(asked.at) > shortTime {
 		asked.amount = 0
@@ -205,7 +205,7 @@
 	return sum
 }
 
-// wanted returns the credit of other zones that would help now. Credit for the demand to
+// wanted returns the credit of other zones that the bucket needs now. Credit for the demand to
 // come is requested if calls wait, or if it covers a call of half the largest size; it would
 // expire between the calls otherwise.
 func (k *bucket) wanted(now time.Time) float64 {
@@ -250,7 +250,7 @@
 	return given
 }
 
-// Receive adds credit that another zone gave, of an amount that was asked for. It expires at
+// Receive adds credit that another zone gave, of a requested amount. It expires at
 // a time.
 func (b *Buckets) Receive(workspace string, amount float64, expires, now time.Time) {
 	q, known := b.quota(workspace)
@@ -263,7 +263,7 @@
 }
 
 // Answered records the answers of all other zones to a request for credit. If they gave
-// nothing, they are not asked again for a while.
+// nothing, no requests are sent to them for a while.
 func (b *Buckets) Answered(workspace string, given float64, now time.Time) {
 	b.answered = now
 	k := b.buckets[workspace]
--- a/internal/quota/wallet.go
+++ b/internal/quota/wallet.go
@@ -108,7 +108,7 @@
 	a.denied, a.deniedUntil = cost, now.Add(retry)
 }
 
-// Denied returns the time for which a cost is denied, 0 if it may be asked for. A cost below
+// Denied returns the time for which a cost is denied, 0 if it may be requested. A cost below
 // the one that was denied may still be granted.
 func (w *Wallet) Denied(workspace string, cost float64, now time.Time) time.Duration {
 	a := w.account(workspace)
@@ -118,7 +118,7 @@
 	return max(a.deniedUntil.Sub(now), 0)
 }
 
-// Expire forgets the workspaces without recent calls.
+// Expire removes the workspaces without recent calls.
 func (w *Wallet) Expire(now time.Time) {
 	maps.DeleteFunc(w.accounts, func(_ string, a *account) bool { return now.Sub(a.lastCall) > accountTime })
 }
--- a/internal/relay/authenticate_test.go
+++ b/internal/relay/authenticate_test.go
@@ -74,7 +74,7 @@
 			}
 			r := b.call(t, http.MethodPost, "/p/x", "body", fields...)
 			if r.status != c.status {
-				t.Fatalf("status %d, want %d", r.status, c.status)
+				t.Fatalf("status %d, expected %d", r.status, c.status)
 			}
 			if c.status != http.StatusOK {
 				if seen := target.seen(); len(seen) > 0 {
@@ -84,7 +84,7 @@
 			}
 			got := target.seen()[0].header
 			if got.Get("Workspace") != c.workspace || !c.none && got.Get("Key") != "" || got.Get("Priority") != strconv.Itoa(c.priority) {
-				t.Errorf("the target got workspace %q, key %q and priority %s, want workspace %q, no key and priority %d",
+				t.Errorf("the target got workspace %q, key %q and priority %s, expected workspace %q, no key and priority %d",
 					got.Get("Workspace"), got.Get("Key"), got.Get("Priority"), c.workspace, c.priority)
 			}
 		})
@@ -134,7 +134,7 @@
 				t.Fatalf("%d requests reached the target, %v", len(seen), err)
 			}
 			if c.reached && (seen[0].header.Get("Workspace") != c.want || seen[0].header.Get("Key") != "") {
-				t.Errorf("the target got %v, want workspace %q and no key", seen[0].header, c.want)
+				t.Errorf("the target got %v, expected workspace %q and no key", seen[0].header, c.want)
 			}
 		})
 	}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -62,7 +62,7 @@
 // pool keeps separate connections for each incarnation of a target.
 type pool struct {
 	dialer Dialer
-	// reject is told of the rejected answers of targets; it may be nil.
+	// reject is called for the rejected answers of targets; it may be nil.
 	reject func(id bamboorail.TargetID, r httpport.Rejection)
 	// idleLimit returns the number of idle connections that this instance may keep to a
 	// target of a service.
--- a/internal/relay/unsent.go
+++ b/internal/relay/unsent.go
@@ -8,7 +8,7 @@
 	"syscall"
 )
 
-// trackedConn is a connection that knows whether anything was written since its current
+// trackedConn is a connection that records whether anything was written since its current
 // request began.
 type trackedConn struct {
 	net.Conn
--- a/pkg/operatorapi/placement.go
+++ b/pkg/operatorapi/placement.go
@@ -21,8 +21,8 @@
 	PlacementWorkspace = "workspace"
 )
 
-// Placement states where a described call would be placed, as far as the instance that was
-// asked knows. The call was not sent. Times are in milliseconds.
+// Placement states where a described call would be placed, as far as the queried
+// instance has the information. The call was not sent. Times are in milliseconds.
 type Placement struct {
 	Instance string `json:"instance"`
 	Zone     string `json:"zone"`
@@ -36,7 +36,7 @@
 	Priority      int              `json:"priority"`
 	Workspace     *PlacementOwner  `json:"workspace,omitempty"`
 	Holder        *PlacementHolder `json:"holder,omitempty"`
-	// NextHolders are asked in order if the zone of the instance does not place the call.
+	// NextHolders are queried in order if the zone of the instance does not place the call.
 	NextHolders []PlacementHolder  `json:"next-holders,omitempty"`
 	Engines     *PlacementEngines  `json:"engines,omitempty"`
 	Targets     []PlacementTarget  `json:"targets,omitempty"`
@@ -51,7 +51,7 @@
 	Rate  float64 `json:"rate,omitempty"`
 	Burst float64 `json:"burst,omitempty"`
 	// Cost is the cost of the call, Credit what the instance has at hand. A call that needs
-	// more asks the holder of the zone.
+	// more requests it from the holder of the zone.
 	Cost   float64 `json:"cost"`
 	Credit float64 `json:"credit"`
 }
@@ -62,14 +62,14 @@
 	Instance string `json:"instance"`
 	// Address is the address for other instances.
 	Address string `json:"address"`
-	// Self is set if the instance that was asked is the holder.
+	// Self is set if the queried instance is the holder.
 	Self bool `json:"self,omitempty"`
 	// HomeZone is the zone in which the adapter is loaded first.
 	HomeZone string `json:"home-zone,omitempty"`
 }
 
-// PlacementEngines are the engines that could run a call, as the holder of their zone knows
-// them.
+// PlacementEngines are the engines that could run a call, in the view of the holder of
+// their zone.
 type PlacementEngines struct {
 	// Eligible is their number. Candidates lists the chosen one and the next three.
 	Eligible   int                  `json:"eligible"`
@@ -99,7 +99,7 @@
 	OldVersion bool    `json:"old-version,omitempty"`
 }
 
-// PlacementTarget is a target as the instance knows it by itself.
+// PlacementTarget is a target in the view of the queried instance.
 type PlacementTarget struct {
 	Target   string  `json:"target"`
 	Zone     string  `json:"zone"`
@@ -121,7 +121,7 @@
 	RetryAfter float64 `json:"retry-after-ms,omitempty"`
 }
 
-// ExplainPlacement asks the metrics listener of an instance, which is the base of the client,
+// ExplainPlacement queries the metrics listener of an instance, which is the base of the client,
 // where a described call would be placed.
 func (c *Client) ExplainPlacement(ctx context.Context, query url.Values) (Placement, error) {
 	var p Placement
