--- a/internal/placer/shared_test.go
+++ b/internal/placer/shared_test.go
@@ -43,6 +43,8 @@
 			a.Service.Engine, a.StartBy, a.Route.Priority = c.engine, time.Now().Add(c.left), 3
 			a.Call.Workspace, a.Call.Key = "w", bamboorail.AdapterKey{}
 			e, _ := chooser.Fleet.Target("e")
+			e.Slots = 8
+			chooser.Fleet.Update(e)
 			c.press(chooser, e)
 			reservation, err := chooser.Choose(context.Background(), a)
 			if (err == nil) != c.served || (len(peers.asked) > 0) != c.asked {
