--- a/internal/adapters/cost.go
+++ b/internal/adapters/cost.go
@@ -58,7 +58,7 @@
 	p.refreshPaces(now)
 	// Engines that hold the adapter come first: with their cost, most others are ruled out
 	// without the cost of a load, which takes most of the time of a decision.
-	others := p.others[:0]
+	var others []string
 	for _, name := range p.engineNames() {
 		if p.engines[name].adapters[r.Key] == nil {
 			others = append(others, name)
@@ -66,7 +66,6 @@
 		}
 		best, old = p.consider(best, old, name, r, q, now)
 	}
-	p.others = others
 	for _, name := range others {
 		q.bound = best.cost
 		best, old = p.consider(best, old, name, r, q, now)
@@ -171,7 +170,7 @@
 	}
 	o.load = true
 	load := p.loadTime(e, r.Key)
-	o.cost += load + p.placeCost(e, r, p.rank(o.name, r, q))
+	o.cost += load + p.placeCost(e, r, q.ranks()[o.name])
 	o.wait += load
 	if p.isLimited(e) {
 		o.cost += limitedLoadCost
@@ -351,15 +350,6 @@
 	return ranks
 }
 
-// rank returns the rank of an engine in the adapter's order. For a call that is placed by its
-// work, it is the expected rank of the engine's weight, which needs no list of all engines.
-func (p *Planner) rank(name string, r Request, q *requestContext) float64 {
-	if !r.isMeasured() {
-		return float64(q.ranks()[name])
-	}
-	return float64(len(p.engines)) * (1 - float64(rendezvousWeight(name, r.Key))/math.MaxUint64)
-}
-
 // HomeZone returns the zone in which an adapter is loaded first.
 func HomeZone(zones []string, key bamboorail.AdapterKey) string {
 	best, most := "", uint64(0)
@@ -372,14 +362,7 @@
 }
 
 func rendezvousWeight(engine string, key bamboorail.AdapterKey) uint64 {
-	// The buffer avoids an allocation for usual names.
-	var buffer [96]byte
-	text := append(buffer[:0], engine...)
-	text = append(text, '/')
-	text = append(text, key.Model...)
-	text = append(text, '/')
-	text = append(text, key.Adapter...)
-	return xxhash.Sum64(text)
+	return xxhash.Sum64String(engine + "/" + key.Model + "/" + key.Adapter)
 }
 
 // victim returns the idle adapter with the least demand.
--- a/internal/adapters/explain.go
+++ b/internal/adapters/explain.go
@@ -140,7 +140,7 @@
 	}
 	c.Cost.Queue = p.queueCost(e, r, now)
 	if o.load {
-		c.Cost.Rank = p.placeCost(e, r, p.rank(o.name, r, q)) - p.placeCost(e, r, 0)
+		c.Cost.Rank = p.placeCost(e, r, q.ranks()[o.name]) - p.placeCost(e, r, 0)
 	}
 	c.Cost.Load = o.cost - c.Cost.Queue - c.Cost.Rank
 	if r.isMeasured() {
--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -61,11 +61,9 @@
 	tuning      Tuning
 	engines     map[string]*engine
 	sortedNames []string
-	// others is memory for the names of engines during a decision.
-	others     []string
-	demand     map[bamboorail.AdapterKey]*demand
-	tickets    map[uint64]ticket
-	lastTicket uint64
+	demand      map[bamboorail.AdapterKey]*demand
+	tickets     map[uint64]ticket
+	lastTicket  uint64
 	// unanswered are the orders that engines may still carry out, by engine name.
 	unanswered map[string][]unansweredOrder
 	// lastPlan is the number of the last planned load.
--- a/internal/adapters/work.go
+++ b/internal/adapters/work.go
@@ -128,11 +128,11 @@
 
 // placeCost returns the cost of loading an adapter on this engine and not on another one, by
 // the rank of the engine in the adapter's order.
-func (p *Planner) placeCost(e *engine, r Request, rank float64) time.Duration {
+func (p *Planner) placeCost(e *engine, r Request, rank int) time.Duration {
 	if !r.isMeasured() {
-		return time.Duration(rank * float64(p.tuning.RankCost))
+		return time.Duration(rank) * p.tuning.RankCost
 	}
-	cost := time.Duration(math.Log2(1+rank) * float64(rankScale))
+	cost := time.Duration(math.Log2(float64(1+rank)) * float64(rankScale))
 	if _, cached := e.cached[r.Key]; !cached {
 		cost += time.Duration(fetchPrice * float64(p.fetchTime()))
 	}
