--- a/internal/adapters/explain.go
+++ b/internal/adapters/explain.go
@@ -63,7 +63,6 @@
 // Explain returns how Place would place a call now. It changes nothing: no demand is recorded,
 // no load started, and later decisions are the same.
 func (p *Planner) Explain(r Request, now time.Time) Explanation {
-	r = p.withMeasurableWork(r)
 	defer p.preserve(r, now)()
 	if p.mayFetch(r, now) {
 		p.waiting.add(r, p.fetchTime(), now)
--- a/internal/adapters/grants.go
+++ b/internal/adapters/grants.go
@@ -27,7 +27,6 @@
 // Enqueue queues a call that was not placed until GrantWaiting places it, and
 // returns its number. It returns false if the call would be served too late.
 func (p *Planner) Enqueue(r Request, now time.Time) (uint64, bool) {
-	r = p.withMeasurableWork(r)
 	if !p.canEnqueue(r, now) {
 		return 0, false
 	}
--- a/internal/adapters/planner.go
+++ b/internal/adapters/planner.go
@@ -188,7 +188,6 @@
 // The call then competes for fetches for as long as it is placed again within
 // pollTimeout, or until it is granted after Enqueue.
 func (p *Planner) Place(r Request, now time.Time) (Placement, bool) {
-	r = p.withMeasurableWork(r)
 	if p.mayFetch(r, now) {
 		p.waiting.add(r, p.fetchTime(), now)
 	}
--- a/internal/adapters/work.go
+++ b/internal/adapters/work.go
@@ -37,20 +37,6 @@
 	evictionInterval = 500 * time.Millisecond
 )
 
-// maxWorkEngines is the number of engines of a zone up to which calls are placed by their work.
-// With a thousand, the holder of the zone lacks the processor time for it, and fewer calls are
-// served on time than by the number of calls at an engine.
-const maxWorkEngines = 400
-
-// withMeasurableWork returns a request without what it states of its work if the zone has too
-// many engines for placement by work.
-func (p *Planner) withMeasurableWork(r Request) Request {
-	if len(p.engines) > maxWorkEngines {
-		r.MaxGap = 0
-	}
-	return r
-}
-
 // isMeasured reports whether a call is placed by its work.
 func (r Request) isMeasured() bool { return r.MaxGap > 0 && r.Size.Prompt > 0 }
 
