--- a/internal/adapters/cost.go
+++ b/internal/adapters/cost.go
@@ -30,8 +30,6 @@
 type requestContext struct {
 	ranks         func() map[string]int
 	mayStartFetch func() bool
-	// bound is the cost from which on options to load are of no use, 0 for none.
-	bound time.Duration
 }
 
 func (p *Planner) newRequestContext(r Request, now time.Time) *requestContext {
@@ -49,41 +47,20 @@
 // without a name does not exist.
 func (p *Planner) bestOptions(r Request, now time.Time) (best, old option) {
 	q := p.newRequestContext(r, now)
-	if !r.isMeasured() {
-		for _, name := range p.engineNames() {
-			best, old = p.consider(best, old, name, r, q, now)
-		}
-		return best, old
+	if r.isMeasured() {
+		p.refreshPaces(now)
 	}
-	p.refreshPaces(now)
-	// Engines that hold the adapter come first: with their cost, most others are ruled out
-	// without the cost of a load, which takes most of the time of a decision.
-	var others []string
 	for _, name := range p.engineNames() {
-		if p.engines[name].adapters[r.Key] == nil {
-			others = append(others, name)
+		e := p.engines[name]
+		if !p.isEligible(name, e, r, now) {
 			continue
 		}
-		best, old = p.consider(best, old, name, r, q, now)
-	}
-	for _, name := range others {
-		q.bound = best.cost
-		best, old = p.consider(best, old, name, r, q, now)
-	}
-	return best, old
-}
-
-// consider returns the cheaper ones of two options and those of an engine.
-func (p *Planner) consider(best, old option, name string, r Request, q *requestContext, now time.Time) (option, option) {
-	e := p.engines[name]
-	if !p.isEligible(name, e, r, now) {
-		return best, old
-	}
-	if o, ok := p.option(name, e, r, q, now); ok {
-		best = p.cheaper(best, o, r, now)
-	}
-	if o, ok := p.oldVersion(name, e, r, now); ok {
-		old = p.cheaper(old, o, r, now)
+		if o, ok := p.option(name, e, r, q, now); ok {
+			best = p.cheaper(best, o, r, now)
+		}
+		if o, ok := p.oldVersion(name, e, r, now); ok {
+			old = p.cheaper(old, o, r, now)
+		}
 	}
 	return best, old
 }
@@ -162,9 +139,6 @@
 		// have ended.
 		return o, false
 	}
-	if q.bound > 0 && o.cost+p.loadTime(e, r.Key) >= q.bound {
-		return o, false
-	}
 	if !e.acceptsLoads(now) || e.activeLoads(now) >= p.tuning.MaxLoadsPerEngine || !p.isLoadAllowed(e, r, q, now) {
 		return o, false
 	}
