placer: the model test ends on states with rings of pointers

Cause: the fingerprint of a state followed every pointer. The planner now holds an LRU cache, whose linked list is a ring, so TestHoldersInAnyOrder ended in a stack overflow. Change: a pointer that led to the value is hashed by its position on the way.

--- a/internal/placer/model_test.go
+++ b/internal/placer/model_test.go
@@ -323,7 +323,7 @@
 // and planners.
 func (w *modelCluster) fingerprint() uint64 {
 	h := xxhash.New()
-	add := func(v any) { digest(h, reflect.ValueOf(v)) }
+	add := func(v any) { digest(h, reflect.ValueOf(v), nil) }
 	for _, i := range w.instances {
 		add(i.lease)
 		add(i.holder.planner)
@@ -336,32 +336,42 @@
 }
 
 // digest hashes a value including its unexported fields. Functions, channels,
-// interfaces and locks hold no relevant state.
-func digest(h *xxhash.Digest, v reflect.Value) {
+// interfaces and locks hold no relevant state. path holds the pointers that
+// led to the value; a pointer among them is hashed by its position, because the
+// linked list of an LRU cache is a ring.
+func digest(h *xxhash.Digest, v reflect.Value, path []reflect.Value) {
 	switch v.Kind() {
 	case reflect.Pointer:
-		if !v.IsNil() {
-			digest(h, v.Elem())
+		if v.IsNil() {
+			return
+		}
+		n := slices.IndexFunc(path, func(p reflect.Value) bool {
+			return p.Type() == v.Type() && p.Pointer() == v.Pointer()
+		})
+		if n >= 0 {
+			fmt.Fprint(h, "pointer ", n, ";")
+			return
 		}
+		digest(h, v.Elem(), append(slices.Clip(path), v))
 	case reflect.Struct:
 		if v.Type() == reflect.TypeFor[time.Time]() {
 			fmt.Fprint(h, v.Field(0).Uint(), ",", v.Field(1).Int(), ";")
 			return
 		}
 		for n := range v.NumField() {
-			digest(h, v.Field(n))
+			digest(h, v.Field(n), path)
 		}
 	case reflect.Slice:
 		fmt.Fprint(h, v.Len(), ":")
 		for n := range v.Len() {
-			digest(h, v.Index(n))
+			digest(h, v.Index(n), path)
 		}
 	case reflect.Map:
 		sums := make([]uint64, 0, v.Len())
 		for it := v.MapRange(); it.Next(); {
 			entry := xxhash.New()
-			digest(entry, it.Key())
-			digest(entry, it.Value())
+			digest(entry, it.Key(), path)
+			digest(entry, it.Value(), path)
 			sums = append(sums, entry.Sum64())
 		}
 		slices.Sort(sums)
