--- a/review/stand-2/deadly.go
+++ b/review/stand-2/deadly.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 )
@@ -40,8 +41,8 @@
 	}
 }
 
-// playHerd plays a part that crashes engines, a kill of all processes at the same moment after
-// the system has learned of the part, and the part again.
+// playHerd plays a part that crashes engines, a kill of the holders of all zones at the same moment
+// after the system has learned of the part, and the part again.
 func playHerd(ctx context.Context, s *stand) (bool, error) {
 	if err := startSite(ctx, s); err != nil {
 		return false, err
@@ -56,12 +57,18 @@
 	spread(ctx, s, &wg, 0, 16, 700*time.Millisecond, deadlyDraft)
 	pause(ctx, 3*time.Second)
 	if s.trouble {
-		s.record("phase: all processes are killed at the same moment, and start again")
-		for _, m := range s.machines {
+		var holders []*machine
+		for _, zone := range s.zones {
+			if m := s.holderOf(zone); m != nil && !slices.Contains(holders, m) {
+				holders = append(holders, m)
+			}
+		}
+		s.record("phase: %d of %d processes are killed at the same moment, and start again", len(holders), len(s.machines))
+		for _, m := range holders {
 			m.kill()
 		}
-		pause(ctx, 1500*time.Millisecond)
-		for _, m := range s.machines {
+		pause(ctx, 2*time.Second)
+		for _, m := range holders {
 			if err := m.start(); err != nil {
 				return false, err
 			}
