--- a/review/stand-2/client.go
+++ b/review/stand-2/client.go
@@ -40,9 +40,11 @@
 	lastID          string
 	// engines and software of the events, in order and without repetitions.
 	engines, software []string
-	complete          bool
-	err               error
-	body              string
+	// leaving is set if the answer says that its engine leaves.
+	leaving  bool
+	complete bool
+	err      error
+	body     string
 }
 
 func (s *stand) newID() string {
@@ -102,6 +104,7 @@
 	}
 	defer resp.Body.Close()
 	a.status, a.first = resp.StatusCode, time.Now()
+	a.leaving = resp.Header.Get("Server-Leaving") == "1"
 	if f, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
 		a.retryAfter = time.Duration(f * float64(time.Second))
 	}
--- a/review/stand-2/engine.go
+++ b/review/stand-2/engine.go
@@ -79,6 +79,12 @@
 	starts   int
 	// fault decides on each request that is about to run; it may be nil.
 	fault func(a *arrival) verdict
+	// rejected is told of requests that are turned away for want of room; it may be nil.
+	rejected func(id string)
+	// header is added to all answers.
+	header map[string]string
+	// leaving is set once the engine says in all answers that it leaves.
+	leaving bool
 }
 
 // verdict is what becomes of a request that runs.
@@ -142,8 +148,12 @@
 	}
 	e.mu.Lock()
 	e.beats++
+	state := "ready"
+	if e.leaving {
+		state = "draining"
+	}
 	entry := map[string]any{
-		"service": e.service, "address": e.address, "zone": e.zone, "version": e.software, "slots": e.slots, "state": "ready",
+		"service": e.service, "address": e.address, "zone": e.zone, "version": e.software, "slots": e.slots, "state": state,
 		"cold_left_ms": 0, "seq": e.beats, "born": e.born,
 	}
 	if e.model {
@@ -211,13 +221,19 @@
 		return
 	}
 	e.mu.Lock()
-	id, life := e.id, e.lifetime
+	id, life, leaving := e.id, e.lifetime, e.leaving
 	e.mu.Unlock()
 	requestID := r.Header.Get("Bamboorail-Request-Id")
 	if requestID != "" {
 		w.Header().Set("Bamboorail-Request-Id", requestID)
 	}
 	w.Header().Set("Keep-Alive", "timeout=5")
+	for name, value := range e.header {
+		w.Header().Set(name, value)
+	}
+	if leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if want := r.Header.Get("Bamboorail-Expect-Instance"); want != "" && want != id {
 		w.Header().Set("Bamboorail-Instance-Id", id)
 		e.refuse(w, http.StatusMisdirectedRequest)
@@ -349,6 +365,9 @@
 		return
 	}
 	if a.status = e.admit(r); a.status != 0 {
+		if a.status == http.StatusServiceUnavailable && e.rejected != nil {
+			e.rejected(id)
+		}
 		e.refuse(w, a.status)
 		return
 	}
--- a/review/stand-2/machine.go
+++ b/review/stand-2/machine.go
@@ -26,8 +26,10 @@
 	// startedAt is the time of the last start, endedAt that of the last end.
 	startedAt, endedAt time.Time
 	running            bool
-	misses             int
-	inRotation         bool
+	// disturbed are the times at which the machine was frozen or thawed.
+	disturbed  []time.Time
+	misses     int
+	inRotation bool
 	// wanted is set while the platform keeps the process running.
 	wanted bool
 	starts int
@@ -140,6 +142,11 @@
 	if at.Sub(m.startedAt) < contact {
 		return false
 	}
+	for _, d := range m.disturbed {
+		if at.After(d) && at.Sub(d) < contact {
+			return false
+		}
+	}
 	return m.endedAt.IsZero() || m.endedAt.Before(m.startedAt) || at.Before(m.endedAt)
 }
 
@@ -169,3 +176,10 @@
 	defer m.mu.Unlock()
 	return m.inRotation
 }
+
+// touch records that the machine is frozen or thawed.
+func (m *machine) touch() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.disturbed = append(m.disturbed, time.Now())
+}
