--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -e
 cd "$(dirname "$0")/stand-2"
 mkdir -p ../../target/review-2
-go build -o ../../target/review-2/stand2 .
+env GOFLAGS= GOWORK=off go build -o ../../target/review-2/stand2 .
--- a/review/stand-2/stand.go
+++ b/review/stand-2/stand.go
@@ -9,10 +9,12 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -150,7 +152,7 @@
 		}
 		go m.probe(ctx)
 	}
-	time.Sleep(10 * time.Second) // traffic starts then
+	pause(ctx, 10*time.Second) // traffic starts then
 	for _, m := range s.machines {
 		if !m.isInRotation() {
 			return fmt.Errorf("machine %s is not ready after 10 s", m.name)
@@ -215,7 +217,9 @@
 	if err := s.findAddresses(); err != nil {
 		return 2, err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 115*time.Second)
+	interrupted, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(interrupted, 115*time.Second)
 	defer cancel()
 	defer s.end()
 	broken, err := play(ctx, s)
