--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")" || exit 2
 root=$(cd ../.. && pwd) || exit 2
 [ -x "$root/target/railentry" ] && [ -x "$root/target/review-2/stand2" ] || exit 2
-exec "$root/target/review-2/stand2" attempts "$root" "$PWD"
+exec "$root/target/review-2/stand2" restore "$root" "$PWD"
