--- a/review/stand-2/bodies.go
+++ b/review/stand-2/bodies.go
@@ -108,7 +108,7 @@
 // nothing is cut, and as many callers send them as usual.
 func playBodies(ctx context.Context, s *stand) (bool, error) {
 	const (
-		bursts    = 5
+		bursts    = 2
 		burstTime = 4500 * time.Millisecond
 		quietTime = 4 * time.Second
 		timeout   = 14 * time.Second
