--- a/review/stand-2/bodies.go
+++ b/review/stand-2/bodies.go
@@ -108,7 +108,7 @@
 // nothing is cut, and as many callers send them as usual.
 func playBodies(ctx context.Context, s *stand) (bool, error) {
 	const (
-		bursts    = 2
+		bursts    = 5
 		burstTime = 4500 * time.Millisecond
 		quietTime = 4 * time.Second
 		timeout   = 14 * time.Second
@@ -179,13 +179,15 @@
 	callers := usual
 	if s.trouble {
 		callers = burstOf
-		c.cutLinks(s)
-		pause(ctx, 1500*time.Millisecond)
 	}
 	for range bursts {
 		if killed() {
 			break
 		}
+		if s.trouble {
+			c.cutLinks(s)
+			pause(ctx, 1500*time.Millisecond)
+		}
 		s.record("phase: %d callers send bodies of %d bytes in chunks to %s", callers, bodyBytes, m.name)
 		burst, stopBurst := context.WithTimeout(ctx, burstTime)
 		for range callers {
@@ -194,6 +196,12 @@
 		}
 		<-burst.Done()
 		stopBurst()
+		pause(ctx, time.Second)
+		if s.trouble {
+			if err := c.healLinks(s); err != nil {
+				return false, err
+			}
+		}
 		pause(ctx, quietTime)
 	}
 	stop()
