--- a/review/stand-3/engine.go
+++ b/review/stand-3/engine.go
@@ -54,7 +54,8 @@
 	silentUntil time.Time
 	// refuse makes the engine reject requests as if it were full.
 	refuse bool
-	// brokeAt is set by the test to break streams off.
+	// leaving is set while the engine says in its answers that it leaves.
+	leaving bool
 }
 
 func (y *system) startEngine(k engineKind, id, zone, software string, loaded bool) *engine {
@@ -99,7 +100,7 @@
 	id := e.id
 	e.mu.Unlock()
 	if e.sys.store.getMode() == "" {
-		e.sys.store.put("servers", id, spec, -1)
+		e.sys.store.beat(id, spec)
 	}
 }
 
@@ -138,10 +139,10 @@
 		c.Close()
 	}
 	e.sys.mu.Lock()
-	delete(e.sys.engines, e.id)
+	if e.sys.engines[e.id] == e {
+		delete(e.sys.engines, e.id)
+	}
 	e.sys.mu.Unlock()
-	id := e.id
-	time.AfterFunc(3*beat, func() { e.sys.store.remove("servers", id) })
 }
 
 func (e *engine) isDown() bool { e.mu.Lock(); defer e.mu.Unlock(); return e.down }
@@ -217,6 +218,11 @@
 	if id != "" {
 		w.Header().Set("Bamboorail-Request-Id", id)
 	}
+	e.mu.Lock()
+	if e.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	e.mu.Unlock()
 	if e.isDown() {
 		panic(http.ErrAbortHandler)
 	}
@@ -237,7 +243,7 @@
 	case "/healthz":
 		w.Header().Set("Bamboorail-Instance-Id", e.id)
 	default:
-		e.serveCall(w, r, id)
+		e.serveCall(w, r, id, body)
 	}
 }
 
@@ -267,6 +273,25 @@
 		w.WriteHeader(400)
 		return
 	}
+	if f := e.sys.lateOrder; f != nil {
+		if late := f(); late > 0 {
+			// The order gets no answer and is carried out later, also by a later start of the engine.
+			e.sys.recordOrder(order{at: time.Now(), engine: e.id, holder: o.Holder, token: o.Token, op: o.Op, adapter: o.Adapter, status: 0})
+			time.AfterFunc(late, func() {
+				e.sys.mu.Lock()
+				now := e.sys.engines[e.id]
+				e.sys.mu.Unlock()
+				if now == nil {
+					return
+				}
+				now.mu.Lock()
+				status := now.carryOut(o.Op, o.Adapter, max(o.Version, 1), o.Precondition)
+				now.mu.Unlock()
+				e.sys.note("engine %s carries out a late order of %s: %s %s: %d", e.id, o.Holder, o.Op, o.Adapter, status)
+			})
+			panic(http.ErrAbortHandler)
+		}
+	}
 	e.mu.Lock()
 	status := e.carryOut(o.Op, o.Adapter, max(o.Version, 1), o.Precondition)
 	e.mu.Unlock()
@@ -297,7 +322,7 @@
 			return 200
 		}
 		if len(e.adapters)+len(e.pending) >= e.kind.adapterSlots {
-			e.sys.note("engine %s is ordered to load more than its places hold", e.id)
+			e.sys.overfull("engine %s is ordered to load %s, its %d places are taken by %v and %v", e.id, adapter, e.kind.adapterSlots, e.adapters, e.pending)
 			go e.crash()
 			return 202
 		}
@@ -326,7 +351,7 @@
 	w.WriteHeader(503)
 }
 
-func (e *engine) serveCall(w http.ResponseWriter, r *http.Request, id string) {
+func (e *engine) serveCall(w http.ResponseWriter, r *http.Request, id string, body []byte) {
 	prefix := r.Header.Get("Bamboorail-Prompt-Prefix")
 	e.sys.recordArrival(arrival{at: time.Now(), id: id, engine: e.id, prefix: prefix})
 	if id == "" {
@@ -358,7 +383,11 @@
 		e.active--
 		e.mu.Unlock()
 	}()
-	e.sys.recordRun(run{at: time.Now(), id: id, engine: e.id, software: e.software})
+	e.sys.recordRun(run{at: time.Now(), id: id, engine: e.id, software: e.software, what: r.Method + " " + r.RequestURI + " " + string(body)})
+	if f := e.sys.loseAnswer; f != nil && f() {
+		time.Sleep(30 * time.Millisecond)
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Bamboorail-Server-Stamp", "s."+e.id+"."+id)
 	if e.kind.adapterSlots == 0 {
 		d, status := e.kind.work()
--- a/review/stand-3/origins.go
+++ b/review/stand-3/origins.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -106,12 +107,13 @@
 // run reads the stream to its end, and takes it up again at most three times.
 func (c *streamClient) run(zone string) {
 	deadline := time.Now().Add(25 * time.Second)
+	prompt := fmt.Sprintf("aa%d:210,bb%d:140,own%d:700", rand.IntN(3), rand.IntN(50), counter.Add(1))
 	for range 4 {
 		left := time.Until(deadline)
 		if left < time.Second {
 			break
 		}
-		r := streamRequest("/re/", "", fmt.Sprintf("aa%d:210,bb%d:140,own%d:700", rand.IntN(3), rand.IntN(50), counter.Load()), left)
+		r := streamRequest("/re/", "", prompt, left)
 		// Retries reach other machines.
 		x := c.y.pick(zone)
 		for tries := 0; x.name == c.node && tries < 20; tries++ {
@@ -139,15 +141,13 @@
 	y.configure()
 	k := llmKind()
 	k.first, k.gap, k.events = 600*time.Millisecond, 60*time.Millisecond, 57
-	number := 0
+	var number atomic.Int64
 	startOne := func(zone, software string, loaded bool) *engine {
-		number++
-		return y.startEngine(k, fmt.Sprintf("i-%s-%d", zone, number), zone, software, loaded)
+		return y.startEngine(k, fmt.Sprintf("i-%s-%d", zone, number.Add(1)), zone, software, loaded)
 	}
-	for _, z := range y.zones {
-		startOne(z, "v1", true)
-		startOne(z, "v1", true)
-		startOne(z, "v2", true)
+	// Five engines have software v1, four v2.
+	for n, software := range []string{"v1", "v1", "v2", "v1", "v2", "v2", "v1", "v1", "v2"} {
+		startOne(y.zones[n/3], software, true)
 	}
 	for _, z := range []string{"z1", "z2", "z3", "z1", "z2", "z3", "z1"} {
 		y.addNode(z, y.store.addr).start()
@@ -166,7 +166,7 @@
 			select {
 			case <-stop:
 				return
-			case <-time.After(time.Duration(rand.ExpFloat64() / 80 * float64(time.Second))):
+			case <-time.After(time.Duration(rand.ExpFloat64() / 60 * float64(time.Second))):
 			}
 			c := &streamClient{y: y}
 			mu.Lock()
@@ -199,20 +199,18 @@
 		}
 	}
 	time.Sleep(8 * time.Second)
-	for time.Since(y.began) < 95*time.Second {
+	for time.Since(y.began) < 80*time.Second {
 		if trouble() {
-			reset()
-			time.Sleep(200 * time.Millisecond)
-			crashed := 0
 			for _, e := range y.engineList() {
-				if e.software == "v2" && e.isLoaded() && crashed < 2 {
-					crashed++
+				if e.software == "v2" && e.isLoaded() && e.zone == "z1" {
 					y.note("engine %s (v2) crashes", e.id)
 					e.crash()
-					time.AfterFunc(2*time.Second, func() { startOne(e.zone, "v2", false) })
+					time.AfterFunc(4500*time.Millisecond, func() { startOne(e.zone, "v2", false) })
 				}
 			}
-			time.Sleep(2 * time.Second)
+			time.Sleep(250 * time.Millisecond)
+			reset()
+			time.Sleep(2250 * time.Millisecond)
 			reset()
 		}
 		time.Sleep(7 * time.Second)
--- a/review/stand-3/store.go
+++ b/review/stand-3/store.go
@@ -27,6 +27,18 @@
 	// onWrite is told of the writes of instances; it may be nil.
 	onWrite func(method, kind, name string, answered bool)
 	addr    string
+	// era counts the restores of the store; 0 is not told.
+	era       uint64
+	snapshots []snapshot
+	// beats are the times of the last heartbeats of engines.
+	beats map[string]time.Time
+}
+
+// snapshot is a copy of the store.
+type snapshot struct {
+	at      time.Time
+	rev     uint64
+	objects map[string]map[string]*object
 }
 
 type object struct {
@@ -43,14 +55,88 @@
 }
 
 func newStore() *store {
-	s := &store{rev: 100, objects: map[string]map[string]*object{}, changed: make(chan struct{})}
+	s := &store{rev: 100, objects: map[string]map[string]*object{}, changed: make(chan struct{}), beats: map[string]time.Time{}}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
 	s.addr = l.Addr().String()
 	go func() { _ = (&http.Server{Handler: http.HandlerFunc(s.serve)}).Serve(l) }()
+	go s.run()
 	return s
 }
 
+// run copies the store, and removes the entries of engines that are silent for three heartbeats.
+func (s *store) run() {
+	for {
+		time.Sleep(500 * time.Millisecond)
+		s.mu.Lock()
+		c := snapshot{time.Now(), s.rev, map[string]map[string]*object{}}
+		for kind, list := range s.objects {
+			c.objects[kind] = map[string]*object{}
+			for name, o := range list {
+				c.objects[kind][name] = o
+			}
+		}
+		s.snapshots = append(s.snapshots, c)
+		if len(s.snapshots) > 40 {
+			s.snapshots = s.snapshots[1:]
+		}
+		var silent []string
+		if s.mode == "" {
+			for name := range s.objects["servers"] {
+				if time.Since(s.beats[name]) > 3*beat {
+					silent = append(silent, name)
+				}
+			}
+		}
+		s.mu.Unlock()
+		for _, name := range silent {
+			s.remove("servers", name)
+		}
+	}
+}
+
+// restore replaces the store by a copy that has an age, and begins a new era.
+func (s *store) restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for n := len(s.snapshots) - 1; n >= 0; n-- {
+		c := s.snapshots[n]
+		if time.Since(c.at) < age {
+			continue
+		}
+		s.rev, s.objects = c.rev, map[string]map[string]*object{}
+		for kind, list := range c.objects {
+			s.objects[kind] = map[string]*object{}
+			for name, o := range list {
+				s.objects[kind][name] = o
+			}
+		}
+		kept := s.events[:0:0]
+		for _, e := range s.events {
+			if e.rev <= s.rev {
+				kept = append(kept, e)
+			}
+		}
+		s.events, s.snapshots = kept, s.snapshots[:n+1]
+		s.era++
+		now := time.Now()
+		for name := range s.objects["servers"] {
+			s.beats[name] = now
+		}
+		close(s.changed)
+		s.changed = make(chan struct{})
+		return
+	}
+}
+
+// beat writes the entry of an engine.
+func (s *store) beat(name string, spec json.RawMessage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.beats[name] = time.Now()
+	s.putLocked("servers", name, spec, -1)
+}
+
 func (s *store) setMode(m string) { s.mu.Lock(); s.mode = m; s.mu.Unlock() }
 
 func (s *store) getMode() string { s.mu.Lock(); defer s.mu.Unlock(); return s.mode }
@@ -122,7 +208,13 @@
 		<-r.Context().Done()
 		return
 	}
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	status, body := s.handle(w, r)
+	if era > 0 {
+		w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+	}
 	if mode == "mute" || s.getMode() == "silent" || s.getMode() == "mute" {
 		<-r.Context().Done()
 		return
@@ -222,8 +314,15 @@
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	end := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer end.Stop()
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for over := false; ; {
 		s.mu.Lock()
+		if from > s.rev || s.era != era {
+			s.mu.Unlock()
+			return 410, []byte("{}")
+		}
 		list := []json.RawMessage{}
 		for n := len(s.events) - 1; n >= 0 && s.events[n].rev > from; n-- {
 			if e := s.events[n]; e.kind == kind {
--- a/review/stand-3/system.go
+++ b/review/stand-3/system.go
@@ -39,6 +39,7 @@
 type run struct {
 	at                   time.Time
 	id, engine, software string
+	what                 string
 }
 
 // system is a small deployment: a store, engines, and instances of railentry that the
@@ -59,6 +60,19 @@
 	crashes  []time.Time
 	lines    []string
 	ended    bool
+	// faults are the rules that the engines saw broken.
+	faults []string
+	// lateOrder returns the time after which an order is carried out without an answer, 0 for
+	// one that is answered; loseAnswer reports whether the answer to a run is lost.
+	lateOrder  func() time.Duration
+	loseAnswer func() bool
+}
+
+func (y *system) overfull(format string, args ...any) {
+	y.note(format, args...)
+	y.mu.Lock()
+	y.faults = append(y.faults, fmt.Sprintf(format, args...))
+	y.mu.Unlock()
 }
 
 func newSystem(zones ...string) *system {
