--- a/review/stand-3/cases.go
+++ b/review/stand-3/cases.go
@@ -14,13 +14,16 @@
 
 const host = "cases.example"
 
+// adapterSlots are the places for adapters of a model engine.
+var adapterSlots = 17
+
 var counter atomic.Int64
 
 func newID() string { return fmt.Sprintf("%08x%06x", rand.Uint32(), counter.Add(1)) }
 
 func llmKind() engineKind {
 	return engineKind{
-		service: "llm", slots: 64, adapterSlots: 17, model: "m0", loadTime: 1600 * time.Millisecond, adapterTime: 250 * time.Millisecond,
+		service: "llm", slots: 64, adapterSlots: adapterSlots, model: "m0", loadTime: 1600 * time.Millisecond, adapterTime: 250 * time.Millisecond,
 		first: 100 * time.Millisecond, gap: 30 * time.Millisecond, events: 20,
 	}
 }
@@ -38,7 +41,7 @@
 		"services": []any{
 			map[string]any{"name": "llm", "health_path": "/healthz", "max_conns": 360, "protocol": "h1", "tls": false, "engine": map[string]any{
 				"slots": 64, "kv_capacity": 120687, "models": []any{map[string]any{"name": "m0", "weights_mb": 65100.0, "load_s": 3.9, "adapters": 3000, "adapter_mb": 12.0, "warmup_s": 0.76, "disk_load_s": 1.6}},
-				"weights_mb": 66600.0, "adapter_slots": 17, "loads_per_s": 2.1,
+				"weights_mb": 66600.0, "adapter_slots": adapterSlots, "loads_per_s": 2.1,
 			}},
 			map[string]any{"name": "app", "health_path": "/healthz", "max_conns": 100, "protocol": "h1", "tls": false},
 		},
--- a/review/stand-3/engine.go
+++ b/review/stand-3/engine.go
@@ -27,6 +27,9 @@
 	events     int
 	// work returns the time and the status of an application's answer.
 	work func() (time.Duration, int)
+	// queue is the number of calls that wait beyond the slots. brittle is the number of refusals
+	// in a second that the engine bears, 0 for any.
+	queue, brittle int
 }
 
 // engine is one start of an engine.
@@ -53,7 +56,9 @@
 	// silentUntil is the time until which the engine neither reads nor writes.
 	silentUntil time.Time
 	// refuse makes the engine reject requests as if it were full.
-	refuse bool
+	refuse   bool
+	refusals []refusal
+	slot     chan struct{}
 	// leaving is set while the engine says in its answers that it leaves.
 	leaving bool
 }
@@ -65,6 +70,9 @@
 		kind: k, id: id, zone: zone, software: software, born: time.Now().UnixMilli(), sys: y, listener: l, conns: map[net.Conn]bool{},
 		state: "ready", loaded: loaded, adapters: map[string]int{}, pending: map[string]bool{},
 	}
+	if k.queue > 0 {
+		e.slot = make(chan struct{}, k.slots)
+	}
 	srv := &http.Server{Handler: e}
 	go func() { _ = srv.Serve(gatedListener{l, e}) }()
 	go e.run()
@@ -219,6 +227,9 @@
 		w.Header().Set("Bamboorail-Request-Id", id)
 	}
 	e.mu.Lock()
+	if e.kind.brittle > 0 {
+		w.Header().Set("Server-Brittle", strconv.Itoa(e.kind.brittle))
+	}
 	if e.leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
@@ -346,6 +357,47 @@
 	return 409
 }
 
+// countRefusal makes a brittle engine fall over that refuses too much.
+func (e *engine) countRefusal(id string) {
+	if e.kind.brittle == 0 {
+		return
+	}
+	now := time.Now()
+	touch := false
+	if f := e.sys.sender; f != nil {
+		if x := f(id); x != nil {
+			touch = x.inTouchAt(now) && !x.disturbed(now)
+		}
+	}
+	e.mu.Lock()
+	e.refusals = append(e.refusals, refusal{now, touch})
+	n, in := 0, 0
+	for _, r := range e.refusals {
+		if now.Sub(r.at) < time.Second {
+			n++
+			if r.touch {
+				in++
+			}
+		}
+	}
+	e.mu.Unlock()
+	if n > e.kind.brittle && !e.isDown() {
+		e.sys.note("engine %s falls over: %d refusals in a second, %d by machines in touch", e.id, n, in)
+		if 2*in > n {
+			e.sys.falls.Add(1)
+		} else {
+			e.sys.otherFalls.Add(1)
+		}
+		e.crash()
+		e.sys.onFall(e)
+	}
+}
+
+type refusal struct {
+	at    time.Time
+	touch bool
+}
+
 func (e *engine) refuseCall(w http.ResponseWriter) {
 	w.Header().Set("Bamboorail-Not-Executed", "1")
 	w.WriteHeader(503)
@@ -360,7 +412,7 @@
 		return
 	}
 	e.mu.Lock()
-	full, refuse := e.active >= e.kind.slots, e.refuse
+	full, refuse := e.active >= e.kind.slots+e.kind.queue, e.refuse
 	_, adapter, _ := strings.Cut(r.Header.Get("Bamboorail-Model"), "/")
 	held := e.loaded
 	if adapter != "" {
@@ -373,6 +425,7 @@
 	}
 	if full || refuse {
 		e.mu.Unlock()
+		e.countRefusal(id)
 		e.refuseCall(w)
 		return
 	}
@@ -390,6 +443,14 @@
 	}
 	w.Header().Set("Bamboorail-Server-Stamp", "s."+e.id+"."+id)
 	if e.kind.adapterSlots == 0 {
+		if e.slot != nil {
+			select {
+			case e.slot <- struct{}{}:
+				defer func() { <-e.slot }()
+			case <-r.Context().Done():
+				return
+			}
+		}
 		d, status := e.kind.work()
 		select {
 		case <-time.After(d):
--- a/review/stand-3/origins.go
+++ b/review/stand-3/origins.go
@@ -25,6 +25,9 @@
 	lastID   string
 	first    string // the id of the attempt that brought the first event
 	finished bool
+	// gaps counts the events that did not follow the one before, whole is set after the last one.
+	gaps  int
+	whole bool
 }
 
 // reset resets the connection of the client if it is to a machine.
@@ -86,6 +89,11 @@
 			version, _, _ = strings.Cut(line[6:], " ")
 		case line == "" && id != "":
 			c.mu.Lock()
+			before, _ := strconv.Atoi(c.lastID)
+			if n, _ := strconv.Atoi(id); n != before+1 {
+				c.gaps++
+				y.note("client has event %s of %s after %q", id, c.first, c.lastID)
+			}
 			c.lastID = id
 			if c.first == "" {
 				c.first = r.id
@@ -121,6 +129,7 @@
 		}
 		status, after := c.read(r, x)
 		if status == 200 {
+			c.whole = true
 			break
 		}
 		c.y.note("the answer to %s: status %d, Retry-After %s", r.id, status, after)
--- a/review/stand-3/soak.go
+++ b/review/stand-3/soak.go
@@ -12,11 +12,13 @@
 
 // soak plays faults at random; it is a search, and no case.
 func soak() int {
+	adapterSlots = 8
 	y := newSystem("z1", "z2", "z3")
 	y.store.era = 1
 	y.configure()
 	k := llmKind()
-	k.adapterSlots = 6
+	k.events, k.gap = 60, 50*time.Millisecond
+
 	app := engineKind{service: "app", slots: 12, work: func() (time.Duration, int) {
 		status := 200
 		if rand.Float64() < 0.05 {
@@ -29,7 +31,11 @@
 		if id == "" {
 			id = fmt.Sprintf("i-%s-%s-%d", k.service, zone, number.Add(1))
 		}
-		y.startEngine(k, id, zone, "v1", loaded)
+		software := "v1"
+		if number.Load()%3 == 0 {
+			software = "v2"
+		}
+		y.startEngine(k, id, zone, software, loaded)
 	}
 	for _, z := range y.zones {
 		for range 3 {
@@ -98,9 +104,27 @@
 	send(40, "st", func() request {
 		return streamRequest("/st/", fmt.Sprintf("a%d", 1+rand.IntN(60)), fmt.Sprintf("aa%d:210,own%d:700", rand.IntN(3), counter.Add(1)), 15*time.Second)
 	})
-	send(15, "re", func() request {
-		return streamRequest("/re/", fmt.Sprintf("a%d", 1+rand.IntN(60)), fmt.Sprintf("aa%d:210,own%d:700", rand.IntN(3), counter.Add(1)), 15*time.Second)
-	})
+	var clients []*streamClient
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Duration(rand.ExpFloat64() / 25 * float64(time.Second))):
+			}
+			c := &streamClient{y: y}
+			mu.Lock()
+			clients = append(clients, c)
+			mu.Unlock()
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				c.run(y.zones[rand.IntN(3)])
+			}()
+		}
+	}()
 	frozen := map[string][]time.Time{}
 	anyNode := func() *node { return y.nodes[rand.IntN(len(y.nodes))] }
 	leader := func() *node {
@@ -159,6 +183,21 @@
 				y.store.setMode("")
 			})
 		},
+		func() {
+			x := anyNode()
+			y.note("connections of %s are reset", x.name)
+			mu.Lock()
+			list := append([]*streamClient(nil), clients...)
+			mu.Unlock()
+			for _, c := range list {
+				c.mu.Lock()
+				hit := c.conn != nil && c.node == x.name
+				c.mu.Unlock()
+				if hit {
+					c.reset()
+				}
+			}
+		},
 		func() {
 			y.note("store is silent")
 			y.store.setMode("silent")
@@ -197,7 +236,6 @@
 	for id, list := range runs {
 		s := all[id]
 		if s == nil {
-			fault("UNASKED %s runs", id)
 			continue
 		}
 		for _, r := range list {
@@ -235,6 +273,22 @@
 			}
 		}
 	}
+	mixed, whole := 0, 0
+	for _, c := range clients {
+		if len(c.held) > 1 {
+			mixed++
+		}
+		if c.gaps > 0 {
+			fault("ORDER %s has %d gaps", c.first, c.gaps)
+		}
+		if c.whole {
+			whole++
+			if c.lastID != fmt.Sprint(k.events) {
+				fault("ORDER %s is whole after event %s", c.first, c.lastID)
+			}
+		}
+	}
+	fmt.Println(len(clients), "resumable streams,", whole, "whole,", mixed, "of two versions")
 	last := map[string]order{}
 	y.mu.Lock()
 	for _, o := range y.orders {
--- a/review/stand-3/system.go
+++ b/review/stand-3/system.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -66,6 +67,30 @@
 	// one that is answered; loseAnswer reports whether the answer to a run is lost.
 	lateOrder  func() time.Duration
 	loseAnswer func() bool
+	// onFall is told when a brittle engine falls over, sender returns the machine that a request
+	// was sent to.
+	onFall            func(e *engine)
+	sender            func(id string) *node
+	falls, otherFalls atomic.Int64
+}
+
+// touched records a disturbance of the machine.
+func (x *node) touched(at time.Time) {
+	x.mu.Lock()
+	x.disturbances = append(x.disturbances, at)
+	x.mu.Unlock()
+}
+
+// disturbed reports whether the machine was disturbed within 3 s.
+func (x *node) disturbed(now time.Time) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, t := range x.disturbances {
+		if now.Sub(t) < 3*time.Second {
+			return true
+		}
+	}
+	return false
 }
 
 func (y *system) overfull(format string, args ...any) {
@@ -140,10 +165,11 @@
 	store    string
 	settings string
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	started time.Time
-	starts  []time.Time
+	mu           sync.Mutex
+	cmd          *exec.Cmd
+	started      time.Time
+	starts       []time.Time
+	disturbances []time.Time
 	// off keeps the platform from starting the process again.
 	off    bool
 	misses int
