--- a/review/stand-3/cases.go
+++ b/review/stand-3/cases.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -52,14 +51,6 @@
 	y.store.put("config", "main", b, -1)
 }
 
-func (y *system) awaitEnd(d time.Duration) { time.Sleep(d) }
-
-// zipf returns the name of an adapter, by popularity.
-func zipf() string {
-	u := rand.Float64()
-	return fmt.Sprintf("a%d", int(math.Pow(1-u*(1-math.Pow(3000, -0.3)), -1/0.3)))
-}
-
 // traffic sends streams at a rate until stop is closed.
 func (y *system) traffic(perSecond float64, stop <-chan struct{}, q func() request) *sync.WaitGroup {
 	var all sync.WaitGroup
@@ -97,82 +88,6 @@
 	}
 }
 
-// replace is the case of the gap between two holders: the machine that holds a zone is replaced,
-// the new one first, while engines fall silent for a second now and then.
-func replace() int {
-	y := newSystem("z1", "z2", "z3")
-	y.configure()
-	for _, z := range y.zones {
-		for n := range 3 {
-			y.startEngine(llmKind(), fmt.Sprintf("i-%s-%d", z, n), z, "v1", true)
-		}
-	}
-	for range 2 {
-		for _, z := range y.zones {
-			y.addNode(z, y.store.addr).start()
-		}
-	}
-	y.awaitReady(15 * time.Second)
-	go y.watchReadiness()
-	stop := make(chan struct{})
-	all := y.traffic(40, stop, func() request {
-		return streamRequest("/st/", zipf(), fmt.Sprintf("aa%d:210,own%d:700", rand.IntN(3), counter.Load()), 15*time.Second)
-	})
-	go func() {
-		for {
-			time.Sleep(time.Duration(rand.ExpFloat64() * float64(350*time.Millisecond)))
-			list := y.engineList()
-			e := list[rand.IntN(len(list))]
-			if e.setSilent(time.Second) {
-				y.note("engine %s is silent for 1 s", e.id)
-			}
-		}
-	}()
-	time.Sleep(6 * time.Second)
-	for n := 0; time.Since(y.began) < 95*time.Second; n++ {
-		zone := y.zones[n%3]
-		if trouble() {
-			y.addNodeLive(zone).start()
-			time.Sleep(2 * time.Second)
-			if x := y.holder(zone); x != nil {
-				y.note("%s, the holder of %s, is stopped for good", x.name, zone)
-				x.remove()
-			}
-		}
-		time.Sleep(6500 * time.Millisecond)
-	}
-	close(stop)
-	all.Wait()
-	broken := y.turns()
-	y.finish()
-	return broken
-}
-
-// turns checks the rule ONE for the orders to each engine.
-func (y *system) turns() int {
-	y.mu.Lock()
-	orders := y.orders
-	y.mu.Unlock()
-	last := map[string]order{}
-	broken := 0
-	for _, o := range orders {
-		p, ok := last[o.engine]
-		last[o.engine] = o
-		if !ok || p.holder == o.holder {
-			continue
-		}
-		gap := o.at.Sub(p.at)
-		bad := gap < 3*time.Second || o.token <= p.token
-		y.note("at engine %s an order of %s (token %d) follows one of %s (token %d) after %d ms: broken %t", o.engine, o.holder, o.token, p.holder, p.token, gap.Milliseconds(), bad)
-		fmt.Printf("at engine %s an order of %s follows one of %s after %d ms\n", o.engine, o.holder, p.holder, gap.Milliseconds())
-		if bad {
-			broken = 1
-		}
-	}
-	fmt.Printf("%d orders, ONE broken: %d\n", len(orders), broken)
-	return broken
-}
-
 // poison is the case of a part of a prompt that crashes engines, while all instances are killed.
 func poison() int {
 	y := newSystem("z1", "z2", "z3")
--- a/review/stand-3/engine.go
+++ b/review/stand-3/engine.go
@@ -27,9 +27,8 @@
 	events     int
 	// work returns the time and the status of an application's answer.
 	work func() (time.Duration, int)
-	// queue is the number of calls that wait beyond the slots. brittle is the number of refusals
-	// in a second that the engine bears, 0 for any.
-	queue, brittle int
+	// queue is the number of calls that wait beyond the slots.
+	queue int
 }
 
 // engine is one start of an engine.
@@ -56,11 +55,8 @@
 	// silentUntil is the time until which the engine neither reads nor writes.
 	silentUntil time.Time
 	// refuse makes the engine reject requests as if it were full.
-	refuse   bool
-	refusals []refusal
-	slot     chan struct{}
-	// leaving is set while the engine says in its answers that it leaves.
-	leaving bool
+	refuse bool
+	slot   chan struct{}
 }
 
 func (y *system) startEngine(k engineKind, id, zone, software string, loaded bool) *engine {
@@ -226,14 +222,6 @@
 	if id != "" {
 		w.Header().Set("Bamboorail-Request-Id", id)
 	}
-	e.mu.Lock()
-	if e.kind.brittle > 0 {
-		w.Header().Set("Server-Brittle", strconv.Itoa(e.kind.brittle))
-	}
-	if e.leaving {
-		w.Header().Set("Server-Leaving", "1")
-	}
-	e.mu.Unlock()
 	if e.isDown() {
 		panic(http.ErrAbortHandler)
 	}
@@ -254,7 +242,7 @@
 	case "/healthz":
 		w.Header().Set("Bamboorail-Instance-Id", e.id)
 	default:
-		e.serveCall(w, r, id, body)
+		e.serveCall(w, r, id)
 	}
 }
 
@@ -284,25 +272,6 @@
 		w.WriteHeader(400)
 		return
 	}
-	if f := e.sys.lateOrder; f != nil {
-		if late := f(); late > 0 {
-			// The order gets no answer and is carried out later, also by a later start of the engine.
-			e.sys.recordOrder(order{at: time.Now(), engine: e.id, holder: o.Holder, token: o.Token, op: o.Op, adapter: o.Adapter, status: 0})
-			time.AfterFunc(late, func() {
-				e.sys.mu.Lock()
-				now := e.sys.engines[e.id]
-				e.sys.mu.Unlock()
-				if now == nil {
-					return
-				}
-				now.mu.Lock()
-				status := now.carryOut(o.Op, o.Adapter, max(o.Version, 1), o.Precondition)
-				now.mu.Unlock()
-				e.sys.note("engine %s carries out a late order of %s: %s %s: %d", e.id, o.Holder, o.Op, o.Adapter, status)
-			})
-			panic(http.ErrAbortHandler)
-		}
-	}
 	e.mu.Lock()
 	status := e.carryOut(o.Op, o.Adapter, max(o.Version, 1), o.Precondition)
 	e.mu.Unlock()
@@ -333,7 +302,7 @@
 			return 200
 		}
 		if len(e.adapters)+len(e.pending) >= e.kind.adapterSlots {
-			e.sys.overfull("engine %s is ordered to load %s, its %d places are taken by %v and %v", e.id, adapter, e.kind.adapterSlots, e.adapters, e.pending)
+			e.sys.note("engine %s is ordered to load %s, its %d places are taken by %v and %v", e.id, adapter, e.kind.adapterSlots, e.adapters, e.pending)
 			go e.crash()
 			return 202
 		}
@@ -357,53 +326,12 @@
 	return 409
 }
 
-// countRefusal makes a brittle engine fall over that refuses too much.
-func (e *engine) countRefusal(id string) {
-	if e.kind.brittle == 0 {
-		return
-	}
-	now := time.Now()
-	touch := false
-	if f := e.sys.sender; f != nil {
-		if x := f(id); x != nil {
-			touch = x.inTouchAt(now) && !x.disturbed(now)
-		}
-	}
-	e.mu.Lock()
-	e.refusals = append(e.refusals, refusal{now, touch})
-	n, in := 0, 0
-	for _, r := range e.refusals {
-		if now.Sub(r.at) < time.Second {
-			n++
-			if r.touch {
-				in++
-			}
-		}
-	}
-	e.mu.Unlock()
-	if n > e.kind.brittle && !e.isDown() {
-		e.sys.note("engine %s falls over: %d refusals in a second, %d by machines in touch", e.id, n, in)
-		if 2*in > n {
-			e.sys.falls.Add(1)
-		} else {
-			e.sys.otherFalls.Add(1)
-		}
-		e.crash()
-		e.sys.onFall(e)
-	}
-}
-
-type refusal struct {
-	at    time.Time
-	touch bool
-}
-
 func (e *engine) refuseCall(w http.ResponseWriter) {
 	w.Header().Set("Bamboorail-Not-Executed", "1")
 	w.WriteHeader(503)
 }
 
-func (e *engine) serveCall(w http.ResponseWriter, r *http.Request, id string, body []byte) {
+func (e *engine) serveCall(w http.ResponseWriter, r *http.Request, id string) {
 	prefix := r.Header.Get("Bamboorail-Prompt-Prefix")
 	e.sys.recordArrival(arrival{at: time.Now(), id: id, engine: e.id, prefix: prefix})
 	if id == "" {
@@ -425,7 +353,6 @@
 	}
 	if full || refuse {
 		e.mu.Unlock()
-		e.countRefusal(id)
 		e.refuseCall(w)
 		return
 	}
@@ -436,11 +363,7 @@
 		e.active--
 		e.mu.Unlock()
 	}()
-	e.sys.recordRun(run{at: time.Now(), id: id, engine: e.id, software: e.software, what: r.Method + " " + r.RequestURI + " " + string(body)})
-	if f := e.sys.loseAnswer; f != nil && f() {
-		time.Sleep(30 * time.Millisecond)
-		panic(http.ErrAbortHandler)
-	}
+	e.sys.recordRun(run{at: time.Now(), id: id, engine: e.id, software: e.software})
 	w.Header().Set("Bamboorail-Server-Stamp", "s."+e.id+"."+id)
 	if e.kind.adapterSlots == 0 {
 		if e.slot != nil {
--- a/review/stand-3/origins.go
+++ b/review/stand-3/origins.go
@@ -149,7 +149,7 @@
 	y := newSystem("z1", "z2", "z3")
 	y.configure()
 	k := llmKind()
-	k.first, k.gap, k.events = 600*time.Millisecond, 60*time.Millisecond, 57
+	k.first, k.gap, k.events = 900*time.Millisecond, 80*time.Millisecond, 57
 	var number atomic.Int64
 	startOne := func(zone, software string, loaded bool) *engine {
 		return y.startEngine(k, fmt.Sprintf("i-%s-%d", zone, number.Add(1)), zone, software, loaded)
@@ -208,7 +208,7 @@
 		}
 	}
 	time.Sleep(8 * time.Second)
-	for time.Since(y.began) < 80*time.Second {
+	for time.Since(y.began) < 88*time.Second {
 		if trouble() {
 			for _, e := range y.engineList() {
 				if e.software == "v2" && e.isLoaded() && e.zone == "z1" {
@@ -219,10 +219,12 @@
 			}
 			time.Sleep(250 * time.Millisecond)
 			reset()
-			time.Sleep(2250 * time.Millisecond)
+			time.Sleep(1950 * time.Millisecond)
+			reset()
+			time.Sleep(1200 * time.Millisecond)
 			reset()
 		}
-		time.Sleep(7 * time.Second)
+		time.Sleep(7600 * time.Millisecond)
 	}
 	close(stop)
 	all.Wait()
--- a/review/stand-3/system.go
+++ b/review/stand-3/system.go
@@ -12,7 +12,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -61,43 +60,6 @@
 	crashes  []time.Time
 	lines    []string
 	ended    bool
-	// faults are the rules that the engines saw broken.
-	faults []string
-	// lateOrder returns the time after which an order is carried out without an answer, 0 for
-	// one that is answered; loseAnswer reports whether the answer to a run is lost.
-	lateOrder  func() time.Duration
-	loseAnswer func() bool
-	// onFall is told when a brittle engine falls over, sender returns the machine that a request
-	// was sent to.
-	onFall            func(e *engine)
-	sender            func(id string) *node
-	falls, otherFalls atomic.Int64
-}
-
-// touched records a disturbance of the machine.
-func (x *node) touched(at time.Time) {
-	x.mu.Lock()
-	x.disturbances = append(x.disturbances, at)
-	x.mu.Unlock()
-}
-
-// disturbed reports whether the machine was disturbed within 3 s.
-func (x *node) disturbed(now time.Time) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	for _, t := range x.disturbances {
-		if now.Sub(t) < 3*time.Second {
-			return true
-		}
-	}
-	return false
-}
-
-func (y *system) overfull(format string, args ...any) {
-	y.note(format, args...)
-	y.mu.Lock()
-	y.faults = append(y.faults, fmt.Sprintf(format, args...))
-	y.mu.Unlock()
 }
 
 func newSystem(zones ...string) *system {
