--- a/review/stand-3/origins.go
+++ b/review/stand-3/origins.go
@@ -155,7 +155,7 @@
 		return y.startEngine(k, fmt.Sprintf("i-%s-%d", zone, number.Add(1)), zone, software, loaded)
 	}
 	// Five engines have software v1, four v2.
-	for n, software := range []string{"v1", "v1", "v2", "v1", "v2", "v2", "v1", "v1", "v2"} {
+	for n, software := range []string{"v1", "v2", "v2", "v1", "v1", "v2", "v1", "v1", "v2"} {
 		startOne(y.zones[n/3], software, true)
 	}
 	for _, z := range []string{"z1", "z2", "z3", "z1", "z2", "z3", "z1"} {
