--- a/review/stand-3/cases.go
+++ b/review/stand-3/cases.go
@@ -34,6 +34,7 @@
 		"routes": []any{
 			map[string]any{"name": "resumable", "host": host, "path_prefix": "/re/", "route_kind": "streaming", "timeout_ms": 25000, "target_latency_ms": 1000, "priority": 1, "service": "llm", "max_attempts": 2, "sticky": true, "resumable": true, "target_gap_ms": 300},
 			map[string]any{"name": "plain", "host": host, "path_prefix": "/st/", "route_kind": "streaming", "timeout_ms": 15000, "target_latency_ms": 800, "priority": 2, "service": "llm", "max_attempts": 1, "sticky": true, "resumable": false, "target_gap_ms": 300},
+			map[string]any{"name": "save", "host": host, "path_prefix": "/big/", "route_kind": "non_idempotent", "timeout_ms": 14000, "target_latency_ms": 300, "priority": 2, "service": "app", "max_attempts": 1},
 			map[string]any{"name": "redeem", "host": host, "path_prefix": "/un/", "route_kind": "non_idempotent", "timeout_ms": 800, "target_latency_ms": 300, "priority": 2, "service": "app", "max_attempts": 1},
 			map[string]any{"name": "validate", "host": host, "path_prefix": "/va/", "route_kind": "idempotent", "timeout_ms": 800, "target_latency_ms": 300, "priority": 2, "service": "app", "max_attempts": 2},
 		},
