--- a/review/stand-3/cases.go
+++ b/review/stand-3/cases.go
@@ -16,6 +16,9 @@
 // adapterSlots are the places for adapters of a model engine.
 var adapterSlots = 17
 
+// modelLoad is the time of a load of the model from the store.
+var modelLoad = 3900 * time.Millisecond
+
 var counter atomic.Int64
 
 func newID() string { return fmt.Sprintf("%08x%06x", rand.Uint32(), counter.Add(1)) }
@@ -40,7 +43,7 @@
 		},
 		"services": []any{
 			map[string]any{"name": "llm", "health_path": "/healthz", "max_conns": 360, "protocol": "h1", "tls": false, "engine": map[string]any{
-				"slots": 64, "kv_capacity": 120687, "models": []any{map[string]any{"name": "m0", "weights_mb": 65100.0, "load_s": 3.9, "adapters": 3000, "adapter_mb": 12.0, "warmup_s": 0.76, "disk_load_s": 1.6}},
+				"slots": 64, "kv_capacity": 120687, "models": []any{map[string]any{"name": "m0", "weights_mb": 65100.0, "load_s": modelLoad.Seconds(), "adapters": 3000, "adapter_mb": 12.0, "warmup_s": 0.76, "disk_load_s": 1.6}},
 				"weights_mb": 66600.0, "adapter_slots": adapterSlots, "loads_per_s": 2.1,
 			}},
 			map[string]any{"name": "app", "health_path": "/healthz", "max_conns": 100, "protocol": "h1", "tls": false},
--- a/review/stand-3/engine.go
+++ b/review/stand-3/engine.go
@@ -272,6 +272,11 @@
 		w.WriteHeader(400)
 		return
 	}
+	if e.sys.isLate != nil && e.sys.isLate() {
+		e.sys.recordOrder(order{at: time.Now(), engine: e.id, holder: o.Holder, token: o.Token, op: o.Op, adapter: o.Adapter, status: 0})
+		go e.sys.carryOutLate(e.id, o.Holder, o.Op, o.Adapter, max(o.Version, 1), o.Precondition)
+		panic(http.ErrAbortHandler)
+	}
 	e.mu.Lock()
 	status := e.carryOut(o.Op, o.Adapter, max(o.Version, 1), o.Precondition)
 	e.mu.Unlock()
@@ -302,7 +307,8 @@
 			return 200
 		}
 		if len(e.adapters)+len(e.pending) >= e.kind.adapterSlots {
-			e.sys.note("engine %s is ordered to load %s, its %d places are taken by %v and %v", e.id, adapter, e.kind.adapterSlots, e.adapters, e.pending)
+			e.sys.note("engine %s is ordered to load %s at number %d, its %d places are taken by %v and %v", e.id, adapter, e.seq, e.kind.adapterSlots, e.adapters, e.pending)
+			e.sys.overfull.Add(1)
 			go e.crash()
 			return 202
 		}
--- /dev/null
+++ b/review/stand-3/late.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// late is the case of orders that are carried out late, at a later start of their engine, after
+// the process that sent them has ended.
+func late() int {
+	adapterSlots, modelLoad = 8, 810*time.Millisecond
+	y := newSystem("z1", "z2", "z3")
+	y.configure()
+	k := llmKind()
+	k.loadTime = modelLoad
+	for _, z := range y.zones {
+		for n := range 3 {
+			y.startEngine(k, fmt.Sprintf("i-%s-%d", z, n), z, "v1", true)
+		}
+	}
+	for range 2 {
+		for _, z := range y.zones {
+			y.addNode(z, y.store.addr).start()
+		}
+	}
+	y.awaitReady(15 * time.Second)
+	go y.watchReadiness()
+	time.Sleep(6 * time.Second)
+	var lateOn atomic.Bool
+	y.isLate = func() bool { return lateOn.Load() && rand.Float64() < 0.35 }
+	stop := make(chan struct{})
+	all := y.traffic(70, stop, func() request {
+		u := rand.Float64()
+		return streamRequest("/st/", fmt.Sprintf("a%d", 1+int(float64(14*adapterSlots)*u*u)), fmt.Sprintf("aa%d:210,own%d:700", rand.IntN(3), counter.Add(1)), 15*time.Second)
+	})
+	for round := range 1 {
+		time.Sleep(time.Second)
+		if trouble() {
+			lateOn.Store(true)
+		}
+		time.Sleep(5500 * time.Millisecond)
+		lateOn.Store(false)
+		if trouble() {
+			zone := y.zones[round%3]
+			crashed := 0
+			for _, e := range y.engineList() {
+				if e.zone == zone && crashed < 2 && os.Getenv("ONLY") != "kill" {
+					crashed++
+					e.mu.Lock()
+					n := e.seq
+					e.mu.Unlock()
+					y.note("engine %s crashes at number %d, and starts again under its id", e.id, n)
+					e.crash()
+					time.AfterFunc(2*time.Second, func() { y.startEngine(k, e.id, e.zone, "v1", false) })
+				}
+			}
+			if x := y.holder(zone); x != nil && os.Getenv("ONLY") != "crash" {
+				x.signal(syscall.SIGKILL)
+			}
+		}
+		time.Sleep(11 * time.Second)
+	}
+	close(stop)
+	all.Wait()
+	fmt.Printf("%d orders, %d beyond the places of their engine; none may\n", len(y.orders), y.overfull.Load())
+	y.finish()
+	if y.overfull.Load() > 0 {
+		return 1
+	}
+	return 0
+}
--- a/review/stand-3/system.go
+++ b/review/stand-3/system.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -60,6 +61,32 @@
 	crashes  []time.Time
 	lines    []string
 	ended    bool
+	// isLate reports whether an order gets no answer and is carried out later; it may be nil.
+	isLate func() bool
+	// overfull counts the orders beyond the places of an engine.
+	overfull atomic.Int64
+}
+
+// carryOutLate carries an order out 2 to 12 s later, once its precondition holds.
+func (y *system) carryOutLate(engine, holder, op, adapter string, version int, precondition *uint64) {
+	time.Sleep(2 * time.Second)
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		y.mu.Lock()
+		e := y.engines[engine]
+		y.mu.Unlock()
+		if e == nil {
+			continue
+		}
+		e.mu.Lock()
+		if precondition == nil || *precondition == e.seq {
+			n := e.seq
+			status := e.carryOut(op, adapter, version, precondition)
+			e.mu.Unlock()
+			y.note("engine %s carries out a late order of %s at number %d: %s %s: %d", engine, holder, n, op, adapter, status)
+			return
+		}
+		e.mu.Unlock()
+	}
 }
 
 func newSystem(zones ...string) *system {
