--- a/review/stand-3/cases.go
+++ b/review/stand-3/cases.go
@@ -87,7 +87,7 @@
 		model += "/" + adapter
 	}
 	return request{
-		id: newID(), method: "POST", host: host, path: path + "x", deadline: deadline, stream: true, body: "prompt",
+		id: newID(), method: "POST", host: host, path: path + "x", deadline: deadline, body: "prompt",
 		header: map[string]string{"Bamboorail-Model": model, "Bamboorail-Token-Usage": "1100,60", "Bamboorail-Prompt-Prefix": prefix},
 	}
 }
--- a/review/stand-3/engine.go
+++ b/review/stand-3/engine.go
@@ -54,9 +54,7 @@
 	active   int
 	// silentUntil is the time until which the engine neither reads nor writes.
 	silentUntil time.Time
-	// refuse makes the engine reject requests as if it were full.
-	refuse bool
-	slot   chan struct{}
+	slot        chan struct{}
 }
 
 func (y *system) startEngine(k engineKind, id, zone, software string, loaded bool) *engine {
@@ -103,9 +101,7 @@
 	})
 	id := e.id
 	e.mu.Unlock()
-	if e.sys.store.getMode() == "" {
-		e.sys.store.beat(id, spec)
-	}
+	e.sys.store.beat(id, spec)
 }
 
 // models lists what the engine holds. The caller holds the lock.
@@ -346,18 +342,18 @@
 		return
 	}
 	e.mu.Lock()
-	full, refuse := e.active >= e.kind.slots+e.kind.queue, e.refuse
+	full := e.active >= e.kind.slots+e.kind.queue
 	_, adapter, _ := strings.Cut(r.Header.Get("Bamboorail-Model"), "/")
 	held := e.loaded
 	if adapter != "" {
 		_, held = e.adapters[adapter]
 	}
-	if e.kind.adapterSlots > 0 && !held && !refuse {
+	if e.kind.adapterSlots > 0 && !held {
 		e.mu.Unlock()
 		w.WriteHeader(421)
 		return
 	}
-	if full || refuse {
+	if full {
 		e.mu.Unlock()
 		e.refuseCall(w)
 		return
--- a/review/stand-3/origins.go
+++ b/review/stand-3/origins.go
@@ -18,16 +18,12 @@
 type streamClient struct {
 	y *system
 
-	mu       sync.Mutex
-	conn     *net.TCPConn
-	node     string
-	held     []string // the software versions of the events
-	lastID   string
-	first    string // the id of the attempt that brought the first event
-	finished bool
-	// gaps counts the events that did not follow the one before, whole is set after the last one.
-	gaps  int
-	whole bool
+	mu     sync.Mutex
+	conn   *net.TCPConn
+	node   string
+	held   []string // the software versions of the events
+	lastID string
+	first  string // the id of the attempt that brought the first event
 }
 
 // reset resets the connection of the client if it is to a machine.
@@ -89,11 +85,6 @@
 			version, _, _ = strings.Cut(line[6:], " ")
 		case line == "" && id != "":
 			c.mu.Lock()
-			before, _ := strconv.Atoi(c.lastID)
-			if n, _ := strconv.Atoi(id); n != before+1 {
-				c.gaps++
-				y.note("client has event %s of %s after %q", id, c.first, c.lastID)
-			}
 			c.lastID = id
 			if c.first == "" {
 				c.first = r.id
@@ -129,7 +120,6 @@
 		}
 		status, after := c.read(r, x)
 		if status == 200 {
-			c.whole = true
 			break
 		}
 		c.y.note("the answer to %s: status %d, Retry-After %s", r.id, status, after)
@@ -139,7 +129,7 @@
 		time.Sleep(min(after, left/3))
 	}
 	c.mu.Lock()
-	c.finished, c.conn = true, nil
+	c.conn = nil
 	c.mu.Unlock()
 }
 
--- a/review/stand-3/store.go
+++ b/review/stand-3/store.go
@@ -21,26 +21,11 @@
 	objects map[string]map[string]*object
 	events  []event
 	changed chan struct{}
-	// mode is "" while the store is up. "silent" answers nothing and does nothing;
-	// "mute" carries calls out and answers nothing.
-	mode string
-	// onWrite is told of the writes of instances; it may be nil.
-	onWrite func(method, kind, name string, answered bool)
 	addr    string
-	// era counts the restores of the store; 0 is not told.
-	era       uint64
-	snapshots []snapshot
 	// beats are the times of the last heartbeats of engines.
 	beats map[string]time.Time
 }
 
-// snapshot is a copy of the store.
-type snapshot struct {
-	at      time.Time
-	rev     uint64
-	objects map[string]map[string]*object
-}
-
 type object struct {
 	name string
 	rev  uint64
@@ -64,28 +49,15 @@
 	return s
 }
 
-// run copies the store, and removes the entries of engines that are silent for three heartbeats.
+// run removes the entries of engines that are silent for three heartbeats.
 func (s *store) run() {
 	for {
 		time.Sleep(500 * time.Millisecond)
 		s.mu.Lock()
-		c := snapshot{time.Now(), s.rev, map[string]map[string]*object{}}
-		for kind, list := range s.objects {
-			c.objects[kind] = map[string]*object{}
-			for name, o := range list {
-				c.objects[kind][name] = o
-			}
-		}
-		s.snapshots = append(s.snapshots, c)
-		if len(s.snapshots) > 40 {
-			s.snapshots = s.snapshots[1:]
-		}
 		var silent []string
-		if s.mode == "" {
-			for name := range s.objects["servers"] {
-				if time.Since(s.beats[name]) > 3*beat {
-					silent = append(silent, name)
-				}
+		for name := range s.objects["servers"] {
+			if time.Since(s.beats[name]) > 3*beat {
+				silent = append(silent, name)
 			}
 		}
 		s.mu.Unlock()
@@ -95,40 +67,6 @@
 	}
 }
 
-// restore replaces the store by a copy that has an age, and begins a new era.
-func (s *store) restore(age time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for n := len(s.snapshots) - 1; n >= 0; n-- {
-		c := s.snapshots[n]
-		if time.Since(c.at) < age {
-			continue
-		}
-		s.rev, s.objects = c.rev, map[string]map[string]*object{}
-		for kind, list := range c.objects {
-			s.objects[kind] = map[string]*object{}
-			for name, o := range list {
-				s.objects[kind][name] = o
-			}
-		}
-		kept := s.events[:0:0]
-		for _, e := range s.events {
-			if e.rev <= s.rev {
-				kept = append(kept, e)
-			}
-		}
-		s.events, s.snapshots = kept, s.snapshots[:n+1]
-		s.era++
-		now := time.Now()
-		for name := range s.objects["servers"] {
-			s.beats[name] = now
-		}
-		close(s.changed)
-		s.changed = make(chan struct{})
-		return
-	}
-}
-
 // beat writes the entry of an engine.
 func (s *store) beat(name string, spec json.RawMessage) {
 	s.mu.Lock()
@@ -137,10 +75,6 @@
 	s.putLocked("servers", name, spec, -1)
 }
 
-func (s *store) setMode(m string) { s.mu.Lock(); s.mode = m; s.mu.Unlock() }
-
-func (s *store) getMode() string { s.mu.Lock(); defer s.mu.Unlock(); return s.mode }
-
 func (o object) encode() json.RawMessage {
 	spec := o.spec
 	if len(spec) == 0 {
@@ -203,28 +137,13 @@
 }
 
 func (s *store) serve(w http.ResponseWriter, r *http.Request) {
-	mode := s.getMode()
-	if mode == "silent" {
-		<-r.Context().Done()
-		return
-	}
-	s.mu.Lock()
-	era := s.era
-	s.mu.Unlock()
-	status, body := s.handle(w, r)
-	if era > 0 {
-		w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
-	}
-	if mode == "mute" || s.getMode() == "silent" || s.getMode() == "mute" {
-		<-r.Context().Done()
-		return
-	}
+	status, body := s.handle(r)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
 
-func (s *store) handle(w http.ResponseWriter, r *http.Request) (int, []byte) {
+func (s *store) handle(r *http.Request) (int, []byte) {
 	path := strings.TrimPrefix(r.URL.Path, "/bamboorail/objects/")
 	kind, name, _ := strings.Cut(path, "/")
 	q := r.URL.Query()
@@ -266,9 +185,6 @@
 	if r.Method == "POST" {
 		name, expect = in.Metadata.Name, 0
 	}
-	if s.onWrite != nil {
-		s.onWrite(r.Method, kind, name, s.getMode() == "")
-	}
 	if r.Method == "DELETE" {
 		o, ok := s.get(kind, name)
 		switch {
@@ -314,15 +230,8 @@
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	end := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer end.Stop()
-	s.mu.Lock()
-	era := s.era
-	s.mu.Unlock()
 	for over := false; ; {
 		s.mu.Lock()
-		if from > s.rev || s.era != era {
-			s.mu.Unlock()
-			return 410, []byte("{}")
-		}
 		list := []json.RawMessage{}
 		for n := len(s.events) - 1; n >= 0 && s.events[n].rev > from; n-- {
 			if e := s.events[n]; e.kind == kind {
--- a/review/stand-3/system.go
+++ b/review/stand-3/system.go
@@ -40,7 +40,6 @@
 type run struct {
 	at                   time.Time
 	id, engine, software string
-	what                 string
 }
 
 // system is a small deployment: a store, engines, and instances of railentry that the
@@ -60,7 +59,6 @@
 	runs     []run
 	crashes  []time.Time
 	lines    []string
-	ended    bool
 	// isLate reports whether an order gets no answer and is carried out later; it may be nil.
 	isLate func() bool
 	// overfull counts the orders beyond the places of an engine.
@@ -154,11 +152,10 @@
 	store    string
 	settings string
 
-	mu           sync.Mutex
-	cmd          *exec.Cmd
-	started      time.Time
-	starts       []time.Time
-	disturbances []time.Time
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	started time.Time
+	starts  []time.Time
 	// off keeps the platform from starting the process again.
 	off    bool
 	misses int
@@ -259,13 +256,6 @@
 	}
 }
 
-// addNodeLive adds a machine while the others run.
-func (y *system) addNodeLive(zone string) *node {
-	y.mu.Lock()
-	defer y.mu.Unlock()
-	return y.addNode(zone, y.store.addr)
-}
-
 // holder returns the machine that holds the lease of a zone, as the store has it.
 func (y *system) holder(zone string) *node {
 	o, ok := y.store.get("order-leases", zone)
@@ -281,14 +271,6 @@
 	return nil
 }
 
-// remove stops the process for good, as planned work does.
-func (x *node) remove() {
-	x.mu.Lock()
-	x.off = true
-	x.mu.Unlock()
-	x.signal(syscall.SIGTERM)
-}
-
 // stop kills the process for good.
 func (x *node) stop() {
 	x.mu.Lock()
@@ -297,13 +279,6 @@
 	x.signal(syscall.SIGKILL)
 }
 
-// inTouch reports whether the process ran for the last 3 s (contact_ms).
-func (x *node) inTouch(at time.Time) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return at.Sub(x.started) >= 3*time.Second
-}
-
 // watchReadiness probes the machines once a second, as the platform does.
 func (y *system) watchReadiness() {
 	client := &http.Client{Timeout: 900 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -390,11 +365,8 @@
 	id, method, host, path string
 	header                 map[string]string
 	deadline               time.Duration
-	// abort ends the reading of a stream after a number of events, 0 never.
-	stream bool
 	// conn is told of the connection.
-	onConn func(net.Conn)
-	body   string
+	body string
 }
 
 // send sends a request to a machine on a connection of its own.
@@ -407,9 +379,6 @@
 		return a
 	}
 	defer c.Close()
-	if q.onConn != nil {
-		q.onConn(c)
-	}
 	_ = c.SetDeadline(time.Now().Add(q.deadline))
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nBamboorail-Request-Id: %s\r\nBamboorail-Deadline-Ms: %d\r\n", q.method, q.path, q.host, q.id, q.deadline.Milliseconds())
@@ -451,9 +420,6 @@
 
 // finish ends all processes and writes the record.
 func (y *system) finish() {
-	y.mu.Lock()
-	y.ended = true
-	y.mu.Unlock()
 	for _, x := range y.nodes {
 		x.stop()
 	}
@@ -472,7 +438,7 @@
 
 func trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
-// starts are the times at which the process was started.
+// inTouchAt reports whether the process had run for 3 s (contact_ms) at a time.
 func (x *node) inTouchAt(at time.Time) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
