--- a/review/stand-3/partition.go
+++ b/review/stand-3/partition.go
@@ -193,13 +193,14 @@
 		e := y.startEngine(app, fmt.Sprintf("i-app-%s-%d", z, n), z, "v1", true)
 		v.addEngine(e.address())
 	}
-	for _, z := range []string{"z1", "z2", "z1", "z2"} {
+	for _, z := range []string{"z3", "z1", "z2", "z1", "z2"} {
 		x := y.addNode(z, y.store.addr)
 		v.addPeer(fmt.Sprintf("%s:%d", x.ip, ports.peer))
 		x.start()
 	}
 	l := listenLike(y.store.addr)
 	go v.proxy(l, y.store.addr)
+	time.Sleep(time.Second)
 	p := y.addNode("z3", l.Addr().String())
 	p.start()
 	y.awaitReady(15 * time.Second)
@@ -242,9 +243,9 @@
 			}
 		}()
 	}
-	send(p, 28)
-	for _, x := range y.nodes[:4] {
-		send(x, 4)
+	send(p, 26)
+	for _, x := range y.nodes[:5] {
+		send(x, 3)
 	}
 	time.Sleep(3 * time.Second)
 	for time.Since(y.began) < 90*time.Second {
