--- a/review/stand-3/system.go
+++ b/review/stand-3/system.go
@@ -167,7 +167,7 @@
 // freePorts finds ports that no loopback address uses.
 func freePorts() {
 	used := func(p int) bool {
-		l, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", p))
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
 		if err != nil {
 			return true
 		}
