--- a/review/stand-3/origins.go
+++ b/review/stand-3/origins.go
@@ -119,10 +119,7 @@
 			x = c.y.pick(zone)
 		}
 		status, after := c.read(r, x)
-		if status == 200 {
-			break
-		}
-		c.y.note("the answer to %s: status %d, Retry-After %s", r.id, status, after)
+		c.y.note("client has %s: status %d (0: the connection broke), Retry-After %s", r.id, status, after)
 		if status != 0 && status != 503 {
 			break
 		}
@@ -198,7 +195,7 @@
 		}
 	}
 	time.Sleep(8 * time.Second)
-	for time.Since(y.began) < 88*time.Second {
+	for time.Since(y.began) < 84*time.Second {
 		if trouble() {
 			for _, e := range y.engineList() {
 				if e.software == "v2" && e.isLoaded() && e.zone == "z1" {
