--- a/review/stand-3/partition.go
+++ b/review/stand-3/partition.go
@@ -248,9 +248,11 @@
 		send(x, 3)
 	}
 	time.Sleep(3 * time.Second)
+	var cuts []time.Time
 	for time.Since(y.began) < 90*time.Second {
 		if trouble() {
 			y.note("%s is partitioned from all engines", p.name)
+			cuts = append(cuts, time.Now())
 			if os.Getenv("ONLY") != "grey" {
 				for _, k := range v.engines {
 					k.cut()
@@ -258,9 +260,10 @@
 			}
 			grey.Store(true)
 		}
-		time.Sleep(6500 * time.Millisecond)
+		time.Sleep(4 * time.Second)
+		grey.Store(false)
+		time.Sleep(2500 * time.Millisecond)
 		if trouble() {
-			grey.Store(false)
 			if os.Getenv("ONLY") != "grey" {
 				for _, k := range v.engines {
 					k.heal()
@@ -272,15 +275,26 @@
 	}
 	close(stop)
 	wg.Wait()
-	reached := map[string]map[string]bool{}
 	y.mu.Lock()
 	runs := y.runs
 	y.mu.Unlock()
+	last := map[string]time.Time{}
+	for _, r := range runs {
+		last[r.id] = r.at
+	}
+	reached := map[string]map[string]bool{}
 	for _, r := range runs {
 		if reached[r.id] == nil {
 			reached[r.id] = map[string]bool{}
 		}
-		reached[r.id][r.engine] = true
+		// Engines that were cut off meanwhile don't count.
+		cutOff := false
+		for _, c := range cuts {
+			cutOff = cutOff || r.at.Before(c) && last[r.id].After(c)
+		}
+		if !cutOff {
+			reached[r.id][r.engine] = true
+		}
 	}
 	broken := 0
 	for id, list := range reached {
