--- a/review/stand-3/cases.go
+++ b/review/stand-3/cases.go
@@ -4,10 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -91,109 +89,3 @@
 		header: map[string]string{"Bamboorail-Model": model, "Bamboorail-Token-Usage": "1100,60", "Bamboorail-Prompt-Prefix": prefix},
 	}
 }
-
-// poison is the case of a part of a prompt that crashes engines, while all instances are killed.
-func poison() int {
-	y := newSystem("z1", "z2", "z3")
-	y.configure()
-	number := atomic.Int64{}
-	startOne := func(z string) *engine {
-		return y.startEngine(llmKind(), fmt.Sprintf("i-%s-%d", z, number.Add(1)), z, "v1", number.Load() <= 9)
-	}
-	for _, z := range y.zones {
-		for range 3 {
-			startOne(z)
-		}
-	}
-	// A crashed engine is back after some seconds, as a new incarnation without a model.
-	go func() {
-		for {
-			time.Sleep(100 * time.Millisecond)
-			count := map[string]int{}
-			for _, e := range y.engineList() {
-				count[e.zone]++
-			}
-			for _, z := range y.zones {
-				for n := count[z]; n < 3; n++ {
-					time.AfterFunc(2*time.Second, func() { startOne(z) })
-				}
-			}
-			if count["z1"]+count["z2"]+count["z3"] < 9 {
-				time.Sleep(2200 * time.Millisecond)
-			}
-		}
-	}()
-	for range 2 {
-		for _, z := range y.zones {
-			y.addNode(z, y.store.addr).start()
-		}
-	}
-	y.awaitReady(15 * time.Second)
-	go y.watchReadiness()
-	time.Sleep(8 * time.Second)
-	stop := make(chan struct{})
-	all := y.traffic(20, stop, func() request {
-		return streamRequest([]string{"/st/", "/re/"}[rand.IntN(2)], fmt.Sprintf("a%d", 1+rand.IntN(20)), fmt.Sprintf("aa%d:210,bb%d:140,own%d:700", rand.IntN(3), rand.IntN(50), counter.Load()), 15*time.Second)
-	})
-	var bad sync.Mutex
-	poisonIDs := map[string]string{}
-	sendPoison := func() {
-		r := streamRequest("/re/", fmt.Sprintf("a%d", 1+rand.IntN(20)), fmt.Sprintf("aa%d:210,dead:140,own%d:700", rand.IntN(3), counter.Load()), 15*time.Second)
-		x := y.pick(y.zones[rand.IntN(3)])
-		bad.Lock()
-		poisonIDs[r.id] = x.name
-		bad.Unlock()
-		y.note("client sends %s to %s, with the part that crashes engines", r.id, x.name)
-		a := y.send(x, r)
-		y.note("client has %s: status %d, %d events, %v", r.id, a.status, len(a.data), a.err)
-	}
-	time.Sleep(2 * time.Second)
-	poisonUntil := func(d time.Duration) {
-		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(3500 * time.Millisecond) {
-			go sendPoison()
-		}
-	}
-	// The instances learn of the part, mostly after four crashes.
-	poisonUntil(10 * time.Second)
-	time.Sleep(3 * time.Second)
-	for range 2 {
-		if trouble() {
-			for _, x := range y.nodes {
-				x.signal(syscall.SIGKILL)
-			}
-		}
-		time.Sleep(4500 * time.Millisecond)
-		poisonUntil(18 * time.Second)
-	}
-	close(stop)
-	all.Wait()
-	broken := 0
-	y.mu.Lock()
-	arrivals, crashes := y.arrivals, y.crashes
-	y.mu.Unlock()
-	for _, a := range arrivals {
-		if !strings.Contains(a.prefix, "dead:") {
-			continue
-		}
-		bad.Lock()
-		name := poisonIDs[a.id]
-		bad.Unlock()
-		late := len(crashes) >= 5 && a.at.After(crashes[4].Add(3*time.Second))
-		for _, x := range y.list() {
-			if x.name != name {
-				continue
-			}
-			touch := x.inTouchAt(a.at)
-			y.note("at %.3f request %s with the part reached engine %s from %s, in touch %t, over 3 s after the fifth crash %t", y.since(a.at), a.id, a.engine, name, touch, late)
-			if touch && late {
-				broken++
-			}
-		}
-	}
-	fmt.Printf("%d requests with the part reached engines later than 3 s after the fifth crash, from machines in touch; 3 may; %d crashes\n", broken, len(crashes))
-	y.finish()
-	if broken > 3 {
-		return 1
-	}
-	return 0
-}
--- a/review/stand-3/engine.go
+++ b/review/stand-3/engine.go
@@ -334,8 +334,6 @@
 }
 
 func (e *engine) serveCall(w http.ResponseWriter, r *http.Request, id string) {
-	prefix := r.Header.Get("Bamboorail-Prompt-Prefix")
-	e.sys.recordArrival(arrival{at: time.Now(), id: id, engine: e.id, prefix: prefix})
 	if id == "" {
 		w.Header().Set("Bamboorail-Not-Executed", "1")
 		w.WriteHeader(400)
@@ -386,10 +384,10 @@
 		_, _ = fmt.Fprintf(w, "answer to %s\n", id)
 		return
 	}
-	e.stream(w, r, id, prefix)
+	e.stream(w, r, id)
 }
 
-func (e *engine) stream(w http.ResponseWriter, r *http.Request, id, prefix string) {
+func (e *engine) stream(w http.ResponseWriter, r *http.Request, id string) {
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Bamboorail-Weight-Versions", "1")
@@ -407,12 +405,6 @@
 		if e.isDown() {
 			panic(http.ErrAbortHandler)
 		}
-		if strings.Contains(prefix, "dead:") {
-			// The part crashes each engine that begins to write an answer on it.
-			e.sys.recordCrash(e.id)
-			e.crash()
-			panic(http.ErrAbortHandler)
-		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s of %s\n\n", n, e.software, e.id); err != nil {
 			return
 		}
--- a/review/stand-3/system.go
+++ b/review/stand-3/system.go
@@ -32,11 +32,6 @@
 	status         int
 }
 
-type arrival struct {
-	at                 time.Time
-	id, engine, prefix string
-}
-
 type run struct {
 	at                   time.Time
 	id, engine, software string
@@ -52,13 +47,11 @@
 	zones []string
 	nodes []*node
 
-	mu       sync.Mutex
-	engines  map[string]*engine
-	orders   []order
-	arrivals []arrival
-	runs     []run
-	crashes  []time.Time
-	lines    []string
+	mu      sync.Mutex
+	engines map[string]*engine
+	orders  []order
+	runs    []run
+	lines   []string
 	// isLate reports whether an order gets no answer and is carried out later; it may be nil.
 	isLate func() bool
 	// overfull counts the orders beyond the places of an engine.
@@ -113,12 +106,6 @@
 	y.note("engine %s gets an order of %s: %s %s, token %d: %d", o.engine, o.holder, o.op, o.adapter, o.token, o.status)
 }
 
-func (y *system) recordArrival(a arrival) {
-	y.mu.Lock()
-	y.arrivals = append(y.arrivals, a)
-	y.mu.Unlock()
-}
-
 func (y *system) recordRun(r run) {
 	y.mu.Lock()
 	y.runs = append(y.runs, r)
@@ -126,13 +113,6 @@
 	y.note("engine %s (%s) runs %s", r.engine, r.software, r.id)
 }
 
-func (y *system) recordCrash(id string) {
-	y.mu.Lock()
-	y.crashes = append(y.crashes, time.Now())
-	y.mu.Unlock()
-	y.note("engine %s crashes", id)
-}
-
 func (y *system) engineList() []*engine {
 	y.mu.Lock()
 	defer y.mu.Unlock()
@@ -152,10 +132,8 @@
 	store    string
 	settings string
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	started time.Time
-	starts  []time.Time
+	mu  sync.Mutex
+	cmd *exec.Cmd
 	// off keeps the platform from starting the process again.
 	off    bool
 	misses int
@@ -232,8 +210,7 @@
 	check(err)
 	c.Stdout, c.Stderr = log, log
 	check(c.Start())
-	x.cmd, x.started = c, time.Now()
-	x.starts = append(x.starts, x.started)
+	x.cmd = c
 	x.y.note("process of %s starts", x.name)
 	go func() {
 		err := c.Wait()
@@ -438,16 +415,3 @@
 }
 
 func trouble() bool { return os.Getenv("TROUBLE") != "0" }
-
-// inTouchAt reports whether the process had run for 3 s (contact_ms) at a time.
-func (x *node) inTouchAt(at time.Time) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	var last time.Time
-	for _, t := range x.starts {
-		if t.Before(at) {
-			last = t
-		}
-	}
-	return at.Sub(last) >= 3*time.Second
-}
