--- a/review/stand-3/origins.go
+++ b/review/stand-3/origins.go
@@ -211,7 +211,8 @@
 			time.Sleep(1200 * time.Millisecond)
 			reset()
 		}
-		time.Sleep(7600 * time.Millisecond)
+		// Streams that begin at the end may last 25 s.
+		time.Sleep(min(7600*time.Millisecond, time.Until(y.began.Add(91*time.Second))))
 	}
 	close(stop)
 	all.Wait()
