--- a/review/stand-3/late.go
+++ b/review/stand-3/late.go
@@ -37,7 +37,11 @@
 		u := rand.Float64()
 		return streamRequest("/st/", fmt.Sprintf("a%d", 1+int(float64(14*adapterSlots)*u*u)), fmt.Sprintf("aa%d:210,own%d:700", rand.IntN(3), counter.Add(1)), 15*time.Second)
 	})
-	for round := range 1 {
+	// Each round strikes another zone.
+	for round := range 3 {
+		if y.overfull.Load() > 0 {
+			break
+		}
 		time.Sleep(time.Second)
 		if trouble() {
 			lateOn.Store(true)
@@ -45,7 +49,7 @@
 		time.Sleep(5500 * time.Millisecond)
 		lateOn.Store(false)
 		if trouble() {
-			zone := y.zones[round%3]
+			zone := y.zones[round]
 			crashed := 0
 			for _, e := range y.engineList() {
 				if e.zone == zone && crashed < 2 && os.Getenv("ONLY") != "kill" {
