--- a/review/stand-3/partition.go
+++ b/review/stand-3/partition.go
@@ -249,7 +249,7 @@
 	}
 	time.Sleep(3 * time.Second)
 	var cuts []time.Time
-	for time.Since(y.began) < 90*time.Second {
+	for time.Since(y.began) < 98*time.Second {
 		if trouble() {
 			y.note("%s is partitioned from all engines", p.name)
 			cuts = append(cuts, time.Now())
@@ -271,7 +271,7 @@
 			}
 			y.note("the partition heals")
 		}
-		time.Sleep(4 * time.Second)
+		time.Sleep(2500 * time.Millisecond)
 	}
 	close(stop)
 	wg.Wait()
