--- a/review/stand-3/late.go
+++ b/review/stand-3/late.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -37,8 +39,9 @@
 		u := rand.Float64()
 		return streamRequest("/st/", fmt.Sprintf("a%d", 1+int(float64(14*adapterSlots)*u*u)), fmt.Sprintf("aa%d:210,own%d:700", rand.IntN(3), counter.Add(1)), 15*time.Second)
 	})
-	// Each round strikes another zone.
-	for round := range 3 {
+	// A round strikes the youngest engines of the zone: the others have numbers that a new start
+	// does not reach while orders are late.
+	for range 3 {
 		if y.overfull.Load() > 0 {
 			break
 		}
@@ -49,25 +52,22 @@
 		time.Sleep(5500 * time.Millisecond)
 		lateOn.Store(false)
 		if trouble() {
-			zone := y.zones[round]
-			crashed := 0
-			for _, e := range y.engineList() {
-				if e.zone == zone && crashed < 2 && os.Getenv("ONLY") != "kill" {
-					crashed++
-					e.mu.Lock()
-					n := e.seq
-					e.mu.Unlock()
-					y.note("engine %s crashes at number %d, and starts again under its id", e.id, n)
-					e.crash()
-					time.AfterFunc(2*time.Second, func() { y.startEngine(k, e.id, e.zone, "v1", false) })
+			const zone = "z1"
+			for _, e := range y.youngest(zone, 2) {
+				if os.Getenv("ONLY") == "kill" {
+					break
 				}
+				y.note("engine %s crashes at number %d, and starts again under its id", e.id, e.number())
+				e.crash()
+				time.AfterFunc(2*time.Second, func() { y.startEngine(k, e.id, e.zone, "v1", false) })
 			}
 			if x := y.holder(zone); x != nil && os.Getenv("ONLY") != "crash" {
 				x.signal(syscall.SIGKILL)
 			}
 		}
-		time.Sleep(11 * time.Second)
+		time.Sleep(4 * time.Second)
 	}
+	time.Sleep(8 * time.Second)
 	close(stop)
 	all.Wait()
 	fmt.Printf("%d orders, %d beyond the places of their engine; none may\n", len(y.orders), y.overfull.Load())
@@ -77,3 +77,13 @@
 	}
 	return 0
 }
+
+// number returns the number of orders that the engine has carried out.
+func (e *engine) number() uint64 { e.mu.Lock(); defer e.mu.Unlock(); return e.seq }
+
+// youngest returns the engines of a zone that have carried out the fewest orders.
+func (y *system) youngest(zone string, count int) []*engine {
+	list := slices.DeleteFunc(y.engineList(), func(e *engine) bool { return e.zone != zone })
+	slices.SortFunc(list, func(a, b *engine) int { return cmp.Compare(a.number(), b.number()) })
+	return list[:min(count, len(list))]
+}
