--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -8,7 +8,7 @@
 )
 
 func main() {
-	cases := map[string]func() int{"origins": origins, "partition": partition, "bodies": bodies, "late": late}
+	cases := map[string]func() int{"origins": origins, "partition": partition, "bodies": bodies, "late": late, "forwarded": forwarded}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: stand3 CASE")
 		os.Exit(2)
