Origins of streams: read the store before an announcement is used

Cause: an instance that read the store between the announcement of an origin and its correction kept the announcement, and answered from it later without another read. A record stood both for where a stream began and for where it may begin. The same holds for a holder that received the announcement while the correction was stored through another instance.

Change: records of streams that are known to have begun are used at once: those of this instance, and those that it read after a client came to take the stream up. For all others the store is read first. If it does not answer, records of a holder, corrections, and those confirmed by a later read are still used.

TestAnnouncementIsNotTakenForTheOrigin failed before in three cases (origin v2 in place of v1): "read before its correction", "received as the holder", "read, store down".

--- a/internal/origin/announce.go
+++ b/internal/origin/announce.go
@@ -236,7 +236,7 @@
 	}
 	switch {
 	case err == nil:
-		r.table.recordStored(batch{o: {n.id()}}, n.era, time.Now())
+		r.table.recordBegun(n.id(), o, n.era, time.Now())
 	case r.isHarmless(o, corrects):
 		r.table.record(n.id(), o, time.Now())
 	default:
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -103,29 +103,33 @@
 	r.table.record(newStreamID(call), o, time.Now())
 }
 
-// Find returns where the stream of a call began. It reads the store if this instance
-// has no record of it. A stream whose origin is not stored began at the baseline of its
+// Find returns where the stream of a call began. It reads the store unless the stream is known
+// to have begun there: an instance that has read an announcement does not have its correction,
+// which is stored before the first event is forwarded. A stream whose origin is not stored began at the baseline of its
 // service. Without a baseline, it has the only version that the service had within the
 // lifetime of a stream, if there is no other. The store must confirm that: the view of an
 // instance that is cut off or was paused may lack the newest version.
 func (r *Registry) Find(ctx context.Context, call, service string) (bamboorail.StreamOrigin, error) {
 	arrived := time.Now()
-	if o, ok := r.table.find(call); ok {
-		return o, nil
+	known, ok := r.table.find(call)
+	if ok && known.begun {
+		return known.origin, nil
 	}
 	if versions := r.Fleet.Software(service); call == "" && len(versions) > 1 {
 		return bamboorail.StreamOrigin{}, unknown(errNotRecorded)
 	}
-	stored, o, found := r.findStored(ctx, call, time.Time{})
-	if stored.err == nil && !found && stored.at.Before(arrived) {
-		// The origin may have been stored since.
-		stored, o, found = r.findStored(ctx, call, arrived)
-	}
-	switch {
-	case stored.err != nil:
+	stored := r.reader.readSince(ctx, arrived)
+	if stored.err != nil {
+		if ok && known.isReliable() {
+			r.Log.Info("origin of stream not confirmed by the store", "call", call, "service", known.origin.Service,
+				"software", known.origin.Software, "error", stored.err)
+			return known.origin, nil
+		}
 		return bamboorail.StreamOrigin{}, unknown(errors.Join(errNotRead, stored.err))
-	case found:
-		r.Log.Info("origin of stream found in the store", "call", call, "service", o.Service, "software", o.Software)
+	}
+	r.table.merge(stored.streams, true, time.Now())
+	if o, ok := r.table.findBegun(call); ok {
+		r.Log.Info("origin of stream found", "call", call, "service", o.Service, "software", o.Software, "known-before", known.origin.Software)
 		return o, nil
 	}
 	if b, ok := stored.baseline(service); ok && call != "" {
@@ -160,14 +164,3 @@
 	}
 	return bamboorail.StreamOrigin{}, unknown(errNotRecorded)
 }
-
-// findStored searches for a stream in a result that includes what was stored before a time.
-func (r *Registry) findStored(ctx context.Context, call string, since time.Time) (result, bamboorail.StreamOrigin, bool) {
-	stored := r.reader.readSince(ctx, since)
-	if stored.err != nil {
-		return stored, bamboorail.StreamOrigin{}, false
-	}
-	r.table.merge(stored.streams, true, time.Now())
-	o, ok := r.table.find(call)
-	return stored, o, ok
-}
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -88,10 +88,26 @@
 
 type record struct {
 	origin bamboorail.StreamOrigin
-	at     time.Time
+	// at is the time of the record, confirmedAt that of the last read of the store that
+	// returned it.
+	at, confirmedAt time.Time
 	// read is set for an origin that this instance only read in the store. The instances
 	// that recorded or stored it write it again after a restore.
 	read bool
+	// begun is set if the stream began at the origin. Any other record may be an
+	// announcement, which is corrected if the stream begins elsewhere; corrects is set for a
+	// correction.
+	begun, corrects bool
+}
+
+// maxBeginTime is the time after its announcement within which a stream begins or its origin
+// is corrected. The slowest routes expect a first event within seconds.
+const maxBeginTime = 10 * time.Second
+
+// isReliable reports whether the stream of a record began there as far as can be determined
+// without the store. A holder receives corrections even while it cannot store them.
+func (r record) isReliable() bool {
+	return r.begun || r.corrects || !r.read || r.confirmedAt.Sub(r.at) > maxBeginTime
 }
 
 // table holds the known origins of streams. Those that this instance recorded itself
@@ -113,11 +129,21 @@
 func (t *table) record(id streamID, o bamboorail.StreamOrigin, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.add(id, record{origin: o, at: now}) {
+	if t.add(id, record{origin: o, at: now, begun: true}) {
 		t.unshared[id] = true
 	}
 }
 
+// recordBegun adds the origin of a stream that began at this instance, which was stored in an
+// era or later.
+func (t *table) recordBegun(id streamID, o bamboorail.StreamOrigin, era uint64, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.add(id, record{origin: o, at: now, begun: true}) && era < t.era {
+		t.lost[id] = true
+	}
+}
+
 // recordStored adds origins that were stored in an era or later, by this instance or by a
 // holder for it.
 func (t *table) recordStored(b batch, era uint64, now time.Time) {
@@ -138,7 +164,7 @@
 	defer t.mu.Unlock()
 	for o, streams := range b {
 		for _, id := range streams {
-			t.add(id, record{origin: o, at: now, read: read})
+			t.add(id, record{origin: o, at: now, confirmedAt: now, read: read})
 		}
 	}
 }
@@ -147,19 +173,48 @@
 // holds the lock.
 func (t *table) add(id streamID, r record) bool {
 	old, known := t.records[id]
-	if known && (r.read || !old.read) || !known && len(t.records) >= maxRecords {
+	switch {
+	case !known && len(t.records) >= maxRecords:
+		return false
+	case known && r.begun && !old.begun:
+		r.read = false
+		t.records[id] = r
+		return old.read
+	case known && (r.read || !old.read):
+		if old.origin == r.origin && r.confirmedAt.After(old.confirmedAt) {
+			old.confirmedAt = r.confirmedAt
+			t.records[id] = old
+		}
 		return false
 	}
 	t.records[id] = r
 	return true
 }
 
-// find returns the origin of the stream of a call.
-func (t *table) find(call string) (bamboorail.StreamOrigin, bool) {
+// find returns the record of the stream of a call: the one of its beginning or else the last
+// correction.
+func (t *table) find(call string) (found record, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for n := 0; n <= maxCorrections && call != "" && !found.begun; n++ {
+		if r, known := t.records[newCorrectionID(call, n)]; known {
+			found, ok = r, true
+			found.corrects = n > 0
+		}
+	}
+	return found, ok
+}
+
+// findBegun returns the origin of the stream of a call that is known to have begun before the
+// newest record was added: it is not corrected any more.
+func (t *table) findBegun(call string) (bamboorail.StreamOrigin, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for n := maxCorrections; n >= 0 && call != ""; n-- {
-		if r, ok := t.records[newCorrectionID(call, n)]; ok {
+		id := newCorrectionID(call, n)
+		if r, known := t.records[id]; known {
+			r.begun = true
+			t.records[id] = r
 			return r.origin, true
 		}
 	}
