Origins of streams: the instance that serves the caller settles them

Cause: an instance announced a target, could not reach it, and forwarded the call. The other instance began the stream at the baseline, for which it stores nothing, and the first one only cached the origin, so that the announcement stood uncorrected. Instances that did correct used the same numbers for different origins.

Change: the instance that forwards the first event to the caller settles the origin. It stores it unless the only instance that ran the call has recorded it. Its corrections have numbers of their own. An announcement of an attempt that was given up is ignored once the stream has begun.

With Settle as Cache, as before, 9 cases of TestStreamBegunThroughAnotherInstanceIsSettled fail, and without the record of the beginning TestLateAnnouncementIsIgnored.

--- a/internal/origin/announce.go
+++ b/internal/origin/announce.go
@@ -27,6 +27,13 @@
 	baselinePause = time.Second
 )
 
+// closedChannel is the channel of announcements that are not stored.
+var closedChannel = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
 var (
 	errNoHolder    = errors.New("no holder of a zone has stored them")
 	errCorrections = errors.New("too many other origins were announced")
@@ -36,7 +43,8 @@
 type announcement struct {
 	call   string
 	origin bamboorail.StreamOrigin
-	// correction is the number of announcements of other origins before.
+	// correction is the number of announcements of other origins before. Those of the
+	// instance that serves the caller follow those of instances that ran the call for it.
 	correction int
 	at         time.Time
 	// era is the era of the store before the announcement was stored.
@@ -65,7 +73,7 @@
 	return &announcer{wake: make(chan struct{}, 1), era: era, byCall: map[string]*announcement{}, pausedHolders: map[string]time.Time{}}
 }
 
-// announce queues the first announcement of a call.
+// announce queues the first announcement of a call whose stream has not begun.
 func (a *announcer) announce(call string, o bamboorail.StreamOrigin, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -74,16 +82,31 @@
 	}
 }
 
+// begin records that the stream of a call begins at o without an announcement. It returns false
+// if another origin was announced.
+func (a *announcer) begin(call string, o bamboorail.StreamOrigin, now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if old := a.byCall[call]; old != nil {
+		return old.origin == o
+	}
+	a.byCall[call] = &announcement{call: call, origin: o, at: now, done: closedChannel}
+	return true
+}
+
 // confirm returns the announcement of a call whose stream begins at o, and queues it unless
-// it exists. It corrects an announcement of another origin. It returns nil if there were
-// too many.
-func (a *announcer) confirm(call string, o bamboorail.StreamOrigin, now time.Time) *announcement {
+// it exists. It corrects an announcement of another origin, and all those of other instances
+// if settles is set. It returns nil if there were too many.
+func (a *announcer) confirm(call string, o bamboorail.StreamOrigin, settles bool, now time.Time) *announcement {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	n := &announcement{call: call, origin: o, at: now}
+	n, last := &announcement{call: call, origin: o, at: now}, maxCorrections
+	if settles {
+		n.correction, last = firstSettled, lastSettled
+	}
 	switch old := a.byCall[call]; {
-	case old == nil:
-	case old.origin != o && old.correction == maxCorrections:
+	case old == nil, old.correction < n.correction:
+	case old.origin != o && old.correction >= last:
 		return nil
 	case old.origin != o:
 		n.correction = old.correction + 1
@@ -217,13 +240,27 @@
 // Record records where the stream of a call begins. Unless that is the baseline of the
 // service, it returns once the origin is stored.
 func (r *Registry) Record(ctx context.Context, call string, o bamboorail.StreamOrigin) error {
+	if call == "" || !r.mustStore(o) && r.announcer.begin(call, o, time.Now()) {
+		r.Cache(call, o)
+		return nil
+	}
 	announced := r.announcer.of(call)
-	corrects := announced != nil && announced.origin != o
-	if call == "" || !corrects && !r.mustStore(o) {
+	return r.store(ctx, r.announcer.confirm(call, o, false, time.Now()), announced != nil && announced.origin != o)
+}
+
+// Settle records where the stream of a call begins that other instances ran for this one.
+func (r *Registry) Settle(ctx context.Context, call string, o bamboorail.StreamOrigin, recorded bool) error {
+	if call == "" || recorded && r.announcer.begin(call, o, time.Now()) {
 		r.Cache(call, o)
 		return nil
 	}
-	n := r.announcer.confirm(call, o, time.Now())
+	r.Log.Info("origin of stream differs from what may be stored", "call", call, "service", o.Service, "software", o.Software)
+	return r.store(ctx, r.announcer.confirm(call, o, true, time.Now()), true)
+}
+
+// store waits until the origin of a stream that begins is stored. corrects is set if another
+// origin may be stored.
+func (r *Registry) store(ctx context.Context, n *announcement, corrects bool) error {
 	if n == nil {
 		return notStored(errCorrections)
 	}
@@ -236,9 +273,9 @@
 	}
 	switch {
 	case err == nil:
-		r.table.recordBegun(n.id(), o, n.era, time.Now())
-	case r.isHarmless(o, corrects):
-		r.table.record(n.id(), o, time.Now())
+		r.table.recordBegun(n.id(), n.origin, n.era, time.Now())
+	case r.isHarmless(n.origin, corrects):
+		r.table.record(n.id(), n.origin, time.Now())
 	default:
 		return notStored(err)
 	}
--- a/internal/origin/correction_test.go
+++ b/internal/origin/correction_test.go
@@ -115,3 +115,115 @@
 		}
 	})
 }
+
+// TestStreamBegunThroughAnotherInstanceIsSettled guards against streams that go on at a version which
+// another instance, or this one before, announced for them (incident coupons-begun-through-others).
+func TestStreamBegunThroughAnotherInstanceIsSettled(t *testing.T) {
+	v3 := bamboorail.StreamOrigin{Service: "s", Software: "v3"}
+	cases := map[string]struct {
+		// announced is what this instance announced, if anything.
+		announced bamboorail.StreamOrigin
+		// runs are what other instances announced and then recorded for the call.
+		runs [][2]bamboorail.StreamOrigin
+		// recorded is set if the only one of them ran the call.
+		recorded bool
+		origin   bamboorail.StreamOrigin
+		// puts is the number of writes of this instance before the stream begins.
+		puts int
+		down bool
+	}{
+		"announced, begins at the baseline":                {announced: v2, runs: [][2]bamboorail.StreamOrigin{{v1, v1}}, recorded: true, origin: v1, puts: 1},
+		"announced, begins at a third version":             {announced: v2, runs: [][2]bamboorail.StreamOrigin{{v3, v3}}, recorded: true, origin: v3, puts: 1},
+		"announced, begins there":                          {announced: v2, runs: [][2]bamboorail.StreamOrigin{{v2, v2}}, recorded: true, origin: v2},
+		"not announced":                                    {runs: [][2]bamboorail.StreamOrigin{{v2, v2}}, recorded: true, origin: v2},
+		"corrected by the other instance":                  {runs: [][2]bamboorail.StreamOrigin{{v2, v3}}, recorded: true, origin: v3},
+		"corrected by both":                                {announced: v2, runs: [][2]bamboorail.StreamOrigin{{v3, v1}}, recorded: true, origin: v1, puts: 1},
+		"second of two, baseline":                          {runs: [][2]bamboorail.StreamOrigin{{v2, v2}, {v1, v1}}, origin: v1, puts: 1},
+		"second of two, first was corrected":               {announced: v2, runs: [][2]bamboorail.StreamOrigin{{v3, v2}, {v3, v3}}, origin: v3, puts: 1},
+		"first of two that corrected different origins":    {announced: v3, runs: [][2]bamboorail.StreamOrigin{{v2, v1}, {v2, v3}}, origin: v1, puts: 1},
+		"here, beside another instance":                    {runs: [][2]bamboorail.StreamOrigin{{v2, v2}}, origin: v1, puts: 1},
+		"here as announced, beside another instance":       {announced: v2, runs: [][2]bamboorail.StreamOrigin{{v3, v3}}, origin: v2, puts: 1},
+		"announced, begins at the baseline, store is down": {announced: v2, runs: [][2]bamboorail.StreamOrigin{{v1, v1}}, recorded: true, origin: v1, down: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := memory.NewStore()
+				putBaseline(t, store, baseline{Software: "v1"})
+				r := newTestRegistry(t, store, "v1", "v2", "v3")
+				end := runRegistry(t, r)
+				var ends []func()
+				time.Sleep(2 * time.Second)
+				if c.announced != (bamboorail.StreamOrigin{}) {
+					r.Announce("a", c.announced)
+					time.Sleep(time.Second)
+				}
+				for _, run := range c.runs {
+					other := newTestRegistry(t, store, "v1", "v2", "v3")
+					ends = append(ends, runRegistry(t, other))
+					time.Sleep(2 * time.Second)
+					other.Announce("a", run[0])
+					time.Sleep(time.Second)
+					if err := other.Record(t.Context(), "a", run[1]); err != nil {
+						t.Fatal(err)
+					}
+				}
+				time.Sleep(time.Second)
+				puts := 0
+				store.SetHook(func(op, _ string) error {
+					if c.down {
+						return errDown
+					}
+					if op == "put-object" {
+						puts++
+					}
+					return nil
+				})
+				if err := r.Settle(t.Context(), "a", c.origin, c.recorded); err != nil || puts != c.puts {
+					t.Errorf("settled with %v after %d writes, expected %d", err, puts, c.puts)
+				}
+				store.SetHook(nil)
+				if c.down {
+					time.Sleep(holderPause + time.Second)
+				}
+				// The announcement of a leg that was given up comes late.
+				r.Announce("a", v3)
+				time.Sleep(time.Second)
+				for _, end := range append(ends, end) {
+					end()
+				}
+				for range 20 { // the order of what the store has under one id is random
+					if got, err := newTestRegistry(t, store, "v1", "v2", "v3").Find(t.Context(), "a", "s"); got != c.origin {
+						t.Errorf("another instance finds %+v, %v", got, err)
+					}
+				}
+				if got, err := r.Find(t.Context(), "a", "s"); got != c.origin {
+					t.Errorf("the instance that serves the caller finds %+v, %v", got, err)
+				}
+			})
+		})
+	}
+}
+
+// TestLateAnnouncementIsIgnored guards against streams at the baseline that go on elsewhere: an
+// attempt that was given up announces its target after the stream began.
+func TestLateAnnouncementIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.NewStore()
+		putBaseline(t, store, baseline{Software: "v1"})
+		r := newTestRegistry(t, store, "v1", "v2")
+		end := runRegistry(t, r)
+		time.Sleep(2 * time.Second)
+		if err := r.Record(t.Context(), "a", v1); err != nil {
+			t.Fatal(err)
+		}
+		r.Announce("a", v2)
+		time.Sleep(time.Second)
+		end()
+		for range 20 {
+			if got, err := newTestRegistry(t, store, "v1", "v2").Find(t.Context(), "a", "s"); got != v1 {
+				t.Errorf("origin %+v, %v", got, err)
+			}
+		}
+	})
+}
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -16,8 +16,13 @@
 
 func newStreamID(call string) streamID { return streamID(xxhash.Sum64String(call)) }
 
-// maxCorrections is the number of corrections of an announced origin.
-const maxCorrections = 2
+const (
+	// maxCorrections is the number of corrections of an announced origin by one instance.
+	maxCorrections = 2
+	// firstSettled to lastSettled are the corrections by an instance for which others ran the
+	// call. Those may have corrected other origins with lower numbers.
+	firstSettled, lastSettled = maxCorrections + 1, 2*maxCorrections + 1
+)
 
 // newCorrectionID returns the id of a stream after a number of corrections of its origin.
 func newCorrectionID(call string, correction int) streamID {
@@ -196,7 +201,7 @@
 func (t *table) find(call string) (found record, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for n := 0; n <= maxCorrections && call != "" && !found.begun; n++ {
+	for n := 0; n <= lastSettled && call != "" && !found.begun; n++ {
 		if r, known := t.records[newCorrectionID(call, n)]; known {
 			found, ok = r, true
 			found.corrects = n > 0
@@ -210,7 +215,7 @@
 func (t *table) findBegun(call string) (bamboorail.StreamOrigin, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for n := maxCorrections; n >= 0 && call != ""; n-- {
+	for n := lastSettled; n >= 0 && call != ""; n-- {
 		id := newCorrectionID(call, n)
 		if r, known := t.records[id]; known {
 			r.begun = true
--- a/internal/relay/leg.go
+++ b/internal/relay/leg.go
@@ -107,6 +107,9 @@
 // newLeg returns a leg that has not been opened.
 func (x *exchange) newLeg(ctx context.Context, start legStart) *leg {
 	l := &leg{x: x, start: start, neighbor: x.neighbor(start.neighbors), admit: func() error { return nil }, releaseMessage: func() {}}
+	if l.neighbor != "" {
+		x.forwards.Add(1)
+	}
 	l.ctx, l.cancel = context.WithCancelCause(ctx)
 	return l
 }
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -22,6 +22,8 @@
 
 func (noOrigins) Record(context.Context, string, bamboorail.StreamOrigin) error { return nil }
 
+func (noOrigins) Settle(context.Context, string, bamboorail.StreamOrigin, bool) error { return nil }
+
 func (noOrigins) Cache(string, bamboorail.StreamOrigin) {}
 
 func (noOrigins) Find(context.Context, string, string) (bamboorail.StreamOrigin, error) {
@@ -60,10 +62,22 @@
 		return nil
 	}
 	origin := bamboorail.StreamOrigin{Service: x.service.Name, Software: l.target.Software}
-	if l.neighbor != "" || !x.beginsStream() {
-		// The instance that reached the target has recorded a resumable stream.
+	others := x.forwards.Load()
+	if l.neighbor != "" {
+		others--
+	}
+	var err error
+	switch {
+	case !x.beginsStream():
 		x.h.Origins.Cache(x.call.ID, origin)
-	} else if err := x.h.Origins.Record(l.ctx, x.call.ID, origin); err != nil {
+	case l.neighbor != "":
+		err = x.h.Origins.Settle(l.ctx, x.call.ID, origin, others == 0)
+	case others > 0:
+		err = x.h.Origins.Settle(l.ctx, x.call.ID, origin, false)
+	default:
+		err = x.h.Origins.Record(l.ctx, x.call.ID, origin)
+	}
+	if err != nil {
 		return err
 	}
 	x.software = origin.Software
--- a/internal/relay/origin_test.go
+++ b/internal/relay/origin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -133,3 +134,67 @@
 		})
 	}
 }
+
+// recordingOrigins notes which method recorded the origin of a stream.
+type recordingOrigins struct {
+	fakeOrigins
+	recorded []string
+}
+
+func (o *recordingOrigins) Record(_ context.Context, _ string, origin bamboorail.StreamOrigin) error {
+	o.recorded = append(o.recorded, "record "+origin.Software)
+	return nil
+}
+
+func (o *recordingOrigins) Settle(_ context.Context, _ string, origin bamboorail.StreamOrigin, recorded bool) error {
+	o.recorded = append(o.recorded, fmt.Sprintf("settle %s %t", origin.Software, recorded))
+	return nil
+}
+
+// TestForwardedStreamsAreSettled guards against streams that go on at the version of an attempt
+// through another instance that was not forwarded to the caller (incident coupons-begun-through-others).
+func TestForwardedStreamsAreSettled(t *testing.T) {
+	whole, lost := stream(true, event(1)), raw("")
+	cases := map[string]struct {
+		// direct is the script of the target of this instance, through are those of the
+		// targets of other instances.
+		direct   script
+		through  []script
+		recorded string
+	}{
+		"direct":                       {direct: whole, recorded: "record v1"},
+		"through another instance":     {through: []script{whole}, recorded: "settle v2 true"},
+		"through the second instance":  {through: []script{lost, whole}, recorded: "settle v3 false"},
+		"direct, after another failed": {direct: whole, through: []script{lost}, recorded: "settle v1 false"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			direct := newTarget(t, "direct", c.direct)
+			direct.entry.Software = "v1"
+			b := newTestRelay(t, resumable, direct)
+			b.detour.neighbors = map[string]func(ctx context.Context, f ForwardCall) (ForwardedAnswer, error){}
+			for n, s := range c.through {
+				target := newTarget(t, fmt.Sprint("t", n), s)
+				target.entry.Software = fmt.Sprint("v", n+2)
+				other := newTestRelay(t, resumable, target)
+				address := fmt.Sprint("instance-", n)
+				b.detour.order = append(b.detour.order, address)
+				b.detour.neighbors[address] = func(ctx context.Context, f ForwardCall) (ForwardedAnswer, error) {
+					a, err := other.through(ctx, f)
+					if err != nil {
+						err = NeighborFailed(err)
+					}
+					return a, err
+				}
+			}
+			origins := &recordingOrigins{}
+			b.handler.Origins = origins
+			if r := b.call(t, http.MethodPost, "/p/x", "body"); r.status != http.StatusOK || r.broken {
+				t.Errorf("answer %+v", r)
+			}
+			if len(origins.recorded) != 1 || origins.recorded[0] != c.recorded {
+				t.Errorf("%q, expected %q", origins.recorded, c.recorded)
+			}
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -241,6 +241,9 @@
 	neighbors []string
 	reached   []string
 	forwarded *ForwardCall
+	// forwards is the number of legs through other instances, which may store origins of the
+	// stream.
+	forwards  atomic.Int32
 	trail     []string
 	firstByte time.Duration
 	times     streamTimes
--- a/internal/relay/testrelay_test.go
+++ b/internal/relay/testrelay_test.go
@@ -301,6 +301,11 @@
 	return nil
 }
 
+func (o fakeOrigins) Settle(_ context.Context, call string, origin bamboorail.StreamOrigin, _ bool) error {
+	o[call] = origin
+	return nil
+}
+
 func (o fakeOrigins) Find(_ context.Context, call, _ string) (bamboorail.StreamOrigin, error) {
 	if origin, ok := o[call]; ok {
 		return origin, nil
--- a/streams.go
+++ b/streams.go
@@ -27,8 +27,11 @@
 	// an error, the stream may be forwarded: it can be resumed after the end of this
 	// instance.
 	Record(ctx context.Context, call string, o StreamOrigin) error
-	// Cache records an origin that another instance has recorded, or that is not needed by
-	// other instances.
+	// Settle records like Record that the stream of a call begins at o, although other
+	// instances ran the call and may have stored other origins of it. recorded is set if the
+	// one that reached the target has recorded o and no other instance ran the call.
+	Settle(ctx context.Context, call string, o StreamOrigin, recorded bool) error
+	// Cache records an origin that is not needed by other instances.
 	Cache(call string, o StreamOrigin)
 	// Find returns the origin of the stream that a call began. If it is unknown, it
 	// returns the only origin that the stream can have, or KindUnknownOrigin.
