Forwarded calls: the instance that serves the caller decides on each run

Cause: a forwarded call counted as one run while the other instance was silent, though that repeated it as the route permits. The forwarding instance started a standby attempt beside it, with one more run.

Change: a call is forwarded for one run. After a run that failed, the other instance reports the failure and the targets to avoid, and the forwarding instance repeats the call: through an instance that it has not used, or else through one that answered. Refusals are still repeated by the other instance. A repetition is taken from the budget of the instance that sends it, and no longer adds to that budget. A report of no run can be told from no report.

--- a/internal/detour/forward.go
+++ b/internal/detour/forward.go
@@ -7,10 +7,13 @@
 	"io"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 	"unicode/utf8"
 
+	"google.golang.org/protobuf/proto"
+
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/httpport"
 	"bamboorail.example/bamboorail/internal/peer"
@@ -58,9 +61,9 @@
 			err = d.pathFailed(ctx, address, bad)
 		}
 	}
-	body.recordRuns(event)
+	body.record(event)
 	if err != nil {
-		return relay.ForwardedAnswer{Runs: body.reportedRuns}, errors.Join(err, body.Close())
+		return relay.ForwardedAnswer{Report: body.reported}, errors.Join(err, body.Close())
 	}
 	return relay.ForwardedAnswer{
 		Response: &http.Response{
@@ -69,7 +72,7 @@
 		},
 		Target:        bamboorail.TargetID{Name: head.GetTarget(), StartMillis: head.GetBorn()},
 		Origin:        bamboorail.StreamOrigin{Service: head.GetService(), Software: head.GetSoftware()},
-		Configuration: head.GetConfiguration(), Runs: body.reportedRuns,
+		Configuration: head.GetConfiguration(), Report: body.reported,
 	}, nil
 }
 
@@ -89,23 +92,33 @@
 	cancel context.CancelFunc
 	rest   []byte
 	err    error
-	runs   atomic.Int64
+
+	mu     sync.Mutex
+	report relay.ForwardReport
 }
 
-func (b *answerBody) recordRuns(e *wire.ForwardEvent) {
-	if n := int64(e.GetRuns()); n > b.runs.Load() {
-		b.runs.Store(n)
+// record keeps what an event says of the attempts of the other instance.
+func (b *answerBody) record(e *wire.ForwardEvent) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e != nil && e.Runs != nil {
+		b.report.Runs, b.report.Known = max(b.report.Runs, int(e.GetRuns())), true
 	}
+	b.report.Avoid = append(b.report.Avoid, e.GetAvoid()...)
 }
 
-// reportedRuns returns the number of targets of the other instance that may have run the call.
-func (b *answerBody) reportedRuns() int { return int(b.runs.Load()) }
+// reported returns what the other instance has reported of its attempts.
+func (b *answerBody) reported() relay.ForwardReport {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.report
+}
 
 // Read returns the next part of the answer. An answer that broke off ends with an error.
 func (b *answerBody) Read(p []byte) (int, error) {
 	for len(b.rest) == 0 && b.err == nil {
 		event, err := b.stream.Recv()
-		b.recordRuns(event)
+		b.record(event)
 		switch {
 		case errors.Is(err, io.EOF):
 			b.err = errNoEnd // io.EOF would mean that the answer is complete
@@ -138,13 +151,13 @@
 	return &wire.ForwardRequest{
 		Instance: c.Instance, Method: c.Method, Uri: c.URI, Host: c.Host, Header: peer.EncodeHeader(c.Header), Body: c.Body, Workspace: c.Workspace,
 		RemainingMicros: c.Remaining.Microseconds(), StartMicros: c.StartWithin.Microseconds(), Service: c.Service, Software: c.Software,
-		Runs: int32(c.Runs), Configuration: c.Configuration,
+		Runs: int32(c.Runs), MaxRuns: int32(c.MaxRuns), Avoid: c.Avoid, Configuration: c.Configuration,
 	}
 }
 
 // isValid reports whether a message can be encoded: its text must be valid UTF-8.
 func isValid(m *wire.ForwardRequest) bool {
-	texts := []string{m.GetMethod(), m.GetUri(), m.GetHost()}
+	texts := append([]string{m.GetMethod(), m.GetUri(), m.GetHost()}, m.GetAvoid()...)
 	for _, f := range m.GetHeader() {
 		texts = append(append(texts, f.GetName()), f.GetValues()...)
 	}
@@ -153,7 +166,7 @@
 
 // Runner runs forwarded calls.
 type Runner interface {
-	ServeForwarded(ctx context.Context, c relay.ForwardCall, to relay.ForwardWriter) (runs int, err error)
+	ServeForwarded(ctx context.Context, c relay.ForwardCall, to relay.ForwardWriter) (relay.ForwardReport, error)
 }
 
 // Server runs the calls that other instances forward.
@@ -209,15 +222,15 @@
 			Op: "forward-call", Kind: bamboorail.KindNoTarget, Outcome: bamboorail.OutcomeNotRun, RetryAfter: avoidTime, Err: err,
 		}}))
 	}
-	runs, err := s.runner.ServeForwarded(stream.Context(), relay.ForwardCall{
+	report, err := s.runner.ServeForwarded(stream.Context(), relay.ForwardCall{
 		Instance: m.GetInstance(), Method: m.GetMethod(), URI: m.GetUri(), Host: m.GetHost(), Header: peer.DecodeHeader(m.GetHeader()), Body: m.GetBody(),
 		Workspace: m.GetWorkspace(),
 		Remaining: microseconds(m.GetRemainingMicros()), StartWithin: microseconds(m.GetStartMicros()),
 		Service: m.GetService(), Software: m.GetSoftware(), Runs: int(m.GetRuns()),
-		Configuration: m.GetConfiguration(),
+		MaxRuns: int(m.GetMaxRuns()), Avoid: m.GetAvoid(), Configuration: m.GetConfiguration(),
 	}, &streamWriter{stream})
 	end := peer.EncodeEnd(err)
-	end.Runs = int32(runs)
+	end.Runs, end.Avoid = proto.Int32(int32(report.Runs)), report.Avoid
 	if err := stream.Send(end); err != nil {
 		return fmt.Errorf("send end of forwarded call: %w", err)
 	}
@@ -231,7 +244,7 @@
 
 // Begin sends the head of the answer.
 func (w *streamWriter) Begin(h relay.ForwardedHead) error {
-	return w.stream.Send(&wire.ForwardEvent{Runs: int32(h.Runs), Head: &wire.ForwardHead{
+	return w.stream.Send(&wire.ForwardEvent{Runs: proto.Int32(int32(h.Runs)), Head: &wire.ForwardHead{
 		Status: int32(h.Status), Header: peer.EncodeHeader(h.Header), Target: h.Target.Name, Born: h.Target.StartMillis,
 		Service: h.Origin.Service, Software: h.Origin.Software, Configuration: h.Configuration,
 	}})
--- a/internal/detour/forward_test.go
+++ b/internal/detour/forward_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 
 var relayCall = relay.ForwardCall{
 	Method: http.MethodPost, URI: "/p/x?q=1", Host: "h", Header: http.Header{"Id": {"c"}}, Body: []byte("body"),
-	Remaining: 5 * time.Second, StartWithin: time.Second, Service: "s", Software: "v1", Runs: 1, Configuration: 7,
+	Remaining: 5 * time.Second, StartWithin: time.Second, Service: "s", Software: "v1", Runs: 1, MaxRuns: 1, Avoid: []string{"x"}, Configuration: 7,
 }
 
 var scriptedTarget = bamboorail.TargetID{Name: "t", StartMillis: 5}
@@ -33,6 +34,7 @@
 	err   error
 	// headRuns and runs are reported with the head and the end.
 	headRuns, runs int
+	avoid          []string
 	// status is that of the answer, 200 if it is 0; field is the name of a header field.
 	status int
 	field  string
@@ -42,7 +44,8 @@
 	ended chan error
 }
 
-func (r *scriptedRunner) ServeForwarded(ctx context.Context, c relay.ForwardCall, to relay.ForwardWriter) (int, error) {
+func (r *scriptedRunner) ServeForwarded(ctx context.Context, c relay.ForwardCall, to relay.ForwardWriter) (relay.ForwardReport, error) {
+	report := relay.ForwardReport{Runs: r.runs, Known: true, Avoid: r.avoid}
 	r.got <- c
 	for n, part := range r.parts {
 		if n == 0 {
@@ -50,18 +53,18 @@
 				Status: cmp.Or(r.status, http.StatusOK), Header: http.Header{cmp.Or(r.field, "Stamp"): {"t"}}, Target: scriptedTarget,
 				Origin: bamboorail.StreamOrigin{Service: "s", Software: "v1"}, Configuration: 8, Runs: r.headRuns,
 			}); err != nil {
-				return r.runs, err
+				return report, err
 			}
 		}
 		if err := to.Write([]byte(part)); err != nil {
-			return r.runs, err
+			return report, err
 		}
 	}
 	if r.block {
 		<-ctx.Done()
 		r.ended <- ctx.Err()
 	}
-	return r.runs, r.err
+	return report, r.err
 }
 
 // forwardTo returns a detour and the address of a server that runs its calls.
@@ -114,7 +117,7 @@
 		t.Run(name, func(t *testing.T) {
 			d, _, address := forwardTo(t, &c.runner)
 			answer, err := d.Forward(t.Context(), address, relayCall)
-			if got := <-c.runner.got; got.URI != relayCall.URI || string(got.Body) != "body" || got.Header.Get("Id") != "c" || got.Runs != 1 || got.Software != "v1" || got.Configuration != relayCall.Configuration {
+			if got := <-c.runner.got; got.URI != relayCall.URI || string(got.Body) != "body" || got.Header.Get("Id") != "c" || got.Runs != 1 || got.MaxRuns != 1 || !slices.Equal(got.Avoid, relayCall.Avoid) || got.Software != "v1" || got.Configuration != relayCall.Configuration {
 				t.Errorf("call %+v", got)
 			}
 			if c.kind != "" {
@@ -138,9 +141,11 @@
 }
 
 // TestForwardedCallReportsRuns guards against calls that run on more targets than their route permits
-// because the instance that ran them reports one run whatever it did.
+// because the instance that ran them reports one run whatever it did, and against further attempts at
+// targets that failed them.
 func TestForwardedCallReportsRuns(t *testing.T) {
 	failure := &Error{bamboorail.Failure{Op: "x", Kind: bamboorail.KindTruncated, Outcome: bamboorail.OutcomeMayHaveRun, Err: errTest}}
+	refusal := &Error{bamboorail.Failure{Op: "x", Kind: bamboorail.KindOverloaded, Outcome: bamboorail.OutcomeNotRun, Err: errTest}}
 	cases := map[string]struct {
 		runner             scriptedRunner
 		atHead, afterwards int
@@ -148,34 +153,49 @@
 		"one run":           {scriptedRunner{parts: []string{"a"}, headRuns: 1, runs: 1}, 1, 1},
 		"repeated":          {scriptedRunner{parts: []string{"a"}, headRuns: 2, runs: 2}, 2, 2},
 		"goes on elsewhere": {scriptedRunner{parts: []string{"a", "b"}, headRuns: 1, runs: 3}, 1, 3},
-		"broken, no answer": {scriptedRunner{err: failure, runs: 2}, 2, 2},
-		"broken afterwards": {scriptedRunner{parts: []string{"a"}, err: failure, headRuns: 1, runs: 2}, 1, 2},
+		"broken, no answer": {scriptedRunner{err: failure, runs: 2, avoid: []string{"x", "y"}}, 2, 2},
+		"broken afterwards": {scriptedRunner{parts: []string{"a"}, err: failure, headRuns: 1, runs: 2, avoid: []string{"x"}}, 1, 2},
+		"none":              {scriptedRunner{err: refusal}, 0, 0},
 		"not reported":      {scriptedRunner{parts: []string{"a"}}, 0, 0},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			d, _, address := forwardTo(t, &c.runner)
 			answer, err := d.Forward(t.Context(), address, relayCall)
-			if answer.Runs == nil {
+			if answer.Report == nil {
 				t.Fatalf("no runs are reported, %v", err)
 			}
-			if got := answer.Runs(); got != c.atHead {
-				t.Errorf("%d runs reported with the head, expected %d", got, c.atHead)
+			if got := answer.Report(); got.Runs != c.atHead || !got.Known {
+				t.Errorf("%+v reported with the head, expected %d runs", got, c.atHead)
 			}
-			if err != nil {
-				return
-			}
-			_, _ = io.Copy(io.Discard, answer.Response.Body)
-			if got := answer.Runs(); got != c.afterwards {
-				t.Errorf("%d runs reported afterwards, expected %d", got, c.afterwards)
+			if err == nil {
+				_, _ = io.Copy(io.Discard, answer.Response.Body)
+				if err := answer.Response.Body.Close(); err != nil {
+					t.Error(err)
+				}
 			}
-			if err := answer.Response.Body.Close(); err != nil {
-				t.Error(err)
+			if got := answer.Report(); got.Runs != c.afterwards || !got.Known || !slices.Equal(got.Avoid, c.runner.avoid) {
+				t.Errorf("%+v reported afterwards, expected %d runs and %v", got, c.afterwards, c.runner.avoid)
 			}
 		})
 	}
 }
 
+// TestReportOfEarlierBuildsIsUnknown guards against calls that count as not run because an earlier build
+// reports nothing.
+func TestReportOfEarlierBuildsIsUnknown(t *testing.T) {
+	b := &answerBody{}
+	b.record(&wire.ForwardEvent{Head: &wire.ForwardHead{}})
+	if got := b.reported(); got.Known {
+		t.Errorf("report %+v", got)
+	}
+	two := int32(2)
+	b.record(&wire.ForwardEvent{Runs: &two})
+	if got := b.reported(); !got.Known || got.Runs != 2 {
+		t.Errorf("report %+v", got)
+	}
+}
+
 // TestCallerThatLeavesEndsForwardedCall checks that the other instance cancels it.
 func TestCallerThatLeavesEndsForwardedCall(t *testing.T) {
 	r := &scriptedRunner{parts: []string{"a"}, block: true}
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -69,6 +69,12 @@
 	return fmt.Errorf("%w: the target answered with status %d and type %.40q", eventstream.ErrNotContinued, resp.StatusCode, resp.Header.Get("Content-Type"))
 }
 
+// mayTakeBudget reports whether the retry budget permits a leg that starts in s. The instance that
+// sends a call to a target takes it out of its budget.
+func (x *exchange) mayTakeBudget(s legStart, now time.Time) bool {
+	return x.neighbor(s.neighbors, s.failed) != "" || x.h.Budget(s.service.Name).Available(now)
+}
+
 func targetFailed(resp *http.Response) error {
 	return mayHaveRun("pass-answer", bamboorail.KindTargetFailed, fmt.Errorf("the target answered with status %d", resp.StatusCode))
 }
@@ -137,8 +143,8 @@
 // may be run again.
 func (x *exchange) mayRetryAnswer() bool {
 	attempts := x.attempted.add(x.standby.attempts())
-	return x.route.Repeat != bamboorail.RepeatNever && attempts.runs < x.route.MaxAttempts && attempts.sent < maxSent &&
-		time.Until(x.deadline) > x.route.Objective/2 && x.budget().Available(time.Now())
+	return x.route.Repeat != bamboorail.RepeatNever && attempts.runs < x.maxRuns() && attempts.sent < maxSent &&
+		time.Until(x.deadline) > x.route.Objective/2 && x.mayTakeBudget(x.legStart(), time.Now())
 }
 
 // truncatedError returns the failure of an answer that did not arrive
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -25,30 +25,41 @@
 
 // runLegs runs the call at one target after another, as its route permits.
 func (x *exchange) runLegs(ctx context.Context) error {
-	var next *leg
-	for first := true; ; first = false {
-		l := next
-		if l == nil {
-			l = x.newLeg(ctx, x.legStart())
-			if first && l.neighbor == "" {
-				// The instance that sends the call to a target counts it.
-				x.budget().RecordRequest(x.received)
-			}
+	l := x.newLeg(ctx, x.legStart())
+	switch {
+	case x.isRepeat():
+		if !x.budget().Take(time.Now()) {
+			x.trail = append(x.trail, "no-budget")
+			l.cancel(nil)
+			return notRun("serve-forwarded", bamboorail.KindNoTarget, defaultRetryAfter, errNoBudget)
 		}
-		var err error
-		next, err = x.runLeg(ctx, l)
+		defer func() {
+			if x.attempted.sent == 0 {
+				x.budget().Return(time.Now())
+			}
+		}()
+	case l.neighbor == "":
+		// The instance that sends the call to a target counts it.
+		x.budget().RecordRequest(x.received)
+	}
+	for {
+		next, err := x.runLeg(ctx, l)
 		switch {
 		case err == nil:
 			return nil
 		case next != nil:
+			l = next
 			continue
 		case !l.found || !x.mayRepeat(ctx, err):
 			return err
 		}
-		if l.sent && !x.budget().Take(time.Now()) {
+		next = x.newLeg(ctx, x.legStart())
+		if l.sent && next.neighbor == "" && !x.budget().Take(time.Now()) {
 			x.trail = append(x.trail, "no-budget")
+			next.cancel(nil)
 			return err
 		}
+		l = next
 	}
 }
 
@@ -67,16 +78,14 @@
 	}
 	counted := l.counts()
 	x.attempted = x.attempted.add(counted)
-	if l.neighbor != "" {
-		x.neighbors = append(x.neighbors, l.neighbor)
-	}
+	x.recordNeighbor(l)
 	next := x.replaceFailure(ctx, l)
 	if l.err == nil && !s.progress(l.start.lastEvent, l.start.sequence) {
 		l.end(balance.Unreachable, mayHaveRun("send-call", bamboorail.KindDeadlineExceeded, errAttemptTimeout))
 	}
 	if l.err == nil {
 		l.end(x.forwardAnswer(l))
-		l.found = l.neighbor == "" || useful(l.err)
+		l.found = l.neighbor == "" || l.isUseful(l.err)
 		// Another instance may have repeated the call after the head of its answer.
 		x.attempted.runs += l.counts().runs - counted.runs
 	}
@@ -111,8 +120,8 @@
 			continue
 		}
 		x.attempted = x.attempted.add(l.limitedCounts())
-		if l.neighbor != "" && !l.unsent {
-			x.neighbors = append(x.neighbors, l.neighbor)
+		if !l.unsent {
+			x.recordNeighbor(l)
 		}
 		x.record(l)
 	}
@@ -121,6 +130,17 @@
 	}
 }
 
+// recordNeighbor records the instance of a leg that has been opened.
+func (x *exchange) recordNeighbor(l *leg) {
+	if l.neighbor == "" {
+		return
+	}
+	x.neighbors = append(x.neighbors, l.neighbor)
+	if !l.hasRun() {
+		x.failed = append(x.failed, l.neighbor)
+	}
+}
+
 // record adds the targets and the trail of a leg that has ended to those of the call.
 func (x *exchange) record(l *leg) {
 	x.avoid = append(x.avoid, l.avoid...)
@@ -155,7 +175,7 @@
 // permits reports whether the route permits another attempt after those in c, even though
 // the call may have run.
 func (x *exchange) permits(c counts, start legStart) bool {
-	if c.attempts >= maxAttempts || c.sent >= maxSent || c.runs >= x.route.MaxAttempts {
+	if c.attempts >= maxAttempts || c.sent >= maxSent || c.runs >= x.maxRuns() {
 		return false
 	}
 	switch x.route.Repeat {
@@ -170,7 +190,7 @@
 // attemptTimeout returns the time to wait for response headers before the call is sent
 // to another target too, or 0 if it may not be.
 func (x *exchange) attemptTimeout(l *leg) time.Duration {
-	if l.start.runs+1 >= x.route.MaxAttempts || x.route.Repeat == bamboorail.RepeatNever {
+	if l.start.runs+1 >= x.maxRuns() || x.route.Repeat == bamboorail.RepeatNever {
 		return 0
 	}
 	factor := attemptTimeoutFactor
--- a/internal/relay/counts.go
+++ b/internal/relay/counts.go
@@ -26,9 +26,7 @@
 	}
 	if l.ran {
 		c.runs = 1
-		if l.forwardedRuns != nil {
-			c.runs = max(1, l.forwardedRuns())
-		}
+		c.runs = max(1, l.report().Runs)
 	}
 	return c
 }
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -28,8 +28,11 @@
 	// Service is the service that the forwarding instance chose; Software is set for a
 	// stream that has begun there.
 	Service, Software string
-	// Runs is the number of targets that may have run the call.
-	Runs int
+	// Runs is the number of targets that may have run the call, MaxRuns the number of those that
+	// may run it at the other instance, 0 for as many as the route permits.
+	Runs, MaxRuns int
+	// Avoid are the names of targets that failed the call.
+	Avoid []string
 	// Workspace is the workspace of the call, empty if it has none.
 	Workspace string
 	// Configuration is the newest version of the configuration that the forwarding instance
@@ -45,9 +48,18 @@
 	Origin   bamboorail.StreamOrigin
 	// Configuration is the version of the configuration by which the call ran.
 	Configuration uint64
-	// Runs returns the number of targets that may have run the call, as far as the other
-	// instance has reported it. It is nil if that reported none.
-	Runs func() int
+	// Report returns what the other instance has reported of its attempts so far. It is nil if
+	// that was not reached.
+	Report func() ForwardReport
+}
+
+// ForwardReport is what an instance reports of its attempts to run a forwarded call.
+type ForwardReport struct {
+	// Runs is the number of targets that may have run the call there, if Known is set.
+	Runs  int
+	Known bool
+	// Avoid are the names of targets that failed the call.
+	Avoid []string
 }
 
 // ForwardedHead is the head of an answer of a target to a forwarded call.
@@ -100,19 +112,40 @@
 	return &Error{bamboorail.Failure{Op: "forward-call", Kind: bamboorail.KindUnavailable, Outcome: outcome, Err: errors.Join(errNeighborFailed, err)}}
 }
 
+// forwardedRuns is the number of targets that may run a call at the instance that it is forwarded
+// to. The forwarding one decides on each further run: it may start a standby attempt meanwhile.
+const forwardedRuns = 1
+
 // neighbor returns the address of the instance to which the call is forwarded, empty if it
-// is not.
-func (x *exchange) neighbor(tried []string) string {
+// is not. One that has answered is tried again if there is no other.
+func (x *exchange) neighbor(tried, failed []string) string {
 	if x.forwarded != nil || len(x.body) > maxForwardBody {
 		return ""
 	}
 	address, ok := x.h.Detour.Next(tried)
+	if !ok && len(failed) < len(tried) {
+		address, ok = x.h.Detour.Next(failed)
+	}
 	if !ok {
 		return ""
 	}
 	return address
 }
 
+// isRepeat reports whether the call was forwarded by an instance that leaves it to this one to
+// take it out of the retry budget, after it may have run.
+func (x *exchange) isRepeat() bool {
+	return x.forwarded != nil && x.forwarded.MaxRuns > 0 && x.forwarded.Runs > 0
+}
+
+// maxRuns returns the number of targets that may run the call.
+func (x *exchange) maxRuns() int {
+	if c := x.forwarded; c != nil && c.MaxRuns > 0 {
+		return min(x.route.MaxAttempts, c.Runs+c.MaxRuns)
+	}
+	return x.route.MaxAttempts
+}
+
 // openThrough runs the call through another instance, which makes its own attempts.
 func (l *leg) openThrough() {
 	const op = "forward-call"
@@ -126,11 +159,16 @@
 		return
 	}
 	answer, err := l.x.h.Detour.Forward(sendCtx, l.neighbor, l.forwardCall())
-	l.forwardedRuns = answer.Runs
+	l.forwardReport = answer.Report
 	if err != nil {
 		l.recordRejection(err)
-		l.ran, l.sent = !bamboorail.NotRun(err), !bamboorail.NotRun(err)
-		l.found = useful(err)
+		l.ran = !bamboorail.NotRun(err)
+		if r := l.report(); l.start.runs > 0 && r.Known {
+			// The outcome includes the runs before.
+			l.ran = r.Runs > 0
+		}
+		l.sent = l.ran
+		l.found = l.isUseful(err)
 		if l.start.runs > 0 && bamboorail.NotRun(err) {
 			err = mayHaveRun(op, bamboorail.KindOf(err), err)
 		}
@@ -180,14 +218,26 @@
 	h.Log.Warn("answer rejected", "from", "instance", "address", l.neighbor, "reason", string(rejected.Reason), "error", rejected.Err)
 }
 
-// useful reports whether another attempt is useful after one through another instance,
-// which has already made its own. That instance cannot check whether the answer of its
-// target continues a stream.
-func useful(err error) bool {
+// isUseful reports whether another attempt is useful after one through another instance. That
+// instance leaves a repetition after a run to this one, has made its own after refusals, and cannot
+// check whether the answer of its target continues a stream.
+func (l *leg) isUseful(err error) bool {
 	kind := bamboorail.KindOf(err)
-	return errors.Is(err, errNeighborFailed) || errors.Is(err, eventstream.ErrNotContinued) || kind == bamboorail.KindTruncated || kind == bamboorail.KindNoTarget
+	return l.hasRun() || errors.Is(err, errNeighborFailed) || errors.Is(err, eventstream.ErrNotContinued) ||
+		kind == bamboorail.KindTruncated || kind == bamboorail.KindNoTarget
 }
 
+// report returns what the instance that the call was forwarded to has reported.
+func (l *leg) report() ForwardReport {
+	if l.forwardReport == nil {
+		return ForwardReport{}
+	}
+	return l.forwardReport()
+}
+
+// hasRun reports whether a target of the instance that the call was forwarded to ran it.
+func (l *leg) hasRun() bool { return l.report().Runs > 0 }
+
 func (l *leg) forwardCall() ForwardCall {
 	x := l.x
 	header := x.call.Header
@@ -197,8 +247,8 @@
 	}
 	return ForwardCall{
 		Instance: x.h.Instance, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: header, Body: x.body,
-		Remaining: time.Until(x.deadline), StartWithin: time.Until(l.start.startBy), Service: l.start.service.Name, Software: l.start.software, Runs: l.start.runs,
-		Workspace: x.call.Workspace, Configuration: max(x.version, x.h.configuration.Load()),
+		Remaining: time.Until(x.deadline), StartWithin: time.Until(l.start.startBy), Service: l.start.service.Name, Software: l.start.software,
+		Runs: l.start.runs, MaxRuns: forwardedRuns, Avoid: l.start.avoid, Workspace: x.call.Workspace, Configuration: max(x.version, x.h.configuration.Load()),
 	}
 }
 
@@ -219,26 +269,27 @@
 	Write(chunk []byte) error
 }
 
-// ServeForwarded runs a call that another instance forwarded, and returns the number of
-// targets that may have run it here. Without an answer of a target, it returns the failure; an
-// answer that broke off ends with an error too.
-func (h *Handler) ServeForwarded(ctx context.Context, c ForwardCall, to ForwardWriter) (int, error) {
+// ServeForwarded runs a call that another instance forwarded, and returns a report for that. Without
+// an answer of a target, it returns the failure; an answer that broke off ends with an error too.
+func (h *Handler) ServeForwarded(ctx context.Context, c ForwardCall, to ForwardWriter) (ForwardReport, error) {
 	target, err := url.ParseRequestURI(c.URI)
 	if err != nil {
-		return 0, notRun("serve-forwarded", bamboorail.KindBadRequest, 0, err)
+		return ForwardReport{Known: true}, notRun("serve-forwarded", bamboorail.KindBadRequest, 0, err)
 	}
 	w := &forwardWriter{to: to, header: http.Header{}}
 	r := (&http.Request{
 		Method: c.Method, URL: target, RequestURI: c.URI, Host: c.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: c.Header, Body: http.NoBody, ContentLength: int64(len(c.Body)),
 	}).WithContext(ctx)
-	x := &exchange{h: h, w: w, r: r, received: time.Now(), forwarded: &c, body: c.Body, attempted: counts{runs: c.Runs}, software: c.Software}
+	x := &exchange{h: h, w: w, r: r, received: time.Now(), forwarded: &c, body: c.Body, attempted: counts{runs: c.Runs}, software: c.Software,
+		// A target that failed the call may have answered it on a connection of this instance.
+		avoid: slices.Clone(c.Avoid), reached: slices.Clone(c.Avoid)}
 	w.x = x
 	span := x.startTrace()
 	err = x.run()
 	x.report(err)
 	x.endTrace(span, err)
-	return x.ownRuns(), err
+	return ForwardReport{Runs: x.ownRuns(), Known: true, Avoid: x.avoid[len(c.Avoid):]}, err
 }
 
 // ownRuns returns the number of targets of this instance that may have run a forwarded call.
--- a/internal/relay/detour_test.go
+++ b/internal/relay/detour_test.go
@@ -87,22 +87,22 @@
 // through returns an instance that runs forwarded calls at its own targets.
 func (b *testRelay) through(ctx context.Context, c ForwardCall) (ForwardedAnswer, error) {
 	got := &recordedAnswer{}
-	runs, err := b.handler.ServeForwarded(ctx, c, got)
-	var reported atomic.Int64
-	reportedRuns := func() int { return int(reported.Load()) }
-	reported.Store(int64(runs))
+	final, err := b.handler.ServeForwarded(ctx, c, got)
+	var reported atomic.Pointer[ForwardReport]
+	report := func() ForwardReport { return *reported.Load() }
+	reported.Store(&final)
 	if got.status == 0 {
-		return ForwardedAnswer{Runs: reportedRuns}, err
+		return ForwardedAnswer{Report: report}, err
 	}
-	reported.Store(int64(got.runs))
+	reported.Store(&ForwardReport{Runs: got.runs, Known: true})
 	end := io.EOF
 	if err != nil {
 		end = errors.New(err.Error()) // errors are not passed on between instances, only their text
 	}
-	body := bodyWithEnd(got.body, func() { reported.Store(int64(runs)) }, end)
+	body := bodyWithEnd(got.body, func() { reported.Store(&final) }, end)
 	return ForwardedAnswer{
 		Response: &http.Response{StatusCode: got.status, Header: got.header, Body: body, ContentLength: -1, TransferEncoding: []string{"chunked"}},
-		Target:   got.target, Origin: got.origin, Configuration: got.configuration, Runs: reportedRuns,
+		Target:   got.target, Origin: got.origin, Configuration: got.configuration, Report: report,
 	}, nil
 }
 
@@ -190,58 +190,6 @@
 	}
 }
 
-// TestRunsOfForwardedCallsCount guards against calls that run on more targets than their route
-// permits: each instance through which they are forwarded repeats them up to that number (incident
-// archive-attempts-through-others).
-func TestRunsOfForwardedCallsCount(t *testing.T) {
-	repeats := func(rule bamboorail.RepeatRule, attempts int) bamboorail.RouteSpec {
-		return bamboorail.RouteSpec{Repeat: rule, MaxAttempts: attempts, Streaming: rule == bamboorail.RepeatResume}
-	}
-	part := raw("HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 9\r\n\r\npart")
-	cases := map[string]struct {
-		route bamboorail.RouteSpec
-		// targets are the scripts of the two targets of each instance.
-		targets [2][2]script
-		// arrived is the number of requests that reached the targets of each instance.
-		arrived [2]int
-		whole   bool
-	}{
-		"answers break off, two attempts":   {repeats(bamboorail.RepeatAlways, 2), [2][2]script{{part, part}, {answer("c"), answer("d")}}, [2]int{2, 0}, false},
-		"answers break off, three attempts": {repeats(bamboorail.RepeatAlways, 3), [2][2]script{{part, part}, {answer("c"), answer("d")}}, [2]int{2, 1}, true},
-		"streams break off, two attempts": {
-			repeats(bamboorail.RepeatResume, 2), [2][2]script{{stream(false, event(1)), stream(false, event(2))}, {stream(true, event(3)), answer("d")}}, [2]int{2, 0}, false,
-		},
-		"streams break off, three attempts": {
-			repeats(bamboorail.RepeatResume, 3), [2][2]script{{stream(false, event(1)), stream(false, event(2))}, {stream(true, event(3)), answer("d")}}, [2]int{2, 1}, true,
-		},
-	}
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			b := newTestRelay(t, c.route, newTarget(t, "direct", answer("direct")))
-			b.detour.neighbors = map[string]func(ctx context.Context, f ForwardCall) (ForwardedAnswer, error){}
-			arrived := [2]func() int{}
-			for n, scripts := range c.targets {
-				first, second := newTarget(t, "first", scripts[0]), newTarget(t, "second", scripts[1])
-				first.entry.Software, second.entry.Software = "v1", "v1"
-				arrived[n] = func() int { return len(first.seen()) + len(second.seen()) }
-				other := newTestRelay(t, c.route, first, second)
-				address := []string{"a", "b"}[n]
-				b.detour.order = append(b.detour.order, address)
-				b.detour.neighbors[address] = other.through
-			}
-			r := b.call(t, http.MethodPost, "/p/x", "body")
-			if whole := r.status == http.StatusOK && !r.broken; whole != c.whole {
-				t.Errorf("answer %+v", r)
-			}
-			for n, want := range c.arrived {
-				if got := arrived[n](); got != want {
-					t.Errorf("%d requests reached the targets of instance %d, expected %d", got, n, want)
-				}
-			}
-		})
-	}
-}
-
 // TestForwardedCallRunsByNoOlderConfiguration guards against calls that run at a service from
 // which the operators have moved their route, or are refused though the route is there, because the
 // instance that they are forwarded to has an older configuration (incident archive-forwarded-to-old-configuration).
--- a/internal/relay/leg.go
+++ b/internal/relay/leg.go
@@ -32,8 +32,10 @@
 	// begin a resumable stream.
 	committed, resumable, begins bool
 
-	avoid     []string
-	neighbors []string
+	avoid []string
+	// neighbors are the instances that the call was forwarded to, failed those of them that did
+	// not run it.
+	neighbors, failed []string
 	// reached are the targets that the call was sent to.
 	reached []string
 	runs    int
@@ -44,7 +46,7 @@
 func (x *exchange) legStart() legStart {
 	start := legStart{
 		service: x.service, software: x.software, lastEvent: x.events.lastID, sequence: x.events.sequence,
-		committed: x.committed, resumable: x.resumable, avoid: x.avoid, neighbors: x.neighbors, reached: x.reached,
+		committed: x.committed, resumable: x.resumable, avoid: x.avoid, neighbors: x.neighbors, failed: x.failed, reached: x.reached,
 		runs: x.attempted.runs, startBy: x.startBy,
 	}
 	if x.committed {
@@ -56,16 +58,25 @@
 	return start
 }
 
-// exclude keeps legs that start in s from the target or instance of l.
+// exclude keeps legs that start in s from the target or instance of l, which may still run.
 func (s *legStart) exclude(l *leg) {
 	if l.neighbor != "" {
 		s.neighbors = append(slices.Clip(s.neighbors), l.neighbor)
+		s.failed = append(slices.Clip(s.failed), l.neighbor)
 		return
 	}
 	s.avoid = append(slices.Clip(s.avoid), l.target.ID.Name)
 	s.reached = append(slices.Clip(s.reached), l.target.ID.Name)
 }
 
+// excludeNeighbor keeps legs that start in s from the instance of l, which has ended.
+func (s *legStart) excludeNeighbor(l *leg) {
+	s.neighbors = append(slices.Clip(s.neighbors), l.neighbor)
+	if !l.hasRun() {
+		s.failed = append(slices.Clip(s.failed), l.neighbor)
+	}
+}
+
 // leg is one attempt to run a call, at a target or through another instance. It does not
 // change its exchange, so that two legs can run at the same time.
 type leg struct {
@@ -96,8 +107,8 @@
 	// found is set if another attempt is useful after this one, sent if the call may
 	// have reached a target, and ran if a target may have run it.
 	found, sent, ran bool
-	// forwardedRuns returns the runs that another instance reported, nil if none did.
-	forwardedRuns func() int
+	// forwardReport returns what another instance reported, nil if none was reached.
+	forwardReport func() ForwardReport
 	result        balance.Result
 	err           error
 	// avoid, reached and trail are what the leg adds to those of the call.
@@ -106,7 +117,7 @@
 
 // newLeg returns a leg that has not been opened.
 func (x *exchange) newLeg(ctx context.Context, start legStart) *leg {
-	l := &leg{x: x, start: start, neighbor: x.neighbor(start.neighbors), admit: func() error { return nil }, releaseMessage: func() {}}
+	l := &leg{x: x, start: start, neighbor: x.neighbor(start.neighbors, start.failed), admit: func() error { return nil }, releaseMessage: func() {}}
 	if l.neighbor != "" {
 		x.forwards.Add(1)
 	}
@@ -272,7 +283,11 @@
 	if l.sent && l.neighbor == "" {
 		l.reached = append(l.reached, l.target.ID.Name)
 	}
-	if err == nil || !l.found || l.neighbor != "" || result == balance.Abandoned {
+	if l.neighbor != "" {
+		l.addForwardedAvoid()
+		return
+	}
+	if err == nil || !l.found || result == balance.Abandoned {
 		return
 	}
 	if result != balance.Misdirected || l.reservation.Assumed {
@@ -280,6 +295,14 @@
 	}
 }
 
+// addForwardedAvoid adds the targets that failed the call at another instance.
+func (l *leg) addForwardedAvoid() {
+	l.avoid = append(l.avoid, l.report().Avoid...)
+	if l.err != nil && l.response != nil && l.target.ID.Name != "" {
+		l.avoid = append(l.avoid, l.target.ID.Name)
+	}
+}
+
 // describe returns the entry of the leg in the trail, empty if nothing was sent.
 func (l *leg) describe(took time.Duration) string {
 	suffix := outcome(l.err) + causeOf(l.err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -236,11 +236,12 @@
 	avoid     []string
 	standby   *standby
 	// target is the one whose answer is forwarded. neighbors are the instances to which
-	// the call was forwarded, forwarded is the call of another instance.
-	target    bamboorail.TargetID
-	neighbors []string
-	reached   []string
-	forwarded *ForwardCall
+	// the call was forwarded, failed those of them that did not run it, and forwarded is the
+	// call of another instance.
+	target            bamboorail.TargetID
+	neighbors, failed []string
+	reached           []string
+	forwarded         *ForwardCall
 	// forwards is the number of legs through other instances, which may store origins of the
 	// stream.
 	forwards  atomic.Int32
--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -87,9 +87,13 @@
 	start.avoid = append(slices.Clip(start.avoid), s.failed.avoid...)
 	start.reached = append(slices.Clip(start.reached), s.failed.reached...)
 	start.neighbors = append(slices.Clip(start.neighbors), s.failed.neighbors...)
+	start.failed = append(slices.Clip(start.failed), s.failed.failed...)
 	s.wait, s.cause, s.start, s.base = wait, cause, start, base
 	s.silent = cmp.Or(s.current.neighbor, s.current.target.ID.Name)
 	s.start.exclude(s.current)
+	if s.current.neighbor != "" && s.current.response != nil {
+		s.start.avoid = append(s.start.avoid, s.current.target.ID.Name)
+	}
 	s.arm(wait, time.Now())
 }
 
@@ -178,7 +182,7 @@
 	if !s.x.permits(attempts, start) || s.started >= maxAttempts {
 		return
 	}
-	if !s.x.h.Budget(start.service.Name).Available(now) {
+	if !s.x.mayTakeBudget(start, now) {
 		s.noBudget = true
 		s.armRetry()
 		return
@@ -219,7 +223,7 @@
 	if s.isTaken(l) || !s.x.permits(s.base.add(s.extra), l.start) {
 		return notRun(op, bamboorail.KindOverloaded, defaultRetryAfter, errNoAttempts)
 	}
-	if !s.x.h.Budget(l.start.service.Name).Take(time.Now()) {
+	if l.neighbor == "" && !s.x.h.Budget(l.start.service.Name).Take(time.Now()) {
 		s.noBudget = true
 		return notRun(op, bamboorail.KindOverloaded, defaultRetryAfter, errNoBudget)
 	}
@@ -246,7 +250,7 @@
 		return
 	}
 	s.extra = s.extra.subtract(admittedCounts).add(l.limitedCounts())
-	if !l.sent {
+	if !l.sent && l.neighbor == "" {
 		s.x.h.Budget(l.start.service.Name).Return(time.Now())
 	}
 }
@@ -278,7 +282,7 @@
 		s.failed.avoid = append(s.failed.avoid, l.avoid...)
 		s.failed.reached = append(s.failed.reached, l.reached...)
 		if l.neighbor != "" && l.admitted {
-			s.failed.neighbors = append(s.failed.neighbors, l.neighbor)
+			s.failed.excludeNeighbor(l)
 		}
 	}
 	if !s.running[l] {
@@ -289,7 +293,7 @@
 		s.start.avoid = append(slices.Clip(s.start.avoid), l.avoid...)
 		s.start.reached = append(slices.Clip(s.start.reached), l.reached...)
 		if l.neighbor != "" && l.admitted {
-			s.start.exclude(l)
+			s.start.excludeNeighbor(l)
 		}
 		s.armRetry()
 		return false
