--- a/internal/placer/order_journal_test.go
+++ b/internal/placer/order_journal_test.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 	"bamboorail.example/bamboorail"
 	"bamboorail.example/bamboorail/internal/adapters"
 	"bamboorail.example/bamboorail/internal/stand/memory"
+	"bamboorail.example/bamboorail/internal/task"
 )
 
 var errStoreDown = errors.New("down")
@@ -130,3 +132,73 @@
 		})
 	}
 }
+
+// TestUnansweredOrdersReachTheNextHolder guards against a holder that does not know the orders that
+// engines may still carry out for the one before (incident archive-late-orders-of-a-holder).
+func TestUnansweredOrdersReachTheNextHolder(t *testing.T) {
+	cases := map[string]struct {
+		// kept is the time for which the first holder lives on, waits the time before the next.
+		kept, waits time.Duration
+		orders      int
+	}{
+		"killed before a write": {waits: time.Second},
+		"killed after a write":  {kept: 2 * journalInterval, waits: time.Second, orders: 1},
+		"killed later":          {kept: 10 * time.Second, waits: time.Second, orders: 1},
+		"killed long after":     {kept: 20 * time.Second, waits: time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cluster := newRoomCluster(t, 1, 0, roomFaults{})
+				next := func() (*Holder, func()) {
+					cluster.config.Journal = NewOrderJournal("orders", "z", cluster.store, cluster.config.Log)
+					h := NewHolder(cluster.config)
+					ctx, kill := context.WithCancel(t.Context())
+					done := task.Start(ctx, "holder", h.Run)
+					return h, func() {
+						kill()
+						done.Join()
+					}
+				}
+				h, kill := next()
+				renew := func(d time.Duration) {
+					for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Second / 2) {
+						_ = cluster.config.Lease.Renew(t.Context())
+						cluster.register("e0")
+					}
+				}
+				renew(5 * time.Second)
+				cluster.engines["e0"].with(func(e *roomEngine) { e.intercept = func(bamboorail.AdapterOrder) {} })
+				if c.kept == 0 {
+					cluster.store.SetHook(func(string, string) error { return errStoreDown })
+				}
+				if _, err := h.Place(t.Context(), adapters.Request{
+					Key: bamboorail.AdapterKey{Model: "m", Adapter: "a"}, Service: "s", Version: 1, CallID: "c", Objective: time.Second,
+				}); err == nil {
+					t.Fatal("the order was answered")
+				}
+				if c.kept < time.Second {
+					time.Sleep(c.kept)
+				} else {
+					renew(c.kept)
+				}
+				kill()
+				cluster.store.SetHook(nil)
+				time.Sleep(c.waits)
+				cluster.config.Lease = cluster.claim(t, "node")
+				h, kill = next()
+				defer kill()
+				time.Sleep(2 * journalCheckInterval)
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				list, _ := h.planner.Unanswered(time.Now())
+				if len(list) != c.orders || c.orders > 0 && list[0].Key.Adapter != "a" {
+					t.Errorf("orders %+v, expected %d", list, c.orders)
+				}
+				if got := h.planner.UnknownOrders(time.Now()); got != 1 {
+					t.Errorf("%d unknown orders, expected one", got)
+				}
+			})
+		})
+	}
+}
