--- a/internal/adapters/inherited_test.go
+++ b/internal/adapters/inherited_test.go
@@ -18,7 +18,7 @@
 		loads []uint64
 		age   time.Duration
 		// unknown is the number of unknown orders, born the time since the start of the engine,
-		// after the time since the tenure began.
+		// after the time since the orders were inherited.
 		unknown     int
 		born, after time.Duration
 		// evicts is set if a call for another adapter is placed with an eviction.
@@ -70,7 +70,7 @@
 }
 
 // TestEngineAcceptsNoOrdersUntilTheLastIsRecorded guards against two unanswered orders to an engine
-// that later holders do not know.
+// that are not recorded.
 func TestEngineAcceptsNoOrdersUntilTheLastIsRecorded(t *testing.T) {
 	cases := map[string]struct {
 		records, recorded bool
--- a/internal/adapters/unanswered.go
+++ b/internal/adapters/unanswered.go
@@ -80,7 +80,7 @@
 	return list, changed
 }
 
-// MarkRecorded records that later holders know orders.
+// MarkRecorded records that orders are stored for later holders.
 func (p *Planner) MarkRecorded(list []UnansweredOrder) {
 	for _, o := range list {
 		for n, u := range p.unanswered[o.Engine] {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -50,7 +50,7 @@
 	fencingToken uint64
 	// takenOver is set for a tenure that began after another one lapsed.
 	takenOver bool
-	// succeeds is set for a tenure that began after another one, of whatever instance.
+	// succeeds is set if the lease had a holder before, whatever its instance.
 	succeeds bool
 	// confirmedEra is the era of the last confirmed write of the tenure.
 	confirmedEra uint64
@@ -147,7 +147,7 @@
 	return l.takenOver
 }
 
-// IsSuccessor reports whether the tenure began after another one, of whatever instance.
+// IsSuccessor reports whether the lease had a holder before, whatever its instance.
 func (l *Lease) IsSuccessor() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/lease/release_test.go
+++ b/internal/lease/release_test.go
@@ -87,9 +87,9 @@
 		return l
 	}
 	if open().IsSuccessor() {
-		t.Error("the first tenure is a successor")
+		t.Error("the first holder is a successor")
 	}
 	if !open().IsSuccessor() {
-		t.Error("the tenure of a process that started again is none")
+		t.Error("a process that started again is no successor")
 	}
 }
--- a/internal/placer/holder.go
+++ b/internal/placer/holder.go
@@ -87,8 +87,8 @@
 	mu      sync.Mutex
 	planner *adapters.Planner
 	leading bool
-	// tenureAt is the beginning of the tenure. inherited is set once the unanswered orders of
-	// earlier holders are known; no orders are sent before.
+	// tenureAt is the time of the last change of leading. inherited is set once the unanswered
+	// orders of earlier holders are read; no orders are sent before.
 	tenureAt      time.Time
 	inherited     bool
 	lastModelLoad time.Time
--- a/internal/placer/order_journal.go
+++ b/internal/placer/order_journal.go
@@ -21,8 +21,8 @@
 	journalCheckInterval = 500 * time.Millisecond
 	// journalTimeout bounds one call to the store.
 	journalTimeout = 500 * time.Millisecond
-	// inheritTimeout is the time after the beginning of a tenure for which no order is sent
-	// until the journal has been read.
+	// inheritTimeout is the time after the lease was taken for which no order is sent until the
+	// journal has been read.
 	inheritTimeout = time.Second
 	// maxUnknownOrders bounds the orders that are assumed of holders that followed one another
 	// within the time in which orders are carried out.
@@ -177,7 +177,7 @@
 	}
 }
 
-// keepJournal reads the journal at the beginning of a tenure, and then writes it.
+// keepJournal reads the journal once the lease has been taken, and then writes it.
 func (h *Holder) keepJournal(ctx context.Context) {
 	h.mu.Lock()
 	leading, inherited, since := h.leading, h.inherited, h.tenureAt
--- a/internal/placer/order_journal_test.go
+++ b/internal/placer/order_journal_test.go
@@ -133,11 +133,11 @@
 	}
 }
 
-// TestUnansweredOrdersReachTheNextHolder guards against a holder that does not know the orders that
-// engines may still carry out for the one before (incident archive-late-orders-of-a-holder).
+// TestUnansweredOrdersReachTheNextHolder guards against a holder without the orders that engines
+// may still carry out for the one before (incident archive-late-orders-of-a-holder).
 func TestUnansweredOrdersReachTheNextHolder(t *testing.T) {
 	cases := map[string]struct {
-		// kept is the time for which the first holder lives on, waits the time before the next.
+		// kept is the time for which the first holder runs on, waits the time before the next.
 		kept, waits time.Duration
 		orders      int
 	}{
