Tests of relay: each target has a loopback address of its own

Five requests arrived at targets with two reservations, and a cut head was used up by another request than that of the case: the port of a closed listener is given to a target of another case or process, which gets its requests.

Targets listen on addresses that no other target uses. No check has changed.

--- a/internal/relay/testrelay_test.go
+++ b/internal/relay/testrelay_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -100,9 +101,19 @@
 	header            http.Header
 }
 
+// targetCount numbers the targets of the process.
+var targetCount atomic.Uint32
+
+// targetAddress returns a loopback address of its own for a target: the port of one that was closed
+// may be given to a target of another case or process, which then gets its requests.
+func targetAddress() string {
+	n := targetCount.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%250, n>>8&0xff, n&0xff)
+}
+
 func newTarget(t *testing.T, name string, scripts ...script) *fakeTarget {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", targetAddress())
 	if err != nil {
 		t.Fatal(err)
 	}
