Known red: an instance takes its run of a forwarded call for the beginning of the stream

Found by reading: an instance that ran a call for another one keeps its own record as the beginning, though the caller may have got another answer, and uses it when a client takes the stream up there.

--- a/internal/origin/correction_test.go
+++ b/internal/origin/correction_test.go
@@ -227,3 +227,30 @@
 		}
 	})
 }
+
+// TestForwardedRunIsNotTakenForTheOrigin guards against streams joined from two versions: an instance
+// ran the call for another one, whose caller got the answer of a third (KNOWN-RED.txt).
+func TestForwardedRunIsNotTakenForTheOrigin(t *testing.T) {
+	for name, ran := range map[string]bamboorail.StreamOrigin{"ran at the baseline": v1, "ran elsewhere": v2} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := memory.NewStore()
+				putBaseline(t, store, baseline{Software: "v1"})
+				serving, other := newTestRegistry(t, store, "v1", "v2", "v3"), newTestRegistry(t, store, "v1", "v2", "v3")
+				defer runRegistry(t, serving)()
+				defer runRegistry(t, other)()
+				time.Sleep(2 * time.Second)
+				if err := other.Record(t.Context(), "a", ran); err != nil {
+					t.Fatal(err)
+				}
+				settled := bamboorail.StreamOrigin{Service: "s", Software: "v3"}
+				if err := serving.Settle(t.Context(), "a", settled, false); err != nil {
+					t.Fatal(err)
+				}
+				if got, err := other.Find(t.Context(), "a", "s"); got != settled {
+					t.Errorf("the instance that ran the call finds %+v, %v, expected %+v", got, err, settled)
+				}
+			})
+		})
+	}
+}
